--- /dev/null
+++ b/internal/adapter/callers/respond.go
@@ -0,0 +1,78 @@
+package callers
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/outcome"
+	"rattanchute/internal/serve"
+)
+
+// writeRefusal writes a final answer that is not an endpoint's.
+func writeRefusal(ctx *fasthttp.RequestCtx, r *serve.Refusal) {
+	d := r.Detail
+	ctx.Response.Header.Set(outcome.HeaderRequestID, d.RequestID)
+	ctx.Response.Header.Set(outcome.HeaderOutcome, string(d.Outcome))
+	if d.RetryAfterMillis > 0 {
+		wait := time.Duration(d.RetryAfterMillis) * time.Millisecond
+		ctx.Response.Header.Set("Retry-After", strconv.FormatInt(outcome.RetryAfter(wait), 10))
+	}
+	if d.ResumeToken != "" {
+		ctx.Response.Header.Set(outcome.HeaderResumeToken, d.ResumeToken)
+	}
+	writeJSON(ctx, r.Status, outcome.Error{Error: d})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		// The values are structs of strings and numbers, which always encode.
+		panic(err)
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// The request headers that callers set.
+const (
+	headerPriority       = "X-Priority"
+	headerTimeout        = "X-Request-Timeout-Ms"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerLastEventID    = "Last-Event-Id"
+	maxIdempotencyKey    = 255
+)
+
+// wishes are the headers that every kind of request can carry.
+type wishes struct {
+	priority int
+	timeout  time.Duration
+}
+
+func readWishes(ctx *fasthttp.RequestCtx, requestID string) (wishes, *serve.Refusal) {
+	w := wishes{priority: serve.PriorityUnset}
+	if v := ctx.Request.Header.Peek(headerPriority); len(v) > 0 {
+		p, err := strconv.Atoi(string(v))
+		if err != nil || p < 0 || p > 9 {
+			return w, badField(requestID, headerPriority, "not a whole number from 0 to 9")
+		}
+		w.priority = p
+	}
+	if v := ctx.Request.Header.Peek(headerTimeout); len(v) > 0 {
+		ms, err := strconv.ParseInt(string(v), 10, 32)
+		if err != nil || ms <= 0 {
+			return w, badField(requestID, headerTimeout, "not a positive number of milliseconds")
+		}
+		w.timeout = time.Duration(ms) * time.Millisecond
+	}
+	return w, nil
+}
+
+func badField(requestID, field, message string) *serve.Refusal {
+	r := serve.NewRefusal(fasthttp.StatusBadRequest, requestID, "bad_request", message)
+	r.Detail.Field = field
+	return r
+}
--- /dev/null
+++ b/internal/adapter/callers/server.go
@@ -0,0 +1,141 @@
+package callers
+
+import (
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/hex"
+	"errors"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/outcome"
+	"rattanchute/internal/route"
+	"rattanchute/internal/serve"
+)
+
+// Limits bound what one caller can make the process hold.
+type Limits struct {
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	// ReadTimeout is the longest a request may take to arrive, headers and body.
+	ReadTimeout time.Duration
+	IdleTimeout time.Duration
+	// WriteTimeout is the longest one write to a slow caller may block.
+	WriteTimeout   time.Duration
+	MaxConnections int
+}
+
+// DefaultLimits returns the limits for one entry host.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxBodyBytes:   4 << 20,
+		MaxHeaderBytes: 16 << 10,
+		ReadTimeout:    10 * time.Second,
+		IdleTimeout:    75 * time.Second,
+		WriteTimeout:   30 * time.Second,
+		MaxConnections: 16384,
+	}
+}
+
+// Tables gives the routing table in force.
+type Tables interface {
+	Table() *route.Table
+}
+
+// Server answers callers.
+type Server struct {
+	service *serve.Service
+	tables  Tables
+	limits  Limits
+	http    *fasthttp.Server
+}
+
+// New returns a server that is not yet listening.
+func New(service *serve.Service, tables Tables, limits Limits) *Server {
+	s := &Server{service: service, tables: tables, limits: limits}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          handleBadRequest,
+		Name:                  "rattanchute",
+		NoDefaultDate:         true,
+		MaxRequestBodySize:    limits.MaxBodyBytes,
+		ReadBufferSize:        limits.MaxHeaderBytes,
+		ReadTimeout:           limits.ReadTimeout,
+		IdleTimeout:           limits.IdleTimeout,
+		Concurrency:           limits.MaxConnections,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                quietLogger{},
+	}
+	return s
+}
+
+// quietLogger drops the library's lines: counters tell of bad requests.
+type quietLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (quietLogger) Printf(string, ...any) {}
+
+// Serve accepts connections until Shutdown; with a TLS configuration it speaks TLS.
+func (s *Server) Serve(l net.Listener, cfg *tls.Config) error {
+	if cfg != nil {
+		l = tls.NewListener(l, cfg)
+	}
+	return s.http.Serve(l)
+}
+
+// Shutdown stops listening and waits for open requests.
+func (s *Server) Shutdown() error { return s.http.Shutdown() }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	requestID := serve.NewRequestID()
+	ctx.Response.Header.Set(outcome.HeaderRequestID, requestID)
+	org, ok := s.authenticate(ctx)
+	if !ok {
+		refusal := serve.NewRefusal(fasthttp.StatusUnauthorized, requestID, "unauthorized",
+			"no organisation has this key")
+		writeRefusal(ctx, refusal)
+		return
+	}
+	switch path := string(ctx.Path()); {
+	case path == "/v1/chat/completions":
+		s.chat(ctx, requestID, org)
+	case path == "/v1/models":
+		s.models(ctx, requestID, org)
+	default:
+		s.call(ctx, requestID, org)
+	}
+}
+
+// authenticate finds the organisation by the digest of the presented key, so that a
+// wrong key takes the same way whatever organisations exist.
+func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (fleet.Organisation, bool) {
+	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	if !ok {
+		return fleet.Organisation{}, false
+	}
+	sum := sha256.Sum256([]byte(key))
+	return s.tables.Table().OrganisationByKey(hex.EncodeToString(sum[:]))
+}
+
+// handleBadRequest answers what could not be read as a request.
+func handleBadRequest(ctx *fasthttp.RequestCtx, err error) {
+	status, code := fasthttp.StatusBadRequest, "bad_request"
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &small):
+		status, code = fasthttp.StatusRequestHeaderFieldsTooLarge, "headers_too_large"
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status, code = fasthttp.StatusRequestEntityTooLarge, "body_too_large"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status, code = fasthttp.StatusRequestTimeout, "request_timeout"
+	}
+	ctx.Response.Reset()
+	writeRefusal(ctx, serve.NewRefusal(status, serve.NewRequestID(), code, "the request could not be read"))
+	ctx.SetConnectionClose()
+}
--- /dev/null
+++ b/internal/reclaim/plan_test.go
@@ -0,0 +1,102 @@
+package reclaim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var testRates = Rates{
+	TokenInterval:           40 * time.Millisecond,
+	TransferTokensPerSecond: 10000,
+	TransferLanes:           2,
+	Margin:                  2 * time.Second,
+}
+
+func TestPlanPrefersTheCheapestWay(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	steps := Plan(Snapshot{
+		Now:      now,
+		Deadline: now.Add(7 * time.Second),
+		Streams: []Stream{
+			{ID: 0, HeldTokens: 900, RemainingTokens: 10},
+			{ID: 1, HeldTokens: 20000, RemainingTokens: 5000},
+			{ID: 2, HeldTokens: 200000, RemainingTokens: 5000},
+		},
+		Survivors: []Survivor{{Endpoint: "a", FreeSlots: 1}, {Endpoint: "b", FreeSlots: 3}},
+		Rates:     testRates,
+	})
+	ways := map[int]Way{}
+	for _, s := range steps {
+		ways[s.Stream] = s.Way
+	}
+	is.Equal(ways[0], Finish)
+	is.Equal(ways[1], Transfer)
+	is.Equal(ways[2], Recompute)
+}
+
+func TestPlanWithoutTimeRecomputesAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	steps := Plan(Snapshot{
+		Now:      now,
+		Deadline: now,
+		Streams:  []Stream{{ID: 7, HeldTokens: 100, RemainingTokens: 100}},
+		Rates:    testRates,
+	})
+	is.Equal(steps, []Step{{Stream: 7, Way: Recompute, Start: now}})
+}
+
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		free := map[string]int{}
+		for _, v := range s.Survivors {
+			free[v.Endpoint] = v.FreeSlots
+		}
+		seen := map[int]bool{}
+		for _, step := range Plan(s) {
+			if seen[step.Stream] {
+				t.Fatalf("stream %d planned twice", step.Stream)
+			}
+			seen[step.Stream] = true
+			if step.Target == "" {
+				continue
+			}
+			free[step.Target]--
+			if free[step.Target] < 0 {
+				t.Fatalf("endpoint %s gets more streams than it has room for", step.Target)
+			}
+		}
+		if len(seen) != len(s.Streams) {
+			t.Fatalf("%d of %d streams planned", len(seen), len(s.Streams))
+		}
+	})
+}
+
+func drawSnapshot(t *rapid.T) Snapshot {
+	now := time.Unix(1000, 0)
+	s := Snapshot{
+		Now:      now,
+		Deadline: now.Add(time.Duration(rapid.IntRange(-5, 120).Draw(t, "notice")) * time.Second),
+		Rates:    testRates,
+	}
+	for i := range rapid.IntRange(0, 40).Draw(t, "streams") {
+		s.Streams = append(s.Streams, Stream{
+			ID:              i,
+			Priority:        rapid.IntRange(0, 9).Draw(t, "priority"),
+			HeldTokens:      rapid.IntRange(0, 100000).Draw(t, "held"),
+			RemainingTokens: rapid.IntRange(0, 10000).Draw(t, "remaining"),
+		})
+	}
+	for i := range rapid.IntRange(0, 6).Draw(t, "survivors") {
+		s.Survivors = append(s.Survivors, Survivor{
+			Endpoint:  string(rune('a' + i)),
+			FreeSlots: rapid.IntRange(0, 8).Draw(t, "free"),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/serve/attempt.go
@@ -0,0 +1,149 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"rattanchute/internal/engine"
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/route"
+)
+
+// chunkBuffer bounds the chunks of one stream that wait for a slow caller. When it is
+// full, the stream's reader stops and the engine's connection fills up.
+const chunkBuffer = 64
+
+// attempt is one generation at one endpoint.
+type attempt struct {
+	endpoint   fleet.Endpoint
+	stream     engine.StreamID
+	cancel     context.CancelFunc
+	received   chan received
+	started    time.Time
+	firstToken time.Duration
+}
+
+// received is what the reader got from the engine.
+type received struct {
+	chunk engine.Chunk
+	err   error
+}
+
+// start begins an attempt and its reader.
+func (c *ChatStream) start(endpoint fleet.Endpoint, g engine.Generate) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	a := &attempt{
+		endpoint: endpoint,
+		stream:   g.Stream,
+		cancel:   cancel,
+		received: make(chan received, chunkBuffer),
+		started:  c.service.now(),
+	}
+	c.current = a
+	c.service.router.Begin(endpoint.Name)
+	c.service.streams.add(endpoint.Name, c)
+	client := c.service.engines
+	c.service.pool.Submit(func() { a.run(ctx, client, g) })
+}
+
+// run reads the engine's stream until it ends or the attempt is given up.
+func (a *attempt) run(ctx context.Context, client engine.Client, g engine.Generate) {
+	stream, err := client.Generate(ctx, a.endpoint.Address, g)
+	if err != nil {
+		a.pass(ctx, received{err: err})
+		return
+	}
+	defer stream.Close()
+	for {
+		chunk, err := stream.Next()
+		if err == io.EOF {
+			err = fmt.Errorf("stream ended early: %w", io.ErrUnexpectedEOF)
+		}
+		if !a.pass(ctx, received{chunk: chunk, err: err}) {
+			return
+		}
+		if err != nil || chunk.Finish != "" {
+			return
+		}
+	}
+}
+
+// pass hands r to the stream; false if the attempt was given up.
+func (a *attempt) pass(ctx context.Context, r received) bool {
+	select {
+	case a.received <- r:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (a *attempt) chunkArrived(now time.Time) {
+	if a.firstToken == 0 {
+		a.firstToken = now.Sub(a.started)
+	}
+}
+
+// receive waits for the current attempt's next chunk.
+func (c *ChatStream) receive() (engine.Chunk, error) {
+	silence := c.service.settings.ChunkTimeout
+	if c.current.firstToken == 0 {
+		silence = c.service.settings.FirstChunkTimeout
+	}
+	timer := time.NewTimer(silence)
+	defer timer.Stop()
+	for {
+		// What the old endpoint has made already is passed on before a move.
+		select {
+		case r := <-c.current.received:
+			return r.chunk, r.err
+		default:
+		}
+		select {
+		case r := <-c.current.received:
+			return r.chunk, r.err
+		case m := <-c.moves:
+			if c.applyMove(m) {
+				return engine.Chunk{}, errMoved
+			}
+		case <-timer.C:
+			return engine.Chunk{}, errSilent
+		case <-c.ctx.Done():
+			return engine.Chunk{}, c.ctx.Err()
+		}
+	}
+}
+
+// endAttempt closes the current attempt and reports its result.
+func (c *ChatStream) endAttempt(r route.Result) {
+	a := c.current
+	c.current = nil
+	a.cancel()
+	c.service.streams.remove(a.endpoint.Name, c)
+	r.FirstToken = a.firstToken
+	c.service.router.End(c.service.now(), a.endpoint.Name, r)
+	c.service.counters.Attempts.WithLabelValues(resultLabel(r)).Inc()
+}
+
+// resultOf tells the router whether a failure speaks against the endpoint.
+func resultOf(err error) route.Result {
+	blameless := errors.Is(err, context.Canceled) ||
+		errors.Is(err, context.DeadlineExceeded) ||
+		errors.Is(err, engine.ErrNoStream) ||
+		errors.Is(err, errMoved)
+	return route.Result{Failed: !blameless}
+}
+
+func resultLabel(r route.Result) string {
+	switch {
+	case r.OK:
+		return "ok"
+	case r.Failed:
+		return "failed"
+	default:
+		return "ended"
+	}
+}
--- /dev/null
+++ b/internal/serve/call.go
@@ -0,0 +1,284 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"rattanchute/internal/admit"
+	"rattanchute/internal/claim"
+	"rattanchute/internal/engine"
+	"rattanchute/internal/outcome"
+	"rattanchute/internal/request"
+	"rattanchute/internal/route"
+)
+
+// CallAsk is a caller's request to a plain service.
+type CallAsk struct {
+	RequestID    string
+	Organisation string
+	Method       string
+	// Path is the URI's path, without the query.
+	Path           string
+	URI            string
+	Headers        []engine.Header
+	Body           []byte
+	IdempotencyKey string
+	// Priority and Timeout as for a chat request.
+	Priority int
+	Timeout  time.Duration
+}
+
+// CallAnswer is an endpoint's answer and what is known of the run.
+type CallAnswer struct {
+	engine.Answer
+	Outcome outcome.Outcome
+}
+
+// call is one plain call while it is served.
+type call struct {
+	service   *Service
+	ask       CallAsk
+	query     route.Query
+	admission admit.Ask
+	machine   *request.Call
+	next      *route.Choice
+	claimed   bool
+	key       claim.Key
+}
+
+// Call serves a request to a plain service.
+func (s *Service) Call(ctx context.Context, ask CallAsk) (CallAnswer, *Refusal) {
+	if !s.enter() {
+		return CallAnswer{}, s.refused(refuseClosing(ask.RequestID))
+	}
+	defer s.leave()
+	answer, refusal := s.call(ctx, ask)
+	if refusal != nil {
+		return CallAnswer{}, s.refused(refusal)
+	}
+	return answer, nil
+}
+
+func (s *Service) call(ctx context.Context, ask CallAsk) (CallAnswer, *Refusal) {
+	table := s.router.Table()
+	fleetName, ok := table.FleetOfPath(ask.Path)
+	if !ok {
+		return CallAnswer{}, NewRefusal(http.StatusNotFound, ask.RequestID, "unknown_path",
+			"no service answers this path").field("path")
+	}
+	c := &call{
+		service: s,
+		ask:     ask,
+		query:   route.Query{Organisation: ask.Organisation, Fleet: fleetName},
+		machine: request.NewCall(ask.RequestID, table.Repeatable(fleetName, ask.Method, ask.Path)),
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timeout(ask.Timeout))
+	defer cancel()
+	return c.serve(ctx)
+}
+
+func (c *call) serve(ctx context.Context) (CallAnswer, *Refusal) {
+	if refusal := c.admit(ctx); refusal != nil {
+		return CallAnswer{}, refusal
+	}
+	defer func() { c.service.admitter.Done(c.service.now(), c.admission) }()
+	answer, refusal := c.claimAndRun(ctx)
+	o := answer.Outcome
+	if refusal != nil {
+		o = refusal.Detail.Outcome
+	}
+	c.service.counters.Requests.WithLabelValues("call", string(o)).Inc()
+	return answer, refusal
+}
+
+func (c *call) admit(ctx context.Context) *Refusal {
+	now := c.service.now()
+	choice, err := c.service.router.Choose(now, randomWord(), c.query)
+	if err != nil {
+		return refuseRoute(c.ask.RequestID, err)
+	}
+	priority := choice.Priority
+	if c.ask.Priority != PriorityUnset {
+		priority = min(priority, c.ask.Priority)
+	}
+	deadline, _ := ctx.Deadline()
+	c.admission = admit.Ask{
+		Organisation:       c.ask.Organisation,
+		Fleet:              c.query.Fleet,
+		Priority:           priority,
+		ExpectedFirstToken: choice.ExpectedFirstToken,
+		Deadline:           deadline,
+	}
+	d := c.service.admitter.Admit(now, c.admission)
+	if !d.Admitted {
+		return refuseAdmission(c.ask.RequestID, d)
+	}
+	c.next = &choice
+	return nil
+}
+
+// claimAndRun takes the at-most-once claim where one is needed. A non-idempotent call
+// without a key needs none: this daemon alone holds it and dispatches it once.
+func (c *call) claimAndRun(ctx context.Context) (CallAnswer, *Refusal) {
+	if !c.machine.Repeatable() && c.ask.IdempotencyKey != "" {
+		answer, refusal, granted := c.acquire(ctx)
+		if !granted {
+			return answer, refusal
+		}
+	}
+	answer, refusal := c.run(ctx)
+	c.settle(answer, refusal)
+	return answer, refusal
+}
+
+func (c *call) acquire(ctx context.Context) (CallAnswer, *Refusal, bool) {
+	c.key = claim.Key{
+		Organisation:   c.ask.Organisation,
+		IdempotencyKey: c.ask.IdempotencyKey,
+		Method:         c.ask.Method,
+		Path:           c.ask.Path,
+	}
+	r := c.service.claims.Acquire(ctx, c.key, c.ask.RequestID)
+	switch r.Status {
+	case claim.Granted:
+		c.claimed = true
+		return CallAnswer{}, nil, true
+	case claim.Completed:
+		return c.recorded(r), nil, false
+	default:
+		return CallAnswer{}, refuseClaim(c.ask.RequestID, r), false
+	}
+}
+
+// recorded is the answer of an earlier run of the same key.
+func (c *call) recorded(r claim.Result) CallAnswer {
+	return CallAnswer{
+		Answer:  engine.Answer{Status: r.HTTPStatus, Body: r.Body},
+		Outcome: outcome.Completed,
+	}
+}
+
+func refuseClaim(requestID string, r claim.Result) *Refusal {
+	switch r.Status {
+	case claim.InProgress:
+		return NewRefusal(http.StatusConflict, requestID, "in_progress",
+			"a request with this key is being run").with(outcome.InProgress).after(r.RetryAfter)
+	case claim.Unknown:
+		return NewRefusal(http.StatusConflict, requestID, "outcome_unknown",
+			"a request with this key may have run; it is not run again").with(outcome.Unknown)
+	case claim.Expired:
+		return NewRefusal(http.StatusConflict, requestID, "key_expired",
+			"this key is too old for its outcome to be known").with(outcome.Unknown)
+	default:
+		return NewRefusal(http.StatusServiceUnavailable, requestID, "claim_refused",
+			"the record of non-idempotent calls cannot be written now").after(r.RetryAfter)
+	}
+}
+
+// run makes attempts until one is answered or no further one is safe.
+func (c *call) run(ctx context.Context) (CallAnswer, *Refusal) {
+	for attempt := 1; ; attempt++ {
+		choice, err := c.choose()
+		if err != nil {
+			return CallAnswer{}, refuseRoute(c.ask.RequestID, err).with(c.machine.Outcome())
+		}
+		answer, err := c.dispatch(ctx, choice)
+		if err == nil {
+			return CallAnswer{Answer: answer, Outcome: outcome.Completed}, nil
+		}
+		safe := c.machine.Failed(err)
+		c.query.Exclude = append(c.query.Exclude, choice.Endpoint.Name)
+		if !safe || attempt >= c.service.settings.MaxAttempts || !c.retryAllowed(ctx, choice) {
+			return CallAnswer{}, c.refuseFailure(err)
+		}
+	}
+}
+
+func (c *call) choose() (route.Choice, error) {
+	if c.next != nil {
+		choice := *c.next
+		c.next = nil
+		return choice, nil
+	}
+	return c.service.router.Choose(c.service.now(), randomWord(), c.query)
+}
+
+func (c *call) retryAllowed(ctx context.Context, choice route.Choice) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	return c.service.admitter.AllowRetry(c.service.now(), c.ask.Organisation, choice.Endpoint.Name)
+}
+
+// dispatch makes one attempt.
+func (c *call) dispatch(ctx context.Context, choice route.Choice) (engine.Answer, error) {
+	if err := ctx.Err(); err != nil {
+		// Nothing has been sent for this attempt.
+		return engine.Answer{}, errors.Join(engine.ErrNotSent, err)
+	}
+	c.machine.Begin()
+	c.service.router.Begin(choice.Endpoint.Name)
+	started := c.service.now()
+	answer, err := c.service.engines.Call(ctx, choice.Endpoint.Address, engine.Call{
+		Method:    c.ask.Method,
+		URI:       c.ask.URI,
+		Headers:   c.ask.Headers,
+		Body:      c.ask.Body,
+		AttemptID: c.ask.RequestID,
+	})
+	now := c.service.now()
+	result := route.Result{OK: err == nil, FirstToken: now.Sub(started)}
+	if err != nil {
+		result = resultOf(err)
+	} else {
+		c.machine.Completed()
+	}
+	c.service.router.End(now, choice.Endpoint.Name, result)
+	c.service.counters.Attempts.WithLabelValues(resultLabel(result)).Inc()
+	return answer, err
+}
+
+func (c *call) refuseFailure(err error) *Refusal {
+	o := c.machine.Outcome()
+	status := http.StatusServiceUnavailable
+	if o == outcome.Unknown {
+		status = http.StatusBadGateway
+	}
+	return NewRefusal(status, c.ask.RequestID, "no_answer", err.Error()).
+		with(o).after(retryAfterFailure)
+}
+
+// settle records how the claim ended. It does not use the caller's context: the
+// record outlives the caller's patience.
+func (c *call) settle(answer CallAnswer, refusal *Refusal) {
+	if !c.claimed {
+		return
+	}
+	recorded := make(chan struct{})
+	c.service.pool.Submit(func() {
+		defer close(recorded)
+		c.record(answer, refusal)
+	})
+	if refusal != nil {
+		// The final answer does not wait for the record's withdrawal.
+		return
+	}
+	select {
+	case <-recorded:
+	case <-time.After(c.service.settings.RecordTimeout):
+	}
+}
+
+func (c *call) record(answer CallAnswer, refusal *Refusal) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.service.settings.MaxTimeout)
+	defer cancel()
+	if refusal == nil {
+		_ = c.service.claims.Complete(ctx, c.key, c.ask.RequestID, answer.Status, answer.Body)
+		return
+	}
+	if refusal.Detail.Outcome == outcome.NotRun {
+		_ = c.service.claims.Release(ctx, c.key, c.ask.RequestID)
+	}
+}
--- /dev/null
+++ b/internal/serve/chat.go
@@ -0,0 +1,178 @@
+package serve
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"rattanchute/internal/admit"
+	"rattanchute/internal/chat"
+	"rattanchute/internal/outcome"
+	"rattanchute/internal/request"
+	"rattanchute/internal/route"
+	"rattanchute/internal/token"
+)
+
+// PriorityUnset means that the caller asked for no priority of its own.
+const PriorityUnset = -1
+
+// ChatAsk is a caller's chat-completions request.
+type ChatAsk struct {
+	RequestID    string
+	Organisation string
+	Body         []byte
+	Request      chat.Request
+	// Priority is the caller's wish; it can lower the selector's priority, not raise it.
+	Priority int
+	// Timeout is the caller's; zero means the default.
+	Timeout time.Duration
+	// ResumeToken goes on with an earlier stream when not empty.
+	ResumeToken string
+	// ResumeOffset is the index of the first chunk the caller lacks; negative takes
+	// the token's.
+	ResumeOffset int
+}
+
+// OpenChat admits a request and returns its stream once the first chunk is there.
+// Everything that goes wrong before is a refusal.
+func (s *Service) OpenChat(ctx context.Context, ask ChatAsk) (*ChatStream, *Refusal) {
+	if !s.enter() {
+		return nil, s.refused(refuseClosing(ask.RequestID))
+	}
+	c, refusal := s.openChat(ctx, ask)
+	if refusal != nil {
+		s.leave()
+		return nil, s.refused(refusal)
+	}
+	return c, nil
+}
+
+func (s *Service) refused(r *Refusal) *Refusal {
+	s.counters.Refused.WithLabelValues(r.Detail.Code).Inc()
+	return r
+}
+
+func (s *Service) openChat(ctx context.Context, ask ChatAsk) (*ChatStream, *Refusal) {
+	fleetName, ok := s.router.Table().FleetOfModel(ask.Request.Model)
+	if !ok {
+		return nil, NewRefusal(http.StatusNotFound, ask.RequestID, "unknown_model",
+			"no fleet serves this model").field("model")
+	}
+	now := s.now()
+	c := &ChatStream{
+		service:  s,
+		ask:      ask,
+		opened:   now,
+		deadline: now.Add(s.timeout(ask.Timeout)),
+		query:    newQuery(ask, fleetName),
+		moves:    make(chan Move, 1),
+	}
+	if refusal := c.restore(now); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := c.admit(now); refusal != nil {
+		return nil, refusal
+	}
+	c.ctx, c.cancel = context.WithDeadline(ctx, c.deadline)
+	if refusal := c.awaitFirst(); refusal != nil {
+		c.release(refusal.Detail.Outcome)
+		return nil, refusal
+	}
+	return c, nil
+}
+
+func newQuery(ask ChatAsk, fleetName string) route.Query {
+	return route.Query{
+		Organisation: ask.Organisation,
+		Fleet:        fleetName,
+		PrefixHashes: ask.Request.PrefixHashes(),
+		PromptTokens: ask.Request.PromptTokens(),
+		MaxTokens:    ask.Request.OutputTokens(),
+	}
+}
+
+// restore sets up the stream machine, from the resume token if there is one.
+func (c *ChatStream) restore(now time.Time) *Refusal {
+	if c.ask.ResumeToken == "" {
+		c.machine = request.NewStream(c.ask.RequestID, c.service.session)
+		return nil
+	}
+	t, err := c.service.signer.Open(now, c.ask.ResumeToken)
+	if err != nil || t.Organisation != c.ask.Organisation {
+		return NewRefusal(http.StatusForbidden, c.ask.RequestID, "bad_resume_token",
+			"the resume token is forged, expired or another organisation's").field("X-Resume-Token")
+	}
+	if t.BodyHash != bodyHash(c.ask.Body) {
+		return NewRefusal(http.StatusConflict, c.ask.RequestID, "resume_body_differs",
+			"a resumed request must repeat the body of the first").field("body")
+	}
+	c.restoreFrom(t)
+	return nil
+}
+
+func (c *ChatStream) restoreFrom(t token.Resume) {
+	offset := t.Offset
+	if c.ask.ResumeOffset >= 0 {
+		offset = c.ask.ResumeOffset
+	}
+	c.ask.RequestID = t.RequestID
+	if offset == 0 {
+		c.machine = request.NewStream(t.RequestID, c.service.session)
+	} else {
+		c.machine = request.ResumeStream(t.RequestID, c.service.session, offset, t.Offset, t.Hash)
+	}
+	c.attach = &t
+}
+
+// admit chooses the first endpoint and asks the admitter.
+func (c *ChatStream) admit(now time.Time) *Refusal {
+	choice, err := c.service.router.Choose(now, randomWord(), c.query)
+	if err != nil {
+		return refuseRoute(c.ask.RequestID, err)
+	}
+	c.priority = choice.Priority
+	if c.ask.Priority != PriorityUnset {
+		c.priority = min(c.ask.Priority, choice.Priority)
+	}
+	c.admission = admit.Ask{
+		Organisation:       c.ask.Organisation,
+		Fleet:              c.query.Fleet,
+		Priority:           c.priority,
+		ExpectedFirstToken: choice.ExpectedFirstToken,
+		Deadline:           c.deadline,
+	}
+	d := c.service.admitter.Admit(now, c.admission)
+	if !d.Admitted {
+		return refuseAdmission(c.ask.RequestID, d)
+	}
+	c.next = &choice
+	return nil
+}
+
+func refuseAdmission(requestID string, d admit.Decision) *Refusal {
+	return NewRefusal(http.StatusTooManyRequests, requestID, string(d.Code),
+		"the request was not taken").after(d.RetryAfter)
+}
+
+// awaitFirst runs attempts until there is a chunk for the caller.
+func (c *ChatStream) awaitFirst() *Refusal {
+	e, err := c.read()
+	if err == nil {
+		c.first = &e
+		observe(c.service.counters.FirstToken, c.service.now().Sub(c.opened))
+		return nil
+	}
+	o := outcome.NotRun
+	if c.mayHaveRun {
+		o = outcome.Unknown
+	}
+	return NewRefusal(http.StatusServiceUnavailable, c.ask.RequestID, "no_answer", err.Error()).
+		after(retryAfterFailure).with(o)
+}
+
+func bodyHash(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/serve/counters.go
@@ -0,0 +1,63 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Counters are the metrics of the serving path.
+type Counters struct {
+	InFlight         prometheus.Gauge
+	Requests         *prometheus.CounterVec
+	Refused          *prometheus.CounterVec
+	Attempts         *prometheus.CounterVec
+	DroppedChunks    prometheus.Counter
+	RecomputedTokens prometheus.Counter
+	PrefilledTokens  prometheus.Counter
+	Moves            *prometheus.CounterVec
+	FirstToken       prometheus.Histogram
+	BetweenTokens    prometheus.Histogram
+}
+
+// latencyBuckets are in seconds; the targets 0.046 and 0.47 are boundaries.
+var latencyBuckets = []float64{0.001, 0.005, 0.01, 0.02, 0.046, 0.1, 0.2, 0.47, 1, 2, 5, 10}
+
+// NewCounters creates the metrics and registers them.
+func NewCounters(reg prometheus.Registerer) *Counters {
+	c := &Counters{
+		InFlight:         prometheus.NewGauge(gauge("requests_in_flight", "Requests now being served.")),
+		Requests:         counterVec("requests_total", "Requests ended, by kind and outcome.", "kind", "outcome"),
+		Refused:          counterVec("refused_total", "Requests refused, by code.", "code"),
+		Attempts:         counterVec("attempts_total", "Attempts ended, by result.", "result"),
+		DroppedChunks:    prometheus.NewCounter(counter("dropped_chunks_total", "Late or crossed chunks dropped.")),
+		RecomputedTokens: prometheus.NewCounter(counter("recomputed_tokens_total", "Output tokens made again after delivery.")),
+		PrefilledTokens:  prometheus.NewCounter(counter("prefilled_tokens_total", "Prompt tokens computed by engines.")),
+		Moves:            counterVec("moves_total", "Streams moved off leaving endpoints, by way.", "way"),
+		FirstToken:       prometheus.NewHistogram(seconds("first_token_seconds", "Time to the first token.")),
+		BetweenTokens:    prometheus.NewHistogram(seconds("between_tokens_seconds", "Time between tokens.")),
+	}
+	reg.MustRegister(c.InFlight, c.Requests, c.Refused, c.Attempts, c.DroppedChunks,
+		c.RecomputedTokens, c.PrefilledTokens, c.Moves, c.FirstToken, c.BetweenTokens)
+	return c
+}
+
+const namespace = "rattanchute"
+
+func gauge(name, help string) prometheus.GaugeOpts {
+	return prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
+}
+
+func counter(name, help string) prometheus.CounterOpts {
+	return prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
+}
+
+func counterVec(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(counter(name, help), labels)
+}
+
+func seconds(name, help string) prometheus.HistogramOpts {
+	return prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}
+}
+
+func observe(h prometheus.Histogram, d time.Duration) { h.Observe(d.Seconds()) }
--- /dev/null
+++ b/internal/serve/ports.go
@@ -0,0 +1,34 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"rattanchute/internal/admit"
+	"rattanchute/internal/claim"
+	"rattanchute/internal/engine"
+	"rattanchute/internal/route"
+)
+
+// Router chooses endpoints and is told of each attempt.
+type Router interface {
+	Table() *route.Table
+	Choose(now time.Time, rnd uint64, q route.Query) (route.Choice, error)
+	Begin(endpoint string)
+	End(now time.Time, endpoint string, r route.Result)
+	ObserveLoad(now time.Time, endpoint string, l engine.Load)
+}
+
+// Admitter decides whether a request is taken now.
+type Admitter interface {
+	Admit(now time.Time, a admit.Ask) admit.Decision
+	Done(now time.Time, a admit.Ask)
+	AllowRetry(now time.Time, organisation, endpoint string) bool
+}
+
+// Claims keeps the at-most-once records of non-idempotent calls.
+type Claims interface {
+	Acquire(ctx context.Context, k claim.Key, attempt string) claim.Result
+	Complete(ctx context.Context, k claim.Key, attempt string, status int, body []byte) error
+	Release(ctx context.Context, k claim.Key, attempt string) error
+}
--- /dev/null
+++ b/internal/serve/service.go
@@ -0,0 +1,150 @@
+package serve
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/google/uuid"
+
+	"rattanchute/internal/engine"
+	"rattanchute/internal/token"
+)
+
+// Settings bound how long a request may take and how often it is tried.
+type Settings struct {
+	// DefaultTimeout holds for a request that names none; MaxTimeout caps the others.
+	DefaultTimeout time.Duration
+	MaxTimeout     time.Duration
+	// FirstChunkTimeout is the longest wait for the first chunk of an attempt.
+	FirstChunkTimeout time.Duration
+	// ChunkTimeout is the longest silence of an engine between two chunks.
+	ChunkTimeout time.Duration
+	// RecoveryWindow is how long an interrupted stream looks for another endpoint.
+	RecoveryWindow time.Duration
+	// RecordTimeout is the longest wait for a completed call's record before the
+	// answer is passed on.
+	RecordTimeout time.Duration
+	// TokenLifetime is how long a resume token is accepted.
+	TokenLifetime time.Duration
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts int
+	// MaxStreams bounds the open streams of the process.
+	MaxStreams int
+}
+
+// DefaultSettings returns the settings for the planned load of one entry host.
+func DefaultSettings() Settings {
+	return Settings{
+		DefaultTimeout:    5 * time.Minute,
+		MaxTimeout:        30 * time.Minute,
+		FirstChunkTimeout: 10 * time.Second,
+		ChunkTimeout:      5 * time.Second,
+		RecoveryWindow:    10 * time.Second,
+		RecordTimeout:     500 * time.Millisecond,
+		TokenLifetime:     15 * time.Minute,
+		MaxAttempts:       8,
+		MaxStreams:        4096,
+	}
+}
+
+// Service serves requests. All methods may be called from many goroutines.
+type Service struct {
+	settings Settings
+	session  string
+	router   Router
+	admitter Admitter
+	claims   Claims
+	engines  engine.Client
+	signer   *token.Signer
+	counters *Counters
+	streams  *registry
+	pool     pond.Pool
+	closing  atomic.Bool
+	inflight sync.WaitGroup
+	now      func() time.Time
+}
+
+// Parts are what a Service is made of.
+type Parts struct {
+	Settings Settings
+	Router   Router
+	Admitter Admitter
+	Claims   Claims
+	Engines  engine.Client
+	Signer   *token.Signer
+	Counters *Counters
+}
+
+// New returns a service over its parts.
+func New(p Parts) *Service {
+	return &Service{
+		settings: p.Settings,
+		session:  uuid.NewString()[:8],
+		router:   p.Router,
+		admitter: p.Admitter,
+		claims:   p.Claims,
+		engines:  p.Engines,
+		signer:   p.Signer,
+		counters: p.Counters,
+		streams:  newRegistry(),
+		// Each open stream keeps a worker that reads from its engine.
+		pool: pond.NewPool(2 * p.Settings.MaxStreams),
+		now:  time.Now,
+	}
+}
+
+// NewRequestID returns an id for a request; ids sort by time.
+func NewRequestID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
+// Refuse makes the service answer every new request "not run" from now on.
+func (s *Service) Refuse() { s.closing.Store(true) }
+
+// Drain waits until no request is in flight or ctx ends.
+func (s *Service) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.inflight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// enter counts a request in; false when the service takes no more.
+func (s *Service) enter() bool {
+	s.inflight.Add(1)
+	if s.closing.Load() {
+		s.inflight.Done()
+		return false
+	}
+	s.counters.InFlight.Inc()
+	return true
+}
+
+func (s *Service) leave() {
+	s.counters.InFlight.Dec()
+	s.inflight.Done()
+}
+
+func (s *Service) timeout(asked time.Duration) time.Duration {
+	if asked <= 0 {
+		return s.settings.DefaultTimeout
+	}
+	return min(asked, s.settings.MaxTimeout)
+}
+
+func randomWord() uint64 { return rand.Uint64() }
