Add routing: table, router, choice and explanation

Cause: requests need an endpoint by labels, prefix, load and price. Change: Compile makes an immutable table; Router holds load, phases, ejections and a prefix index; Choose and Explain share one decision. Ruled out: go-rendezvous, which finds only the first rank and no next ones.

--- /dev/null
+++ b/internal/route/choose.go
@@ -0,0 +1,204 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"rattanchute/internal/fleet"
+)
+
+const (
+	// FirstTokenTarget is the time to first token within which price decides.
+	FirstTokenTarget = 470 * time.Millisecond
+	// loadFactor bounds the load of an affinity choice to a multiple of the mean.
+	loadFactor = 1.25
+	// affinityFloor is the share of its slots up to which an endpoint always takes
+	// requests that share a prefix with what it has.
+	affinityFloor = 0.25
+	// affinityRanks is how many endpoints are tried in rendezvous order.
+	affinityRanks = 8
+	// maxDraws bounds the random draws for two available endpoints.
+	maxDraws = 8
+)
+
+// Query is what a choice depends on.
+type Query struct {
+	Organisation string
+	Fleet        string
+	// PrefixHashes are hashes of growing prefixes of the prompt, the shortest first.
+	PrefixHashes []uint64
+	// PrefixTokens are the lengths of these prefixes; nil means evenly spaced.
+	PrefixTokens []int
+	PromptTokens int
+	MaxTokens    int
+	// Exclude names endpoints that must not be chosen, such as those already tried.
+	Exclude []string
+}
+
+// Choice is the endpoint that is to answer.
+type Choice struct {
+	Endpoint           fleet.Endpoint
+	Priority           int
+	ExpectedFirstToken time.Duration
+}
+
+// Choose decides which endpoint answers. The random word settles the two choices.
+func (r *Router) Choose(now time.Time, rnd uint64, q Query) (Choice, error) {
+	list := r.view.Load().lists[listKey{q.Organisation, q.Fleet}]
+	if list == nil {
+		return Choice{}, ErrNoSelector
+	}
+	list.observePrompt(q.PromptTokens)
+	d := decision{now: now, rnd: rnd, q: &q, list: list, cache: r.cache, mean: list.meanLoad(now), records: true}
+	best := d.decide()
+	if best.index < 0 {
+		return Choice{}, ErrNoEndpoint
+	}
+	t := list.targets[best.index]
+	for _, prefix := range q.PrefixHashes {
+		r.cache.add(prefix, t.info.hash)
+	}
+	return d.choice(best), nil
+}
+
+// decision is one run of the policy; Choose and Explain share it.
+type decision struct {
+	now   time.Time
+	rnd   uint64
+	q     *Query
+	list  *liveList
+	cache *cacheIndex
+	mean  float64
+	// records: the choice is real, so that what it looked at is noted.
+	records bool
+	// trace, if set, is told of each endpoint that was weighed or passed over.
+	trace *trace
+}
+
+// contender is an endpoint that is weighed; index -1 stands for none.
+type contender struct {
+	index    int
+	expected time.Duration
+	load     float64
+}
+
+var noContender = contender{index: -1}
+
+func (d *decision) choice(c contender) Choice {
+	return Choice{
+		Endpoint:           d.list.targets[c.index].info.endpoint,
+		Priority:           d.list.priority[c.index],
+		ExpectedFirstToken: c.expected,
+	}
+}
+
+// decide prefers the affinity choice while its first token is expected in time, and
+// otherwise the sooner of that and the better of two random ones.
+func (d *decision) decide() contender {
+	affine := d.affinity()
+	if affine.index >= 0 && affine.expected <= FirstTokenTarget {
+		return affine
+	}
+	random := d.twoChoices()
+	if affine.index < 0 || (random.index >= 0 && random.expected < affine.expected) {
+		return random
+	}
+	return affine
+}
+
+func (d *decision) eligible(index int) bool {
+	t := d.list.targets[index]
+	return t.available(d.now) && !t.excluded(d.q.Exclude)
+}
+
+func (d *decision) weigh(index int) contender {
+	t := d.list.targets[index]
+	if d.records {
+		t.state.wanted.Store(d.now.UnixNano())
+	}
+	e := t.state.estimate(d.now, d.mean, t.info.slots, d.list.meanPrompt())
+	tokens := float64(d.q.PromptTokens - d.cached(t.info.hash))
+	expected := e.firstToken(t.state.meanDuration(), tokens)
+	expected += t.network + time.Duration(t.state.failures.Load())*failurePenalty
+	c := contender{index: index, expected: expected, load: e.requests}
+	d.trace.weighed(c)
+	return c
+}
+
+// cached is the length of the longest prefix that the endpoint is believed to hold.
+func (d *decision) cached(endpoint uint64) int {
+	for level := len(d.q.PrefixHashes) - 1; level >= 0; level-- {
+		if d.cache.holds(d.q.PrefixHashes[level], endpoint) {
+			return d.q.prefixTokens(level)
+		}
+	}
+	return 0
+}
+
+func (q *Query) prefixTokens(level int) int {
+	if level < len(q.PrefixTokens) {
+		return min(q.PrefixTokens[level], q.PromptTokens)
+	}
+	return q.PromptTokens * (level + 1) / len(q.PrefixHashes)
+}
+
+// bound is the load under which an endpoint takes a request for its prefix.
+func (d *decision) bound(slots int) float64 {
+	n := float64(len(d.list.targets))
+	return max(math.Ceil(loadFactor*(d.mean+1/n)), affinityFloor*float64(slots))
+}
+
+// twoChoices weighs two random endpoints.
+func (d *decision) twoChoices() contender {
+	first := d.draw(d.rnd, -1)
+	if first < 0 {
+		return noContender
+	}
+	second := d.draw(mix(d.rnd+1), first)
+	if second < 0 {
+		return d.weigh(first)
+	}
+	return d.better(d.weigh(first), d.weigh(second))
+}
+
+// draw finds a random eligible endpoint other than the given one.
+func (d *decision) draw(word uint64, other int) int {
+	n := len(d.list.targets)
+	start := 0
+	for range maxDraws {
+		word = mix(word + 1)
+		start = below(word, n)
+		if start != other && d.eligible(start) {
+			return start
+		}
+	}
+	for step := range n {
+		index := (start + step) % n
+		if index != other && d.eligible(index) {
+			return index
+		}
+	}
+	return -1
+}
+
+// better takes the cheaper of two that are both in time, else the sooner.
+func (d *decision) better(a, b contender) contender {
+	if a.expected <= FirstTokenTarget && b.expected <= FirstTokenTarget {
+		priceA := d.list.targets[a.index].info.host.PricePerHour
+		priceB := d.list.targets[b.index].info.host.PricePerHour
+		if priceA != priceB {
+			return pick(priceA < priceB, a, b)
+		}
+	}
+	if a.expected != b.expected {
+		return pick(a.expected < b.expected, a, b)
+	}
+	return pick(a.load <= b.load, a, b)
+}
+
+func pick(first bool, a, b contender) contender {
+	if first {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/route/endpoint.go
@@ -0,0 +1,129 @@
+package route
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rattanchute/internal/engine"
+)
+
+const (
+	// maxReportAge is how long a load report is believed.
+	maxReportAge = 10 * time.Second
+	// defaultPrefillRate is used until an engine has reported its own, in tokens a second.
+	defaultPrefillRate = 4000
+	// defaultDuration is how long a request holds a slot until some have ended.
+	defaultDuration = 2 * time.Second
+	// durationWeight is the weight of a new sample in the mean duration.
+	durationWeight = 0.1
+	// failurePenalty is added to the expected first token for each consecutive failure.
+	failurePenalty = 250 * time.Millisecond
+)
+
+// endpointState is what changes about one endpoint. It outlives configurations.
+type endpointState struct {
+	inFlight     atomic.Int32
+	failures     atomic.Int32
+	ejectedUntil atomic.Int64 // Unix nanoseconds
+	report       atomic.Pointer[report]
+	duration     atomic.Uint64 // bits of a float64, seconds
+	wanted       atomic.Int64  // Unix nanoseconds of the last choice that weighed the load
+	polled       atomic.Int64  // Unix nanoseconds of the last poll that was asked for
+
+	mu        sync.Mutex
+	ejections int
+}
+
+// report is an engine's load with the requests of this node that it already counts.
+type report struct {
+	load     engine.Load
+	inFlight int32
+	received time.Time
+}
+
+func (s *endpointState) observe(now time.Time, load engine.Load) {
+	next := &report{load: load, inFlight: s.inFlight.Load(), received: now}
+	for {
+		last := s.report.Load()
+		if last != nil && load.At.Before(last.load.At) {
+			return
+		}
+		if s.report.CompareAndSwap(last, next) {
+			return
+		}
+	}
+}
+
+func (s *endpointState) observeDuration(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	sample := d.Seconds()
+	for {
+		old := s.duration.Load()
+		mean := sample
+		if old != 0 {
+			mean = math.Float64frombits(old)*(1-durationWeight) + sample*durationWeight
+		}
+		if s.duration.CompareAndSwap(old, math.Float64bits(mean)) {
+			return
+		}
+	}
+}
+
+func (s *endpointState) meanDuration() float64 {
+	if bits := s.duration.Load(); bits != 0 {
+		return math.Float64frombits(bits)
+	}
+	return defaultDuration.Seconds()
+}
+
+func (s *endpointState) ejected(now time.Time) bool {
+	return s.ejectedUntil.Load() > now.UnixNano()
+}
+
+// estimate is an endpoint's load as this node sees it at one moment.
+type estimate struct {
+	// requests running and queued.
+	requests float64
+	// queuedTokens are prompt tokens that wait to be computed.
+	queuedTokens float64
+	prefillRate  float64
+	slots        float64
+	fresh        bool
+}
+
+// estimate corrects the last report by this node's requests begun and ended since.
+// Without a report young enough, an endpoint counts as loaded as the mean.
+func (s *endpointState) estimate(now time.Time, mean float64, slots int, prompt float64) estimate {
+	own := s.inFlight.Load()
+	last := s.report.Load()
+	e := estimate{prefillRate: defaultPrefillRate, slots: float64(slots)}
+	if last != nil && last.load.TokensPerSecond > 0 {
+		e.prefillRate = last.load.TokensPerSecond
+	}
+	if last != nil && last.load.Slots > 0 {
+		e.slots = float64(last.load.Slots)
+	}
+	if last == nil || now.Sub(last.received) > maxReportAge {
+		e.requests = max(float64(own), mean)
+		return e
+	}
+	since := float64(own - last.inFlight)
+	reported := float64(last.load.Running + last.load.Queued)
+	e.requests = max(reported+since, float64(own))
+	e.queuedTokens = float64(last.load.QueuedTokens) + max(since, 0)*prompt
+	e.fresh = true
+	return e
+}
+
+// firstToken is the expected time until the first token of a prompt of which some
+// tokens are already cached.
+func (e *estimate) firstToken(duration, tokens float64) time.Duration {
+	prefill := (e.queuedTokens + tokens) / e.prefillRate
+	excess := max(e.requests+1-e.slots, 0)
+	wait := excess / e.slots * duration
+	return time.Duration((prefill + wait) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/route/explain.go
@@ -0,0 +1,165 @@
+package route
+
+import (
+	"time"
+
+	"rattanchute/internal/fleet"
+)
+
+// Reason tells why an endpoint was or was not chosen.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoSelector      Reason = "no-selector"
+	ReasonWrongDataCentre Reason = "wrong-data-centre"
+	ReasonLeaving         Reason = "leaving"
+	ReasonEjected         Reason = "ejected"
+	ReasonExcluded        Reason = "excluded"
+	ReasonOverLoad        Reason = "over-bounded-load"
+	ReasonNotDrawn        Reason = "not-drawn"
+	ReasonOutweighed      Reason = "outweighed"
+	ReasonChosen          Reason = "chosen"
+)
+
+// Explanation says how a query would be decided now.
+type Explanation struct {
+	Choice Choice `json:"choice"`
+	// Error is why there is no choice; empty if there is one.
+	Error     string             `json:"error,omitempty"`
+	MeanLoad  float64            `json:"mean_load"`
+	Endpoints []EndpointDecision `json:"endpoints"`
+}
+
+// EndpointDecision is what the policy made of one endpoint of the fleet.
+type EndpointDecision struct {
+	Endpoint   string `json:"endpoint"`
+	DataCentre string `json:"data_centre"`
+	Priority   int    `json:"priority"`
+	Reason     Reason `json:"reason"`
+	// The scores are set for endpoints that were weighed.
+	ExpectedFirstToken time.Duration `json:"expected_first_token_ns"`
+	Load               float64       `json:"load"`
+	CachedTokens       int           `json:"cached_tokens"`
+	PricePerHour       int64         `json:"price_per_hour_milli"`
+}
+
+// trace collects what a decision looked at; a nil one collects nothing.
+type trace struct {
+	contenders map[int]contender
+	over       map[int]bool
+}
+
+func (t *trace) weighed(c contender) {
+	if t != nil {
+		t.contenders[c.index] = c
+	}
+}
+
+func (t *trace) overLoad(index int) {
+	if t != nil {
+		t.over[index] = true
+	}
+}
+
+// Explain runs the same decision as Choose without recording it. The two random
+// choices are one draw of many.
+func (r *Router) Explain(now time.Time, q Query) Explanation {
+	v := r.view.Load()
+	list := v.lists[listKey{q.Organisation, q.Fleet}]
+	if list == nil {
+		return Explanation{Error: ErrNoSelector.Error(), Endpoints: v.refusals(q)}
+	}
+	t := &trace{contenders: make(map[int]contender), over: make(map[int]bool)}
+	d := decision{
+		now: now, rnd: mix(uint64(now.UnixNano())), q: &q,
+		list: list, cache: r.cache, mean: list.meanLoad(now), trace: t,
+	}
+	best := d.decide()
+	explanation := Explanation{MeanLoad: d.mean, Endpoints: v.refusals(q)}
+	for index := range list.targets {
+		explanation.Endpoints = append(explanation.Endpoints, d.explainOne(index, best.index))
+	}
+	if best.index < 0 {
+		explanation.Error = ErrNoEndpoint.Error()
+		return explanation
+	}
+	explanation.Choice = d.choice(best)
+	return explanation
+}
+
+func (d *decision) explainOne(index, chosen int) EndpointDecision {
+	t := d.list.targets[index]
+	result := EndpointDecision{
+		Endpoint:     t.info.endpoint.Name,
+		DataCentre:   t.info.host.DataCentre,
+		Priority:     d.list.priority[index],
+		Reason:       d.reason(index, chosen),
+		PricePerHour: t.info.host.PricePerHour,
+	}
+	if c, ok := d.trace.contenders[index]; ok {
+		result.ExpectedFirstToken = c.expected
+		result.Load = c.load
+		result.CachedTokens = d.cached(t.info.hash)
+	}
+	return result
+}
+
+func (d *decision) reason(index, chosen int) Reason {
+	t := d.list.targets[index]
+	_, weighed := d.trace.contenders[index]
+	switch {
+	case index == chosen:
+		return ReasonChosen
+	case !t.host.usable.Load():
+		return ReasonLeaving
+	case t.state.ejected(d.now):
+		return ReasonEjected
+	case t.excluded(d.q.Exclude):
+		return ReasonExcluded
+	case d.trace.over[index]:
+		return ReasonOverLoad
+	case weighed:
+		return ReasonOutweighed
+	default:
+		return ReasonNotDrawn
+	}
+}
+
+// refusals are the endpoints of the fleet that the selectors keep from the organisation.
+func (v *view) refusals(q Query) []EndpointDecision {
+	var refused []EndpointDecision
+	selectors := v.table.selectorsOf(q.Organisation)
+	for _, t := range v.targets {
+		if t.info.endpoint.Fleet != q.Fleet {
+			continue
+		}
+		_, verdict := judge(selectors, t.info)
+		if verdict == verdictAllowed {
+			continue
+		}
+		refused = append(refused, EndpointDecision{
+			Endpoint:     t.info.endpoint.Name,
+			DataCentre:   t.info.host.DataCentre,
+			Reason:       verdict.reason(),
+			PricePerHour: t.info.host.PricePerHour,
+		})
+	}
+	return refused
+}
+
+func (v verdict) reason() Reason {
+	if v == verdictWrongDataCentre {
+		return ReasonWrongDataCentre
+	}
+	return ReasonNoSelector
+}
+
+func (t *Table) selectorsOf(organisation string) []fleet.Selector {
+	for _, candidate := range t.configuration.Organisations {
+		if candidate.Name == organisation {
+			return selectorsFor(t.configuration.Selectors, candidate)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/route/hash.go
@@ -0,0 +1,20 @@
+package route
+
+import "github.com/cespare/xxhash/v2"
+
+func hashName(name string) uint64 { return xxhash.Sum64String(name) }
+
+// mix spreads the bits of a word (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
+
+// below maps a random word to an index under n.
+func below(word uint64, n int) int {
+	return int((word >> 32) * uint64(n) >> 32)
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,159 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"rattanchute/internal/fleet"
+)
+
+// Table is what one configuration says about routing. It is immutable.
+type Table struct {
+	generation    fleet.Generation
+	configuration *fleet.Configuration
+	endpoints     []endpointInfo
+	lists         map[listKey]*candidates
+	models        map[string][]string
+	paths         []pathFleet
+	fleets        map[string]fleet.Fleet
+	byKeyHash     map[string]fleet.Organisation
+	calls         callTable
+}
+
+type endpointInfo struct {
+	endpoint   fleet.Endpoint
+	host       fleet.Host
+	dataCentre fleet.DataCentre
+	hash       uint64
+	slots      int
+}
+
+type pathFleet struct {
+	prefix string
+	fleet  fleet.Fleet
+}
+
+// Compile precomputes the lookups of a configuration, which it must not change after.
+func Compile(cfg *fleet.Configuration) *Table {
+	t := &Table{
+		generation:    cfg.Generation,
+		configuration: cfg,
+		models:        make(map[string][]string),
+		fleets:        make(map[string]fleet.Fleet, len(cfg.Fleets)),
+		byKeyHash:     make(map[string]fleet.Organisation),
+		calls:         compileCalls(cfg.Fleets),
+	}
+	t.indexFleets(cfg.Fleets)
+	t.indexOrganisations(cfg.Organisations)
+	t.indexEndpoints(cfg)
+	t.lists = compileLists(cfg, t.endpoints)
+	return t
+}
+
+func (t *Table) indexFleets(fleets []fleet.Fleet) {
+	for _, f := range fleets {
+		t.fleets[f.Name] = f
+		for _, model := range f.Models {
+			t.models[model] = append(t.models[model], f.Name)
+		}
+		if f.Kind == fleet.FleetService && f.PathPrefix != "" {
+			t.paths = append(t.paths, pathFleet{f.PathPrefix, f})
+		}
+	}
+	slices.SortStableFunc(t.paths, func(a, b pathFleet) int {
+		return cmp.Compare(len(b.prefix), len(a.prefix))
+	})
+}
+
+func (t *Table) indexOrganisations(organisations []fleet.Organisation) {
+	for _, organisation := range organisations {
+		for _, hash := range organisation.KeyHashes {
+			t.byKeyHash[hash] = organisation
+		}
+	}
+}
+
+func (t *Table) indexEndpoints(cfg *fleet.Configuration) {
+	hosts := make(map[string]fleet.Host, len(cfg.Hosts))
+	for _, host := range cfg.Hosts {
+		hosts[host.Name] = host
+	}
+	dataCentres := make(map[string]fleet.DataCentre, len(cfg.DataCentres))
+	for _, dataCentre := range cfg.DataCentres {
+		dataCentres[dataCentre.Name] = dataCentre
+	}
+	for _, endpoint := range cfg.Endpoints {
+		host := hosts[endpoint.Host]
+		t.endpoints = append(t.endpoints, endpointInfo{
+			endpoint:   endpoint,
+			host:       host,
+			dataCentre: dataCentres[host.DataCentre],
+			hash:       hashName(endpoint.Name),
+			slots:      max(t.fleets[endpoint.Fleet].SlotsPerEndpoint, 1),
+		})
+	}
+}
+
+// Generation is the configuration's.
+func (t *Table) Generation() fleet.Generation { return t.generation }
+
+// OrganisationByKeyHash finds the organisation of a key by the key's lower-case hex
+// SHA-256 digest.
+func (t *Table) OrganisationByKeyHash(hash string) (fleet.Organisation, bool) {
+	organisation, ok := t.byKeyHash[hash]
+	return organisation, ok
+}
+
+// Fleet finds a fleet by name.
+func (t *Table) Fleet(name string) (fleet.Fleet, bool) {
+	f, ok := t.fleets[name]
+	return f, ok
+}
+
+// FleetForModel finds the first declared fleet that serves the model and that the
+// organisation may reach; without such a one, the lookup fails.
+func (t *Table) FleetForModel(organisation, model string) (fleet.Fleet, bool) {
+	for _, name := range t.models[model] {
+		if t.Allowed(organisation, name) {
+			return t.fleets[name], true
+		}
+	}
+	return fleet.Fleet{}, false
+}
+
+// FleetForPath finds the service fleet with the longest path prefix.
+func (t *Table) FleetForPath(path string) (fleet.Fleet, bool) {
+	for _, candidate := range t.paths {
+		if strings.HasPrefix(path, candidate.prefix) {
+			return candidate.fleet, true
+		}
+	}
+	return fleet.Fleet{}, false
+}
+
+// Models lists, sorted, the models that the organisation may ask for.
+func (t *Table) Models(organisation string) []string {
+	var names []string
+	for model := range t.models {
+		if _, ok := t.FleetForModel(organisation, model); ok {
+			names = append(names, model)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Allowed reports whether any selector lets the organisation reach the fleet.
+func (t *Table) Allowed(organisation, fleetName string) bool {
+	return t.lists[listKey{organisation, fleetName}] != nil
+}
+
+func (t *Table) regionOf(dataCentre string) string {
+	for _, candidate := range t.configuration.DataCentres {
+		if candidate.Name == dataCentre {
+			return candidate.Region
+		}
+	}
+	return ""
+}
