--- a/internal/adapter/callers/chat.go
+++ b/internal/adapter/callers/chat.go
@@ -179,5 +179,5 @@
 		return
 	}
 	ctx.Response.Header.Set(outcome.HeaderOutcome, string(outcome.Completed))
-	writeJSON(ctx, fasthttp.StatusOK, chat.NewModelList(s.tables.Table().ModelsOf(org.Name)))
+	writeJSON(ctx, fasthttp.StatusOK, chat.NewModelList(s.tables.Table().Models(org.Name)))
 }
--- a/internal/adapter/callers/server.go
+++ b/internal/adapter/callers/server.go
@@ -119,7 +119,7 @@
 		return fleet.Organisation{}, false
 	}
 	sum := sha256.Sum256([]byte(key))
-	return s.tables.Table().OrganisationByKey(hex.EncodeToString(sum[:]))
+	return s.tables.Table().OrganisationByKeyHash(hex.EncodeToString(sum[:]))
 }
 
 // handleBadRequest answers what could not be read as a request.
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -44,6 +44,7 @@
 	}
 	c.current = a
 	c.service.router.Begin(endpoint.Name)
+	c.progress.set(location{endpoint: endpoint, stream: g.Stream}, c.machine.Offset())
 	c.service.streams.add(endpoint.Name, c)
 	client := c.service.engines
 	c.service.pool.Submit(func() { a.run(ctx, client, g) })
@@ -123,8 +124,10 @@
 	c.current = nil
 	a.cancel()
 	c.service.streams.remove(a.endpoint.Name, c)
+	now := c.service.now()
 	r.FirstToken = a.firstToken
-	c.service.router.End(c.service.now(), a.endpoint.Name, r)
+	r.Duration = now.Sub(a.started)
+	c.service.router.End(now, a.endpoint.Name, r)
 	c.service.counters.Attempts.WithLabelValues(resultLabel(r)).Inc()
 }
 
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -63,7 +63,7 @@
 
 func (s *Service) call(ctx context.Context, ask CallAsk) (CallAnswer, *Refusal) {
 	table := s.router.Table()
-	fleetName, ok := table.FleetOfPath(ask.Path)
+	target, ok := table.FleetForPath(ask.Path)
 	if !ok {
 		return CallAnswer{}, NewRefusal(http.StatusNotFound, ask.RequestID, "unknown_path",
 			"no service answers this path").field("path")
@@ -71,8 +71,8 @@
 	c := &call{
 		service: s,
 		ask:     ask,
-		query:   route.Query{Organisation: ask.Organisation, Fleet: fleetName},
-		machine: request.NewCall(ask.RequestID, table.Repeatable(fleetName, ask.Method, ask.Path)),
+		query:   route.Query{Organisation: ask.Organisation, Fleet: target.Name},
+		machine: request.NewCall(ask.RequestID, table.Repeatable(ask.Method, ask.Path)),
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.timeout(ask.Timeout))
 	defer cancel()
@@ -229,12 +229,14 @@
 		AttemptID: c.ask.RequestID,
 	})
 	now := c.service.now()
-	result := route.Result{OK: err == nil, FirstToken: now.Sub(started)}
+	result := route.Result{OK: true}
 	if err != nil {
 		result = resultOf(err)
 	} else {
 		c.machine.Completed()
+		result.FirstToken = now.Sub(started)
 	}
+	result.Duration = now.Sub(started)
 	c.service.router.End(now, choice.Endpoint.Name, result)
 	c.service.counters.Attempts.WithLabelValues(resultLabel(result)).Inc()
 	return answer, err
--- a/internal/serve/chat.go
+++ b/internal/serve/chat.go
@@ -55,10 +55,10 @@
 }
 
 func (s *Service) openChat(ctx context.Context, ask ChatAsk) (*ChatStream, *Refusal) {
-	fleetName, ok := s.router.Table().FleetOfModel(ask.Request.Model)
+	target, ok := s.router.Table().FleetForModel(ask.Organisation, ask.Request.Model)
 	if !ok {
 		return nil, NewRefusal(http.StatusNotFound, ask.RequestID, "unknown_model",
-			"no fleet serves this model").field("model")
+			"no fleet serves this model to the organisation").field("model")
 	}
 	now := s.now()
 	c := &ChatStream{
@@ -66,9 +66,11 @@
 		ask:      ask,
 		opened:   now,
 		deadline: now.Add(s.timeout(ask.Timeout)),
-		query:    newQuery(ask, fleetName),
+		query:    newQuery(ask, target.Name),
 		moves:    make(chan Move, 1),
 	}
+	c.progress.prompt = c.query.PromptTokens
+	c.progress.maxTokens = c.query.MaxTokens
 	if refusal := c.restore(now); refusal != nil {
 		return nil, refusal
 	}
@@ -148,6 +150,7 @@
 		return refuseAdmission(c.ask.RequestID, d)
 	}
 	c.next = &choice
+	c.progress.priority = c.priority
 	return nil
 }
 
--- a/internal/serve/move.go
+++ b/internal/serve/move.go
@@ -13,7 +13,8 @@
 // Move tells a stream to go on at another endpoint.
 type Move struct {
 	// From is the endpoint that the move was planned away from.
-	From   string
+	From string
+	// Target is where to go on; the router chooses if it has no name.
 	Target fleet.Endpoint
 }
 
@@ -22,6 +23,10 @@
 	if c.current == nil || c.current.endpoint.Name != m.From {
 		return false
 	}
+	c.next = nil
+	if m.Target.Name == "" {
+		return true
+	}
 	c.next = &route.Choice{Endpoint: m.Target, Priority: c.priority}
 	return true
 }
--- a/internal/serve/service.go
+++ b/internal/serve/service.go
@@ -53,44 +53,50 @@
 
 // Service serves requests. All methods may be called from many goroutines.
 type Service struct {
-	settings Settings
-	session  string
-	router   Router
-	admitter Admitter
-	claims   Claims
-	engines  engine.Client
-	signer   *token.Signer
-	counters *Counters
-	streams  *registry
-	pool     pond.Pool
-	closing  atomic.Bool
-	inflight sync.WaitGroup
-	now      func() time.Time
+	settings  Settings
+	session   string
+	router    Router
+	admitter  Admitter
+	claims    Claims
+	engines   engine.Client
+	signer    *token.Signer
+	counters  *Counters
+	streams   *registry
+	survivors Survivors
+	moveRates MoveRates
+	pool      pond.Pool
+	closing   atomic.Bool
+	inflight  sync.WaitGroup
+	now       func() time.Time
 }
 
 // Parts are what a Service is made of.
 type Parts struct {
-	Settings Settings
-	Router   Router
-	Admitter Admitter
-	Claims   Claims
-	Engines  engine.Client
-	Signer   *token.Signer
-	Counters *Counters
+	Settings  Settings
+	Router    Router
+	Admitter  Admitter
+	Claims    Claims
+	Engines   engine.Client
+	Signer    *token.Signer
+	Counters  *Counters
+	Survivors Survivors
+	MoveRates MoveRates
 }
 
 // New returns a service over its parts.
 func New(p Parts) *Service {
 	return &Service{
-		settings: p.Settings,
-		session:  uuid.NewString()[:8],
-		router:   p.Router,
-		admitter: p.Admitter,
-		claims:   p.Claims,
-		engines:  p.Engines,
-		signer:   p.Signer,
-		counters: p.Counters,
-		streams:  newRegistry(),
+		settings:  p.Settings,
+		session:   uuid.NewString()[:8],
+		router:    p.Router,
+		admitter:  p.Admitter,
+		claims:    p.Claims,
+		engines:   p.Engines,
+		signer:    p.Signer,
+		counters:  p.Counters,
+		streams:   newRegistry(),
+		survivors: p.Survivors,
+		moveRates: p.MoveRates,
 		// Each open stream keeps a worker that reads from its engine.
 		pool: pond.NewPool(2 * p.Settings.MaxStreams),
 		now:  time.Now,
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -54,9 +54,11 @@
 	cancel context.CancelFunc
 
 	machine *request.Stream
-	attach  *token.Resume
-	next    *route.Choice
-	current *attempt
+	// progress is shared with the goroutines that move streams.
+	progress progress
+	attach   *token.Resume
+	next     *route.Choice
+	current  *attempt
 	// interrupted is when the last attempt failed; zero while one runs well.
 	interrupted time.Time
 	mayHaveRun  bool
@@ -123,6 +125,7 @@
 	c.noteChunk(chunk)
 	switch c.machine.Accept(c.current.stream, chunk) {
 	case request.Deliver:
+		c.progress.advance(c.machine.Offset())
 		c.interrupted = time.Time{}
 		return Event{Offset: chunk.Offset, Text: chunk.Text, Finish: chunk.Finish}, true
 	case request.Skip:
--- a/internal/token/token.go
+++ b/internal/token/token.go
@@ -38,6 +38,9 @@
 	ErrExpired = errors.New("token: expired")
 )
 
+// strictBase64 has one spelling for each value, so that a token has one too.
+var strictBase64 = base64.RawURLEncoding.Strict()
+
 // maxTokenBytes bounds what Open decodes.
 const maxTokenBytes = 4096
 
@@ -62,8 +65,8 @@
 		// A struct of strings and numbers always encodes.
 		panic(fmt.Sprintf("token: %v", err))
 	}
-	enc := base64.RawURLEncoding.EncodeToString(payload)
-	return enc + "." + base64.RawURLEncoding.EncodeToString(mac(s.keys[0], enc))
+	enc := strictBase64.EncodeToString(payload)
+	return enc + "." + strictBase64.EncodeToString(mac(s.keys[0], enc))
 }
 
 // Open checks a token's signature and expiry and returns its content.
@@ -75,7 +78,7 @@
 	if !ok {
 		return Resume{}, ErrForged
 	}
-	sum, err := base64.RawURLEncoding.DecodeString(sig)
+	sum, err := strictBase64.DecodeString(sig)
 	if err != nil || !s.signed(enc, sum) {
 		return Resume{}, ErrForged
 	}
@@ -92,7 +95,7 @@
 }
 
 func decode(now time.Time, enc string) (Resume, error) {
-	payload, err := base64.RawURLEncoding.DecodeString(enc)
+	payload, err := strictBase64.DecodeString(enc)
 	if err != nil {
 		return Resume{}, ErrForged
 	}
--- /dev/null
+++ b/internal/token/token_test.go
@@ -0,0 +1,61 @@
+package token
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func newSigner(t *testing.T, keys ...string) *Signer {
+	t.Helper()
+	raw := make([][]byte, len(keys))
+	for i, k := range keys {
+		raw[i] = []byte(k)
+	}
+	s, err := NewSigner(raw...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestTokenSurvivesKeyRotation(t *testing.T) {
+	is := is.New(t)
+	want := Resume{RequestID: "r", Organisation: "o", Endpoint: "e", Offset: 5, Hash: 1 << 63, Expires: now.Unix() + 1}
+	signed := newSigner(t, "old").Sign(want)
+	got, err := newSigner(t, "new", "old").Open(now, signed)
+	is.NoErr(err)
+	is.Equal(got, want)
+	_, err = newSigner(t, "new").Open(now, signed)
+	is.True(errors.Is(err, ErrForged))
+}
+
+func TestTokenExpires(t *testing.T) {
+	is := is.New(t)
+	s := newSigner(t, "k")
+	_, err := s.Open(now, s.Sign(Resume{Expires: now.Unix()}))
+	is.True(errors.Is(err, ErrExpired))
+}
+
+func FuzzOpen(f *testing.F) {
+	signer, err := NewSigner([]byte("k"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	valid := signer.Sign(Resume{RequestID: "r", Expires: now.Unix() + 10})
+	f.Add(valid)
+	f.Add("")
+	f.Add(".")
+	f.Add("e30.e30")
+	f.Add(valid + "A")
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err := signer.Open(now, text)
+		if err == nil && signer.Sign(r) != text {
+			t.Fatalf("accepted a token that it would not sign: %q", text)
+		}
+	})
+}
