Parse and validate configurations with all findings together

Cause: operators need every fault of a text at once, each with its place. Change: findings.List, a decoder for JSON with comments that keeps places (findings/jsonc), fleet.ParseConfiguration with semantic checks, label matching. Ruled out: encoding/json with DisallowUnknownFields, which stops at the first fault and gives no line. null for an array or a label object counts as absent, since that is how encoding/json writes a nil slice.

--- /dev/null
+++ b/internal/fleet/match.go
@@ -0,0 +1,51 @@
+package fleet
+
+import "slices"
+
+// Matches tells whether labels satisfy all requirements. OpNotIn is also satisfied by
+// a label that is absent.
+func Matches(requirements []Requirement, labels Labels) bool {
+	return MatchesWith(requirements, labels, nil)
+}
+
+// MatchesWith is Matches with a second set of labels, which is asked for each label
+// that the first does not have.
+func MatchesWith(requirements []Requirement, labels, fallback Labels) bool {
+	for _, r := range requirements {
+		if !r.matches(labels, fallback) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r Requirement) matches(labels, fallback Labels) bool {
+	value, present := labels[r.Label]
+	if !present {
+		value, present = fallback[r.Label]
+	}
+	switch r.Op {
+	case OpIn:
+		return present && slices.Contains(r.Values, value)
+	case OpNotIn:
+		return !present || !slices.Contains(r.Values, value)
+	case OpExists:
+		return present
+	case OpAbsent:
+		return !present
+	}
+	return false
+}
+
+// AllowsOrganisation tells whether the selector applies to requests of an organisation.
+func (s Selector) AllowsOrganisation(o Organisation) bool {
+	return Matches(s.Organisations, o.Labels)
+}
+
+// AllowsEndpoint tells whether the selector's requests may reach an endpoint on a host.
+func (s Selector) AllowsEndpoint(e Endpoint, h Host) bool {
+	if len(s.DataCentres) > 0 && !slices.Contains(s.DataCentres, h.DataCentre) {
+		return false
+	}
+	return Matches(s.Hosts, h.Labels) && MatchesWith(s.Endpoints, e.Labels, h.Labels)
+}
--- /dev/null
+++ b/internal/fleet/validate_values.go
@@ -0,0 +1,112 @@
+package fleet
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+
+	"rattanchute/internal/findings/jsonc"
+)
+
+// The forms of names, models and labels.
+var (
+	objectName = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
+	modelName  = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._:/-]{0,126}[A-Za-z0-9])?$`)
+	labelKey   = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._/-]{0,61}[A-Za-z0-9])?$`)
+	labelValue = regexp.MustCompile(`^([A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?)?$`)
+)
+
+const (
+	acceptedName       = `accepted are 1 to 63 of a-z, 0-9, ".", "_" and "-", with a letter or digit at both ends`
+	acceptedModelName  = `accepted are 1 to 128 letters, digits, ".", "_", ":", "/" and "-", with a letter or digit at both ends`
+	acceptedLabelKey   = `accepted are 1 to 63 letters, digits, ".", "_", "/" and "-", with a letter or digit at both ends`
+	acceptedLabelValue = `accepted are up to 63 letters, digits, ".", "_" and "-", with a letter or digit at both ends`
+	acceptedAddress    = `accepted is "ip:port" with a port from 1 to 65535`
+)
+
+// IsKeyHash tells whether s is a SHA-256 digest in lower-case hex.
+func IsKeyHash(s string) bool {
+	raw, err := hex.DecodeString(s)
+	return err == nil && len(raw) == 32 && s == strings.ToLower(s)
+}
+
+// IsName tells whether s can name an object of a configuration.
+func IsName(s string) bool {
+	return objectName.MatchString(s)
+}
+
+// IsAddress tells whether s is "ip:port" of a listener that can be connected to.
+func IsAddress(s string) bool {
+	address, err := netip.ParseAddrPort(s)
+	return err == nil && address.Port() > 0 && !address.Addr().IsUnspecified()
+}
+
+// uniqueNames finds names that stand twice.
+type uniqueNames struct {
+	doc  *jsonc.Document
+	of   string
+	seen map[string]bool
+}
+
+// add checks the form of an object's name and that it is new.
+func (u *uniqueNames) add(p jsonc.Path, name string) {
+	if !IsName(name) {
+		u.doc.Add(p, fmt.Sprintf("%s name is %q", u.of, name), acceptedName)
+		return
+	}
+	u.addOnly(p, name)
+}
+
+// addOnly checks only that a name is new.
+func (u *uniqueNames) addOnly(p jsonc.Path, name string) {
+	if u.seen == nil {
+		u.seen = map[string]bool{}
+	}
+	if u.seen[name] {
+		u.doc.Add(p, fmt.Sprintf("%s %q is declared twice", u.of, name), "accepted is each "+u.of+" once")
+	}
+	u.seen[name] = true
+}
+
+func (v *validator) checkName(p jsonc.Path, name string) {
+	if !IsName(name) {
+		v.doc.Add(p, fmt.Sprintf("%s is %q", p.Last(), name), acceptedName)
+	}
+}
+
+func (v *validator) checkInt(p jsonc.Path, n, least, most int64) {
+	if n < least || n > most {
+		v.doc.Add(p, fmt.Sprintf("%s is %d", p.Last(), n), fmt.Sprintf("accepted is %d to %d", least, most))
+	}
+}
+
+func (v *validator) checkFloat(p jsonc.Path, n, least, most float64) {
+	if !(n >= least && n <= most) {
+		v.doc.Add(p, fmt.Sprintf("%s is %g", p.Last(), n), fmt.Sprintf("accepted is %g to %g", least, most))
+	}
+}
+
+func (v *validator) checkLabels(p jsonc.Path, labels Labels) {
+	for key, value := range labels {
+		if !labelKey.MatchString(key) {
+			v.doc.Add(p.Key(key), fmt.Sprintf("label is %q", key), acceptedLabelKey)
+		}
+		v.checkLabelValue(p.Key(key), value)
+	}
+}
+
+func (v *validator) checkLabelValue(p jsonc.Path, value string) {
+	if !labelValue.MatchString(value) {
+		v.doc.Add(p, fmt.Sprintf("label value is %q", value), acceptedLabelValue)
+	}
+}
+
+func (v *validator) checkAddress(p jsonc.Path, address string, addresses *uniqueNames) {
+	if !IsAddress(address) {
+		v.doc.Add(p, fmt.Sprintf("address is %q", address), acceptedAddress)
+		return
+	}
+	addresses.addOnly(p, address)
+}
