Load the daemon's settings with all findings and redacted secrets

Cause: a daemon must refuse to start on bad settings and name every fault. Change: package settings: typed sections with defaults and ranges, secrets from environment or file through an injected Environment, certificates checked at load; the range checks moved into findings/jsonc so that fleet and settings share them. Ruled out: secrets as plain strings with a tag, which reflection prints; Secret keeps its value behind a pointer and formats as [redacted] for every verb.

--- a/internal/fleet/validate.go
+++ b/internal/fleet/validate.go
@@ -64,7 +64,7 @@
 		v.checkName(at.Key("class"), h.Class)
 		v.checkDataCentre(at.Key("data_centre"), h.DataCentre)
 		v.checkHostKind(at.Key("kind"), h.Kind)
-		v.checkInt(at.Key("price_per_hour_milli"), h.PricePerHour, 0, maxPriceMilli)
+		v.doc.CheckInt(at.Key("price_per_hour_milli"), h.PricePerHour, 0, maxPriceMilli)
 		v.checkLabels(at.Key("labels"), h.Labels)
 		v.hosts[h.Name] = h
 	}
@@ -91,9 +91,9 @@
 		names.add(at.Key("name"), o.Name)
 		v.checkKeyHashes(at.Key("key_sha256"), o.KeyHashes, &keys)
 		v.checkLabels(at.Key("labels"), o.Labels)
-		v.checkFloat(at.Key("requests_per_second"), o.RequestsPerSecond, 0, maxRequestsPerSecond)
+		v.doc.CheckFloat(at.Key("requests_per_second"), o.RequestsPerSecond, 0, maxRequestsPerSecond)
 		v.checkBurst(at.Key("burst"), o)
-		v.checkFloat(at.Key("weight"), o.Weight, 0, maxWeight)
+		v.doc.CheckFloat(at.Key("weight"), o.Weight, 0, maxWeight)
 	}
 }
 
@@ -115,7 +115,7 @@
 	if o.RequestsPerSecond > 0 {
 		least = 1
 	}
-	v.checkInt(p, int64(o.Burst), least, maxBurst)
+	v.doc.CheckInt(p, int64(o.Burst), least, maxBurst)
 }
 
 func (v *validator) checkEndpoints() {
--- a/internal/fleet/validate_fleet.go
+++ b/internal/fleet/validate_fleet.go
@@ -21,7 +21,7 @@
 		at := all.At(i)
 		names.add(at.Key("name"), f.Name)
 		v.fleets[f.Name] = true
-		v.checkInt(at.Key("slots_per_endpoint"), int64(f.SlotsPerEndpoint), 1, maxSlots)
+		v.doc.CheckInt(at.Key("slots_per_endpoint"), int64(f.SlotsPerEndpoint), 1, maxSlots)
 		switch f.Kind {
 		case FleetModel:
 			v.checkModelFleet(at, f, &models)
--- a/internal/fleet/validate_selector.go
+++ b/internal/fleet/validate_selector.go
@@ -19,7 +19,7 @@
 		for j, dc := range s.DataCentres {
 			v.checkDataCentre(at.Key("data_centres").At(j), dc)
 		}
-		v.checkInt(at.Key("priority"), int64(s.Priority), 0, maxPriority)
+		v.doc.CheckInt(at.Key("priority"), int64(s.Priority), 0, maxPriority)
 		v.checkSelectorMatches(at, s)
 	}
 }
--- a/internal/fleet/validate_values.go
+++ b/internal/fleet/validate_values.go
@@ -76,18 +76,6 @@
 	}
 }
 
-func (v *validator) checkInt(p jsonc.Path, n, least, most int64) {
-	if n < least || n > most {
-		v.doc.Add(p, fmt.Sprintf("%s is %d", p.Last(), n), fmt.Sprintf("accepted is %d to %d", least, most))
-	}
-}
-
-func (v *validator) checkFloat(p jsonc.Path, n, least, most float64) {
-	if !(n >= least && n <= most) {
-		v.doc.Add(p, fmt.Sprintf("%s is %g", p.Last(), n), fmt.Sprintf("accepted is %g to %g", least, most))
-	}
-}
-
 func (v *validator) checkLabels(p jsonc.Path, labels Labels) {
 	for key, value := range labels {
 		if !labelKey.MatchString(key) {
--- /dev/null
+++ b/internal/settings/source.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"rattanchute/internal/findings/jsonc"
+)
+
+// Source names where a secret comes from: an environment variable or a file.
+type Source struct {
+	Env  string `json:"env"`
+	File string `json:"file"`
+	// Secret is the value read; it is not part of the text.
+	Secret Secret `json:"-"`
+}
+
+// Environment is what a daemon finds around it: variables and files.
+type Environment struct {
+	LookupEnv func(name string) (string, bool)
+	ReadFile  func(name string) ([]byte, error)
+}
+
+// OS returns the environment of this process.
+func OS() Environment {
+	return Environment{LookupEnv: os.LookupEnv, ReadFile: os.ReadFile}
+}
+
+const acceptedSource = `accepted is {"env": "NAME"} or {"file": "path"}`
+
+// resolve reads the secret. The value itself never goes into a finding.
+func (l *loader) resolve(p jsonc.Path, s *Source, minBytes int) {
+	if (s.Env == "") == (s.File == "") {
+		l.doc.Add(p, p.Last()+" needs one source", acceptedSource)
+		return
+	}
+	value, ok := l.read(p, *s)
+	if !ok {
+		return
+	}
+	if len(value) < minBytes {
+		l.doc.Add(p, fmt.Sprintf("%s has %d bytes", p.Last(), len(value)), fmt.Sprintf("accepted are at least %d bytes", minBytes))
+		return
+	}
+	s.Secret = NewSecret(value)
+}
+
+func (l *loader) read(p jsonc.Path, s Source) (string, bool) {
+	if s.Env != "" {
+		value, set := l.env.LookupEnv(s.Env)
+		if !set {
+			l.doc.Add(p.Key("env"), fmt.Sprintf("environment variable %q is not set", s.Env), "accepted is a variable that is set")
+		}
+		return value, set
+	}
+	raw, err := l.env.ReadFile(s.File)
+	if err != nil {
+		l.doc.Add(p.Key("file"), fmt.Sprintf("cannot read the file: %v", err), "accepted is a file that can be read")
+		return "", false
+	}
+	return strings.TrimSpace(string(raw)), true
+}
