Add at-most-once claims: shard decisions, group commits, service facade

Cause: calls that must not be repeated need a durable claim before they are dispatched, at fewer platform writes than one per call. Change: package claim with Shard (pure), Committer (groups per shard), Service{Acquire, Complete, Release, Handle} and the Forwarder port; the number of shards is fixed by a layout object in the platform. Ruled out: prometheus collectors inside the package, because go.sum lacks the sums of client_golang's own dependencies; counters are plain atomics for now.

--- /dev/null
+++ b/internal/claim/codec.go
@@ -0,0 +1,61 @@
+package claim
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// ErrCorrupt is wrapped by the errors of a stored value that cannot be read.
+var ErrCorrupt = errors.New("claim: stored shard not readable")
+
+// formatVersion is the version of the stored form.
+const formatVersion = 1
+
+// storedShard is the JSON form of a shard.
+type storedShard struct {
+	Format  int            `json:"format"`
+	Records []Record       `json:"records"`
+	Buckets []storedBucket `json:"fingerprints"`
+}
+
+// Encode returns the stored form; equal shards have equal forms.
+func (s *Shard) Encode() (json.RawMessage, error) {
+	stored := storedShard{Format: formatVersion}
+	for _, r := range s.records {
+		stored.Records = append(stored.Records, r)
+	}
+	slices.SortFunc(stored.Records, compareAge)
+	for _, b := range s.buckets {
+		stored.Buckets = append(stored.Buckets, b.stored())
+	}
+	value, err := json.Marshal(stored)
+	if err != nil {
+		return nil, fmt.Errorf("encode claims: %w", err)
+	}
+	return value, nil
+}
+
+// Decode reads the stored form.
+func Decode(value json.RawMessage) (*Shard, error) {
+	var stored storedShard
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+	}
+	if stored.Format != formatVersion {
+		return nil, fmt.Errorf("%w: format %d, want %d", ErrCorrupt, stored.Format, formatVersion)
+	}
+	s := NewShard()
+	for _, r := range stored.Records {
+		s.records[r.ID] = r
+	}
+	for _, sb := range stored.Buckets {
+		b, err := sb.bucket()
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+		}
+		s.buckets = append(s.buckets, b)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/claim/editor.go
@@ -0,0 +1,127 @@
+package claim
+
+import "slices"
+
+// editor applies operations to a shard that it may change.
+type editor struct {
+	shard   *Shard
+	env     Env
+	size    int
+	changed bool
+}
+
+func (e *editor) apply(op Op) Result {
+	switch op.Kind {
+	case OpAcquire:
+		return e.acquire(op)
+	case OpComplete:
+		return e.complete(op)
+	default:
+		return e.withdraw(op)
+	}
+}
+
+// acquire claims the key, or tells what is known of the claim that stands.
+func (e *editor) acquire(op Op) Result {
+	id := op.Key.ID()
+	if op.Key.tooOld(e.env.Now) || e.shard.hasPrint(id.fingerprint()) {
+		return Result{Kind: Expired}
+	}
+	r, found := e.shard.records[id]
+	switch {
+	case found && r.Attempt == op.Attempt && r.State == StatePending:
+		// The same attempt asks again: its first answer was lost.
+		return Result{Kind: Granted}
+	case found && r.Attempt == op.Attempt && r.State == StateWithdrawn:
+		return refused(InProgressRetry, false)
+	case found && r.State != StateWithdrawn:
+		return r.answer(e.env)
+	}
+	if !e.put(e.newRecord(op, StatePending)) {
+		return refused(FullRetry, false)
+	}
+	return Result{Kind: Granted}
+}
+
+// complete records the answer of the attempt that holds the claim.
+func (e *editor) complete(op Op) Result {
+	r, found := e.shard.records[op.Key.ID()]
+	if !found || r.Attempt != op.Attempt || r.State == StateWithdrawn {
+		return Result{Kind: Ignored}
+	}
+	if r.State == StateCompleted {
+		return Result{Kind: Recorded}
+	}
+	r.State = StateCompleted
+	r.Status = op.Status
+	e.store(e.withBody(r, op.Body))
+	return Result{Kind: Recorded}
+}
+
+// withBody adds an answer's body if it is small enough and the shard has room.
+func (e *editor) withBody(r Record, body []byte) Record {
+	if len(body) > MaxBodyBytes {
+		return r
+	}
+	if e.size+encodedLen(len(body)) > e.shard.limit {
+		return r
+	}
+	r.HasBody = true
+	r.Body = slices.Clone(body)
+	return r
+}
+
+// withdraw frees the key of an attempt that has not run. Where no claim is found, a
+// withdrawn one is written all the same: it moves the shard's version, so that a
+// delayed write of the attempt's claim can no longer take effect.
+func (e *editor) withdraw(op Op) Result {
+	id := op.Key.ID()
+	r, found := e.shard.records[id]
+	switch {
+	case found && r.Attempt != op.Attempt:
+		return Result{Kind: Recorded}
+	case found && r.State == StateWithdrawn:
+		return Result{Kind: Recorded}
+	case found && r.State == StateCompleted:
+		return Result{Kind: Ignored}
+	case found:
+		r.State = StateWithdrawn
+		e.store(r)
+		return Result{Kind: Recorded}
+	case e.shard.hasPrint(id.fingerprint()):
+		return Result{Kind: Ignored}
+	}
+	if !e.put(e.newRecord(op, StateWithdrawn)) {
+		return refused(FullRetry, false)
+	}
+	return Result{Kind: Recorded}
+}
+
+func (e *editor) newRecord(op Op, state State) Record {
+	return Record{
+		ID:       op.Key.ID(),
+		Attempt:  op.Attempt,
+		Writer:   op.Writer,
+		State:    state,
+		AtMillis: e.env.Now.UnixMilli(),
+	}
+}
+
+// put stores a record for which room has to be found.
+func (e *editor) put(r Record) bool {
+	if !e.makeRoom(r.size()) {
+		return false
+	}
+	e.store(r)
+	return true
+}
+
+// store replaces a record.
+func (e *editor) store(r Record) {
+	if old, found := e.shard.records[r.ID]; found {
+		e.size -= old.size()
+	}
+	e.shard.records[r.ID] = r
+	e.size += r.size()
+	e.changed = true
+}
--- /dev/null
+++ b/internal/claim/fakestore_test.go
@@ -0,0 +1,148 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand"
+	"sync"
+	"time"
+
+	"rattanchute/internal/platform"
+)
+
+// fakeStore keeps objects in memory and fails as its random source says.
+type fakeStore struct {
+	latency time.Duration
+	faults  *faults // nil: none
+
+	mu      sync.Mutex
+	version uint64
+	objects map[string]platform.Object
+}
+
+func newFakeStore(f *faults) *fakeStore {
+	return &fakeStore{faults: f, objects: map[string]platform.Object{}}
+}
+
+func (f *fakeStore) Get(ctx context.Context, _ platform.Kind, name string) (platform.Object, error) {
+	if f.faults.draw("store read unanswered", 0.05) || f.faults.isDown() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	time.Sleep(f.latency)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	object, found := f.objects[name]
+	if !found {
+		return object, platform.ErrNotFound
+	}
+	return object, nil
+}
+
+func (f *fakeStore) Create(ctx context.Context, kind platform.Kind, name string, v json.RawMessage) (platform.Object, error) {
+	return f.Update(ctx, platform.Object{Kind: kind, Name: name, Value: v})
+}
+
+func (f *fakeStore) Update(_ context.Context, o platform.Object) (platform.Object, error) {
+	switch {
+	case f.faults.isDown():
+		return o, platform.ErrUnavailable
+	case f.faults.draw("store throttled", 0.03):
+		return o, platform.ErrThrottled
+	case f.faults.draw("store write lost before", 0.05):
+		return o, platform.ErrUnavailable
+	case f.faults.draw("store answer lost", 0.08):
+		f.apply(o)
+		return o, platform.ErrUnavailable
+	case f.faults.draw("store write lands late", 0.08):
+		late := f.faults.duration(time.Minute)
+		time.AfterFunc(late, func() { f.apply(o) })
+		return o, platform.ErrUnavailable
+	}
+	time.Sleep(f.latency)
+	return f.apply(o)
+}
+
+// apply is the conditional write itself.
+func (f *fakeStore) apply(o platform.Object) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(o.Value) > platform.MaxValueBytes {
+		return o, platform.ErrTooLarge
+	}
+	if f.objects[o.Name].Version != o.Version {
+		f.faults.count("store conflict")
+		return o, platform.ErrConflict
+	}
+	f.version++
+	o.Version = f.version
+	f.objects[o.Name] = o
+	return o, nil
+}
+
+func (f *fakeStore) List(context.Context, platform.Kind) ([]platform.Object, uint64, error) {
+	panic("not used")
+}
+func (f *fakeStore) Delete(context.Context, platform.Object) error { panic("not used") }
+func (f *fakeStore) Watch(context.Context, platform.Kind, uint64) ([]platform.Event, uint64, error) {
+	panic("not used")
+}
+
+// faults draws faults from a seed and counts them; nil draws none.
+type faults struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	down   bool
+	counts map[string]int
+}
+
+func (f *faults) draw(kind string, probability float64) bool {
+	if f == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.random.Float64() >= probability {
+		return false
+	}
+	f.counts[kind]++
+	return true
+}
+
+func (f *faults) count(kind string) {
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts[kind]++
+}
+
+func (f *faults) duration(limit time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.random.Int63n(int64(limit)))
+}
+
+func (f *faults) pick(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Intn(n)
+}
+
+func (f *faults) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *faults) isDown() bool {
+	if f == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		f.counts["store outage"]++
+	}
+	return f.down
+}
--- /dev/null
+++ b/internal/claim/settings.go
@@ -0,0 +1,56 @@
+package claim
+
+import "time"
+
+// Defaults of the settings.
+const (
+	DefaultShards         = 64
+	DefaultMaxWait        = 100 * time.Millisecond
+	DefaultGroupTarget    = 24
+	DefaultStoreTimeout   = time.Second
+	DefaultForwardTimeout = 2 * time.Second
+	DefaultMaxWaiting     = 4096
+	DefaultMaxBacklog     = 16384
+	DefaultWriters        = 16
+)
+
+// Settings tune a Service. Zero values stand for the defaults.
+type Settings struct {
+	// Shards is the number of shards. The first daemon of a site fixes it in the
+	// platform; what is stored there wins over the setting.
+	Shards int
+	// MaxWait is the longest time a claim waits for others to share its write.
+	MaxWait time.Duration
+	// GroupTarget is the number of claims a write that a longer wait is not worth.
+	GroupTarget int
+	// StoreTimeout limits one call to the store.
+	StoreTimeout time.Duration
+	// ForwardTimeout limits the wait for the owner's answer.
+	ForwardTimeout time.Duration
+	// MaxWaiting limits the operations that wait for one shard.
+	MaxWaiting int
+	// MaxBacklog limits the reports kept for the time when the store is back.
+	MaxBacklog int
+	// Writers limits the shards that are written at the same time.
+	Writers int
+}
+
+// withDefaults fills in the zero values.
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.Shards, DefaultShards)
+	setDefault(&s.MaxWait, DefaultMaxWait)
+	setDefault(&s.GroupTarget, DefaultGroupTarget)
+	setDefault(&s.StoreTimeout, DefaultStoreTimeout)
+	setDefault(&s.ForwardTimeout, DefaultForwardTimeout)
+	setDefault(&s.MaxWaiting, DefaultMaxWaiting)
+	setDefault(&s.MaxBacklog, DefaultMaxBacklog)
+	setDefault(&s.Writers, DefaultWriters)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/claim/shard.go
@@ -0,0 +1,143 @@
+package claim
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"rattanchute/internal/platform"
+)
+
+// limitBytes is the largest encoded shard that is written; the rest of the platform's
+// limit is left for the frame around records and fingerprints.
+const limitBytes = platform.MaxValueBytes - 4<<10
+
+// Shard is the value of one shard. It is not changed once made; Apply returns a new one.
+type Shard struct {
+	records map[ID]Record
+	// buckets are in order of their span.
+	buckets []bucket
+	limit   int
+}
+
+// NewShard returns a shard without claims.
+func NewShard() *Shard {
+	return &Shard{records: map[ID]Record{}, limit: limitBytes}
+}
+
+// Env is what a decision depends on beside the shard.
+type Env struct {
+	Now time.Time
+	// Gone reports whether the run of a daemon is known to have ended; nil knows of none.
+	Gone func(writer string) bool
+}
+
+func (e Env) gone(writer string) bool {
+	return e.Gone != nil && e.Gone(writer)
+}
+
+// Applied is what became of a group of operations.
+type Applied struct {
+	// Shard is the value to store; the results hold only once it is stored.
+	Shard *Shard
+	// Results answer the operations in their order.
+	Results []Result
+	// Changed is false if nothing has to be stored.
+	Changed bool
+}
+
+// Final reports whether the results hold even if the value they were taken from has
+// been replaced since.
+func (a Applied) Final() bool {
+	for _, r := range a.Results {
+		if r.Kind != Completed && r.Kind != Expired {
+			return false
+		}
+	}
+	return true
+}
+
+// Apply applies operations in order. An error means a broken invariant: the value must
+// not be stored and no result is valid.
+func (s *Shard) Apply(ops []Op, env Env) (Applied, error) {
+	next := s.clone()
+	next.expire(env.Now)
+	e := editor{shard: next, env: env, size: next.size()}
+	results := make([]Result, len(ops))
+	for i, op := range ops {
+		results[i] = e.apply(op)
+	}
+	a := Applied{Shard: next, Results: results, Changed: e.changed}
+	return a, verify(s, a, ops)
+}
+
+// size bounds the encoded length of the shard.
+func (s *Shard) size() int {
+	total := 0
+	for _, r := range s.records {
+		total += r.size()
+	}
+	for _, b := range s.buckets {
+		total += b.size()
+	}
+	return total
+}
+
+func (s *Shard) clone() *Shard {
+	return &Shard{
+		records: maps.Clone(s.records),
+		buckets: slices.Clone(s.buckets),
+		limit:   s.limit,
+	}
+}
+
+// hasPrint reports whether a claim with this fingerprint was made within the window.
+func (s *Shard) hasPrint(print uint64) bool {
+	for _, b := range s.buckets {
+		if b.has(print) {
+			return true
+		}
+	}
+	return false
+}
+
+// expire drops what is past its window.
+func (s *Shard) expire(now time.Time) {
+	var old []Record
+	for _, r := range s.records {
+		if r.age(now) >= RecordWindow {
+			old = append(old, r)
+		}
+	}
+	s.reduce(old)
+	s.buckets = slices.DeleteFunc(s.buckets, func(b bucket) bool {
+		return b.expired(now)
+	})
+}
+
+// reduce replaces records by their fingerprints. A withdrawn claim leaves none, since
+// its key has not been used.
+func (s *Shard) reduce(records []Record) {
+	spans := map[int64][]uint64{}
+	for _, r := range records {
+		delete(s.records, r.ID)
+		if r.State == StateWithdrawn {
+			continue
+		}
+		span := spanOf(r.AtMillis)
+		spans[span] = append(spans[span], r.ID.fingerprint())
+	}
+	for span, prints := range spans {
+		s.addPrints(span, prints)
+	}
+}
+
+func (s *Shard) addPrints(span int64, prints []uint64) {
+	at, found := slices.BinarySearchFunc(s.buckets, span, func(b bucket, span int64) int {
+		return int(b.span - span)
+	})
+	if !found {
+		s.buckets = slices.Insert(s.buckets, at, bucket{span: span})
+	}
+	s.buckets[at] = s.buckets[at].with(prints)
+}
--- /dev/null
+++ b/internal/claim/store.go
@@ -0,0 +1,180 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"rattanchute/internal/platform"
+)
+
+// maxTries limits the writes and reads for one group.
+const maxTries = 6
+
+// shardStore commits groups to one shard's object. It is used by one goroutine at a time.
+type shardStore struct {
+	name    string
+	store   platform.Store
+	breaker *breaker
+	timeout time.Duration
+	gone    func(writer string) bool
+	metrics *Metrics
+	logger  *log.Logger
+
+	// base is the value last known to be stored, at version; nil if it has to be read.
+	base    *Shard
+	version uint64
+	// reported says that a fault of this shard has been logged.
+	reported bool
+}
+
+// attempted is how far a group has come.
+type attempted struct {
+	// uncertain says that a write of this group had no answer.
+	uncertain bool
+	// fresh says that the base was read for this group.
+	fresh bool
+}
+
+// commit stores the effect of the operations and returns their results. Results that
+// depend on a write are returned only once the write is known to have taken effect: by
+// its answer, or by reading back a value that holds the attempt.
+func (s *shardStore) commit(ops []Op) []Result {
+	s.metrics.Groups.Add(1)
+	s.metrics.GroupedOps.Add(uint64(len(ops)))
+	var state attempted
+	for range maxTries {
+		results, err := s.try(ops, &state)
+		if err != nil {
+			return s.failed(ops, err, state)
+		}
+		if results != nil {
+			s.breaker.succeeded()
+			return results
+		}
+	}
+	return refuseOps(ops, minBackoff, state.uncertain)
+}
+
+// try makes one pass. It returns nothing at all if another pass is needed.
+func (s *shardStore) try(ops []Op, state *attempted) ([]Result, error) {
+	if s.base == nil {
+		if err := s.read(); err != nil {
+			return nil, err
+		}
+		state.fresh = true
+	}
+	applied, err := s.base.Apply(ops, Env{Now: time.Now(), Gone: s.gone})
+	if err != nil {
+		return nil, err
+	}
+	if !applied.Changed {
+		if state.fresh || applied.Final() {
+			return applied.Results, nil
+		}
+		s.base = nil
+		return nil, nil
+	}
+	return s.write(applied, state)
+}
+
+// read fetches the stored value.
+func (s *shardStore) read() error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+	defer cancel()
+	s.metrics.Reads.Add(1)
+	object, err := s.store.Get(ctx, platform.KindClaims, s.name)
+	if errors.Is(err, platform.ErrNotFound) {
+		s.base = NewShard()
+		s.version = 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	base, err := Decode(object.Value)
+	if err != nil {
+		return err
+	}
+	s.base = base
+	s.version = object.Version
+	return nil
+}
+
+// write stores a new value in place of the base.
+func (s *shardStore) write(applied Applied, state *attempted) ([]Result, error) {
+	value, err := applied.Shard.Encode()
+	if err != nil {
+		return nil, err
+	}
+	object, err := s.put(value)
+	switch {
+	case err == nil:
+		s.base = applied.Shard
+		s.version = object.Version
+		s.metrics.ShardBytes.Store(int64(len(value)))
+		return applied.Results, nil
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+		s.metrics.Conflicts.Add(1)
+		s.base = nil
+		return nil, nil
+	case errors.Is(err, platform.ErrThrottled), errors.Is(err, platform.ErrTooLarge):
+		return nil, err
+	}
+	// The write may have taken effect, or may do so later. Either the value read back
+	// shows it, or writing again at the same version rules it out.
+	s.metrics.Lost.Add(1)
+	state.uncertain = true
+	s.base = nil
+	return nil, nil
+}
+
+// put is the conditional write.
+func (s *shardStore) put(value json.RawMessage) (platform.Object, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+	defer cancel()
+	s.metrics.Writes.Add(1)
+	if s.version == 0 {
+		return s.store.Create(ctx, platform.KindClaims, s.name, value)
+	}
+	object := platform.Object{Kind: platform.KindClaims, Name: s.name, Version: s.version, Value: value}
+	return s.store.Update(ctx, object)
+}
+
+// failed refuses a group after an error that trying again at once would not mend. Only
+// errors of the store as a whole keep other shards from trying.
+func (s *shardStore) failed(ops []Op, err error, state attempted) []Result {
+	s.base = nil
+	s.metrics.Failures.Add(1)
+	var broken *InvariantError
+	switch {
+	case errors.As(err, &broken):
+		s.metrics.Violations.Add(1)
+		s.report(err)
+	case errors.Is(err, ErrCorrupt), errors.Is(err, platform.ErrTooLarge):
+		s.report(err)
+	default:
+		return refuseOps(ops, s.breaker.failed(time.Now()), state.uncertain)
+	}
+	return refuseOps(ops, FullRetry, state.uncertain)
+}
+
+// report logs what an operator has to look into, once for each shard.
+func (s *shardStore) report(err error) {
+	if s.reported {
+		return
+	}
+	s.reported = true
+	s.logger.Error().Str("shard", s.name).Err(err).Msg("claims of this shard are refused")
+}
+
+func refuseOps(ops []Op, retryAfter time.Duration, mayStand bool) []Result {
+	results := make([]Result, len(ops))
+	for i := range results {
+		results[i] = refused(retryAfter, mayStand)
+	}
+	return results
+}
