--- /dev/null
+++ b/internal/admit/meter.go
@@ -0,0 +1,31 @@
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+// meter is an exponentially decaying rate of events.
+type meter struct {
+	count float64
+	at    time.Time
+}
+
+// add counts one event.
+func (m *meter) add(now time.Time, window time.Duration) {
+	m.decay(now, window)
+	m.count++
+}
+
+// rate is events a second.
+func (m *meter) rate(now time.Time, window time.Duration) float64 {
+	m.decay(now, window)
+	return m.count / window.Seconds()
+}
+
+func (m *meter) decay(now time.Time, window time.Duration) {
+	if elapsed := now.Sub(m.at); elapsed > 0 {
+		m.count *= math.Exp(-elapsed.Seconds() / window.Seconds())
+		m.at = now
+	}
+}
--- a/internal/route/fixture_test.go
+++ b/internal/route/fixture_test.go
@@ -39,12 +39,6 @@
 
 func dataCentreName(i int) string { return fmt.Sprintf("dc-%d", i) }
 
-func testRouter(runners int) *Router {
-	r := NewRouter(dataCentreName(0))
-	r.SetTable(Compile(testConfiguration(runners, 2, 1)))
-	return r
-}
-
 func testQuery(prefixes ...uint64) Query {
 	return Query{Organisation: "org-0", Fleet: "llm", PrefixHashes: prefixes, PromptTokens: 1000, MaxTokens: 200}
 }
