--- /dev/null
+++ b/internal/spread/join.go
@@ -0,0 +1,120 @@
+package spread
+
+import (
+	"time"
+
+	"rattanchute/internal/member"
+)
+
+// joinWindow is the number of members a starting node asks at the same time.
+const joinWindow = 16
+
+// join is the start of a node: it asks its seeds, and then every live member it hears
+// of, which configuration is in force, and is done when it has the newest.
+type join struct {
+	seeds []string
+	// queue lists the addresses still to be asked.
+	queue []string
+	// known holds every address that was queued.
+	known map[string]struct{}
+	// outstanding holds the addresses asked and not yet heard from, with the time.
+	outstanding map[string]time.Time
+	heard       bool
+	done        bool
+}
+
+func newJoin(seeds []string) join {
+	j := join{seeds: seeds, known: map[string]struct{}{}, outstanding: map[string]time.Time{}}
+	for _, address := range seeds {
+		j.enqueue(address)
+	}
+	return j
+}
+
+func (j *join) enqueue(address string) {
+	if _, ok := j.known[address]; ok {
+		return
+	}
+	j.known[address] = struct{}{}
+	j.queue = append(j.queue, address)
+}
+
+// askMember queues a live member that a starting node has heard of.
+func (m *Machine) askMember(change member.Change) {
+	if m.join.done || !change.Live || change.Member.Name == m.settings.Self.Name {
+		return
+	}
+	m.join.enqueue(change.Member.Address)
+}
+
+// askAll makes a starting node ask every seed and live member again.
+func (m *Machine) askAll() {
+	if m.join.done {
+		return
+	}
+	clear(m.join.known)
+	m.join.queue = nil
+	for _, address := range m.join.seeds {
+		m.join.enqueue(address)
+	}
+	for _, r := range m.members.Live() {
+		m.askMember(member.Change{Member: r, Live: true})
+	}
+}
+
+// tickJoin gives up on questions that were lost and starts over when nobody answered.
+func (m *Machine) tickJoin(now time.Time) Output {
+	if m.join.done {
+		return Output{}
+	}
+	for address, since := range m.join.outstanding {
+		if now.Sub(since) > RequestTimeout {
+			delete(m.join.outstanding, address)
+		}
+	}
+	if !m.join.heard && len(m.join.queue) == 0 && len(m.join.outstanding) == 0 {
+		m.askAll()
+	}
+	return m.advanceJoin(now)
+}
+
+// advanceJoin sends the next questions, and ends the join when all were answered.
+func (m *Machine) advanceJoin(now time.Time) Output {
+	j := &m.join
+	if j.done {
+		return Output{}
+	}
+	var out Output
+	for len(j.queue) > 0 && len(j.outstanding) < joinWindow {
+		address := j.queue[0]
+		j.queue = j.queue[1:]
+		if address == m.settings.Self.Address {
+			continue
+		}
+		j.outstanding[address] = now
+		out.Sends = append(out.Sends, Send{To: address, Message: m.message(KindExchange)})
+	}
+	idle := len(j.outstanding) == 0 && len(j.queue) == 0 && m.deltaSince.IsZero()
+	j.done = idle && j.heard && m.config.inForce >= m.config.newest
+	return out
+}
+
+// asked takes in the end of a question of the join.
+func (m *Machine) asked(now time.Time, s Send, answered bool) Output {
+	j := &m.join
+	if j.done {
+		return Output{}
+	}
+	j.heard = j.heard || answered
+	if _, ok := j.outstanding[s.To]; !ok {
+		return Output{}
+	}
+	if !answered && s.attempt+1 < maxAttempts {
+		s.attempt++
+		s.Message = m.message(KindExchange)
+		j.outstanding[s.To] = now
+		return Output{Sends: []Send{s}}
+	}
+	delete(j.outstanding, s.To)
+	return m.advanceJoin(now)
+}
--- /dev/null
+++ b/internal/spread/machine.go
@@ -0,0 +1,259 @@
+// Package spread brings the configuration, the hosts' states and the member table to
+// every node: news is pushed to a few random members at once, and what a push missed
+// is repaired by comparing hashes with one random member a second. Machine decides;
+// Runner connects it to the network, the platform and the clock.
+package spread
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/member"
+)
+
+// Timing and fan-out of the machine.
+const (
+	// TickInterval is the time between two calls of Tick.
+	TickInterval = time.Second
+	// Fanout is the number of members that news is pushed to.
+	Fanout = 3
+	// ProbeHelpers is the number of members asked to contact one that did not answer.
+	ProbeHelpers = 2
+	// ProbeTimeout is how long the helpers may take.
+	ProbeTimeout = 3 * time.Second
+	// RequestTimeout is after how long an unanswered question is asked anew.
+	RequestTimeout = 5 * time.Second
+	// deadRetryTicks is the mean number of ticks between two tries to reach a dead member.
+	deadRetryTicks = 10
+	// maxAttempts is how often one member is asked the same question in a row.
+	maxAttempts = 3
+)
+
+// Settings configure a machine.
+type Settings struct {
+	Self member.Member
+	// Seeds are addresses of peers to ask at start.
+	Seeds  []string
+	Timing member.Timing
+	// OnViolation is called when an invariant does not hold.
+	OnViolation func(string)
+}
+
+// Machine is the state of one node. It is not safe for concurrent use.
+type Machine struct {
+	settings Settings
+	members  *member.Table
+	hosts    *hostTable
+	config   configuration
+	join     join
+	probes   map[string]probe
+	// deltaSince is when the delta in flight was sent; zero when there is none.
+	deltaSince time.Time
+	// pendingMembers and pendingHosts are news that the next tick pushes.
+	pendingMembers map[string]struct{}
+	pendingHosts   map[hostKey]struct{}
+	violations     uint64
+}
+
+// New returns a machine that has yet to hear from the platform or a peer.
+func New(s Settings) *Machine {
+	if s.Timing == (member.Timing{}) {
+		s.Timing = member.DefaultTiming
+	}
+	m := &Machine{
+		settings:       s,
+		members:        member.NewTable(s.Self, s.Timing),
+		hosts:          newHostTable(),
+		probes:         map[string]probe{},
+		pendingMembers: map[string]struct{}{},
+		pendingHosts:   map[hostKey]struct{}{},
+	}
+	m.join = newJoin(s.Seeds)
+	return m
+}
+
+// Tick lets time pass: it is called every TickInterval.
+func (m *Machine) Tick(now time.Time, rnd *rand.Rand) Output {
+	var out Output
+	for _, change := range m.members.Advance(now) {
+		out.Events = append(out.Events, MemberChanged{change})
+	}
+	m.hosts.expire(now)
+	m.expireDelta(now)
+	out.add(m.endProbes(now))
+	out.add(m.flushPending(rnd))
+	out.add(m.tickJoin(now))
+	out.add(m.tickFetch(now, rnd))
+	out.Sends = append(out.Sends, m.exchangeWithRandom(rnd)...)
+	out.Sends = append(out.Sends, m.retryDead(rnd)...)
+	return out
+}
+
+// LocalConfiguration takes in a configuration read from the platform or accepted on
+// this node.
+func (m *Machine) LocalConfiguration(now time.Time, rnd *rand.Rand, g fleet.Generation, text []byte) Output {
+	m.join.heard = true
+	out := m.offer(rnd, g, text)
+	out.add(m.advanceJoin(now))
+	return out
+}
+
+// LocalPlatform records that the platform answered, whatever it holds.
+func (m *Machine) LocalPlatform(now time.Time) Output {
+	m.join.heard = true
+	return m.advanceJoin(now)
+}
+
+// LocalHostState takes in a host's state read from the platform or noticed here.
+func (m *Machine) LocalHostState(now time.Time, rnd *rand.Rand, s fleet.HostState) Output {
+	r := HostRecord{HostState: s}
+	if s.Phase == fleet.PhaseGone {
+		r.GoneMillis = now.Truncate(time.Minute).UnixMilli()
+	}
+	return m.mergeAll(now, rnd, nil, []HostRecord{r}, "")
+}
+
+// LocalMember takes in a member read from the platform.
+func (m *Machine) LocalMember(now time.Time, rnd *rand.Rand, r member.Member) Output {
+	out := m.mergeAll(now, rnd, []member.Member{r}, nil, "")
+	out.add(m.advanceJoin(now))
+	return out
+}
+
+// Leave tells the others that this node departs. No duty is owned from here on.
+func (m *Machine) Leave(now time.Time, rnd *rand.Rand) Output {
+	change := m.members.Leave(now)
+	msg := m.message(KindPush)
+	msg.Members = []member.Member{change.Member}
+	return Output{Sends: m.toRandom(rnd, msg, Fanout, ""), Events: []Event{MemberChanged{change}}}
+}
+
+// Ready says that the node has heard from the platform or a peer and has the newest
+// configuration that any reachable peer had when it was asked.
+func (m *Machine) Ready() bool { return m.join.done }
+
+// Configuration returns what is in force; generation zero means nothing is.
+func (m *Machine) Configuration() (fleet.Generation, []byte) {
+	return m.config.inForce, m.config.text
+}
+
+// Members returns the live members by name, this node included.
+func (m *Machine) Members() []member.Member { return m.members.Live() }
+
+// Self returns the node's own record.
+func (m *Machine) Self() member.Member { return m.members.Self() }
+
+// Member returns a member's record and whether it counts as live.
+func (m *Machine) Member(name string) (r member.Member, live, known bool) {
+	return m.members.Get(name)
+}
+
+// HostState returns the state of one run of a host.
+func (m *Machine) HostState(host, instance string) (fleet.HostState, bool) {
+	r, ok := m.hosts.records[hostKey{host, instance}]
+	return r.HostState, ok
+}
+
+// HostStates returns the states of all known runs of hosts.
+func (m *Machine) HostStates() []fleet.HostState {
+	out := make([]fleet.HostState, 0, len(m.hosts.records))
+	for i := range m.hosts.buckets {
+		for _, r := range m.hosts.bucket(i) {
+			out = append(out, r.HostState)
+		}
+	}
+	return out
+}
+
+// Violations returns the number of invariants found broken.
+func (m *Machine) Violations() uint64 { return m.violations }
+
+func (m *Machine) violated(format string, args ...any) {
+	m.violations++
+	if m.settings.OnViolation != nil {
+		m.settings.OnViolation(fmt.Sprintf(format, args...))
+	}
+}
+
+func (m *Machine) digest() Digest {
+	return Digest{
+		Generation: m.config.inForce,
+		Members:    m.members.Set().Sum(),
+		Hosts:      m.hosts.set.Sum(),
+	}
+}
+
+func (m *Machine) message(kind MessageKind) Message {
+	return Message{Kind: kind, From: m.members.Self(), Digest: m.digest()}
+}
+
+// toRandom addresses a message to n members drawn uniformly from the live ones.
+func (m *Machine) toRandom(rnd *rand.Rand, msg Message, n int, except string) []Send {
+	var out []Send
+	for _, to := range m.pick(rnd, n, except) {
+		out = append(out, Send{To: to.Address, Name: to.Name, Message: msg})
+	}
+	return out
+}
+
+// pick draws n different live members, without this node and the excepted one.
+func (m *Machine) pick(rnd *rand.Rand, n int, except string) []member.Member {
+	live := m.members.Live()
+	if len(live) == 0 {
+		return nil
+	}
+	self := m.settings.Self.Name
+	var out []member.Member
+	// Drawing with rejection costs n draws, not one pass over all members.
+	for tries := 0; len(out) < n && tries < 4*n; tries++ {
+		c := live[rnd.IntN(len(live))]
+		if c.Name != self && c.Name != except && !slices.Contains(out, c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// configuration is what is in force and what is known to be newer.
+type configuration struct {
+	inForce fleet.Generation
+	text    []byte
+	packed  []byte
+	// newest is the highest generation any peer has named.
+	newest fleet.Generation
+	// fetchSince is when the fetch in flight was sent; zero when there is none.
+	fetchSince time.Time
+}
+
+// offer puts a configuration in force if it is newer than the one in force.
+func (m *Machine) offer(rnd *rand.Rand, g fleet.Generation, text []byte) Output {
+	if g == m.config.inForce && g > 0 && !bytes.Equal(text, m.config.text) {
+		m.violated("configuration %d has two texts", g)
+	}
+	if g <= m.config.inForce {
+		return Output{}
+	}
+	return m.force(rnd, g, text)
+}
+
+func (m *Machine) force(rnd *rand.Rand, g fleet.Generation, text []byte) Output {
+	packed, err := compress(text)
+	if err != nil || len(text) > MaxTextBytes {
+		m.violated("configuration %d cannot be sent: %d bytes, %v", g, len(text), err)
+		return Output{}
+	}
+	if g <= m.config.inForce {
+		m.violated("configuration %d put in force after %d", g, m.config.inForce)
+	}
+	m.config.inForce = g
+	m.config.text = text
+	m.config.packed = packed
+	m.config.newest = max(m.config.newest, g)
+	out := Output{Events: []Event{ConfigurationInForce{Generation: g, Text: text}}}
+	out.Sends = m.toRandom(rnd, m.message(KindPush), Fanout, "")
+	return out
+}
--- /dev/null
+++ b/internal/spread/relay.go
@@ -0,0 +1,193 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/member"
+	"rattanchute/internal/platform"
+)
+
+// Timing of the calls to the platform.
+const (
+	// relaysPerDataCentre members of each data centre watch the platform for all.
+	relaysPerDataCentre = 2
+	// relayCheckInterval is how often a node looks whether it has become a relay.
+	relayCheckInterval = time.Second
+	firstBackoff       = 200 * time.Millisecond
+	maxBackoff         = 5 * time.Second
+	// platformTimeout bounds a call that does not wait.
+	platformTimeout = 5 * time.Second
+	// watchTimeout bounds a waiting watch.
+	watchTimeout = 60 * time.Second
+)
+
+// StoredConfiguration is the value of an object of platform.KindConfiguration.
+type StoredConfiguration struct {
+	Generation fleet.Generation `json:"generation"`
+	Text       string           `json:"text"`
+}
+
+// DecodeConfiguration reads a StoredConfiguration.
+func DecodeConfiguration(o platform.Object) (fleet.Generation, []byte, error) {
+	var c StoredConfiguration
+	if err := json.Unmarshal(o.Value, &c); err != nil {
+		return 0, nil, fmt.Errorf("configuration object %s: %w", o.Name, err)
+	}
+	return c.Generation, []byte(c.Text), nil
+}
+
+// IsRelay says whether this node watches a kind of object for the others.
+func (r *Runner) IsRelay(kind platform.Kind) bool {
+	self := r.Self()
+	near := member.InDataCentre(r.Members(), self.DataCentre)
+	ranked := member.Rank(member.Duty("relay/"+string(kind)), near)
+	for _, m := range ranked[:min(relaysPerDataCentre, len(ranked))] {
+		if m.Name == self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// relayLoop lists and watches a kind while this node is a relay for it.
+func (r *Runner) relayLoop(kind platform.Kind, take func(platform.Event)) {
+	wait := backoff{}
+	for r.ctx.Err() == nil {
+		if !r.IsRelay(kind) {
+			r.sleep(relayCheckInterval)
+			continue
+		}
+		version, err := r.list(kind, take)
+		if err != nil {
+			r.sleep(wait.next())
+			continue
+		}
+		wait.reset()
+		r.watch(kind, version, take)
+	}
+}
+
+func (r *Runner) list(kind platform.Kind, take func(platform.Event)) (uint64, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, platformTimeout)
+	defer cancel()
+	objects, version, err := r.settings.Store.List(ctx, kind)
+	r.countCall(kind, err)
+	if err != nil {
+		return 0, fmt.Errorf("list %s: %w", kind, err)
+	}
+	r.with(func(now time.Time) Output { return r.machine.LocalPlatform(now) })
+	for _, o := range objects {
+		take(platform.Event{Object: o})
+	}
+	return version, nil
+}
+
+// watch follows a kind until this node is no longer a relay or must list again.
+func (r *Runner) watch(kind platform.Kind, version uint64, take func(platform.Event)) {
+	wait := backoff{}
+	for r.ctx.Err() == nil && r.IsRelay(kind) {
+		events, next, err := r.watchOnce(kind, version)
+		if errors.Is(err, platform.ErrCompacted) {
+			return
+		}
+		if err != nil {
+			r.sleep(wait.next())
+			continue
+		}
+		wait.reset()
+		version = next
+		for _, e := range events {
+			take(e)
+		}
+	}
+}
+
+func (r *Runner) watchOnce(kind platform.Kind, version uint64) ([]platform.Event, uint64, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, watchTimeout)
+	defer cancel()
+	events, next, err := r.settings.Store.Watch(ctx, kind, version)
+	r.countCall(kind, err)
+	return events, next, err
+}
+
+// readConfigurationAtStart reads the configuration once, without waiting to become a
+// relay; peers may make it needless.
+func (r *Runner) readConfigurationAtStart() {
+	wait := backoff{}
+	for r.ctx.Err() == nil {
+		if _, err := r.list(platform.KindConfiguration, r.takeConfiguration); err == nil {
+			return
+		}
+		select {
+		case <-r.ready:
+			return
+		default:
+		}
+		r.sleep(wait.next())
+	}
+}
+
+func (r *Runner) takeConfiguration(e platform.Event) {
+	if e.Deleted {
+		return
+	}
+	generation, text, err := r.settings.DecodeConfiguration(e.Object)
+	if err != nil {
+		log.Error().Err(err).Msg("spread: configuration object not readable")
+		return
+	}
+	r.LocalConfiguration(generation, text)
+}
+
+// takeHost takes in a host's state. A deleted object names a run that is gone; a host
+// that is merely absent from a list is not taken for gone.
+func (r *Runner) takeHost(e platform.Event) {
+	var s fleet.HostState
+	if err := json.Unmarshal(e.Object.Value, &s); err != nil {
+		if !e.Deleted {
+			log.Error().Err(err).Str("object", e.Object.Name).Msg("spread: host object not readable")
+		}
+		return
+	}
+	if e.Deleted {
+		s.Phase = fleet.PhaseGone
+	}
+	r.LocalHostState(s)
+}
+
+func (r *Runner) countCall(kind platform.Kind, err error) {
+	r.metrics.platform.WithLabelValues(string(kind), resultOf(err)).Inc()
+}
+
+func (r *Runner) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-r.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// backoff doubles a wait with each failure, with jitter so that nodes do not call in step.
+type backoff struct {
+	base time.Duration
+}
+
+func (b *backoff) next() time.Duration {
+	if b.base == 0 {
+		b.base = firstBackoff
+	}
+	wait := b.base/2 + rand.N(b.base/2)
+	b.base = min(b.base*2, maxBackoff)
+	return wait
+}
+
+func (b *backoff) reset() { b.base = 0 }
--- /dev/null
+++ b/internal/spread/runner.go
@@ -0,0 +1,320 @@
+package spread
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/member"
+	"rattanchute/internal/platform"
+)
+
+// Transport sends a message to a peer and returns the peer's answer.
+type Transport interface {
+	Send(ctx context.Context, address string, m Message) (Message, error)
+}
+
+// Bounds of a runner's sending.
+const (
+	// sendTimeout is how long a peer may take to answer a message.
+	sendTimeout = 2 * time.Second
+	// urgentWorkers send only news of leaving hosts.
+	urgentWorkers = 16
+	normalWorkers = 32
+	// sendQueue is the number of messages that may wait for a worker.
+	sendQueue = 1024
+)
+
+// RunnerSettings configure a runner.
+type RunnerSettings struct {
+	Machine   Settings
+	Transport Transport
+	Store     platform.Store
+	// DecodeConfiguration reads a stored configuration; nil means DecodeConfiguration.
+	DecodeConfiguration func(platform.Object) (fleet.Generation, []byte, error)
+	// OnEvent is called from one goroutine, in the order of the events.
+	OnEvent func(Event)
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// Seed starts the random source; zero means a random one.
+	Seed uint64
+	// Registerer takes the metrics; nil means none.
+	Registerer prometheus.Registerer
+}
+
+// Runner drives a Machine: it sends its messages, watches the platform when the node
+// is a relay, and hands on its events. Safe for concurrent use.
+type Runner struct {
+	settings RunnerSettings
+	metrics  *metrics
+	urgent   pond.Pool
+	normal   pond.Pool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	loops    sync.WaitGroup
+	wake     chan struct{}
+	stop     sync.Once
+
+	mu      sync.Mutex
+	machine *Machine
+	rnd     *rand.Rand
+	events  []Event
+	ready   chan struct{}
+	isReady bool
+}
+
+// NewRunner returns a runner that does nothing until Start, but answers peers.
+func NewRunner(s RunnerSettings) *Runner {
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	if s.Seed == 0 {
+		s.Seed = rand.Uint64()
+	}
+	if s.DecodeConfiguration == nil {
+		s.DecodeConfiguration = DecodeConfiguration
+	}
+	r := &Runner{
+		settings: s,
+		metrics:  newMetrics(s.Registerer),
+		urgent:   pond.NewPool(urgentWorkers, pond.WithQueueSize(sendQueue), pond.WithNonBlocking(true)),
+		normal:   pond.NewPool(normalWorkers, pond.WithQueueSize(sendQueue), pond.WithNonBlocking(true)),
+		wake:     make(chan struct{}, 1),
+		ready:    make(chan struct{}),
+		rnd:      rand.New(rand.NewPCG(s.Seed, s.Seed)),
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	report := s.Machine.OnViolation
+	s.Machine.OnViolation = func(text string) {
+		r.metrics.violations.Inc()
+		log.Error().Str("violation", text).Msg("spread: invariant broken")
+		if report != nil {
+			report(text)
+		}
+	}
+	r.machine = New(s.Machine)
+	return r
+}
+
+// Start begins the ticks, the watches and the announcement of this node.
+func (r *Runner) Start() {
+	r.loop(r.dispatchLoop)
+	r.loop(r.tickLoop)
+	r.loop(r.readConfigurationAtStart)
+	r.loop(func() { r.relayLoop(platform.KindConfiguration, r.takeConfiguration) })
+	r.loop(func() { r.relayLoop(platform.KindHost, r.takeHost) })
+	r.loop(r.memberLoop)
+}
+
+func (r *Runner) loop(body func()) {
+	r.loops.Add(1)
+	go func() {
+		defer r.loops.Done()
+		body()
+	}()
+}
+
+// Leave tells peers and the platform that this node departs, and stops the runner.
+func (r *Runner) Leave(ctx context.Context) error {
+	var sends []Send
+	r.with(func(now time.Time) Output {
+		out := r.machine.Leave(now, r.rnd)
+		sends = out.Sends
+		return Output{Events: out.Events}
+	})
+	for _, s := range sends {
+		r.deliver(ctx, s)
+	}
+	err := r.removeMember(ctx)
+	r.Stop()
+	if err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
+	return nil
+}
+
+// Stop ends all goroutines without telling anyone.
+func (r *Runner) Stop() {
+	r.stop.Do(func() {
+		r.cancel()
+		r.loops.Wait()
+		r.urgent.StopAndWait()
+		r.normal.StopAndWait()
+	})
+}
+
+// Receive answers a peer's message.
+func (r *Runner) Receive(m Message) Message {
+	r.metrics.received.WithLabelValues(string(m.Kind)).Inc()
+	var reply Message
+	r.with(func(now time.Time) Output {
+		var out Output
+		reply, out = r.machine.Receive(now, r.rnd, m)
+		return out
+	})
+	return reply
+}
+
+// LocalConfiguration takes in a configuration accepted through this node.
+func (r *Runner) LocalConfiguration(g fleet.Generation, text []byte) {
+	r.with(func(now time.Time) Output { return r.machine.LocalConfiguration(now, r.rnd, g, text) })
+}
+
+// LocalHostState takes in a host's state noticed by this node.
+func (r *Runner) LocalHostState(s fleet.HostState) {
+	r.with(func(now time.Time) Output { return r.machine.LocalHostState(now, r.rnd, s) })
+}
+
+// Ready is closed when the node may serve: see Machine.Ready.
+func (r *Runner) Ready() <-chan struct{} { return r.ready }
+
+// Configuration returns what is in force; generation zero means nothing is.
+func (r *Runner) Configuration() (fleet.Generation, []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Configuration()
+}
+
+// Members returns the live members by name, this node included.
+func (r *Runner) Members() []member.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Members()
+}
+
+// HostStates returns the states of all known runs of hosts.
+func (r *Runner) HostStates() []fleet.HostState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.HostStates()
+}
+
+// Self returns this node's record.
+func (r *Runner) Self() member.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Self()
+}
+
+// Owner returns the live member that has a duty.
+func (r *Runner) Owner(duty member.Duty) (member.Member, bool) {
+	return member.Owner(duty, r.Members())
+}
+
+// Owns says whether this node has a duty.
+func (r *Runner) Owns(duty member.Duty) bool {
+	owner, ok := r.Owner(duty)
+	return ok && owner.Name == r.settings.Machine.Self.Name
+}
+
+// with runs one step of the machine and sees to what it puts out.
+func (r *Runner) with(step func(now time.Time) Output) {
+	r.mu.Lock()
+	out := step(r.settings.Now())
+	r.events = append(r.events, out.Events...)
+	if r.machine.Ready() && !r.isReady {
+		r.isReady = true
+		close(r.ready)
+	}
+	r.observe()
+	r.mu.Unlock()
+	if len(out.Events) > 0 {
+		r.signal()
+	}
+	r.sendAll(out.Sends)
+}
+
+func (r *Runner) observe() {
+	generation, _ := r.machine.Configuration()
+	r.metrics.generation.Set(float64(generation))
+	r.metrics.members.Set(float64(len(r.machine.Members())))
+}
+
+func (r *Runner) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Runner) sendAll(sends []Send) {
+	for _, s := range sends {
+		pool := r.normal
+		if s.Urgent {
+			pool = r.urgent
+		}
+		err := pool.Go(func() { r.deliver(r.ctx, s) })
+		if err != nil && !errors.Is(err, pond.ErrPoolStopped) {
+			r.metrics.dropped.Inc()
+			r.with(func(now time.Time) Output { return r.machine.Dropped(now, s) })
+		}
+	}
+}
+
+func (r *Runner) deliver(ctx context.Context, s Send) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	reply, err := r.settings.Transport.Send(ctx, s.To, s.Message)
+	r.metrics.sent.WithLabelValues(string(s.Message.Kind), resultOf(err)).Inc()
+	if r.ctx.Err() != nil {
+		return
+	}
+	r.with(func(now time.Time) Output {
+		if err != nil {
+			return r.machine.Failed(now, r.rnd, s)
+		}
+		return r.machine.Answer(now, r.rnd, s, reply)
+	})
+}
+
+func (r *Runner) tickLoop() {
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for {
+		r.with(func(now time.Time) Output { return r.machine.Tick(now, r.rnd) })
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Runner) dispatchLoop() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.wake:
+		}
+		r.mu.Lock()
+		events := r.events
+		r.events = nil
+		r.mu.Unlock()
+		for _, e := range events {
+			r.report(e)
+		}
+	}
+}
+
+func (r *Runner) report(e Event) {
+	switch e := e.(type) {
+	case ConfigurationInForce:
+		log.Info().Uint64("generation", uint64(e.Generation)).Msg("configuration in force")
+	case MemberChanged:
+		log.Info().Str("member", e.Member.Name).Str("state", e.Member.State.String()).Bool("live", e.Live).Msg("member changed")
+	case HostStateChanged:
+		log.Info().Str("host", e.State.Host).Str("instance", e.State.Instance).Int("phase", int(e.State.Phase)).Msg("host state changed")
+	}
+	if r.settings.OnEvent != nil {
+		r.settings.OnEvent(e)
+	}
+}
