--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,190 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rattanchute/internal/adapter/callers"
+	"rattanchute/internal/adapter/enginehttp"
+	"rattanchute/internal/adapter/peerhttp"
+	"rattanchute/internal/adapter/platformhttp"
+	"rattanchute/internal/admit"
+	"rattanchute/internal/claim"
+	"rattanchute/internal/engine"
+	"rattanchute/internal/platform"
+	"rattanchute/internal/route"
+	"rattanchute/internal/serve"
+	"rattanchute/internal/settings"
+	"rattanchute/internal/spread"
+	"rattanchute/internal/token"
+)
+
+// App is one daemon.
+type App struct {
+	settings settings.Settings
+	log      *log.Logger
+	registry *prometheus.Registry
+
+	store    platform.Store
+	engines  engine.Client
+	router   *route.Router
+	admitter *admit.Admitter
+	claims   *claim.Service
+	service  *serve.Service
+	spread   *spread.Runner
+	callers  *callers.Server
+	peers    *peerhttp.Server
+	peerCall *peerhttp.Client
+	pool     pond.Pool
+	tls      tlsParts
+
+	stop    chan struct{}
+	tasks   sync.WaitGroup
+	state   state
+	counter *controlCounters
+}
+
+// controlWorkers bounds the background calls to endpoints and peers at once.
+const controlWorkers = 64
+
+// New builds a daemon that does nothing until Run.
+func New(s settings.Settings, logger *log.Logger) (*App, error) {
+	a := &App{
+		settings: s,
+		log:      logger,
+		registry: prometheus.NewRegistry(),
+		router:   route.NewRouter(s.DataCentre),
+		admitter: admit.NewAdmitter(s.Node),
+		engines:  enginehttp.New(enginehttp.Options{}),
+		pool:     pond.NewPool(controlWorkers),
+		stop:     make(chan struct{}),
+	}
+	a.store = newStore(s.Platform)
+	a.counter = newControlCounters(a.registry)
+	steps := []func() error{a.buildTLS, a.buildPeers, a.buildSpread, a.buildClaims, a.buildService}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return a, nil
+}
+
+func newStore(p settings.Platform) platform.Store {
+	return platformhttp.New(platformhttp.Options{
+		Address: hostPort(p.URL),
+		Token:   p.Token.Secret.Reveal(),
+		Timeout: p.Timeout.Std(),
+	})
+}
+
+func (a *App) buildService() error {
+	keys := make([][]byte, 0, len(a.settings.ResumeTokens.Keys))
+	for _, k := range a.settings.ResumeTokens.Keys {
+		keys = append(keys, []byte(k.Secret.Reveal()))
+	}
+	signer, err := token.NewSigner(keys...)
+	if err != nil {
+		return err
+	}
+	limits := serve.DefaultSettings()
+	limits.MaxStreams = a.settings.Limits.MaxOpenStreams
+	a.service = serve.New(serve.Parts{
+		Settings:  limits,
+		Router:    a.router,
+		Admitter:  a.admitter,
+		Claims:    a.claims,
+		Engines:   a.engines,
+		Signer:    signer,
+		Counters:  serve.NewCounters(a.registry),
+		MoveRates: serve.DefaultMoveRates(),
+	})
+	a.callers = callers.New(a.service, a.router, callerLimits(a.settings.Limits))
+	return nil
+}
+
+func callerLimits(l settings.Limits) callers.Limits {
+	limits := callers.DefaultLimits()
+	limits.MaxBodyBytes = int(l.MaxBodyBytes)
+	limits.MaxHeaderBytes = int(l.MaxHeaderBytes)
+	limits.ReadTimeout = l.ReadHeaderTimeout.Std()
+	return limits
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (a *App) Run(ctx context.Context) error {
+	listeners, err := a.listen()
+	if err != nil {
+		return err
+	}
+	failures := make(chan error, len(listeners))
+	for _, l := range listeners {
+		go func() { failures <- l.serve(l.listener) }()
+	}
+	a.spread.Start()
+	a.startTasks()
+	a.log.Info().Str("node", a.settings.Node).Msg("started")
+	select {
+	case <-ctx.Done():
+		return a.shutdown()
+	case err := <-failures:
+		return errors.Join(err, a.shutdown())
+	}
+}
+
+// served is a listener and what answers on it.
+type served struct {
+	listener net.Listener
+	serve    func(net.Listener) error
+}
+
+func (a *App) listen() ([]served, error) {
+	wanted := []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{a.settings.Listen.Callers, func(l net.Listener) error { return a.callers.Serve(l, a.tls.callers()) }},
+		{a.settings.Listen.Peers, a.peers.Serve},
+	}
+	list := make([]served, 0, len(wanted))
+	for _, w := range wanted {
+		l, err := net.Listen("tcp", w.address)
+		if err != nil {
+			return nil, fmt.Errorf("listen on %s: %w", w.address, err)
+		}
+		list = append(list, served{l, w.serve})
+	}
+	return list, nil
+}
+
+// startTasks runs the periodic work until stop is closed.
+func (a *App) startTasks() {
+	a.every(pollInterval, a.pollEndpoints)
+	a.every(shareInterval, a.exchangeShares)
+	a.tls.run(a.settings.TLS.ReloadInterval.Std(), a.stop)
+}
+
+func (a *App) every(interval time.Duration, work func()) {
+	a.tasks.Add(1)
+	go func() {
+		defer a.tasks.Done()
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				work()
+			case <-a.stop:
+				return
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/internal/app/peers.go
@@ -0,0 +1,105 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"rattanchute/internal/adapter/peerhttp"
+	"rattanchute/internal/admit"
+	"rattanchute/internal/claim"
+	"rattanchute/internal/member"
+	"rattanchute/internal/spread"
+)
+
+// The paths of messages between daemons.
+const (
+	pathSpread = peerhttp.PathSpread
+	pathClaim  = "/peer/v1/claim"
+	pathShares = "/peer/v1/shares"
+)
+
+// shareInterval is the time between two rounds of share offers.
+const shareInterval = time.Second
+
+// shareTimeout bounds one round; a late grant would be void anyway.
+const shareTimeout = 500 * time.Millisecond
+
+func (a *App) buildPeers() error {
+	secret := peerhttp.Secret(a.settings.Peers.Secret.Secret.Reveal())
+	server, err := peerhttp.NewServer(secret, a.tls.peerServer())
+	if err != nil {
+		return fmt.Errorf("peers' listener: %w", err)
+	}
+	client, err := peerhttp.NewClient(secret, a.tls.peerClient())
+	if err != nil {
+		return fmt.Errorf("peers' client: %w", err)
+	}
+	a.peers, a.peerCall = server, client
+	server.Handle(pathClaim, a.handleClaim)
+	server.Handle(pathShares, a.handleShares)
+	return nil
+}
+
+func (a *App) transport() spread.Transport { return peerhttp.Transport{Client: a.peerCall} }
+
+func (a *App) spreadHandler() peerhttp.Handler {
+	return peerhttp.SpreadHandler(func(m spread.Message) spread.Message { return a.spread.Receive(m) })
+}
+
+// shareMessage carries offers to a peer; its answer carries grants.
+type shareMessage struct {
+	Offers []admit.ShareOffer `json:"offers,omitempty"`
+	Grants []admit.ShareGrant `json:"grants,omitempty"`
+}
+
+// exchangeShares asks one random peer for a part of its share of limits.
+func (a *App) exchangeShares() {
+	offers := a.admitter.Offers(time.Now())
+	peer, ok := a.randomPeer()
+	if len(offers) == 0 || !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+	defer cancel()
+	var answer shareMessage
+	if err := a.peerCall.Post(ctx, peer.Address, pathShares, shareMessage{Offers: offers}, &answer); err != nil {
+		return
+	}
+	a.admitter.Take(time.Now(), answer.Grants)
+}
+
+func (a *App) randomPeer() (member.Member, bool) {
+	members := a.spread.Members()
+	self := a.spread.Self().Name
+	if len(members) < 2 {
+		return member.Member{}, false
+	}
+	start := rand.IntN(len(members))
+	if members[start].Name == self {
+		start = (start + 1) % len(members)
+	}
+	return members[start], true
+}
+
+func (a *App) handleShares(_ context.Context, body []byte) ([]byte, error) {
+	var in shareMessage
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, err
+	}
+	return json.Marshal(shareMessage{Grants: a.admitter.Answer(time.Now(), in.Offers)})
+}
+
+func (a *App) handleClaim(ctx context.Context, body []byte) ([]byte, error) {
+	var op claim.Op
+	if err := json.Unmarshal(body, &op); err != nil {
+		return nil, err
+	}
+	result, err := a.claims.Handle(ctx, op)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(result)
+}
--- /dev/null
+++ b/internal/route/room.go
@@ -0,0 +1,33 @@
+package route
+
+import "time"
+
+// Room is an endpoint that can take streams over.
+type Room struct {
+	Endpoint   string
+	DataCentre string
+	FreeSlots  int
+}
+
+// Rooms lists the available endpoints that an organisation may reach in a fleet, with
+// the slots that are believed to be free.
+func (r *Router) Rooms(now time.Time, organisation, fleetName string) []Room {
+	list := r.view.Load().lists[listKey{organisation, fleetName}]
+	if list == nil {
+		return nil
+	}
+	mean := list.meanLoad(now)
+	var rooms []Room
+	for _, t := range list.targets {
+		if !t.available(now) {
+			continue
+		}
+		e := t.state.estimate(now, mean, t.info.slots, 0)
+		rooms = append(rooms, Room{
+			Endpoint:   t.info.endpoint.Name,
+			DataCentre: t.info.host.DataCentre,
+			FreeSlots:  max(int(e.slots-e.requests), 0),
+		})
+	}
+	return rooms
+}
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -14,6 +14,10 @@
 	"rattanchute/internal/route"
 )
 
+// headerAnswerBody says "not-kept" on a recorded answer whose body was too large to be
+// recorded.
+const headerAnswerBody = "X-Answer-Body"
+
 // CallAsk is a caller's request to a plain service.
 type CallAsk struct {
 	RequestID    string
@@ -83,7 +87,7 @@
 	if refusal := c.admit(ctx); refusal != nil {
 		return CallAnswer{}, refusal
 	}
-	defer func() { c.service.admitter.Done(c.service.now(), c.admission) }()
+	defer c.service.done(c.admission)
 	answer, refusal := c.claimAndRun(ctx)
 	o := answer.Outcome
 	if refusal != nil {
@@ -115,6 +119,7 @@
 	if !d.Admitted {
 		return refuseAdmission(c.ask.RequestID, d)
 	}
+	c.service.admitter.Attempted(now, c.ask.Organisation, choice.Endpoint.Name)
 	c.next = &choice
 	return nil
 }
@@ -141,7 +146,7 @@
 		Path:           c.ask.Path,
 	}
 	r := c.service.claims.Acquire(ctx, c.key, c.ask.RequestID)
-	switch r.Status {
+	switch r.Kind {
 	case claim.Granted:
 		c.claimed = true
 		return CallAnswer{}, nil, true
@@ -154,17 +159,18 @@
 
 // recorded is the answer of an earlier run of the same key.
 func (c *call) recorded(r claim.Result) CallAnswer {
-	return CallAnswer{
-		Answer:  engine.Answer{Status: r.HTTPStatus, Body: r.Body},
-		Outcome: outcome.Completed,
+	answer := engine.Answer{Status: r.Status, Body: r.Body}
+	if !r.HasBody {
+		answer.Headers = []engine.Header{{Name: headerAnswerBody, Value: "not-kept"}}
 	}
+	return CallAnswer{Answer: answer, Outcome: outcome.Completed}
 }
 
 func refuseClaim(requestID string, r claim.Result) *Refusal {
-	switch r.Status {
+	switch r.Kind {
 	case claim.InProgress:
 		return NewRefusal(http.StatusConflict, requestID, "in_progress",
-			"a request with this key is being run").with(outcome.InProgress).after(r.RetryAfter)
+			"a request with this key is being run").with(outcome.InProgress).after(r.RetryAfter())
 	case claim.Unknown:
 		return NewRefusal(http.StatusConflict, requestID, "outcome_unknown",
 			"a request with this key may have run; it is not run again").with(outcome.Unknown)
@@ -173,7 +179,7 @@
 			"this key is too old for its outcome to be known").with(outcome.Unknown)
 	default:
 		return NewRefusal(http.StatusServiceUnavailable, requestID, "claim_refused",
-			"the record of non-idempotent calls cannot be written now").after(r.RetryAfter)
+			"the record of non-idempotent calls cannot be written now").after(r.RetryAfter())
 	}
 }
 
--- a/internal/serve/chat.go
+++ b/internal/serve/chat.go
@@ -149,6 +149,7 @@
 	if !d.Admitted {
 		return refuseAdmission(c.ask.RequestID, d)
 	}
+	c.service.admitter.Attempted(now, c.ask.Organisation, choice.Endpoint.Name)
 	c.next = &choice
 	c.progress.priority = c.priority
 	return nil
--- a/internal/serve/mover.go
+++ b/internal/serve/mover.go
@@ -9,12 +9,6 @@
 	"rattanchute/internal/reclaim"
 )
 
-// Survivors lists endpoints of a fleet that can take streams over, and how much room
-// they have.
-type Survivors interface {
-	Survivors(now time.Time, organisation, fleetName string) []reclaim.Survivor
-}
-
 // MoveRates are the speeds that moves off a leaving host count on.
 type MoveRates struct {
 	// TokenInterval is the time an engine takes for one token of a stream.
@@ -74,7 +68,7 @@
 	snapshot := reclaim.Snapshot{
 		Now:       now,
 		Deadline:  deadline,
-		Survivors: s.survivors.Survivors(now, g.organisation, g.fleet),
+		Survivors: s.survivors(now, g),
 		Rates: reclaim.Rates{
 			TokenInterval:           s.moveRates.TokenInterval,
 			TransferTokensPerSecond: s.moveRates.TransferTokensPerSecond / float64(max(members, 1)),
@@ -90,6 +84,14 @@
 	}
 }
 
+func (s *Service) survivors(now time.Time, g moveGroup) []reclaim.Survivor {
+	var list []reclaim.Survivor
+	for _, r := range s.router.Rooms(now, g.organisation, g.fleet) {
+		list = append(list, reclaim.Survivor(r))
+	}
+	return list
+}
+
 // carryOut starts one step at its time.
 func (s *Service) carryOut(step reclaim.Step, c *ChatStream) {
 	if step.Way == reclaim.Finish {
--- a/internal/serve/ports.go
+++ b/internal/serve/ports.go
@@ -17,12 +17,14 @@
 	Begin(endpoint string)
 	End(now time.Time, endpoint string, r route.Result)
 	ObserveLoad(now time.Time, endpoint string, l engine.Load)
+	Rooms(now time.Time, organisation, fleetName string) []route.Room
 }
 
 // Admitter decides whether a request is taken now.
 type Admitter interface {
 	Admit(now time.Time, a admit.Ask) admit.Decision
-	Done(now time.Time, a admit.Ask)
+	Attempted(now time.Time, organisation, endpoint string)
+	Done(now time.Time, e admit.Ended)
 	AllowRetry(now time.Time, organisation, endpoint string) bool
 }
 
--- a/internal/serve/service.go
+++ b/internal/serve/service.go
@@ -10,6 +10,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/google/uuid"
 
+	"rattanchute/internal/admit"
 	"rattanchute/internal/engine"
 	"rattanchute/internal/token"
 )
@@ -62,7 +63,6 @@
 	signer    *token.Signer
 	counters  *Counters
 	streams   *registry
-	survivors Survivors
 	moveRates MoveRates
 	pool      pond.Pool
 	closing   atomic.Bool
@@ -79,7 +79,6 @@
 	Engines   engine.Client
 	Signer    *token.Signer
 	Counters  *Counters
-	Survivors Survivors
 	MoveRates MoveRates
 }
 
@@ -95,7 +94,6 @@
 		signer:    p.Signer,
 		counters:  p.Counters,
 		streams:   newRegistry(),
-		survivors: p.Survivors,
 		moveRates: p.MoveRates,
 		// Each open stream keeps a worker that reads from its engine.
 		pool: pond.NewPool(2 * p.Settings.MaxStreams),
@@ -146,6 +144,11 @@
 	s.inflight.Done()
 }
 
+// done gives an admitted request back.
+func (s *Service) done(a admit.Ask) {
+	s.admitter.Done(s.now(), admit.Ended{Organisation: a.Organisation, Fleet: a.Fleet})
+}
+
 func (s *Service) timeout(asked time.Duration) time.Duration {
 	if asked <= 0 {
 		return s.settings.DefaultTimeout
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -309,7 +309,7 @@
 		c.endAttempt(route.Result{OK: c.machine.Finished()})
 	}
 	c.cancel()
-	c.service.admitter.Done(c.service.now(), c.admission)
+	c.service.done(c.admission)
 	c.service.counters.Requests.WithLabelValues("chat", string(o)).Inc()
 	return true
 }
