Stand-in for the outside systems and HTTP adapters to them

Cause: the serving path needs endpoints and a platform to run against, and adapters that tell exactly whether a request was sent. Change: internal/standin (object store, cloud, engines, services), cmd/rattanchute-standin, adapters platformhttp and enginehttp over a shared httpexchange that sends each request once and counts the bytes written. Ruled out: fasthttp's own Client.Do, because it reports a write to a closed idle connection and one never begun alike, and cannot be cancelled by a context.

--- /dev/null
+++ b/internal/adapter/enginehttp/call.go
@@ -0,0 +1,89 @@
+package enginehttp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/engine"
+)
+
+// errBadURI means that a request target cannot be written on a request line.
+var errBadURI = errors.New("enginehttp: request target is not a path")
+
+// hopHeaders are of one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect",
+}
+
+// Call sends a request to a service. A 503 by which the service says that it has not
+// run the request is an error that wraps engine.ErrNotSent.
+func (c *Client) Call(ctx context.Context, address string, call engine.Call) (engine.Answer, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if !validURI(call.URI) {
+		return engine.Answer{}, fmt.Errorf("%w: %w", engine.ErrNotSent, errBadURI)
+	}
+	setCall(req, address, call)
+	if err := c.exchange.Do(ctx, address, req, resp); err != nil {
+		return engine.Answer{}, sendError(err)
+	}
+	if refused(resp) {
+		return engine.Answer{}, fmt.Errorf("%w: refused by the service", engine.ErrNotSent)
+	}
+	return answer(resp), nil
+}
+
+func validURI(uri string) bool {
+	if !strings.HasPrefix(uri, "/") {
+		return false
+	}
+	return strings.IndexFunc(uri, func(r rune) bool { return r <= ' ' || r == 0x7f }) < 0
+}
+
+func setCall(req *fasthttp.Request, address string, call engine.Call) {
+	req.Header.DisableNormalizing()
+	for _, h := range call.Headers {
+		if !isHopHeader(h.Name) && !strings.EqualFold(h.Name, HeaderAttemptID) {
+			req.Header.Add(h.Name, h.Value)
+		}
+	}
+	req.Header.SetMethod(call.Method)
+	req.Header.SetHost(address)
+	req.Header.SetRequestURI(call.URI)
+	if call.AttemptID != "" {
+		req.Header.Set(HeaderAttemptID, call.AttemptID)
+	}
+	req.SetBody(call.Body)
+}
+
+func refused(resp *fasthttp.Response) bool {
+	return resp.StatusCode() == fasthttp.StatusServiceUnavailable &&
+		strings.EqualFold(string(resp.Header.Peek(HeaderNotRun)), "true")
+}
+
+func answer(resp *fasthttp.Response) engine.Answer {
+	a := engine.Answer{Status: resp.StatusCode()}
+	for name, value := range resp.Header.All() {
+		if !isHopHeader(string(name)) {
+			a.Headers = append(a.Headers, engine.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	a.Body = append([]byte(nil), resp.Body()...)
+	return a
+}
+
+func isHopHeader(name string) bool {
+	for _, h := range hopHeaders {
+		if strings.EqualFold(h, name) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/adapter/platformhttp/store_test.go
@@ -0,0 +1,245 @@
+package platformhttp_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rattanchute/internal/adapter/platformhttp"
+	"rattanchute/internal/platform"
+	"rattanchute/internal/standin"
+)
+
+// backing is a store under test and the fake behind it.
+type backing struct {
+	store platform.Store
+	fake  *standin.Store
+}
+
+// makers build the same store in process and over HTTP.
+var makers = map[string]func(*testing.T, standin.StoreConfig) backing{
+	"in process": func(_ *testing.T, c standin.StoreConfig) backing {
+		s := standin.NewStore(c)
+		return backing{s, s}
+	},
+	"over HTTP": func(t *testing.T, c standin.StoreConfig) backing {
+		config := standin.SiteConfig{Platform: standin.PlatformConfig{StoreConfig: c, Token: "secret"}}
+		site, err := standin.NewSite(config)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := site.Listen(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(site.Close)
+		wait := time.Duration(c.WatchWaitMillis) * time.Millisecond
+		options := platformhttp.Options{Address: site.Address(), Token: "secret", WatchWait: wait}
+		return backing{platformhttp.New(options), site.Store}
+	},
+}
+
+const kind = platform.Kind("things")
+
+func value(s string) json.RawMessage { return json.RawMessage(`"` + s + `"`) }
+
+// contract lists what every store must do.
+var contract = []struct {
+	name   string
+	config standin.StoreConfig
+	check  func(*is.I, backing)
+}{
+	{"reads what was written", standin.StoreConfig{}, checkReads},
+	{"refuses wrong versions", standin.StoreConfig{}, checkConflicts},
+	{"refuses large values", standin.StoreConfig{}, checkLarge},
+	{"watches", standin.StoreConfig{WatchWaitMillis: 20}, checkWatch},
+	{"wakes a waiting watch", standin.StoreConfig{WatchWaitMillis: 10_000}, checkWakes},
+	{"forgets old changes", standin.StoreConfig{WatchWaitMillis: 20, History: 2}, checkCompacted},
+	{"throttles without effect", standin.StoreConfig{CallsPerSecond: 0.001, Burst: 1}, checkThrottled},
+	{"has outages without effect", standin.StoreConfig{}, checkOutage},
+	{"loses answers after the effect", standin.StoreConfig{}, checkLostAnswers},
+	{"ends a delayed call with its context", standin.StoreConfig{}, checkDelay},
+}
+
+func TestStoreContract(t *testing.T) {
+	for makerName, maker := range makers {
+		for _, c := range contract {
+			t.Run(makerName+"/"+c.name, func(t *testing.T) {
+				c.check(is.New(t), maker(t, c.config))
+			})
+		}
+	}
+}
+
+func checkReads(is *is.I, b backing) {
+	ctx := context.Background()
+	name := "a/b ü?.."
+	made, err := b.store.Create(ctx, kind, name, value("1"))
+	is.NoErr(err)
+	made.Value = value("2")
+	updated, err := b.store.Update(ctx, made)
+	is.NoErr(err)
+	is.True(updated.Version > made.Version)
+	read, err := b.store.Get(ctx, kind, name)
+	is.NoErr(err)
+	is.Equal(read, updated)
+	list, version, err := b.store.List(ctx, kind)
+	is.NoErr(err)
+	is.Equal(version, updated.Version)
+	is.Equal(list, []platform.Object{updated})
+	is.NoErr(b.store.Delete(ctx, updated))
+	_, err = b.store.Get(ctx, kind, name)
+	is.True(errors.Is(err, platform.ErrNotFound))
+	is.Equal(b.fake.Counts().Calls[standin.VerbGet], uint64(2))
+}
+
+func checkConflicts(is *is.I, b backing) {
+	ctx := context.Background()
+	made, err := b.store.Create(ctx, kind, "a", value("1"))
+	is.NoErr(err)
+	_, err = b.store.Create(ctx, kind, "a", value("2"))
+	is.True(errors.Is(err, platform.ErrConflict))
+	old := made
+	old.Version--
+	_, err = b.store.Update(ctx, old)
+	is.True(errors.Is(err, platform.ErrConflict))
+	is.True(errors.Is(b.store.Delete(ctx, old), platform.ErrConflict))
+	missing := platform.Object{Kind: kind, Name: "b", Version: 1, Value: value("1")}
+	_, err = b.store.Update(ctx, missing)
+	is.True(errors.Is(err, platform.ErrNotFound))
+	read, err := b.store.Get(ctx, kind, "a")
+	is.NoErr(err)
+	is.Equal(read, made)
+}
+
+func checkLarge(is *is.I, b backing) {
+	limit := value(strings.Repeat("x", platform.MaxValueBytes-2))
+	_, err := b.store.Create(context.Background(), kind, "a", limit)
+	is.NoErr(err)
+	_, err = b.store.Create(context.Background(), kind, "b", value(strings.Repeat("x", platform.MaxValueBytes)))
+	is.True(errors.Is(err, platform.ErrTooLarge))
+}
+
+func checkWatch(is *is.I, b backing) {
+	ctx := context.Background()
+	events, version, err := b.store.Watch(ctx, kind, 0)
+	is.NoErr(err)
+	is.Equal(len(events), 0)
+	made, err := b.store.Create(ctx, kind, "a", value("1"))
+	is.NoErr(err)
+	_, err = b.store.Create(ctx, "others", "a", value("1"))
+	is.NoErr(err)
+	is.NoErr(b.store.Delete(ctx, made))
+	events, after, err := b.store.Watch(ctx, kind, version)
+	is.NoErr(err)
+	is.Equal(len(events), 2)
+	is.Equal(events[0].Object, made)
+	is.True(events[1].Deleted)
+	events, _, err = b.store.Watch(ctx, kind, after)
+	is.NoErr(err)
+	is.Equal(len(events), 0)
+}
+
+func checkWakes(is *is.I, b backing) {
+	ctx := context.Background()
+	got := make(chan []platform.Event)
+	go func() {
+		events, _, _ := b.store.Watch(ctx, kind, 0)
+		got <- events
+	}()
+	for b.fake.Counts().Calls[standin.VerbWatch] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	made, err := b.store.Create(ctx, kind, "a", value("1"))
+	is.NoErr(err)
+	events := <-got
+	is.Equal(len(events), 1)
+	is.Equal(events[0].Object, made)
+}
+
+func checkCompacted(is *is.I, b backing) {
+	ctx := context.Background()
+	for _, name := range []string{"a", "b", "c", "d"} {
+		_, err := b.store.Create(ctx, kind, name, value("1"))
+		is.NoErr(err)
+	}
+	_, _, err := b.store.Watch(ctx, kind, 1)
+	is.True(errors.Is(err, platform.ErrCompacted))
+	events, _, err := b.store.Watch(ctx, kind, 2)
+	is.NoErr(err)
+	is.Equal(len(events), 2)
+}
+
+func checkThrottled(is *is.I, b backing) {
+	ctx := context.Background()
+	_, err := b.store.Create(ctx, kind, "a", value("1"))
+	is.NoErr(err)
+	_, err = b.store.Create(ctx, kind, "b", value("1"))
+	is.True(errors.Is(err, platform.ErrThrottled))
+	is.Equal(b.fake.Counts().Throttled, uint64(1))
+}
+
+func checkOutage(is *is.I, b backing) {
+	ctx := context.Background()
+	b.fake.SetFaults(standin.StoreFaults{Outage: true})
+	_, err := b.store.Create(ctx, kind, "a", value("1"))
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	b.fake.SetFaults(standin.StoreFaults{Outage: true, CutConnection: true})
+	_, err = b.store.Get(ctx, kind, "a")
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	b.fake.SetFaults(standin.StoreFaults{})
+	_, err = b.store.Get(ctx, kind, "a")
+	is.True(errors.Is(err, platform.ErrNotFound))
+}
+
+func checkLostAnswers(is *is.I, b backing) {
+	ctx := context.Background()
+	for _, cut := range []bool{false, true} {
+		b.fake.SetFaults(standin.StoreFaults{LoseAnswers: 1, CutConnection: cut})
+		name := map[bool]string{false: "answered 503", true: "cut"}[cut]
+		_, err := b.store.Create(ctx, kind, name, value("1"))
+		is.True(errors.Is(err, platform.ErrUnavailable))
+		read, err := b.store.Get(ctx, kind, name)
+		is.NoErr(err)
+		is.Equal(string(read.Value), `"1"`)
+	}
+	is.Equal(b.fake.Counts().LostAnswers, uint64(2))
+}
+
+func checkDelay(is *is.I, b backing) {
+	b.fake.SetFaults(standin.StoreFaults{DelayMillis: 60_000})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := b.store.Get(ctx, kind, "a")
+	is.True(errors.Is(err, platform.ErrUnavailable))
+}
+
+func TestClosedServiceProvesNothingWritten(t *testing.T) {
+	is := is.New(t)
+	site, err := standin.NewSite(standin.SiteConfig{})
+	is.NoErr(err)
+	is.NoErr(site.Listen())
+	store := platformhttp.New(platformhttp.Options{Address: site.Address()})
+	_, err = store.Create(context.Background(), kind, "a", value("1"))
+	is.NoErr(err)
+	site.Close()
+	_, err = store.Create(context.Background(), kind, "b", value("1"))
+	is.True(errors.Is(err, platform.ErrThrottled))
+}
+
+func TestWrongTokenIsRejected(t *testing.T) {
+	is := is.New(t)
+	config := standin.SiteConfig{Platform: standin.PlatformConfig{Token: "secret"}}
+	site, err := standin.NewSite(config)
+	is.NoErr(err)
+	is.NoErr(site.Listen())
+	defer site.Close()
+	store := platformhttp.New(platformhttp.Options{Address: site.Address(), Token: "wrong"})
+	_, err = store.Create(context.Background(), kind, "a", value("1"))
+	is.True(errors.Is(err, platformhttp.ErrRejected))
+	is.Equal(len(site.Store.Counts().Calls), 0)
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,320 @@
+package standin
+
+import (
+	"container/heap"
+	"errors"
+	"sync"
+	"time"
+
+	"rattanchute/internal/engine"
+)
+
+// EngineConfig sets an engine's size and behaviour; zero fields take the defaults.
+type EngineConfig struct {
+	Name string `json:"name"`
+	// Address is "ip:port"; empty is a free port of 127.0.0.1.
+	Address string `json:"address"`
+	// Models are loaded at the start; empty answers every model.
+	Models []string `json:"models"`
+	// Slots is the number of requests computed at once.
+	Slots int `json:"slots"`
+	// TokenMillis is the time of one token, in milliseconds.
+	TokenMillis float64 `json:"token_ms"`
+	// PrefillTokensPerSecond is how fast a prompt is computed; zero takes no time.
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	// CacheTokens is the size of the prefix cache.
+	CacheTokens int `json:"cache_tokens"`
+	BlockTokens int `json:"block_tokens"`
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool `json:"checks_fencing"`
+	// LoadLagMillis is how old a reported load may be, in milliseconds.
+	LoadLagMillis int `json:"load_lag_ms"`
+	// EventDelayMillis is how late cache events can be read, in milliseconds.
+	EventDelayMillis int `json:"event_delay_ms"`
+	// EventLossEvery drops each so many-th cache event; zero drops none.
+	EventLossEvery uint64 `json:"event_loss_every"`
+	// KeepMillis is how long a stream without a reader is kept, in milliseconds.
+	KeepMillis int `json:"keep_ms"`
+	// LoadModelMillis is how long a load order takes, in milliseconds.
+	LoadModelMillis int `json:"load_model_ms"`
+	// KVBytesPerToken and KVBytesPerSecond give an import's size and pace; a zero
+	// pace takes no time.
+	KVBytesPerToken  int64   `json:"kv_bytes_per_token"`
+	KVBytesPerSecond float64 `json:"kv_bytes_per_second"`
+}
+
+// Defaults of an engine.
+const (
+	defaultSlots           = 8
+	defaultTokenMillis     = 5
+	defaultCacheTokens     = 64 << 10
+	defaultBlockTokens     = 16
+	defaultKeepMillis      = 5000
+	defaultKVBytesPerToken = 128 << 10
+	listenAnywhere         = "127.0.0.1:0"
+)
+
+func (c EngineConfig) withDefaults() EngineConfig {
+	if c.Address == "" {
+		c.Address = listenAnywhere
+	}
+	if c.Slots <= 0 {
+		c.Slots = defaultSlots
+	}
+	if c.TokenMillis <= 0 {
+		c.TokenMillis = defaultTokenMillis
+	}
+	if c.CacheTokens <= 0 {
+		c.CacheTokens = defaultCacheTokens
+	}
+	if c.BlockTokens <= 0 {
+		c.BlockTokens = defaultBlockTokens
+	}
+	if c.KeepMillis <= 0 {
+		c.KeepMillis = defaultKeepMillis
+	}
+	if c.KVBytesPerToken <= 0 {
+		c.KVBytesPerToken = defaultKVBytesPerToken
+	}
+	return c
+}
+
+// Engine is a model engine with continuous batching and a prefix cache.
+type Engine struct {
+	*faultServer
+	config EngineConfig
+
+	mu      sync.Mutex
+	streams map[engine.StreamID]*stream
+	queue   jobQueue
+	arrived uint64
+	running int
+	cache   *prefixCache
+	orders  orderState
+	ledger  map[engine.StreamID]*LedgerEntry
+	load    engine.Load
+	exports map[engine.StreamID][]uint64
+}
+
+// NewEngine returns an engine that does not listen yet.
+func NewEngine(c EngineConfig) *Engine {
+	c = c.withDefaults()
+	e := &Engine{
+		config:  c,
+		streams: map[engine.StreamID]*stream{},
+		ledger:  map[engine.StreamID]*LedgerEntry{},
+		orders:  newOrderState(c.Models),
+		exports: map[engine.StreamID][]uint64{},
+	}
+	events := cacheEvents{delay: millis(c.EventDelayMillis), lossEvery: c.EventLossEvery}
+	e.cache = newPrefixCache(c.BlockTokens, c.CacheTokens, events)
+	e.faultServer = newFaultServer(c.Address, e.handle)
+	e.die = e.Close
+	return e
+}
+
+// Close stops the engine as a killed process stops; only the ledger stays.
+func (e *Engine) Close() {
+	e.faultServer.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.streams {
+		e.drop(s)
+	}
+	e.cache = newPrefixCache(e.config.BlockTokens, e.config.CacheTokens, e.cache.events)
+	e.orders = newOrderState(e.config.Models)
+	e.exports = map[engine.StreamID][]uint64{}
+}
+
+// LedgerEntry is what an engine really did for one stream.
+type LedgerEntry struct {
+	Stream engine.StreamID `json:"stream"`
+	// Accepted counts the times that the request was taken for running.
+	Accepted int `json:"accepted"`
+	// Computed is whether any token was computed; First and Last are the offsets of
+	// the first and the last one.
+	Computed  bool `json:"computed"`
+	First     int  `json:"first"`
+	Last      int  `json:"last"`
+	Prefilled int  `json:"prefilled"`
+	Cancelled bool `json:"cancelled"`
+	Finished  bool `json:"finished"`
+}
+
+// Ledger returns what was done for every stream so far.
+func (e *Engine) Ledger() map[engine.StreamID]LedgerEntry {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := make(map[engine.StreamID]LedgerEntry, len(e.ledger))
+	for id, entry := range e.ledger {
+		l[id] = *entry
+	}
+	return l
+}
+
+// open finds or starts the stream of a request and counts a reader.
+func (e *Engine) open(g engine.Generate) (*stream, error) {
+	p, err := parsePrompt(g.Body)
+	if err != nil {
+		return nil, errBadRequest
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s, ok := e.streams[g.Stream]; ok {
+		s.addReader()
+		return s, nil
+	}
+	if g.Attach {
+		return nil, engine.ErrNoStream
+	}
+	if !e.Running() || !e.orders.serves(p.Model, time.Now()) {
+		return nil, engine.ErrNotSent
+	}
+	if g.Stream == "" || len(g.Prefix) >= p.MaxTokens {
+		return nil, errBadRequest
+	}
+	s := newStream(g, p)
+	s.addReader()
+	e.streams[g.Stream] = s
+	entry := e.ledger[g.Stream]
+	if entry == nil {
+		entry = &LedgerEntry{Stream: g.Stream}
+		e.ledger[g.Stream] = entry
+	}
+	entry.Accepted++
+	e.arrived++
+	s.arrival = e.arrived
+	heap.Push(&e.queue, s)
+	e.startQueued()
+	return s, nil
+}
+
+// startQueued fills the free slots. The caller holds the lock.
+func (e *Engine) startQueued() {
+	for e.running < e.config.Slots && len(e.queue) > 0 {
+		s := heap.Pop(&e.queue).(*stream)
+		if s.isCancelled() {
+			continue
+		}
+		e.running++
+		go e.run(s, e.cache)
+	}
+}
+
+// run computes one stream in a slot. A cache that the engine has lost meanwhile, by
+// dying, is not the current one any more.
+func (e *Engine) run(s *stream, cache *prefixCache) {
+	e.compute(s, cache)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+	cache.insert(s.hashes(), time.Now())
+	if s.finished() {
+		e.ledger[s.id].Finished = true
+	}
+	e.startQueued()
+}
+
+func (e *Engine) compute(s *stream, cache *prefixCache) {
+	prefilled := e.prefill(s, cache)
+	if rate := e.config.PrefillTokensPerSecond; rate > 0 {
+		if !s.wait(time.Duration(float64(prefilled) / rate * float64(time.Second))) {
+			return
+		}
+	}
+	e.mu.Lock()
+	cache.insert(s.promptHashes, time.Now())
+	e.mu.Unlock()
+	step := time.Duration(e.config.TokenMillis * float64(time.Millisecond))
+	for offset := s.start; offset < s.prompt.MaxTokens; offset++ {
+		if !s.wait(step) {
+			return
+		}
+		e.record(s.id, offset)
+		s.advance(offset + 1)
+	}
+}
+
+// prefill counts the prompt tokens that are not cached.
+func (e *Engine) prefill(s *stream, cache *prefixCache) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := len(s.promptHashes) - cache.match(s.promptHashes)
+	s.setPrefilled(n)
+	e.ledger[s.id].Prefilled += n
+	return n
+}
+
+// record writes a token into the ledger before anyone can read the token.
+func (e *Engine) record(id engine.StreamID, offset int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	entry := e.ledger[id]
+	if !entry.Computed {
+		entry.Computed = true
+		entry.First = offset
+		entry.Last = offset
+	}
+	entry.First = min(entry.First, offset)
+	entry.Last = max(entry.Last, offset)
+}
+
+// leave counts a reader out; a stream that stays without one is given up.
+func (e *Engine) leave(s *stream) {
+	if s.removeReader() {
+		time.AfterFunc(millis(e.config.KeepMillis), func() { e.dropUnread(s) })
+	}
+}
+
+func (e *Engine) dropUnread(s *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.streams[s.id] != s || s.hasReaders() {
+		return
+	}
+	e.drop(s)
+}
+
+// drop cancels a stream and forgets it. The caller holds the lock.
+func (e *Engine) drop(s *stream) {
+	if !s.finished() {
+		e.ledger[s.id].Cancelled = true
+	}
+	s.cancel()
+	delete(e.streams, s.id)
+}
+
+// Cancel ends a stream; unknown ones are ignored.
+func (e *Engine) Cancel(id engine.StreamID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s, ok := e.streams[id]; ok {
+		e.drop(s)
+	}
+}
+
+// Load returns the load as it was up to the configured lag ago.
+func (e *Engine) Load() engine.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if now.Sub(e.load.At) < millis(e.config.LoadLagMillis) {
+		return e.load
+	}
+	e.load = engine.Load{
+		Running:         e.running,
+		Slots:           e.config.Slots,
+		TokensPerSecond: e.config.PrefillTokensPerSecond,
+		At:              now,
+	}
+	for _, s := range e.queue {
+		if !s.isCancelled() {
+			e.load.Queued++
+			e.load.QueuedTokens += len(s.promptHashes)
+		}
+	}
+	return e.load
+}
+
+// errBadRequest means that a request is wrong in itself.
+var errBadRequest = errors.New("standin: bad request")
--- /dev/null
+++ b/internal/standin/store_http.go
@@ -0,0 +1,164 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/platform"
+)
+
+// maxWatchWait bounds how long a watch may wait over HTTP.
+const maxWatchWait = 60 * time.Second
+
+// listAnswer is the body of a list answer.
+type listAnswer struct {
+	Version uint64            `json:"version"`
+	Objects []platform.Object `json:"objects"`
+}
+
+// watchAnswer is the body of a watch answer.
+type watchAnswer struct {
+	Version uint64           `json:"version"`
+	Events  []platform.Event `json:"events"`
+}
+
+// objectRequest is one call of the platform protocol.
+type objectRequest struct {
+	kind  platform.Kind
+	name  string
+	match uint64
+}
+
+// handleObjects serves the platform protocol; stop ends waiting watches.
+func (s *Store) handleObjects(stop context.Context, ctx *fasthttp.RequestCtx) {
+	r, ok := parseObjectRequest(ctx)
+	if !ok {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_path")
+		return
+	}
+	if r.name == "" {
+		s.handleKind(stop, ctx, r)
+		return
+	}
+	value := append(json.RawMessage(nil), ctx.PostBody()...)
+	if (ctx.IsPost() || ctx.IsPut()) && !json.Valid(value) {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_json")
+		return
+	}
+	target := platform.Object{Kind: r.kind, Name: r.name, Version: r.match, Value: value}
+	var o platform.Object
+	var err error
+	status := fasthttp.StatusOK
+	switch string(ctx.Method()) {
+	case fasthttp.MethodGet:
+		o, err = s.Get(stop, r.kind, r.name)
+	case fasthttp.MethodPost:
+		status = fasthttp.StatusCreated
+		o, err = s.Create(stop, r.kind, r.name, value)
+	case fasthttp.MethodPut:
+		o, err = s.Update(stop, target)
+	case fasthttp.MethodDelete:
+		status = fasthttp.StatusNoContent
+		err = s.Delete(stop, target)
+	default:
+		writeError(ctx, fasthttp.StatusMethodNotAllowed, "bad_method")
+		return
+	}
+	if err != nil {
+		s.writeStoreError(ctx, err)
+		return
+	}
+	if status == fasthttp.StatusNoContent {
+		ctx.SetStatusCode(status)
+		return
+	}
+	writeJSON(ctx, status, o)
+}
+
+// parseObjectRequest reads "/objects/{kind}/{name}" from the raw request target, so
+// that a name may hold any character.
+func parseObjectRequest(ctx *fasthttp.RequestCtx) (objectRequest, bool) {
+	var r objectRequest
+	path, _, _ := strings.Cut(string(ctx.RequestURI()), "?")
+	path = strings.TrimPrefix(path, "/objects/")
+	rawKind, rawName, _ := strings.Cut(path, "/")
+	kind, kindErr := url.PathUnescape(rawKind)
+	name, nameErr := url.PathUnescape(rawName)
+	r.kind, r.name = platform.Kind(kind), name
+	if match := string(ctx.Request.Header.Peek(fasthttp.HeaderIfMatch)); match != "" {
+		v, err := strconv.ParseUint(match, 10, 64)
+		if err != nil {
+			return r, false
+		}
+		r.match = v
+	}
+	return r, kindErr == nil && nameErr == nil && kind != ""
+}
+
+// handleKind serves the calls on a whole kind: list and watch.
+func (s *Store) handleKind(stop context.Context, ctx *fasthttp.RequestCtx, r objectRequest) {
+	if !ctx.IsGet() {
+		writeError(ctx, fasthttp.StatusMethodNotAllowed, "bad_method")
+		return
+	}
+	args := ctx.QueryArgs()
+	if !args.Has("watch") {
+		objects, version, err := s.List(stop, r.kind)
+		if err != nil {
+			s.writeStoreError(ctx, err)
+			return
+		}
+		writeJSON(ctx, fasthttp.StatusOK, listAnswer{Version: version, Objects: objects})
+		return
+	}
+	after, err := strconv.ParseUint(string(args.Peek("watch")), 10, 64)
+	if err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_version")
+		return
+	}
+	wait := min(millis(args.GetUintOrZero("timeout_ms")), maxWatchWait)
+	events, version, err := s.WatchFor(stop, r.kind, after, wait)
+	if err != nil {
+		s.writeStoreError(ctx, err)
+		return
+	}
+	if events == nil {
+		events = []platform.Event{}
+	}
+	writeJSON(ctx, fasthttp.StatusOK, watchAnswer{Version: version, Events: events})
+}
+
+func (s *Store) writeStoreError(ctx *fasthttp.RequestCtx, err error) {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		writeError(ctx, fasthttp.StatusNotFound, "not_found")
+	case errors.Is(err, platform.ErrConflict):
+		writeError(ctx, fasthttp.StatusConflict, "conflict")
+	case errors.Is(err, platform.ErrTooLarge):
+		writeError(ctx, fasthttp.StatusRequestEntityTooLarge, "too_large")
+	case errors.Is(err, platform.ErrThrottled):
+		writeError(ctx, fasthttp.StatusTooManyRequests, "throttled")
+	case errors.Is(err, platform.ErrCompacted):
+		writeError(ctx, fasthttp.StatusGone, "compacted")
+	default:
+		s.writeUnavailable(ctx)
+	}
+}
+
+func (s *Store) writeUnavailable(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	cut := s.faults.CutConnection
+	s.mu.Unlock()
+	if cut {
+		_ = ctx.Conn().Close()
+		return
+	}
+	writeError(ctx, fasthttp.StatusServiceUnavailable, "unavailable")
+}
