Serve the whole path with daemons as separate processes

Cause: nothing had yet run from caller to endpoint and back. Ruled out: '@' in writer names, which the claim record's encoding does not take.

--- /dev/null
+++ b/cmd/rattanchuted/main.go
@@ -0,0 +1,70 @@
+// Command rattanchuted is the daemon that runs on each entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/phuslu/log"
+
+	"rattanchute/internal/app"
+	"rattanchute/internal/settings"
+)
+
+// version is set when a release is linked.
+var version = "dev"
+
+// The exit codes.
+const (
+	exitFailed   = 1
+	exitFindings = 2
+)
+
+func main() {
+	file := "rattanchuted.jsonc"
+	check := false
+	flaggy.SetName("rattanchuted")
+	flaggy.SetDescription("serves callers, routes their requests and recovers them")
+	flaggy.SetVersion(version)
+	flaggy.String(&file, "s", "settings", "settings file, JSON with comments")
+	flaggy.Bool(&check, "c", "check", "check the settings and exit")
+	flaggy.Parse()
+
+	s, findings := settings.Load(file, settings.OS())
+	if len(findings) > 0 {
+		fmt.Fprintln(os.Stderr, findings.Error())
+		os.Exit(exitFindings)
+	}
+	if check {
+		return
+	}
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, "rattanchuted:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func run(s settings.Settings) error {
+	logger := &log.Logger{
+		Level:      log.ParseLevel(s.LogLevel),
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer:     &log.IOWriter{Writer: os.Stderr},
+	}
+	daemon, err := app.New(s, logger)
+	if err != nil {
+		return err
+	}
+	// A second signal changes nothing: the graceful stop goes on.
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return daemon.Run(ctx)
+}
--- a/internal/adapter/callers/server.go
+++ b/internal/adapter/callers/server.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/tls"
 	"encoding/hex"
@@ -88,8 +89,8 @@
 	return s.http.Serve(l)
 }
 
-// Shutdown stops listening and waits for open requests.
-func (s *Server) Shutdown() error { return s.http.Shutdown() }
+// Shutdown stops listening and waits for open requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	requestID := serve.NewRequestID()
--- /dev/null
+++ b/internal/adapter/cloudhttp/client.go
@@ -0,0 +1,114 @@
+// Package cloudhttp speaks the cloud API over HTTP with JSON.
+package cloudhttp
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/adapter/httpexchange"
+	"rattanchute/internal/cloud"
+)
+
+// Options configure a Client.
+type Options struct {
+	// Address is "ip:port".
+	Address string
+	// Token is sent as a bearer token; empty sends none.
+	Token       string
+	Connections httpexchange.Options
+}
+
+// Client talks to the cloud API.
+type Client struct {
+	options  Options
+	exchange *httpexchange.Client
+}
+
+var _ cloud.Client = (*Client)(nil)
+
+// New returns a Client without connections.
+func New(o Options) *Client {
+	return &Client{options: o, exchange: httpexchange.New(o.Connections)}
+}
+
+type noticesAnswer struct {
+	Notices []cloud.Notice `json:"notices"`
+}
+
+type hostsAnswer struct {
+	Hosts []cloud.Host `json:"hosts"`
+}
+
+// Notices implements cloud.Client.
+func (c *Client) Notices(ctx context.Context, after uint64) ([]cloud.Notice, error) {
+	var a noticesAnswer
+	path := "/cloud/notices?after=" + strconv.FormatUint(after, 10)
+	err := c.do(ctx, fasthttp.MethodGet, path, &a)
+	return a.Notices, err
+}
+
+// Hosts implements cloud.Client.
+func (c *Client) Hosts(ctx context.Context) ([]cloud.Host, error) {
+	var a hostsAnswer
+	err := c.do(ctx, fasthttp.MethodGet, "/cloud/hosts", &a)
+	return a.Hosts, err
+}
+
+// Start implements cloud.Client.
+func (c *Client) Start(ctx context.Context, host string) error {
+	return c.do(ctx, fasthttp.MethodPost, hostPath(host, "start"), nil)
+}
+
+// Stop implements cloud.Client.
+func (c *Client) Stop(ctx context.Context, host string) error {
+	return c.do(ctx, fasthttp.MethodPost, hostPath(host, "stop"), nil)
+}
+
+func hostPath(host, action string) string {
+	return "/cloud/hosts/" + url.PathEscape(host) + "/" + action
+}
+
+func (c *Client) do(ctx context.Context, method, path string, out any) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.Header.SetHost(c.options.Address)
+	req.Header.SetRequestURI(path)
+	if c.options.Token != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.options.Token)
+	}
+	if err := c.exchange.Do(ctx, c.options.Address, req, resp); err != nil {
+		return fmt.Errorf("%w: %w", cloud.ErrUnavailable, err)
+	}
+	if err := statusError(resp.StatusCode()); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return fmt.Errorf("%w: answer: %w", cloud.ErrUnavailable, err)
+	}
+	return nil
+}
+
+// statusError maps a status to the port's errors. A conflict says that the host runs
+// already, which is what a start asks for.
+func statusError(status int) error {
+	switch status {
+	case fasthttp.StatusOK, fasthttp.StatusCreated, fasthttp.StatusNoContent, fasthttp.StatusConflict:
+		return nil
+	case fasthttp.StatusServiceUnavailable:
+		return cloud.ErrStartRefused
+	case fasthttp.StatusNotFound:
+		return cloud.ErrUnknownHost
+	}
+	return fmt.Errorf("%w: status %d", cloud.ErrUnavailable, status)
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -13,11 +13,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"rattanchute/internal/adapter/callers"
+	"rattanchute/internal/adapter/cloudhttp"
 	"rattanchute/internal/adapter/enginehttp"
 	"rattanchute/internal/adapter/peerhttp"
 	"rattanchute/internal/adapter/platformhttp"
 	"rattanchute/internal/admit"
 	"rattanchute/internal/claim"
+	"rattanchute/internal/cloud"
 	"rattanchute/internal/engine"
 	"rattanchute/internal/platform"
 	"rattanchute/internal/route"
@@ -33,18 +35,21 @@
 	log      *log.Logger
 	registry *prometheus.Registry
 
-	store    platform.Store
-	engines  engine.Client
-	router   *route.Router
-	admitter *admit.Admitter
-	claims   *claim.Service
-	service  *serve.Service
-	spread   *spread.Runner
-	callers  *callers.Server
-	peers    *peerhttp.Server
-	peerCall *peerhttp.Client
-	pool     pond.Pool
-	tls      tlsParts
+	store platform.Store
+	cloud cloud.Client
+	// noticesSeen is the last notice read; only the notices' task uses it.
+	noticesSeen uint64
+	engines     engine.Client
+	router      *route.Router
+	admitter    *admit.Admitter
+	claims      *claim.Service
+	service     *serve.Service
+	spread      *spread.Runner
+	callers     *callers.Server
+	peers       *peerhttp.Server
+	peerCall    *peerhttp.Client
+	pool        pond.Pool
+	tls         tlsParts
 
 	stop    chan struct{}
 	tasks   sync.WaitGroup
@@ -68,6 +73,7 @@
 		stop:     make(chan struct{}),
 	}
 	a.store = newStore(s.Platform)
+	a.cloud = newCloud(s.Platform)
 	a.counter = newControlCounters(a.registry)
 	steps := []func() error{a.buildTLS, a.buildPeers, a.buildSpread, a.buildClaims, a.buildService}
 	for _, step := range steps {
@@ -86,6 +92,14 @@
 	})
 }
 
+// newCloud reaches the cloud API where the platform is.
+func newCloud(p settings.Platform) cloud.Client {
+	return cloudhttp.New(cloudhttp.Options{
+		Address: hostPort(p.URL),
+		Token:   p.Token.Secret.Reveal(),
+	})
+}
+
 func (a *App) buildService() error {
 	keys := make([][]byte, 0, len(a.settings.ResumeTokens.Keys))
 	for _, k := range a.settings.ResumeTokens.Keys {
@@ -168,6 +182,7 @@
 // startTasks runs the periodic work until stop is closed.
 func (a *App) startTasks() {
 	a.every(pollInterval, a.pollEndpoints)
+	a.every(noticeInterval, a.readNotices)
 	a.every(shareInterval, a.exchangeShares)
 	a.tls.run(a.settings.TLS.ReloadInterval.Std(), a.stop)
 }
--- a/internal/app/claims.go
+++ b/internal/app/claims.go
@@ -11,7 +11,7 @@
 )
 
 // writerSeparator stands between a daemon's name and its incarnation.
-const writerSeparator = "@"
+const writerSeparator = "/"
 
 func (a *App) buildClaims() error {
 	self := a.spread.Self()
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -14,12 +14,13 @@
 
 // controlCounters are the metrics of what is in force on this daemon.
 type controlCounters struct {
-	generation   prometheus.Gauge
-	members      prometheus.Gauge
-	unparsable   prometheus.Counter
-	hostsLeaving prometheus.Counter
-	polls        prometheus.Counter
-	pollFailures prometheus.Counter
+	generation     prometheus.Gauge
+	members        prometheus.Gauge
+	unparsable     prometheus.Counter
+	hostsLeaving   prometheus.Counter
+	polls          prometheus.Counter
+	pollFailures   prometheus.Counter
+	noticeFailures prometheus.Counter
 }
 
 func newControlCounters(reg prometheus.Registerer) *controlCounters {
@@ -30,14 +31,15 @@
 		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "rattanchute", Name: name, Help: help})
 	}
 	c := &controlCounters{
-		generation:   gauge("configuration_generation", "Generation of the configuration in force."),
-		members:      gauge("members_live", "Live daemons, this one included."),
-		unparsable:   counter("configuration_unparsable_total", "Configurations that could not be read."),
-		hostsLeaving: counter("hosts_leaving_total", "Hosts seen to leave."),
-		polls:        counter("load_polls_total", "Load polls sent to endpoints."),
-		pollFailures: counter("load_poll_failures_total", "Load polls without an answer."),
+		generation:     gauge("configuration_generation", "Generation of the configuration in force."),
+		members:        gauge("members_live", "Live daemons, this one included."),
+		unparsable:     counter("configuration_unparsable_total", "Configurations that could not be read."),
+		hostsLeaving:   counter("hosts_leaving_total", "Hosts seen to leave."),
+		polls:          counter("load_polls_total", "Load polls sent to endpoints."),
+		pollFailures:   counter("load_poll_failures_total", "Load polls without an answer."),
+		noticeFailures: counter("notice_read_failures_total", "Reads of the cloud's notices without an answer."),
 	}
-	reg.MustRegister(c.generation, c.members, c.unparsable, c.hostsLeaving, c.polls, c.pollFailures)
+	reg.MustRegister(c.generation, c.members, c.unparsable, c.hostsLeaving, c.polls, c.pollFailures, c.noticeFailures)
 	return c
 }
 
--- a/internal/request/call_test.go
+++ b/internal/request/call_test.go
@@ -48,7 +48,7 @@
 	is := is.New(t)
 	var breached string
 	old := invariant.SetHandler(func(name, _ string) { breached = name })
-	defer invariant.SetHandler(old)
+	t.Cleanup(func() { invariant.SetHandler(old) })
 	c := NewCall("r", false)
 	c.Begin()
 	c.Failed(errCut)
--- a/internal/serve/chat.go
+++ b/internal/serve/chat.go
@@ -78,6 +78,7 @@
 		return nil, refusal
 	}
 	c.ctx, c.cancel = context.WithDeadline(ctx, c.deadline)
+	c.stopEnding = context.AfterFunc(s.ending, c.cancel)
 	if refusal := c.awaitFirst(); refusal != nil {
 		c.release(refusal.Detail.Outcome)
 		return nil, refusal
--- a/internal/serve/service.go
+++ b/internal/serve/service.go
@@ -67,7 +67,10 @@
 	pool      pond.Pool
 	closing   atomic.Bool
 	inflight  sync.WaitGroup
-	now       func() time.Time
+	// ending is done once open streams are to be ended.
+	ending context.Context
+	endAll context.CancelFunc
+	now    func() time.Time
 }
 
 // Parts are what a Service is made of.
@@ -84,7 +87,10 @@
 
 // New returns a service over its parts.
 func New(p Parts) *Service {
+	ending, endAll := context.WithCancel(context.Background())
 	return &Service{
+		ending:    ending,
+		endAll:    endAll,
 		settings:  p.Settings,
 		session:   uuid.NewString()[:8],
 		router:    p.Router,
@@ -128,6 +134,15 @@
 	}
 }
 
+// EndStreams ends all open streams; their callers get a resume token to go on with at
+// another daemon. It waits until they have ended, at most for the given time.
+func (s *Service) EndStreams(wait time.Duration) error {
+	s.endAll()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return s.Drain(ctx)
+}
+
 // enter counts a request in; false when the service takes no more.
 func (s *Service) enter() bool {
 	s.inflight.Add(1)
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -52,6 +52,8 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
+	// stopEnding unregisters the stream from the service's end.
+	stopEnding func() bool
 
 	machine *request.Stream
 	// progress is shared with the goroutines that move streams.
@@ -308,6 +310,7 @@
 	if c.current != nil {
 		c.endAttempt(route.Result{OK: c.machine.Finished()})
 	}
+	c.stopEnding()
 	c.cancel()
 	c.service.done(c.admission)
 	c.service.counters.Requests.WithLabelValues("chat", string(o)).Inc()
--- /dev/null
+++ b/internal/testsite/daemon.go
@@ -0,0 +1,107 @@
+package testsite
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Build compiles the named command of this module into dir and returns its path.
+func Build(dir, command string) (string, error) {
+	out := filepath.Join(dir, command)
+	build := exec.Command("go", "build", "-o", out, "rattanchute/cmd/"+command)
+	if text, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build %s: %w: %s", command, err, text)
+	}
+	return out, nil
+}
+
+// Daemon is one rattanchuted process.
+type Daemon struct {
+	// Callers and Operators are the addresses of its listeners.
+	Callers   string
+	Operators string
+
+	binary   string
+	settings string
+	process  *exec.Cmd
+	done     chan struct{}
+	output   lockedBuffer
+}
+
+// lockedBuffer gathers what a process prints.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// String returns all that was written.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// Start runs the process.
+func (d *Daemon) Start() error {
+	d.process = exec.Command(d.binary, "--settings", d.settings)
+	d.process.Stdout = &d.output
+	d.process.Stderr = &d.output
+	if err := d.process.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	d.done = done
+	go func() {
+		defer close(done)
+		_ = d.process.Wait()
+	}()
+	return nil
+}
+
+// Kill ends the process without any chance to tidy up.
+func (d *Daemon) Kill() error {
+	err := d.Signal(syscall.SIGKILL)
+	<-d.done
+	return err
+}
+
+// Signal sends a signal to the process: SIGTERM to stop it gracefully, SIGSTOP and
+// SIGCONT to pause it and to let it go on.
+func (d *Daemon) Signal(s syscall.Signal) error { return d.process.Process.Signal(s) }
+
+// Wait waits until the process has ended and returns its exit code.
+func (d *Daemon) Wait(timeout time.Duration) (int, error) {
+	select {
+	case <-d.done:
+		return d.process.ProcessState.ExitCode(), nil
+	case <-time.After(timeout):
+		return 0, errors.New("testsite: daemon still runs")
+	}
+}
+
+// Output is what the process has printed.
+func (d *Daemon) Output() string { return d.output.String() }
+
+// close ends the process if it runs.
+func (d *Daemon) close() {
+	if d.process == nil {
+		return
+	}
+	_ = d.process.Process.Signal(syscall.SIGCONT)
+	_ = d.process.Process.Signal(os.Kill)
+	<-d.done
+}
--- /dev/null
+++ b/internal/testsite/site.go
@@ -0,0 +1,184 @@
+// Package testsite starts a small site for tests and the demo: the stand-in's platform,
+// cloud, engines and services, and several daemons in front of them.
+package testsite
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/standin"
+)
+
+// The secrets of a test site.
+const (
+	CallerKey      = "caller-key"
+	OtherCallerKey = "other-caller-key"
+	OperatorKey    = "operator-key"
+	PlatformToken  = "platform-token"
+	peerSecret     = "peer-secret-0123456789"
+	resumeKey      = "resume-key-0123456789-0123456789-0123"
+)
+
+// Model is the model that the site's engines serve.
+const Model = "test-model"
+
+// Options set the size of a site.
+type Options struct {
+	Daemons  int
+	Engines  int
+	Services int
+	// DataCentres spreads hosts and daemons in turn; at least one.
+	DataCentres int
+	Engine      standin.EngineConfig
+	Cloud       standin.CloudConfig
+	// ServiceDelayMillis is the time of one service call.
+	ServiceDelayMillis int
+	// RequestsPerSecond limits the first organisation; zero does not.
+	RequestsPerSecond float64
+}
+
+// Config returns the stand-in's settings and the matching configuration once the
+// stand-in listens.
+func (o Options) standin() standin.SiteConfig {
+	c := standin.SiteConfig{Cloud: o.Cloud}
+	c.Platform.Token = PlatformToken
+	for i := range o.Engines {
+		c.Hosts = append(c.Hosts, o.host("engine-host", i))
+		e := standin.EndpointConfig{EngineConfig: o.Engine, Kind: fleet.FleetModel, Fleet: "llm"}
+		e.Name = fmt.Sprintf("engine-%d", i)
+		e.Host = fmt.Sprintf("engine-host-%d", i)
+		e.DataCentre = o.dataCentre(i)
+		c.Endpoints = append(c.Endpoints, e)
+	}
+	for i := range o.Services {
+		c.Hosts = append(c.Hosts, o.host("service-host", i))
+		e := standin.EndpointConfig{Kind: fleet.FleetService, Fleet: "app", DelayMillis: o.ServiceDelayMillis}
+		e.Name = fmt.Sprintf("service-%d", i)
+		e.Host = fmt.Sprintf("service-host-%d", i)
+		e.DataCentre = o.dataCentre(i)
+		c.Endpoints = append(c.Endpoints, e)
+	}
+	return c
+}
+
+func (o Options) host(prefix string, i int) standin.HostSpec {
+	return standin.HostSpec{
+		Name:       fmt.Sprintf("%s-%d", prefix, i),
+		DataCentre: o.dataCentre(i),
+		Class:      "small",
+		Kind:       fleet.HostReclaimable,
+	}
+}
+
+func (o Options) dataCentre(i int) string {
+	return fmt.Sprintf("dc-%d", i%max(o.DataCentres, 1))
+}
+
+// Configuration declares the listening endpoints to the daemons.
+func (o Options) configuration(m standin.ListenMap) []byte {
+	cfg := fleet.Configuration{
+		Fleets: []fleet.Fleet{
+			{Name: "llm", Kind: fleet.FleetModel, Models: []string{Model}, SlotsPerEndpoint: max(o.Engine.Slots, 1)},
+			{Name: "app", Kind: fleet.FleetService, PathPrefix: "/app/", SlotsPerEndpoint: 64, Calls: []fleet.Call{
+				{Method: "POST", Path: "/app/book", Repeatable: false},
+				{Method: "POST", Path: "/app/search", Repeatable: true},
+			}},
+		},
+		Organisations: []fleet.Organisation{
+			{Name: "first", KeyHashes: []string{Digest(CallerKey)}, RequestsPerSecond: o.RequestsPerSecond, Burst: int(o.RequestsPerSecond)},
+			{Name: "second", KeyHashes: []string{Digest(OtherCallerKey)}},
+		},
+		Selectors: []fleet.Selector{{Name: "all", Priority: 5}},
+	}
+	for i := range max(o.DataCentres, 1) {
+		cfg.DataCentres = append(cfg.DataCentres, fleet.DataCentre{Name: o.dataCentre(i), Region: "region"})
+	}
+	for _, e := range m.Endpoints {
+		cfg.Hosts = append(cfg.Hosts, fleet.Host{Name: e.Host, DataCentre: e.DataCentre, Class: "small",
+			Kind: fleet.HostReclaimable, PricePerHour: 100})
+		cfg.Endpoints = append(cfg.Endpoints, fleet.Endpoint{Name: e.Name, Host: e.Host, Fleet: e.Fleet, Address: e.Address})
+	}
+	text, err := json.MarshalIndent(cfg, "", "  ")
+	if err != nil {
+		// A struct of strings and numbers always encodes.
+		panic(err)
+	}
+	return text
+}
+
+// Digest is the hex SHA-256 of a key, as configurations hold it.
+func Digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// addresses are one daemon's listeners.
+type addresses struct {
+	callers, peers, operators string
+}
+
+// freeAddress finds a free port of the loopback interface.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func freeAddresses() (addresses, error) {
+	var a addresses
+	var err error
+	for _, p := range []*string{&a.callers, &a.peers, &a.operators} {
+		if *p, err = freeAddress(); err != nil {
+			return addresses{}, err
+		}
+	}
+	return a, nil
+}
+
+// writeSettings writes a daemon's settings file and the secrets that it names.
+func writeSettings(dir string, o Options, i int, platform string, all []addresses) (string, error) {
+	secrets := map[string]string{"platform": PlatformToken, "peer": peerSecret, "resume": resumeKey}
+	for name, value := range secrets {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(value), 0o600); err != nil {
+			return "", err
+		}
+	}
+	seeds, err := json.Marshal(peerAddresses(all))
+	if err != nil {
+		return "", err
+	}
+	a := all[i]
+	text := fmt.Sprintf(`// Settings of one daemon of a test site.
+{
+  "node": "node-%d",
+  "data_centre": %q,
+  "region": "region",
+  "listen": {"callers": %q, "peers": %q, "operators": %q},
+  "platform": {"url": "http://%s", "token": {"file": %q}},
+  "peers": {"seeds": %s, "secret": {"file": %q}},
+  "resume_tokens": {"keys": [{"file": %q}]},
+  "operators": [{"name": "tester", "key_sha256": %q}],
+  "shutdown_grace": "30s",
+}
+`, i, o.dataCentre(i), a.callers, a.peers, a.operators, platform, filepath.Join(dir, "platform"),
+		seeds, filepath.Join(dir, "peer"), filepath.Join(dir, "resume"), Digest(OperatorKey))
+	file := filepath.Join(dir, fmt.Sprintf("node-%d.jsonc", i))
+	return file, os.WriteFile(file, []byte(text), 0o600)
+}
+
+func peerAddresses(all []addresses) []string {
+	list := make([]string, 0, len(all))
+	for _, a := range all {
+		list = append(list, a.peers)
+	}
+	return list
+}
