--- a/internal/claim/committer.go
+++ b/internal/claim/committer.go
@@ -33,6 +33,7 @@
 	timer   *time.Timer
 	running bool
 	closed  bool
+	active  sync.WaitGroup
 }
 
 func newCommitter(shard *shardStore, pool pond.Pool, b *breaker, settings Settings) *Committer {
@@ -120,14 +121,17 @@
 // start hands the next group to the pool.
 func (c *Committer) start() {
 	c.running = true
+	c.active.Add(1)
 	if err := c.pool.Go(c.run); err != nil {
 		c.running = false
+		c.active.Done()
 		c.refuseAll()
 	}
 }
 
 // run commits everything that waits.
 func (c *Committer) run() {
+	defer c.active.Done()
 	c.mu.Lock()
 	group := c.waiting
 	c.waiting = nil
@@ -148,15 +152,16 @@
 	c.schedule(time.Now())
 }
 
-// close refuses what waits and everything to come.
+// close refuses what waits and everything to come, and waits for the group under way.
 func (c *Committer) close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.closed = true
 	if c.timer != nil {
 		c.timer.Stop()
 	}
 	c.refuseAll()
+	c.mu.Unlock()
+	c.active.Wait()
 }
 
 func (c *Committer) refuseAll() {
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -155,9 +157,10 @@
 	s.backlog.close()
 	s.mu.Lock()
 	s.closed = true
-	for _, c := range s.committers {
+	committers := slices.Collect(maps.Values(s.committers))
+	s.mu.Unlock()
+	// The pool keeps no goroutine once its tasks have ended.
+	for _, c := range committers {
 		c.close()
 	}
-	s.mu.Unlock()
-	s.pool.StopAndWait()
 }
