--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -68,7 +68,7 @@
 		results[i] = e.apply(op)
 	}
 	a := Applied{Shard: next, Results: results, Changed: e.changed}
-	return a, verify(s, a, ops)
+	return a, verify(s, a, ops, env.Now)
 }
 
 // size bounds the encoded length of the shard.
--- /dev/null
+++ b/internal/claim/shard_test.go
@@ -0,0 +1,123 @@
+package claim
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// frameBytes is the JSON around records and fingerprints.
+const frameBytes = 64
+
+// TestShardProperty applies random groups to a small shard over days and holds every
+// grant against a model.
+func TestShardProperty(t *testing.T) {
+	seen := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		shard := NewShard()
+		shard.limit = 1600
+		now := time.Unix(1_800_000_000, 0)
+		used := map[Key]time.Time{}
+		holder := map[Key]string{}
+		serial := 0
+		for range rapid.IntRange(1, 60).Draw(t, "groups") {
+			steps := []time.Duration{0, time.Second, UnknownAfter, RecordWindow, 2 * time.Hour, 26 * time.Hour}
+			now = now.Add(rapid.SampledFrom(steps).Draw(t, "step"))
+			ops := drawGroup(t, holder, &serial)
+			applied, err := shard.Apply(ops, Env{Now: now})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "write") == 0 {
+				seen["write failed"]++
+				continue
+			}
+			for i, op := range ops {
+				kind := applied.Results[i].Kind
+				seen[string(op.Kind)+" "+string(kind)]++
+				at, found := used[op.Key]
+				switch {
+				case kind == Granted && found && now.Sub(at) < FingerprintWindow:
+					t.Fatalf("%v granted twice", op.Key)
+				case kind == Granted:
+					used[op.Key], holder[op.Key] = now, op.Attempt
+				case op.Kind == OpWithdraw && kind == Recorded && holder[op.Key] == op.Attempt:
+					delete(used, op.Key)
+				}
+			}
+			shard = checkStored(t, applied.Shard)
+		}
+	})
+	for _, what := range []string{"write failed", "acquire granted", "acquire completed", "acquire in-progress",
+		"acquire unknown", "acquire expired", "acquire refused", "complete recorded", "complete ignored",
+		"withdraw recorded", "withdraw ignored"} {
+		if seen[what] == 0 {
+			t.Errorf("never happened: %s", what)
+		}
+	}
+}
+
+// drawGroup draws operations, mostly by the attempts that hold claims.
+func drawGroup(t *rapid.T, holder map[Key]string, serial *int) []Op {
+	ops := make([]Op, rapid.IntRange(1, 6).Draw(t, "ops"))
+	kinds := []OpKind{OpAcquire, OpAcquire, OpAcquire, OpComplete, OpWithdraw}
+	for i := range ops {
+		key := testKey(fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "key")))
+		op := Op{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Key: key, Writer: "w", Status: 200}
+		op.Attempt = holder[key]
+		if op.Kind == OpAcquire || op.Attempt == "" {
+			*serial++
+			op.Attempt = fmt.Sprint("a", *serial)
+		}
+		op.Body = make([]byte, rapid.SampledFrom([]int{0, 10, 900}).Draw(t, "body"))
+		ops[i] = op
+	}
+	return ops
+}
+
+// checkStored checks the encoded form and its bound, and returns what is read back.
+func checkStored(t *rapid.T, shard *Shard) *Shard {
+	value, err := shard.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(value) > shard.size()+frameBytes {
+		t.Fatalf("%d bytes encoded, bound is %d", len(value), shard.size()+frameBytes)
+	}
+	back, err := Decode(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back.limit = shard.limit
+	again, _ := back.Encode()
+	if !reflect.DeepEqual(value, again) {
+		t.Fatalf("read back as\n%s\nwant\n%s", again, value)
+	}
+	return back
+}
+
+func TestOldUUIDv7IsExpired(t *testing.T) {
+	is := is.New(t)
+	id := uuid.Must(uuid.NewV7())
+	key := testKey(id.String())
+	op := Op{Kind: OpAcquire, Key: key, Attempt: "a", Writer: "w"}
+	for _, c := range []struct {
+		age  time.Duration
+		want ResultKind
+	}{
+		{0, Granted},
+		{FingerprintWindow - 2*ClockMargin, Granted},
+		{FingerprintWindow - ClockMargin + time.Second, Expired},
+		{100 * FingerprintWindow, Expired},
+	} {
+		applied, err := NewShard().Apply([]Op{op}, Env{Now: time.Now().Add(c.age)})
+		is.NoErr(err)
+		is.Equal(applied.Results[0].Kind, c.want)
+		is.Equal(applied.Changed, c.want == Granted)
+	}
+}
