--- a/internal/route/affinity.go
+++ b/internal/route/affinity.go
@@ -1,6 +1,9 @@
 package route
 
-import "math/bits"
+import (
+	"math"
+	"math/bits"
+)
 
 // ranking holds the best endpoints of a key in rendezvous order.
 type ranking struct {
@@ -11,21 +14,36 @@
 
 // rank finds the endpoints with the highest rendezvous scores for the key.
 func (c *candidates) rank(key uint64) ranking {
+	r := c.rankAbove(key, c.threshold())
+	if r.count < affinityRanks {
+		return c.rankAbove(key, 0)
+	}
+	return r
+}
+
+// threshold is a score that about expectedAbove endpoints exceed: it spares a long
+// list most of the insertions.
+func (c *candidates) threshold() uint64 {
+	const expectedAbove = 4 * affinityRanks
+	if len(c.hash) <= expectedAbove {
+		return 0
+	}
+	return math.MaxUint64 - math.MaxUint64/uint64(len(c.hash))*expectedAbove
+}
+
+func (c *candidates) rankAbove(key, lowest uint64) ranking {
 	var r ranking
-	lowest := uint64(0)
 	offset, factor := mix(key), mix(key+1)|1
 	for i, hash := range c.hash {
 		high, low := bits.Mul64(hash^offset, factor)
-		score := high ^ low
-		if r.count == affinityRanks && score <= lowest {
-			continue
+		if score := high ^ low; score > lowest {
+			lowest = max(lowest, r.insert(i, score))
 		}
-		lowest = r.insert(i, score)
 	}
 	return r
 }
 
-// insert places an endpoint and returns the lowest score kept.
+// insert places an endpoint and returns the score that the next one must exceed.
 func (r *ranking) insert(index int, score uint64) uint64 {
 	if r.count < affinityRanks {
 		r.count++
@@ -36,7 +54,7 @@
 		at--
 	}
 	r.index[at], r.score[at] = index, score
-	return r.score[r.count-1]
+	return r.score[affinityRanks-1]
 }
 
 // affinity finds the first endpoint in rendezvous order of the shortest prefix that
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -144,8 +144,9 @@
 
 // bound is the load under which an endpoint takes a request for its prefix.
 func (d *decision) bound(slots int) float64 {
+	const rounding = 1e-9
 	n := float64(len(d.list.targets))
-	return max(math.Ceil(loadFactor*(d.mean+1/n)), affinityFloor*float64(slots))
+	return max(math.Ceil(loadFactor*(d.mean+1/n)-rounding), affinityFloor*float64(slots))
 }
 
 // twoChoices weighs two random endpoints.
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -47,7 +47,7 @@
 	next := &report{load: load, inFlight: s.inFlight.Load(), received: now}
 	for {
 		last := s.report.Load()
-		if last != nil && load.At.Before(last.load.At) {
+		if last.newerThan(next) {
 			return
 		}
 		if s.report.CompareAndSwap(last, next) {
@@ -127,3 +127,9 @@
 	wait := excess / e.slots * duration
 	return time.Duration((prefill + wait) * float64(time.Second))
 }
+
+// newerThan reports whether a report that came in later was made earlier. Past its
+// age a report counts for nothing, also when the engine's clock was set back.
+func (last *report) newerThan(next *report) bool {
+	return last != nil && next.load.At.Before(last.load.At) && next.received.Sub(last.received) <= maxReportAge
+}
