Route: parts of the policy can be switched off for measurement

Cause: each mechanism has to show what it earns with the production code. Ruled out: build tags, which would measure another binary.

--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -143,7 +143,6 @@
 		return 0
 	}
 	o.lent = append(o.lent, loan{rate, now.Add(loanTime)})
-	o.tokens = min(o.tokens, o.capacity(now))
 	return rate
 }
 
--- a/internal/route/affinity.go
+++ b/internal/route/affinity.go
@@ -60,7 +60,7 @@
 // affinity finds the first endpoint in rendezvous order of the shortest prefix that
 // is eligible and under its bounded load.
 func (d *decision) affinity() contender {
-	if len(d.q.PrefixHashes) == 0 {
+	if len(d.q.PrefixHashes) == 0 || d.off.has(MechanismAffinity) {
 		return noContender
 	}
 	ranks := d.list.rank(d.q.PrefixHashes[0])
@@ -69,7 +69,7 @@
 			continue
 		}
 		c := d.weigh(index)
-		if c.load < d.bound(d.list.targets[index].info.slots) {
+		if d.off.has(MechanismBoundedLoad) || c.load < d.bound(d.list.targets[index].info.slots) {
 			return c
 		}
 		d.trace.overLoad(index)
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -49,7 +49,7 @@
 		return Choice{}, ErrNoSelector
 	}
 	list.observePrompt(q.PromptTokens)
-	d := decision{now: now, rnd: rnd, q: &q, list: list, cache: r.cache, mean: list.meanLoad(now), records: true}
+	d := decision{now: now, rnd: rnd, q: &q, list: list, cache: r.cache, mean: list.meanLoad(now), off: r.off, records: true}
 	best := d.decide()
 	if best.index < 0 {
 		return Choice{}, ErrNoEndpoint
@@ -71,6 +71,7 @@
 	mean  float64
 	// records: the choice is real, so that what it looked at is noted.
 	records bool
+	off     Mechanism
 	// trace, if set, is told of each endpoint that was weighed or passed over.
 	trace *trace
 }
@@ -155,6 +156,9 @@
 	if first < 0 {
 		return noContender
 	}
+	if d.off.has(MechanismTwoChoices) {
+		return d.weigh(first)
+	}
 	second := d.draw(mix(d.rnd+1), first)
 	if second < 0 {
 		return d.weigh(first)
@@ -184,7 +188,7 @@
 
 // better takes the cheaper of two that are both in time, else the sooner.
 func (d *decision) better(a, b contender) contender {
-	if a.expected <= FirstTokenTarget && b.expected <= FirstTokenTarget {
+	if !d.off.has(MechanismPrice) && a.expected <= FirstTokenTarget && b.expected <= FirstTokenTarget {
 		priceA := d.list.targets[a.index].info.host.PricePerHour
 		priceB := d.list.targets[b.index].info.host.PricePerHour
 		if priceA != priceB {
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -73,7 +73,7 @@
 	t := &trace{contenders: make(map[int]contender), over: make(map[int]bool)}
 	d := decision{
 		now: now, rnd: mix(uint64(now.UnixNano())), q: &q,
-		list: list, cache: r.cache, mean: list.meanLoad(now), trace: t,
+		list: list, cache: r.cache, mean: list.meanLoad(now), off: r.off, trace: t,
 	}
 	best := d.decide()
 	explanation := Explanation{MeanLoad: d.mean, Endpoints: v.refusals(q)}
