Map timeouts of the connection and free it when a stream fails

A failed stream held its connection until Close, which also cancels the stream that an attach wants. Ruled out: waiting for the context's timer, because it would time the error and not name it.

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -26,7 +26,7 @@
 
 // DefaultCancelTimeout is how long Close of a stream waits for the engine to take
 // the cancel.
-const DefaultCancelTimeout = 2 * time.Second
+const DefaultCancelTimeout = time.Second
 
 // codeRefused is an engine's error code for a request that it did not run.
 const codeRefused = "refused"
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -71,51 +71,66 @@
 	return s, nil
 }
 
-// Next returns the next chunk of this stream, in order and once each.
+// Next returns the next chunk of this stream, in order and once each. A failure frees
+// the connection, so that a caller that attaches to the stream again need not close
+// this one and thereby cancel it.
 func (s *stream) Next() (engine.Chunk, error) {
-	for s.err == nil {
+	if s.err != nil {
+		return engine.Chunk{}, s.err
+	}
+	chunk, err := s.read()
+	if err != nil {
+		s.err = err
+	}
+	if err != nil && err != io.EOF {
+		s.body.Close()
+	}
+	return chunk, err
+}
+
+// read returns the next chunk that belongs here.
+func (s *stream) read() (engine.Chunk, error) {
+	for {
 		data, err := s.nextData()
 		if err != nil {
-			s.err = err
-			break
+			return engine.Chunk{}, err
 		}
 		if bytes.Equal(data, doneMarker) {
 			s.done.Store(true)
-			s.err = io.EOF
-			break
+			return engine.Chunk{}, io.EOF
 		}
 		var chunk engine.Chunk
 		if err := json.Unmarshal(data, &chunk); err != nil {
-			s.err = fmt.Errorf("enginehttp: chunk: %w", err)
-			break
+			return engine.Chunk{}, fmt.Errorf("enginehttp: chunk: %w", err)
+		}
+		accepted, err := s.accept(chunk)
+		if err != nil {
+			return engine.Chunk{}, err
 		}
-		if s.accept(chunk) {
+		if accepted {
 			return chunk, nil
 		}
 	}
-	return engine.Chunk{}, s.err
 }
 
-// accept tells whether a chunk is the next one of this stream; it sets the error of
-// a gap.
-func (s *stream) accept(c engine.Chunk) bool {
+// accept tells whether a chunk is the next one of this stream.
+func (s *stream) accept(c engine.Chunk) (bool, error) {
 	if c.Stream != s.id {
 		s.client.foreign.Add(1)
-		return false
+		return false, nil
 	}
 	if c.Offset < s.next {
 		s.client.repeated.Add(1)
-		return false
+		return false, nil
 	}
 	if c.Offset > s.next {
-		s.err = fmt.Errorf("%w: offset %d, expected %d", ErrGap, c.Offset, s.next)
-		return false
+		return false, fmt.Errorf("%w: offset %d, expected %d", ErrGap, c.Offset, s.next)
 	}
 	s.next++
 	if c.Finish != "" {
 		s.done.Store(true)
 	}
-	return true
+	return true, nil
 }
 
 // nextData returns the payload of the next event line.
--- a/internal/adapter/httpexchange/client.go
+++ b/internal/adapter/httpexchange/client.go
@@ -191,7 +191,7 @@
 	if ctx.Err() != nil {
 		return fmt.Errorf("%w: %w", ctx.Err(), err)
 	}
-	var timeout net.Error
+	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return fmt.Errorf("%w: %w", context.DeadlineExceeded, err)
 	}
--- /dev/null
+++ b/internal/standin/answer.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+)
+
+// errorBody is the JSON body of an error answer.
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+func writeError(ctx *fasthttp.RequestCtx, status int, code string) {
+	writeJSON(ctx, status, errorBody{Error: code})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// decode reads a JSON body; it answers 400 and returns false if there is none.
+func decode(ctx *fasthttp.RequestCtx, v any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, err.Error())
+		return false
+	}
+	return true
+}
--- a/internal/standin/cloud_http.go
+++ b/internal/standin/cloud_http.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"errors"
 	"strconv"
 	"strings"
@@ -118,12 +117,3 @@
 		writeError(ctx, fasthttp.StatusNotFound, "unknown_host")
 	}
 }
-
-// decode reads a JSON body; it answers 400 and returns false if there is none.
-func decode(ctx *fasthttp.RequestCtx, v any) bool {
-	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
-		writeError(ctx, fasthttp.StatusBadRequest, err.Error())
-		return false
-	}
-	return true
-}
--- /dev/null
+++ b/internal/standin/engine_test.go
@@ -0,0 +1,162 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"rattanchute/internal/engine"
+)
+
+func request(text string, tokens int) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}],"max_tokens":%d}`, text, tokens))
+}
+
+func startEngine(t *testing.T, c EngineConfig) *Engine {
+	t.Helper()
+	e := NewEngine(c)
+	if err := e.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+// drain reads a stream's tokens from an offset on.
+func drain(s *stream, offset int) []string {
+	var texts []string
+	for {
+		c, ok := s.chunk(offset)
+		if !ok {
+			return texts
+		}
+		texts = append(texts, c.Text)
+		if c.Finish != "" {
+			return texts
+		}
+		offset++
+	}
+}
+
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestAnswerDependsOnRequestOnly(t *testing.T) {
+	is := is.New(t)
+	a := ExpectedAnswer(request("urea", 6))
+	is.Equal(len(a), 6)
+	is.Equal(a, ExpectedAnswer(request("urea", 9))[:6])
+	is.True(a[0] != ExpectedAnswer(request("potash", 6))[0])
+	is.Equal(len(ExpectedAnswer([]byte(`{"model":"m","messages":[]}`))), defaultMaxTokens)
+}
+
+func TestPriorityGoesFirst(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, EngineConfig{Slots: 1, TokenMillis: 5})
+	var streams []*stream
+	for i, priority := range []int{5, 1, 9} {
+		g := engine.Generate{Stream: engine.StreamID(fmt.Sprint(i)), Body: request("x", 4), Priority: priority}
+		s, err := e.open(g)
+		is.NoErr(err)
+		streams = append(streams, s)
+	}
+	is.Equal(e.Load().Queued, 2)
+	is.Equal(len(drain(streams[2], 0)), 4)
+	is.True(!e.Ledger()["1"].Computed)
+	is.Equal(len(drain(streams[1], 0)), 4)
+}
+
+func TestOnlyMissingPrefixIsPrefilled(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, EngineConfig{TokenMillis: 1, BlockTokens: 4})
+	shared := strings.Repeat("word ", 31)
+	for i, text := range []string{shared, shared + "one two three"} {
+		s, err := e.open(engine.Generate{Stream: engine.StreamID(fmt.Sprint(i)), Body: request(text, 2)})
+		is.NoErr(err)
+		drain(s, 0)
+	}
+	is.Equal(e.Ledger()["0"].Prefilled, 32)
+	is.Equal(e.Ledger()["1"].Prefilled, 3)
+	events := e.cache.events.after(0, time.Now())
+	is.Equal(events[0].Prefix, PrefixHashes(request(shared, 2), 4)[0])
+}
+
+func TestCacheStaysInItsMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 64).Draw(t, "capacity")
+		c := newPrefixCache(4, capacity, cacheEvents{lossEvery: 3})
+		for range rapid.IntRange(1, 30).Draw(t, "sequences") {
+			tokens := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b"}), 0, 20).Draw(t, "tokens")
+			hashes := chain("m", tokens)
+			c.insert(hashes, time.Time{})
+			held := 0
+			for _, e := range c.entries {
+				held += e.Value.(cacheEntry).tokens
+			}
+			if held != c.held || held > capacity {
+				t.Fatalf("held %d, counted %d, capacity %d", held, c.held, capacity)
+			}
+			if len(hashes) <= capacity && c.match(hashes) != len(hashes) {
+				t.Fatalf("a sequence just inserted is not cached")
+			}
+		}
+		for _, e := range c.events.after(0, time.Time{}) {
+			if e.Sequence%3 == 0 {
+				t.Fatalf("event %d was to be lost", e.Sequence)
+			}
+		}
+	})
+}
+
+func TestUnreadStreamIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, EngineConfig{TokenMillis: 60_000, KeepMillis: 20})
+	s, err := e.open(engine.Generate{Stream: "r", Body: request("x", 4)})
+	is.NoErr(err)
+	e.leave(s)
+	until(t, "the stream is given up", func() bool { return e.Ledger()["r"].Cancelled })
+	_, err = e.open(engine.Generate{Stream: "r", Attach: true, Body: request("x", 4)})
+	is.True(errors.Is(err, engine.ErrNoStream))
+}
+
+func TestDeadEngineForgetsAllButItsLedger(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, EngineConfig{TokenMillis: 1, Slots: 1})
+	s, err := e.open(engine.Generate{Stream: "r", Body: request("x", 1000)})
+	is.NoErr(err)
+	_, ok := s.chunk(2)
+	is.True(ok)
+	e.SetFaults(Faults{Die: true})
+	_, err = e.open(engine.Generate{Stream: "r2", Body: request("x", 4)})
+	is.True(errors.Is(err, engine.ErrNotSent))
+	e.SetFaults(Faults{})
+	is.NoErr(e.Listen())
+	s, err = e.open(engine.Generate{Stream: "r3", Body: request("x", 4)})
+	is.NoErr(err)
+	is.Equal(drain(s, 0), ExpectedAnswer(request("x", 4)))
+	is.Equal(e.Ledger()["r3"].Prefilled, 2)
+	is.True(e.Ledger()["r"].Cancelled && e.Ledger()["r"].Last < 999)
+}
+
+func TestLoadLags(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, EngineConfig{TokenMillis: 60_000, LoadLagMillis: 60_000})
+	is.Equal(e.Load().Running, 0)
+	_, err := e.open(engine.Generate{Stream: "r", Body: request("x", 4)})
+	is.NoErr(err)
+	is.Equal(e.Load().Running, 0)
+}
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -13,33 +13,6 @@
 // maxRequestBytes bounds a request body.
 const maxRequestBytes = 8 << 20
 
-// Faults are the failures of an engine or a service; the zero value has none.
-type Faults struct {
-	// Refuse answers with the endpoint's own word that nothing was run.
-	Refuse bool `json:"refuse"`
-	// Freeze accepts requests and never answers them.
-	Freeze bool `json:"freeze"`
-	// Die cuts all connections and closes the listener.
-	Die bool `json:"die"`
-	// CutBeforeRead closes a connection when a request arrives, with nothing read.
-	CutBeforeRead bool `json:"cut_before_read"`
-	// CutAfterRequestBytes closes the connection once so many bytes of a request
-	// have arrived, before it is run; zero is off.
-	CutAfterRequestBytes int `json:"cut_after_request_bytes"`
-	// CutAfterRun closes the connection of a service after the run, unanswered.
-	CutAfterRun bool `json:"cut_after_run"`
-	// CutAfterChunks closes a stream's connection after so many chunks; zero is off.
-	CutAfterChunks int `json:"cut_after_chunks"`
-	// DuplicateChunks sends each chunk twice.
-	DuplicateChunks bool `json:"duplicate_chunks"`
-	// ForeignChunks sends a chunk of another stream before each chunk.
-	ForeignChunks bool `json:"foreign_chunks"`
-	// DelayMillis holds each request back before it is run, in milliseconds.
-	DelayMillis int `json:"delay_ms"`
-	// Count is how many requests the faults hit before they end; zero is no limit.
-	Count int `json:"count"`
-}
-
 // errCut is what a reader of a cut connection sees.
 var errCut = errors.New("standin: connection cut")
 
@@ -256,23 +229,3 @@
 
 // Printf drops a line.
 func (silentLogger) Printf(string, ...any) {}
-
-// errorBody is the JSON body of an error answer.
-type errorBody struct {
-	Error string `json:"error"`
-}
-
-func writeError(ctx *fasthttp.RequestCtx, status int, code string) {
-	writeJSON(ctx, status, errorBody{Error: code})
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
-}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -13,49 +12,6 @@
 	"rattanchute/internal/platform"
 )
 
-// defaultHistory is the number of changes kept for watches.
-const defaultHistory = 10_000
-
-// StoreConfig sets a store's limits.
-type StoreConfig struct {
-	// CallsPerSecond is the call budget; zero sets none.
-	CallsPerSecond float64 `json:"calls_per_second"`
-	// Burst is the number of calls allowed at once; zero is one second's worth.
-	Burst int `json:"burst"`
-	// WatchWaitMillis is the longest wait of an in-process watch, in milliseconds.
-	WatchWaitMillis int `json:"watch_wait_ms"`
-	// History is the number of changes kept for watches.
-	History int `json:"history"`
-	// Now replaces the clock that the budget is counted by.
-	Now func() time.Time `json:"-"`
-}
-
-// StoreFaults are the failures of a store; the zero value has none.
-type StoreFaults struct {
-	// Outage answers every call as unavailable, without effect.
-	Outage bool `json:"outage"`
-	// LoseAnswers is the number of next writes that take effect but are answered
-	// as unavailable; negative loses all.
-	LoseAnswers int `json:"lose_answers"`
-	// CutConnection cuts the connection instead of answering 503.
-	CutConnection bool `json:"cut_connection"`
-	// DelayMillis is added to each call, in milliseconds.
-	DelayMillis int `json:"delay_ms"`
-}
-
-// Verb names a kind of call for counting.
-type Verb string
-
-// The verbs of a store.
-const (
-	VerbGet    Verb = "get"
-	VerbList   Verb = "list"
-	VerbCreate Verb = "create"
-	VerbUpdate Verb = "update"
-	VerbDelete Verb = "delete"
-	VerbWatch  Verb = "watch"
-)
-
 // objectKey names an object in the whole store.
 type objectKey struct {
 	kind platform.Kind
@@ -111,66 +67,6 @@
 	return s
 }
 
-// SetFaults replaces the failures.
-func (s *Store) SetFaults(f StoreFaults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
-// StoreCounts are the calls that a store has seen.
-type StoreCounts struct {
-	Calls     map[Verb]uint64 `json:"calls"`
-	Throttled uint64          `json:"throttled"`
-	// LostAnswers counts the writes that took effect without an answer.
-	LostAnswers uint64 `json:"lost_answers"`
-}
-
-// Counts returns the calls seen, by verb.
-func (s *Store) Counts() StoreCounts {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := StoreCounts{Calls: map[Verb]uint64{}, Throttled: s.throttled, LostAnswers: s.lost}
-	for v, n := range s.calls {
-		c.Calls[v] = n
-	}
-	return c
-}
-
-// begin counts a call and applies the budget and the faults that hit all calls.
-func (s *Store) begin(ctx context.Context, v Verb) error {
-	s.mu.Lock()
-	s.calls[v]++
-	faults := s.faults
-	limited := s.limiter != nil && !s.limiter.AllowN(s.config.Now(), 1)
-	if limited {
-		s.throttled++
-	}
-	s.mu.Unlock()
-	if limited {
-		return platform.ErrThrottled
-	}
-	if faults.DelayMillis > 0 && !sleep(ctx, millis(faults.DelayMillis)) {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
-	}
-	if faults.Outage {
-		return platform.ErrUnavailable
-	}
-	return nil
-}
-
-// loseAnswer tells whether the answer to a write that took effect is lost.
-func (s *Store) loseAnswer() bool {
-	if s.faults.LoseAnswers == 0 {
-		return false
-	}
-	if s.faults.LoseAnswers > 0 {
-		s.faults.LoseAnswers--
-	}
-	s.lost++
-	return true
-}
-
 // Get reads one object.
 func (s *Store) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
 	if err := s.begin(ctx, VerbGet); err != nil {
@@ -296,68 +192,3 @@
 	defer s.mu.Unlock()
 	s.apply(platform.Object{Kind: kind, Name: name, Value: value}, false)
 }
-
-// Watch waits for changes of a kind for as long as the configuration says.
-func (s *Store) Watch(ctx context.Context, kind platform.Kind, after uint64) ([]platform.Event, uint64, error) {
-	return s.WatchFor(ctx, kind, after, millis(s.config.WatchWaitMillis))
-}
-
-// WatchFor is Watch with a longest wait. An outage ends a waiting watch at the next
-// change only.
-func (s *Store) WatchFor(ctx context.Context, kind platform.Kind, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
-	if err := s.begin(ctx, VerbWatch); err != nil {
-		return nil, after, err
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		s.mu.Lock()
-		events, version, changed := s.since(kind, after), s.version, s.changed
-		compacted, outage := after < s.compacted, s.faults.Outage
-		s.mu.Unlock()
-		switch {
-		case outage:
-			return nil, after, platform.ErrUnavailable
-		case compacted:
-			return nil, after, platform.ErrCompacted
-		case len(events) > 0 || wait <= 0:
-			return events, max(version, after), nil
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return nil, max(version, after), nil
-		case <-ctx.Done():
-			return nil, after, fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
-		}
-	}
-}
-
-// since returns the kept changes of a kind after a version.
-func (s *Store) since(kind platform.Kind, after uint64) []platform.Event {
-	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].version > after })
-	var events []platform.Event
-	for _, c := range s.history[first:] {
-		if c.event.Object.Kind == kind {
-			events = append(events, c.event)
-		}
-	}
-	return events
-}
-
-func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-
-// sleep waits and tells whether it waited in full.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/standin/store_watch.go
@@ -0,0 +1,75 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"rattanchute/internal/platform"
+)
+
+// Watch waits for changes of a kind for as long as the configuration says.
+func (s *Store) Watch(ctx context.Context, kind platform.Kind, after uint64) ([]platform.Event, uint64, error) {
+	return s.WatchFor(ctx, kind, after, millis(s.config.WatchWaitMillis))
+}
+
+// WatchFor is Watch with a longest wait. An outage ends a waiting watch at the next
+// change only.
+func (s *Store) WatchFor(ctx context.Context, kind platform.Kind, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+	if err := s.begin(ctx, VerbWatch); err != nil {
+		return nil, after, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		events, version, changed := s.since(kind, after), s.version, s.changed
+		compacted, outage := after < s.compacted, s.faults.Outage
+		s.mu.Unlock()
+		switch {
+		case outage:
+			return nil, after, platform.ErrUnavailable
+		case compacted:
+			return nil, after, platform.ErrCompacted
+		case len(events) > 0 || wait <= 0:
+			return events, max(version, after), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, max(version, after), nil
+		case <-ctx.Done():
+			return nil, after, fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+		}
+	}
+}
+
+// since returns the kept changes of a kind after a version.
+func (s *Store) since(kind platform.Kind, after uint64) []platform.Event {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].version > after })
+	var events []platform.Event
+	for _, c := range s.history[first:] {
+		if c.event.Object.Kind == kind {
+			events = append(events, c.event)
+		}
+	}
+	return events
+}
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// sleep waits and tells whether it waited in full.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
