Check what callers are told against the ledger under random faults

Cause: exactness was only tested fault by fault. Change: TestRandomFaultsAgainstLedger (seed 7) with refusals, cuts, freezes, delays and deaths; frozen streams; an outage ends waiting watches; faults are held by the state taken with them.

--- a/internal/adapter/enginehttp/client_test.go
+++ b/internal/adapter/enginehttp/client_test.go
@@ -328,3 +328,18 @@
 		is.Equal(len(e.State().Models) == 1, checks)
 	}
 }
+
+func TestFrozenStreamGoesOnAfterwards(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, standin.EngineConfig{TokenMillis: 1})
+	s, err := newClient().Generate(context.Background(), e.Address(), engine.Generate{Stream: "r", Body: body})
+	is.NoErr(err)
+	first, err := s.Next()
+	is.NoErr(err)
+	e.SetFaults(standin.Faults{Freeze: true})
+	until(t, "the engine computes on", func() bool { return e.Ledger()["r"].Last == 11 })
+	e.SetFaults(standin.Faults{})
+	rest, err := texts(s)
+	is.NoErr(err)
+	is.Equal(append([]string{first.Text}, rest...), standin.ExpectedAnswer(body))
+}
--- /dev/null
+++ b/internal/adapter/enginehttp/random_test.go
@@ -0,0 +1,100 @@
+package enginehttp_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rattanchute/internal/engine"
+	"rattanchute/internal/standin"
+)
+
+// results collects what callers were told, by attempt.
+type results struct {
+	mu        sync.Mutex
+	completed []string
+	notSent   []string
+	open      []string
+}
+
+func (r *results) add(id string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+		r.completed = append(r.completed, id)
+	case errors.Is(err, engine.ErrNotSent):
+		r.notSent = append(r.notSent, id)
+	default:
+		r.open = append(r.open, id)
+	}
+}
+
+// faultKinds are drawn at random; the service is revived after each.
+var faultKinds = []standin.Faults{
+	{},
+	{Refuse: true},
+	{CutBeforeRead: true},
+	{CutAfterRequestBytes: 30},
+	{CutAfterRun: true},
+	{DelayMillis: 30},
+	{Freeze: true},
+	{Die: true},
+}
+
+// TestRandomFaultsAgainstLedger checks what callers were told against the service's
+// own ledger: a call not sent never ran, a completed one ran once, no other ran twice.
+func TestRandomFaultsAgainstLedger(t *testing.T) {
+	is := is.New(t)
+	s := startService(t)
+	c := newClient()
+	told := &results{}
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for caller := range 8 {
+		group.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%d-%d", caller, n)
+				ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+				_, err := c.Call(ctx, s.Address(), engine.Call{Method: "POST", URI: "/", AttemptID: id})
+				cancel()
+				told.add(id, err)
+			}
+		})
+	}
+	random := rand.New(rand.NewPCG(7, 7))
+	for range 120 {
+		s.SetFaults(faultKinds[random.IntN(len(faultKinds))])
+		time.Sleep(5 * time.Millisecond)
+		s.SetFaults(standin.Faults{})
+		is.NoErr(s.Listen())
+	}
+	close(stop)
+	group.Wait()
+	time.Sleep(50 * time.Millisecond)
+	runs := s.Ledger().Attempts
+	for _, id := range told.completed {
+		is.Equal(runs[id], 1)
+	}
+	for _, id := range told.notSent {
+		is.Equal(runs[id], 0)
+	}
+	for _, id := range told.open {
+		is.True(runs[id] <= 1)
+	}
+	t.Logf("completed %d, not sent %d, open %d", len(told.completed), len(told.notSent), len(told.open))
+	is.True(len(told.completed) > 0)
+	is.True(len(told.notSent) > 0)
+	is.True(len(told.open) > 0)
+}
--- a/internal/adapter/platformhttp/store_test.go
+++ b/internal/adapter/platformhttp/store_test.go
@@ -58,6 +58,7 @@
 	{"refuses large values", standin.StoreConfig{}, checkLarge},
 	{"watches", standin.StoreConfig{WatchWaitMillis: 20}, checkWatch},
 	{"wakes a waiting watch", standin.StoreConfig{WatchWaitMillis: 10_000}, checkWakes},
+	{"ends a waiting watch in an outage", standin.StoreConfig{WatchWaitMillis: 10_000}, checkWatchOutage},
 	{"forgets old changes", standin.StoreConfig{WatchWaitMillis: 20, History: 2}, checkCompacted},
 	{"throttles without effect", standin.StoreConfig{CallsPerSecond: 0.001, Burst: 1}, checkThrottled},
 	{"has outages without effect", standin.StoreConfig{}, checkOutage},
@@ -151,9 +152,7 @@
 		events, _, _ := b.store.Watch(ctx, kind, 0)
 		got <- events
 	}()
-	for b.fake.Counts().Calls[standin.VerbWatch] == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	waitForWatch(b)
 	made, err := b.store.Create(ctx, kind, "a", value("1"))
 	is.NoErr(err)
 	events := <-got
@@ -161,6 +160,23 @@
 	is.Equal(events[0].Object, made)
 }
 
+func waitForWatch(b backing) {
+	for b.fake.Counts().Calls[standin.VerbWatch] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func checkWatchOutage(is *is.I, b backing) {
+	got := make(chan error)
+	go func() {
+		_, _, err := b.store.Watch(context.Background(), kind, 0)
+		got <- err
+	}()
+	waitForWatch(b)
+	b.fake.SetFaults(standin.StoreFaults{Outage: true})
+	is.True(errors.Is(<-got, platform.ErrUnavailable))
+}
+
 func checkCompacted(is *is.I, b backing) {
 	ctx := context.Background()
 	for _, name := range []string{"a", "b", "c", "d"} {
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -27,7 +27,8 @@
 		e.handleGenerate(ctx)
 		return
 	}
-	if f := e.current(); f.Freeze && !e.hold(f) {
+	if f := e.current(); f.Freeze && !f.hold() {
+		_ = ctx.Conn().Close()
 		return
 	}
 	switch {
@@ -52,7 +53,8 @@
 
 func (e *Engine) handleGenerate(ctx *fasthttp.RequestCtx) {
 	faults := e.take()
-	if !e.hold(faults) {
+	if !faults.hold() {
+		_ = ctx.Conn().Close()
 		return
 	}
 	if faults.Refuse {
@@ -74,7 +76,7 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "bad_request")
 		return
 	}
-	w := &chunkWriter{engine: e, stream: s, offset: g.Offset, faults: faults, conn: ctx.Conn()}
+	w := &chunkWriter{engine: e, stream: s, offset: g.Offset, faults: faults.Faults, conn: ctx.Conn()}
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(w.writeAll)
@@ -113,6 +115,9 @@
 		if !ok {
 			return
 		}
+		if f := c.engine.current(); f.Freeze && !f.hold() {
+			return
+		}
 		if c.sent == 0 || chunk.Finish != "" {
 			load := c.engine.Load()
 			chunk.Load = &load
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -4,7 +4,8 @@
 type Faults struct {
 	// Refuse answers with the endpoint's own word that nothing was run.
 	Refuse bool `json:"refuse"`
-	// Freeze accepts requests and never answers them.
+	// Freeze accepts requests and holds them and the open streams until the faults are
+	// replaced.
 	Freeze bool `json:"freeze"`
 	// Die cuts all connections and closes the listener.
 	Die bool `json:"die"`
--- a/internal/standin/kv.go
+++ b/internal/standin/kv.go
@@ -46,6 +46,9 @@
 
 // ImportKV fetches an exported KV cache from its source and caches it.
 func (e *Engine) ImportKV(b engine.KVBlob) error {
+	e.mu.Lock()
+	cache := e.cache
+	e.mu.Unlock()
 	hashes, err := fetchKV(b)
 	if err != nil {
 		return err
@@ -55,7 +58,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cache.insert(hashes, time.Now())
+	cache.insert(hashes, time.Now())
 	return nil
 }
 
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -109,18 +109,24 @@
 	}
 }
 
+// activeFaults are the faults in force at one moment and what ends their hold.
+type activeFaults struct {
+	Faults
+	stopped, thawed chan struct{}
+}
+
 // current returns the faults in force.
-func (s *faultServer) current() Faults {
+func (s *faultServer) current() activeFaults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults
+	return activeFaults{s.faults, s.stopped, s.thawed}
 }
 
 // take returns the faults in force for one request and counts it.
-func (s *faultServer) take() Faults {
+func (s *faultServer) take() activeFaults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := s.faults
+	f := activeFaults{s.faults, s.stopped, s.thawed}
 	if f.Count > 0 {
 		s.faults.Count--
 		if s.faults.Count == 0 {
@@ -131,23 +137,25 @@
 }
 
 // hold applies the faults that keep a request from being run: it waits for as long as
-// they say and tells whether the server has not been stopped since.
-func (s *faultServer) hold(f Faults) bool {
-	s.mu.Lock()
-	stopped, thawed := s.stopped, s.thawed
-	s.mu.Unlock()
+// they say and tells whether the server has not been stopped since. A handler of a stopped
+// server closes its connection, for returning would answer 200.
+func (f activeFaults) hold() bool {
 	if f.Freeze {
 		select {
-		case <-stopped:
-		case <-thawed:
+		case <-f.stopped:
+		case <-f.thawed:
 		}
 	}
 	delay := time.NewTimer(millis(f.DelayMillis))
 	defer delay.Stop()
 	select {
-	case <-stopped:
-		return false
+	case <-f.stopped:
 	case <-delay.C:
+	}
+	select {
+	case <-f.stopped:
+		return false
+	default:
 		return true
 	}
 }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -94,7 +94,8 @@
 
 func (s *Service) handleCall(ctx *fasthttp.RequestCtx) {
 	faults := s.take()
-	if !s.hold(faults) {
+	if !faults.hold() {
+		_ = ctx.Conn().Close()
 		return
 	}
 	if faults.Refuse {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -180,9 +180,14 @@
 		s.compacted = s.history[extra-1].version
 		s.history = append([]change(nil), s.history[extra:]...)
 	}
+	s.wake()
+	return o
+}
+
+// wake makes the waiting watches look again. The caller holds the lock.
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return o
 }
 
 // Put writes an object as the platform itself does: unconditionally, outside the
--- a/internal/standin/store_faults.go
+++ b/internal/standin/store_faults.go
@@ -51,11 +51,12 @@
 	VerbWatch  Verb = "watch"
 )
 
-// SetFaults replaces the failures.
+// SetFaults replaces the failures; an outage ends the waiting watches.
 func (s *Store) SetFaults(f StoreFaults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.wake()
 }
 
 // StoreCounts are the calls that a store has seen.
--- a/internal/standin/store_watch.go
+++ b/internal/standin/store_watch.go
@@ -14,8 +14,7 @@
 	return s.WatchFor(ctx, kind, after, millis(s.config.WatchWaitMillis))
 }
 
-// WatchFor is Watch with a longest wait. An outage ends a waiting watch at the next
-// change only.
+// WatchFor is Watch with a longest wait.
 func (s *Store) WatchFor(ctx context.Context, kind platform.Kind, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
 	if err := s.begin(ctx, VerbWatch); err != nil {
 		return nil, after, err
