--- a/internal/adapter/enginehttp/client_test.go
+++ b/internal/adapter/enginehttp/client_test.go
@@ -272,29 +272,33 @@
 	}
 }
 
-// TestRequestIsNeverRepeated counts the requests that a listener sees which closes
-// each connection after reading.
+// TestRequestIsNeverRepeated looks at what a listener gets that closes each
+// connection after reading: one request, with nothing added to it.
 func TestRequestIsNeverRepeated(t *testing.T) {
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer ln.Close()
-	accepted := make(chan struct{}, 10)
+	requests := make(chan string, 10)
 	go func() {
 		for {
 			conn, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			accepted <- struct{}{}
-			_, _ = conn.Read(make([]byte, 4096))
+			b := make([]byte, 4096)
+			n, _ := conn.Read(b)
+			requests <- string(b[:n])
 			_ = conn.Close()
 		}
 	}()
-	_, err = newClient().Call(context.Background(), ln.Addr().String(), engine.Call{Method: "GET", URI: "/"})
+	address := ln.Addr().String()
+	call := engine.Call{Method: "PUT", URI: "/a", Body: []byte("x"), Headers: []engine.Header{{Name: "x-Own", Value: "1"}}}
+	_, err = newClient().Call(context.Background(), address, call)
 	is.True(err != nil)
 	is.True(!errors.Is(err, engine.ErrNotSent))
-	is.Equal(len(accepted), 1)
+	is.Equal(<-requests, "PUT /a HTTP/1.1\r\nHost: "+address+"\r\nContent-Length: 1\r\nx-Own: 1\r\n\r\nx")
+	is.Equal(len(requests), 0)
 }
 
 func TestCallPassesRequestThrough(t *testing.T) {
@@ -328,3 +332,18 @@
 		is.Equal(len(e.State().Models) == 1, checks)
 	}
 }
+
+func TestFrozenStreamGoesOnAfterwards(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, standin.EngineConfig{TokenMillis: 1})
+	s, err := newClient().Generate(context.Background(), e.Address(), engine.Generate{Stream: "r", Body: body})
+	is.NoErr(err)
+	first, err := s.Next()
+	is.NoErr(err)
+	e.SetFaults(standin.Faults{Freeze: true})
+	until(t, "the engine computes on", func() bool { return e.Ledger()["r"].Last == 11 })
+	e.SetFaults(standin.Faults{})
+	rest, err := texts(s)
+	is.NoErr(err)
+	is.Equal(append([]string{first.Text}, rest...), standin.ExpectedAnswer(body))
+}
