--- a/internal/testsite/start.go
+++ b/internal/testsite/start.go
@@ -96,6 +96,11 @@
 	return err
 }
 
+// ApplyAgain writes the site's own configuration as another generation.
+func (s *Site) ApplyAgain(g fleet.Generation) error {
+	return s.Apply(g, s.options.configuration(s.Standin.ListenMap()))
+}
+
 // AwaitReady waits until each daemon answers callers by the configuration.
 func (s *Site) AwaitReady(timeout time.Duration) error {
 	end := time.Now().Add(timeout)
