--- /dev/null
+++ b/internal/e2e/once_test.go
@@ -0,0 +1,169 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rattanchute/internal/outcome"
+	"rattanchute/internal/standin"
+	"rattanchute/internal/testsite"
+)
+
+// booking is what a caller was told of one non-idempotent call.
+type booking struct {
+	key     string
+	answers []testsite.Answer
+}
+
+// book calls /app/book with a key at a daemon; a lost connection is no answer.
+func book(s *testsite.Site, daemon int, key string) (testsite.Answer, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	caller := testsite.NewCaller(testsite.CallerKey, s.Daemons[daemon].Callers)
+	a, err := caller.Call(ctx, http.MethodPost, "/app/book", []byte(key),
+		testsite.Header{Name: "Idempotency-Key", Value: key})
+	return a, err == nil
+}
+
+// bookEverywhere retries each key at several daemons at once.
+func bookEverywhere(s *testsite.Site, keys, tries int) []*booking {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	bookings := make([]*booking, keys)
+	for k := range bookings {
+		b := &booking{key: fmt.Sprintf("key-%d", k)}
+		bookings[k] = b
+		for try := range tries {
+			wg.Go(func() {
+				a, ok := book(s, (k+try)%len(s.Daemons), b.key)
+				mu.Lock()
+				defer mu.Unlock()
+				if ok {
+					b.answers = append(b.answers, a)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return bookings
+}
+
+// runs adds up the services' ledgers: runs of each key.
+func runs(s *testsite.Site) map[string]int {
+	sum := map[string]int{}
+	for i := 0; ; i++ {
+		service := s.Standin.Service(fmt.Sprintf("service-%d", i))
+		if service == nil {
+			return sum
+		}
+		for key, n := range service.Ledger().Keys {
+			sum[key] += n
+		}
+	}
+}
+
+// checkOnce holds what callers were told against the services' ledgers.
+func checkOnce(t *testing.T, s *testsite.Site, bookings []*booking) {
+	t.Helper()
+	ran := runs(s)
+	for _, b := range bookings {
+		if ran[b.key] > 1 {
+			t.Errorf("%s ran %d times", b.key, ran[b.key])
+		}
+		b.check(t, ran[b.key])
+	}
+}
+
+func (b *booking) check(t *testing.T, ran int) {
+	t.Helper()
+	var body []byte
+	for _, a := range b.answers {
+		if a.Outcome == outcome.Completed && ran == 0 {
+			t.Errorf("%s: told completed, never ran", b.key)
+		}
+		if a.Outcome == outcome.Completed && body != nil && !bytes.Equal(a.Body, body) {
+			t.Errorf("%s: two answers: %s and %s", b.key, a.Body, body)
+		}
+		if a.Outcome == outcome.Completed {
+			body = a.Body
+		}
+	}
+	if ran > 0 && len(b.answers) > 0 && allNotRun(b.answers) {
+		t.Errorf("%s: ran, and all callers were told that it did not", b.key)
+	}
+}
+
+func allNotRun(answers []testsite.Answer) bool {
+	for _, a := range answers {
+		if a.Outcome != outcome.NotRun {
+			return false
+		}
+	}
+	return true
+}
+
+func TestPromiseAtMostOnce(t *testing.T) {
+	cases := []struct {
+		name    string
+		provoke func(t *testing.T, s *testsite.Site)
+	}{
+		{"several daemons at once", func(*testing.T, *testsite.Site) {}},
+		{"answers of the service lost", func(_ *testing.T, s *testsite.Site) {
+			s.Standin.Service("service-0").SetFaults(standin.Faults{CutAfterRun: true})
+		}},
+		{"answers of the store lost", func(_ *testing.T, s *testsite.Site) {
+			s.Standin.Store.SetFaults(standin.StoreFaults{LoseAnswers: 10})
+		}},
+		{"platform outage", func(_ *testing.T, s *testsite.Site) {
+			s.Standin.Store.SetFaults(standin.StoreFaults{Outage: true})
+		}},
+		{"slow platform, daemon killed", func(t *testing.T, s *testsite.Site) {
+			s.Standin.Store.SetFaults(standin.StoreFaults{DelayMillis: 50})
+			time.AfterFunc(120*time.Millisecond, func() { _ = s.Daemons[0].Kill() })
+		}},
+		{"slow platform, daemon paused", func(t *testing.T, s *testsite.Site) {
+			s.Standin.Store.SetFaults(standin.StoreFaults{DelayMillis: 50})
+			time.AfterFunc(120*time.Millisecond, func() { _ = s.Daemons[0].Signal(syscall.SIGSTOP) })
+			time.AfterFunc(4*time.Second, func() { _ = s.Daemons[0].Signal(syscall.SIGCONT) })
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := startSite(t, testsite.Options{Daemons: 3, Engines: 1, Services: 2, Engine: smallEngine, ServiceDelayMillis: 30})
+			tc.provoke(t, s)
+			bookings := bookEverywhere(s, 12, 5)
+			s.Standin.Store.SetFaults(standin.StoreFaults{})
+			s.Standin.Service("service-0").SetFaults(standin.Faults{})
+			checkOnce(t, s, bookings)
+			again := bookEverywhere(s, 12, 2)
+			checkOnce(t, s, again)
+		})
+	}
+}
+
+// TestNonIdempotentCallWithoutAKeyIsSentOnce cuts the call after the run: nothing may
+// send it again.
+func TestNonIdempotentCallWithoutAKeyIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, testsite.Options{Daemons: 1, Engines: 1, Services: 2, Engine: smallEngine})
+	total := 0
+	for _, name := range []string{"service-0", "service-1"} {
+		s.Standin.Service(name).SetFaults(standin.Faults{CutAfterRun: true})
+	}
+	caller := testsite.NewCaller(testsite.CallerKey, s.Daemons[0].Callers)
+	answer, err := caller.Call(t.Context(), http.MethodPost, "/app/book", []byte("x"))
+	is.NoErr(err)
+	is.Equal(answer.Outcome, outcome.Unknown)
+	for _, name := range []string{"service-0", "service-1"} {
+		total += s.Standin.Service(name).Ledger().Runs
+	}
+	is.Equal(total, 1)
+}
--- /dev/null
+++ b/internal/e2e/stop_test.go
@@ -0,0 +1,106 @@
+package e2e
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rattanchute/internal/standin"
+	"rattanchute/internal/testsite"
+)
+
+func TestPromiseGracefulStop(t *testing.T) {
+	cases := []struct {
+		name    string
+		jobs    []streamJob
+		provoke func(t *testing.T, s *testsite.Site)
+	}{
+		{"under load", manyJobs(30, 40), func(*testing.T, *testsite.Site) {}},
+		{"long streams, stopped twice", manyJobs(12, 400), stopAgain},
+		{"slow caller", slowJobs(6, 60), func(*testing.T, *testsite.Site) {}},
+		{"during a reclaim", manyJobs(18, 300), noticeDataCentre},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := startSite(t, testsite.Options{
+				Daemons: 3, Engines: 6, DataCentres: 3, Engine: smallEngine,
+			})
+			wait := runAll(s, tc.jobs)
+			awaitRunning(t, s, len(tc.jobs))
+			stopDaemon(t, s)
+			tc.provoke(t, s)
+			for _, r := range wait() {
+				r.check(t)
+				if r.resumes > 0 {
+					t.Errorf("%s: cut %d times", r.job.prompt, r.resumes)
+				}
+			}
+			code, err := s.Daemons[0].Wait(awaitLimit)
+			is := is.New(t)
+			is.NoErr(err)
+			is.Equal(code, 0)
+		})
+	}
+}
+
+func slowJobs(n, tokens int) []streamJob {
+	jobs := manyJobs(n, tokens)
+	for i := range jobs {
+		jobs[i].pause = 30 * time.Millisecond
+	}
+	return jobs
+}
+
+func stopDaemon(t *testing.T, s *testsite.Site) {
+	is := is.New(t)
+	is.NoErr(s.Daemons[0].Signal(syscall.SIGTERM))
+}
+
+func stopAgain(t *testing.T, s *testsite.Site) {
+	time.Sleep(100 * time.Millisecond)
+	stopDaemon(t, s)
+}
+
+// TestStoppingDaemonSaysNotRun checks that what reaches a stopping daemon is answered
+// at once with when to come back.
+func TestStoppingDaemonSaysNotRun(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, testsite.Options{Daemons: 1, Engines: 1, Engine: longEngine})
+	wait := runAll(s, manyJobs(1, 300))
+	awaitRunning(t, s, 1)
+	caller := testsite.NewCaller(testsite.CallerKey, s.Daemons[0].Callers)
+	stopDaemon(t, s)
+	var answer testsite.Answer
+	await(t, "new requests are refused", func() bool {
+		var err error
+		answer, err = caller.Call(t.Context(), "POST", "/v1/chat/completions", testsite.ChatBody("x", 1, false))
+		is.NoErr(err)
+		return answer.Status != 200
+	})
+	is.Equal(answer.Status, 503)
+	is.Equal(string(answer.Outcome), "not-run")
+	is.True(answer.RetryAfter != "")
+	for _, r := range wait() {
+		r.check(t)
+	}
+}
+
+// TestStreamLongerThanTheGraceGetsAResumeToken checks the end of the grace period: the
+// stream is ended with a token by which another daemon goes on.
+func TestStreamLongerThanTheGraceGetsAResumeToken(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, testsite.Options{
+		Daemons: 2, Engines: 2, ShutdownGrace: "100ms",
+		Engine: standin.EngineConfig{Slots: 4, TokenMillis: 10, CacheTokens: 1000, BlockTokens: 16, KeepMillis: 500},
+	})
+	wait := runAll(s, manyJobs(2, 400))
+	awaitRunning(t, s, 2)
+	stopDaemon(t, s)
+	results := wait()
+	for _, r := range results {
+		r.check(t)
+	}
+	is.True(results[0].resumes+results[1].resumes > 0) // nothing was ended early
+}
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -41,6 +41,15 @@
 	ServiceDelayMillis int
 	// RequestsPerSecond limits the first organisation; zero does not.
 	RequestsPerSecond float64
+	// ShutdownGrace is how long a stopping daemon waits; empty is half a minute.
+	ShutdownGrace string
+}
+
+func (o Options) shutdownGrace() string {
+	if o.ShutdownGrace == "" {
+		return "30s"
+	}
+	return o.ShutdownGrace
 }
 
 // Config returns the stand-in's settings and the matching configuration once the
@@ -167,10 +176,10 @@
   "peers": {"seeds": %s, "secret": {"file": %q}},
   "resume_tokens": {"keys": [{"file": %q}]},
   "operators": [{"name": "tester", "key_sha256": %q}],
-  "shutdown_grace": "30s",
+  "shutdown_grace": %q,
 }
 `, i, o.dataCentre(i), a.callers, a.peers, a.operators, platform, filepath.Join(dir, "platform"),
-		seeds, filepath.Join(dir, "peer"), filepath.Join(dir, "resume"), Digest(OperatorKey))
+		seeds, filepath.Join(dir, "peer"), filepath.Join(dir, "resume"), Digest(OperatorKey), o.shutdownGrace())
 	file := filepath.Join(dir, fmt.Sprintf("node-%d.jsonc", i))
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
