Never say 'not run' of a key whose record was not read

The refusal was true of the try and false of the request, which is the key; a caller who trusts it books again elsewhere. Change: a refusal of a keyed non-idempotent call says 'unknown' unless the key's claim was read; the message says to come back with the same key. This departs from the design's starting point, which let a store outage answer 'not run'. Ruled out: a read before each refusal (it costs a store call just when the store is down or the system sheds load); remembering keys in a daemon (a retry reaches another one).

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -54,35 +54,49 @@
 
 // Call serves a request to a plain service.
 func (s *Service) Call(ctx context.Context, ask CallAsk) (CallAnswer, *Refusal) {
-	if !s.enter() {
-		return CallAnswer{}, s.refused(refuseClosing(ask.RequestID))
+	c := &call{
+		service: s,
+		ask:     ask,
+		machine: request.NewCall(ask.RequestID, s.router.Table().Repeatable(ask.Method, ask.Path)),
 	}
-	defer s.leave()
-	answer, refusal := s.call(ctx, ask)
+	answer, refusal := c.enterAndServe(ctx)
 	if refusal != nil {
-		return CallAnswer{}, s.refused(refusal)
+		return CallAnswer{}, s.refused(c.qualify(refusal))
 	}
 	return answer, nil
 }
 
-func (s *Service) call(ctx context.Context, ask CallAsk) (CallAnswer, *Refusal) {
-	table := s.router.Table()
-	target, ok := table.FleetForPath(ask.Path)
+func (c *call) enterAndServe(ctx context.Context) (CallAnswer, *Refusal) {
+	if !c.service.enter() {
+		return CallAnswer{}, refuseClosing(c.ask.RequestID)
+	}
+	defer c.service.leave()
+	target, ok := c.service.router.Table().FleetForPath(c.ask.Path)
 	if !ok {
-		return CallAnswer{}, NewRefusal(http.StatusNotFound, ask.RequestID, "unknown_path",
+		return CallAnswer{}, NewRefusal(http.StatusNotFound, c.ask.RequestID, "unknown_path",
 			"no service answers this path").field("path")
 	}
-	c := &call{
-		service: s,
-		ask:     ask,
-		query:   route.Query{Organisation: ask.Organisation, Fleet: target.Name},
-		machine: request.NewCall(ask.RequestID, table.Repeatable(ask.Method, ask.Path)),
-	}
-	ctx, cancel := context.WithTimeout(ctx, s.timeout(ask.Timeout))
+	c.query = route.Query{Organisation: c.ask.Organisation, Fleet: target.Name}
+	ctx, cancel := context.WithTimeout(ctx, c.service.timeout(c.ask.Timeout))
 	defer cancel()
 	return c.serve(ctx)
 }
 
+// needsClaim tells whether the call runs under an at-most-once record.
+func (c *call) needsClaim() bool {
+	return !c.machine.Repeatable() && c.ask.IdempotencyKey != ""
+}
+
+// qualify makes a refusal speak for the key, not only for this try: while the key's
+// record was not read, an earlier try with it may have run.
+func (c *call) qualify(r *Refusal) *Refusal {
+	if !c.needsClaim() || c.claimed || r.Detail.Outcome != outcome.NotRun {
+		return r
+	}
+	r.Detail.Message += "; whether an earlier request with this key ran was not looked up, come back with the same key"
+	return r.with(outcome.Unknown)
+}
+
 func (c *call) serve(ctx context.Context) (CallAnswer, *Refusal) {
 	if refusal := c.admit(ctx); refusal != nil {
 		return CallAnswer{}, refusal
@@ -127,7 +141,7 @@
 // claimAndRun takes the at-most-once claim where one is needed. A non-idempotent call
 // without a key needs none: this daemon alone holds it and dispatches it once.
 func (c *call) claimAndRun(ctx context.Context) (CallAnswer, *Refusal) {
-	if !c.machine.Repeatable() && c.ask.IdempotencyKey != "" {
+	if c.needsClaim() {
 		answer, refusal, granted := c.acquire(ctx)
 		if !granted {
 			return answer, refusal
