--- a/internal/claim/committer.go
+++ b/internal/claim/committer.go
@@ -8,8 +8,9 @@
 	"github.com/alitto/pond/v2"
 )
 
-// reportWait is how long a report waits for a claim to share its write.
-const reportWait = 200 * time.Millisecond
+// reportWait is how long a report waits for a claim to share its write. Until then a
+// retry hears that the call is in progress.
+const reportWait = time.Second
 
 // waiter is an operation that waits for a group.
 type waiter struct {
