Add leases with fencing numbers

Cause: control duties need one holder at a time, and a number that tells an endpoint which of two holders is the older one. Change: package lease: Machine decides (time and write names come in, store calls go out), Runner drives it. A holder counts from before its write, others from when they first saw it; lost answers are read back by the write's name. Ruled out: comparing wall clocks of different hosts; polling faster than a third of the duration.

--- a/internal/claim/shard_test.go
+++ b/internal/claim/shard_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"flag"
 	"fmt"
 	"reflect"
 	"testing"
@@ -11,6 +12,11 @@
 	"pgregory.net/rapid"
 )
 
+// init fixes the seed of the properties; a flag on the command line wins.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+}
+
 // frameBytes is the JSON around records and fingerprints.
 const frameBytes = 64
 
--- /dev/null
+++ b/internal/lease/machine.go
@@ -0,0 +1,219 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Record is the stored value of a lease.
+type Record struct {
+	// Holder is the run of the daemon that holds the lease; empty if nobody does.
+	Holder string `json:"holder"`
+	// Fencing rises with each change of holder.
+	Fencing uint64 `json:"fencing"`
+	// Write is unique to one write, so that its effect can be told after a lost answer.
+	Write string `json:"write"`
+}
+
+// Timing is how long a lease lasts, the same on every member.
+type Timing struct {
+	// Duration is how long a lease lasts for those who watch it.
+	Duration time.Duration
+	// Margin is how much earlier the holder stops; it covers clocks that run at
+	// different rates.
+	Margin time.Duration
+}
+
+// ActionKind is what a machine wants done.
+type ActionKind int
+
+// The actions.
+const (
+	// ActionNone: nothing is to be done now.
+	ActionNone ActionKind = iota
+	// ActionRead: read the object and call Read or Missing.
+	ActionRead
+	// ActionWrite: create the object if Version is zero, else update it at that version;
+	// then call Wrote, Conflict or Unanswered.
+	ActionWrite
+)
+
+// Action is one store call to make.
+type Action struct {
+	Kind    ActionKind
+	Version uint64
+	Record  Record
+	// at is when the action was decided: a lease counts from here, before the write.
+	at time.Time
+}
+
+// Machine decides for one member and one lease. It keeps no goroutine and is not safe
+// for use from several.
+type Machine struct {
+	self   string
+	timing Timing
+	// newWrite returns a new unique name for a write.
+	newWrite func() string
+
+	// known says that version and record are what was last seen in the store, at seenAt.
+	known   bool
+	version uint64
+	record  Record
+	seenAt  time.Time
+
+	// fencing and until are the lease held; fencing is zero if none is.
+	fencing uint64
+	until   time.Time
+	// pending are the writes without an answer.
+	pending  []Action
+	released bool
+}
+
+// NewMachine makes a machine for the member self, whose name must be new for each run.
+func NewMachine(self string, timing Timing, newWrite func() string) *Machine {
+	return &Machine{self: self, timing: timing, newWrite: newWrite}
+}
+
+// Valid reports whether the lease is held now, and its fencing number.
+func (m *Machine) Valid(now time.Time) (fencing uint64, ok bool) {
+	if m.fencing == 0 || m.released || !surelyBefore(now, m.until) {
+		return 0, false
+	}
+	return m.fencing, true
+}
+
+// Release gives the lease up: it is not valid from now on, and the next action frees it.
+func (m *Machine) Release() {
+	m.released = true
+}
+
+// Next returns what to do now. A holder renews each time it is asked; others read, and
+// write once they have seen no change for the lease's duration.
+func (m *Machine) Next(now time.Time) Action {
+	if !m.known {
+		return Action{Kind: ActionRead, at: now}
+	}
+	if m.released {
+		return m.nextReleased(now)
+	}
+	if fencing, ok := m.Valid(now); ok && m.record.Holder == m.self {
+		return m.write(now, m.self, fencing)
+	}
+	if m.vacant(now) {
+		return m.write(now, m.self, m.record.Fencing+1)
+	}
+	return Action{Kind: ActionRead, at: now}
+}
+
+// nextReleased frees the lease in the store, once.
+func (m *Machine) nextReleased(now time.Time) Action {
+	if m.record.Holder != m.self {
+		return Action{Kind: ActionNone, at: now}
+	}
+	return m.write(now, "", m.record.Fencing)
+}
+
+// vacant reports whether the lease may be taken: nobody holds it, or nobody has renewed
+// it for as long as it lasts. A lease of one's own that has lapsed is vacant at once.
+func (m *Machine) vacant(now time.Time) bool {
+	if m.record.Holder == "" || m.record.Holder == m.self {
+		return true
+	}
+	return !now.Before(m.seenAt.Add(m.timing.Duration))
+}
+
+func (m *Machine) write(now time.Time, holder string, fencing uint64) Action {
+	record := Record{Holder: holder, Fencing: fencing, Write: m.newWrite()}
+	return Action{Kind: ActionWrite, Version: m.version, Record: record, at: now}
+}
+
+// Missing takes in that the object does not exist. The fencing number goes on from the
+// last one seen, should the object have been deleted.
+func (m *Machine) Missing(now time.Time) {
+	m.saw(0, Record{Fencing: m.record.Fencing}, now)
+}
+
+// Read takes in the stored object.
+func (m *Machine) Read(version uint64, value json.RawMessage, now time.Time) error {
+	var record Record
+	if err := json.Unmarshal(value, &record); err != nil {
+		return fmt.Errorf("lease value: %w", err)
+	}
+	m.saw(version, record, now)
+	for _, a := range m.pending {
+		if a.Record.Write == record.Write {
+			m.took(a)
+		}
+	}
+	if version > 0 && m.fencing > 0 && record.Fencing > m.fencing {
+		// Somebody else has taken the lease.
+		m.fencing = 0
+	}
+	return nil
+}
+
+// Wrote takes in that a write took effect, at the version it made.
+func (m *Machine) Wrote(a Action, version uint64, now time.Time) {
+	m.saw(version, a.Record, now)
+	m.took(a)
+}
+
+// Conflict takes in that a write was refused because the object has changed.
+func (m *Machine) Conflict() {
+	m.known = false
+}
+
+// Unanswered takes in that a write may or may not have taken effect, or may still.
+func (m *Machine) Unanswered(a Action) {
+	m.known = false
+	m.pending = append(m.pending, a)
+}
+
+// saw notes what is stored. The time of the first sight is kept while nothing changes.
+func (m *Machine) saw(version uint64, record Record, now time.Time) {
+	if version != m.version || m.seenAt.IsZero() {
+		m.seenAt = now
+		m.prune(version)
+	}
+	m.known = true
+	m.version = version
+	m.record = record
+}
+
+// prune forgets unanswered writes that can no longer take effect: those at a version
+// that has been replaced, but for the one that may have replaced it.
+func (m *Machine) prune(version uint64) {
+	kept := m.pending[:0]
+	for _, a := range m.pending {
+		if a.Version >= m.version {
+			kept = append(kept, a)
+		}
+	}
+	m.pending = kept
+}
+
+// took counts the lease from when the write was decided.
+func (m *Machine) took(a Action) {
+	if a.Record.Holder != m.self {
+		m.fencing = 0
+		return
+	}
+	m.fencing = a.Record.Fencing
+	m.until = a.at.Add(m.timing.Duration - m.timing.Margin)
+}
+
+// surelyBefore compares by the monotonic clock and by the wall clock: the monotonic clock
+// of a host that was suspended may have stood still.
+func surelyBefore(now, limit time.Time) bool {
+	return now.Before(limit) && now.Round(0).Before(limit.Round(0))
+}
+
+// encode returns the stored form of the record.
+func (r Record) encode() (json.RawMessage, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("lease value: %w", err)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/internal/lease/runner.go
@@ -0,0 +1,206 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+
+	"rattanchute/internal/platform"
+)
+
+// Defaults of the timing.
+const (
+	DefaultDuration = 15 * time.Second
+	DefaultMargin   = 2 * time.Second
+)
+
+// renewalsPerDuration is how many times a lease is looked at while it lasts.
+const renewalsPerDuration = 3
+
+// maxSteps limits the store calls of one round.
+const maxSteps = 4
+
+// Metrics counts what a Runner does; an adapter exports it.
+type Metrics struct {
+	// Acquired and Lost count the changes of what this member holds.
+	Acquired atomic.Uint64
+	Lost     atomic.Uint64
+	// Calls counts store calls, Unanswered those without an answer.
+	Calls      atomic.Uint64
+	Unanswered atomic.Uint64
+}
+
+// Config is what a Runner works with.
+type Config struct {
+	// Name is the name of the lease's object.
+	Name string
+	// Self names this run of the daemon, different after each start.
+	Self    string
+	Store   platform.Store
+	Timing  Timing
+	Metrics *Metrics
+	Logger  *log.Logger
+}
+
+// Runner keeps one lease for as long as it runs. Valid may be called from anywhere.
+type Runner struct {
+	config Config
+
+	mu      sync.Mutex
+	machine *Machine
+	held    bool
+}
+
+// NewRunner makes a runner; zero settings stand for the defaults.
+func NewRunner(config Config) *Runner {
+	if config.Timing == (Timing{}) {
+		config.Timing = Timing{Duration: DefaultDuration, Margin: DefaultMargin}
+	}
+	if config.Metrics == nil {
+		config.Metrics = new(Metrics)
+	}
+	if config.Logger == nil {
+		config.Logger = &log.DefaultLogger
+	}
+	machine := NewMachine(config.Self, config.Timing, uuid.NewString)
+	return &Runner{config: config, machine: machine}
+}
+
+// Valid reports whether the lease is held now, and its fencing number. It is to be asked
+// before every order.
+func (r *Runner) Valid(now time.Time) (fencing uint64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Valid(now)
+}
+
+// Run takes and renews the lease until the context ends, and then gives it up.
+func (r *Runner) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.round(ctx)
+		r.sleep(ctx)
+	}
+	r.mu.Lock()
+	r.machine.Release()
+	r.mu.Unlock()
+	r.round(context.WithoutCancel(ctx))
+}
+
+// sleep waits for the next round, a little less than a third of the duration at random,
+// so that members do not call in step.
+func (r *Runner) sleep(ctx context.Context) {
+	interval := r.config.Timing.Duration / renewalsPerDuration
+	interval -= rand.N(interval / 4)
+	select {
+	case <-ctx.Done():
+	case <-time.After(interval):
+	}
+}
+
+// round makes the store calls that are due.
+func (r *Runner) round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.config.Timing.Duration/renewalsPerDuration)
+	defer cancel()
+	read := false
+	for range maxSteps {
+		action := r.next()
+		if action.Kind == ActionNone || action.Kind == ActionRead && read {
+			break
+		}
+		if !r.perform(ctx, action) {
+			break
+		}
+		read = action.Kind == ActionRead
+	}
+	r.noteChange()
+}
+
+func (r *Runner) next() Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Next(time.Now())
+}
+
+// perform makes one store call and reports whether more may be done in this round.
+func (r *Runner) perform(ctx context.Context, action Action) bool {
+	r.config.Metrics.Calls.Add(1)
+	if action.Kind == ActionRead {
+		object, err := r.config.Store.Get(ctx, platform.KindLease, r.config.Name)
+		return r.takeRead(object, err)
+	}
+	object, err := r.put(ctx, action)
+	return r.takeWrite(action, object, err)
+}
+
+func (r *Runner) put(ctx context.Context, action Action) (platform.Object, error) {
+	value, err := action.Record.encode()
+	if err != nil {
+		return platform.Object{}, err
+	}
+	if action.Version == 0 {
+		return r.config.Store.Create(ctx, platform.KindLease, r.config.Name, value)
+	}
+	return r.config.Store.Update(ctx, platform.Object{
+		Kind:    platform.KindLease,
+		Name:    r.config.Name,
+		Version: action.Version,
+		Value:   value,
+	})
+}
+
+func (r *Runner) takeRead(object platform.Object, err error) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		r.machine.Missing(time.Now())
+		return true
+	case err != nil:
+		r.config.Metrics.Unanswered.Add(1)
+		return false
+	}
+	return r.machine.Read(object.Version, object.Value, time.Now()) == nil
+}
+
+func (r *Runner) takeWrite(action Action, object platform.Object, err error) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+		r.machine.Wrote(action, object.Version, time.Now())
+		return false
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+		r.machine.Conflict()
+		return true
+	case errors.Is(err, platform.ErrThrottled):
+		return false
+	}
+	r.config.Metrics.Unanswered.Add(1)
+	r.machine.Unanswered(action)
+	return true
+}
+
+// noteChange counts and logs when the lease was won or lost.
+func (r *Runner) noteChange() {
+	r.mu.Lock()
+	fencing, held := r.machine.Valid(time.Now())
+	changed := held != r.held
+	r.held = held
+	r.mu.Unlock()
+	if !changed {
+		return
+	}
+	if held {
+		r.config.Metrics.Acquired.Add(1)
+		r.config.Logger.Info().Str("lease", r.config.Name).Uint64("fencing", fencing).Msg("lease acquired")
+		return
+	}
+	r.config.Metrics.Lost.Add(1)
+	r.config.Logger.Info().Str("lease", r.config.Name).Msg("lease lost")
+}
--- /dev/null
+++ b/internal/lease/runner_test.go
@@ -0,0 +1,123 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rattanchute/internal/platform"
+)
+
+// fakeStore keeps one object; only the calls that a lease uses work.
+type fakeStore struct {
+	platform.Store
+	mu     sync.Mutex
+	random *rand.Rand
+	down   bool
+	lost   int
+	object platform.Object
+}
+
+func (f *fakeStore) Get(context.Context, platform.Kind, string) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.down:
+		return platform.Object{}, platform.ErrUnavailable
+	case f.object.Version == 0:
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return f.object, nil
+}
+
+func (f *fakeStore) Create(ctx context.Context, kind platform.Kind, name string, v json.RawMessage) (platform.Object, error) {
+	return f.Update(ctx, platform.Object{Kind: kind, Name: name, Value: v})
+}
+
+func (f *fakeStore) Update(_ context.Context, o platform.Object) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.down:
+		return o, platform.ErrUnavailable
+	case o.Version != f.object.Version:
+		return o, platform.ErrConflict
+	}
+	o.Version++
+	f.object = o
+	if f.random.Intn(4) == 0 {
+		f.lost++
+		return o, platform.ErrUnavailable
+	}
+	return o, nil
+}
+
+func (f *fakeStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// holder returns the only runner with a valid lease, nil if there is none.
+func holder(t *testing.T, runners []*Runner) (*Runner, uint64) {
+	var found *Runner
+	var number uint64
+	for _, r := range runners {
+		fencing, ok := r.Valid(time.Now())
+		if ok && found != nil {
+			t.Errorf("two valid holders")
+		}
+		if ok {
+			found, number = r, fencing
+		}
+	}
+	return found, number
+}
+
+// TestRunners takes a lease from runner to runner: by a graceful stop and by an outage
+// in which the holder has to let go.
+func TestRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &fakeStore{random: rand.New(rand.NewSource(1))}
+		var runners []*Runner
+		stops := map[*Runner]context.CancelFunc{}
+		for i := range 3 {
+			r := NewRunner(Config{Name: "duty", Self: fmt.Sprint("r", i), Store: store})
+			ctx, stop := context.WithCancel(context.Background())
+			stops[r] = stop
+			runners = append(runners, r)
+			go r.Run(ctx)
+		}
+		time.Sleep(10 * DefaultDuration)
+		first, number := holder(t, runners)
+		is.True(first != nil)
+
+		stops[first]()
+		time.Sleep(DefaultDuration / 2) // sooner than the lease would lapse
+		second, next := holder(t, runners)
+		is.True(second != nil && second != first)
+		is.True(next > number)
+
+		store.setDown(true)
+		time.Sleep(DefaultDuration)
+		none, _ := holder(t, runners)
+		is.Equal(none, nil)
+		store.setDown(false)
+		time.Sleep(2 * DefaultDuration)
+		third, last := holder(t, runners)
+		is.True(third != nil)
+		is.True(last > next)
+		is.True(store.lost > 0)
+		for _, stop := range stops {
+			stop()
+		}
+	})
+}
