Lease property: one fencing number never serves two members

Cause: a mutant that did not raise the number passed. Change: the property remembers who held each number. Conclusion: that mutant now fails (fencing 1 given to two members).

--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -55,6 +55,7 @@
 			members = append(members, &member{NewMachine(fmt.Sprint("m", i), testTiming, newWrite), offset})
 		}
 		var highest uint64
+		given := map[uint64]*member{}
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 300, 1500, 3000, 12000}).Draw(t, "ms")) * time.Millisecond)
 			m := members[rapid.IntRange(0, 2).Draw(t, "member")]
@@ -69,6 +70,10 @@
 				if fencing < highest {
 					t.Fatalf("order with fencing %d after %d", fencing, highest)
 				}
+				if given[fencing] != nil && given[fencing] != other {
+					t.Fatalf("fencing %d given to two members", fencing)
+				}
+				given[fencing] = other
 				if fencing > highest {
 					seen["change of holder"]++
 				}
