Refuse queued claims at once in an outage; flush reports on a graceful stop

Cause: a group that queued behind a failing one tried the store again, and a planned stop had no way to wait for deferred reports. Change: a group looks at the breaker before it starts; Service.Flush; store timeout 500 ms; tests for an outage answered without a wait, for an abandoned claim taken back, and for one shard count on all daemons. Ruled out: nothing. Conclusion: an outage costs no caller a wait beyond the first failing group.

--- a/internal/claim/backlog.go
+++ b/internal/claim/backlog.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"context"
+	"fmt"
 	"sync"
 	"time"
 )
@@ -25,6 +27,10 @@
 	timer   *time.Timer
 	running sync.WaitGroup
 	closed  bool
+	// empty is closed once no report is left; nil while nobody waits for that.
+	empty chan struct{}
+	// sending is the number of reports in the round under way.
+	sending int
 }
 
 // add keeps a report, unless the backlog is full or closed.
@@ -57,6 +63,7 @@
 	b.mu.Lock()
 	ops := b.ops
 	b.ops = nil
+	b.sending = len(ops)
 	b.mu.Unlock()
 
 	left := b.sendAll(ops)
@@ -64,7 +71,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.timer = nil
+	b.sending = 0
 	b.ops = append(left, b.ops...)
+	b.signalEmpty()
 	b.metrics.Backlog.Store(int64(len(b.ops)))
 	b.wait = min(2*b.wait, maxBacklogWait)
 	if len(left) == 0 {
@@ -91,11 +100,40 @@
 	return left
 }
 
-// size returns the number of reports that wait.
+// signalEmpty wakes those who wait for an empty backlog.
+func (b *backlog) signalEmpty() {
+	if b.empty == nil || len(b.ops) > 0 {
+		return
+	}
+	close(b.empty)
+	b.empty = nil
+}
+
+// flush waits until no report is left.
+func (b *backlog) flush(ctx context.Context) error {
+	b.mu.Lock()
+	if len(b.ops)+b.sending == 0 {
+		b.mu.Unlock()
+		return nil
+	}
+	if b.empty == nil {
+		b.empty = make(chan struct{})
+	}
+	empty := b.empty
+	b.mu.Unlock()
+	select {
+	case <-empty:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%d reports not recorded: %w", b.size(), ctx.Err())
+	}
+}
+
+// size returns the number of reports that are not settled.
 func (b *backlog) size() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.ops)
+	return len(b.ops) + b.sending
 }
 
 // close stops sending and waits for the round that is under way.
--- a/internal/claim/fakestore_test.go
+++ b/internal/claim/fakestore_test.go
@@ -14,6 +14,8 @@
 type fakeStore struct {
 	latency time.Duration
 	faults  *faults // nil: none
+	// lostThenDown makes the next write take effect unanswered and begins an outage.
+	lostThenDown bool
 
 	mu      sync.Mutex
 	version uint64
@@ -44,6 +46,11 @@
 
 func (f *fakeStore) Update(_ context.Context, o platform.Object) (platform.Object, error) {
 	switch {
+	case f.lostThenDown:
+		f.lostThenDown = false
+		f.apply(o)
+		f.faults.setDown(true)
+		return o, platform.ErrUnavailable
 	case f.faults.isDown():
 		return o, platform.ErrUnavailable
 	case f.faults.draw("store throttled", 0.03):
@@ -133,7 +140,7 @@
 func (f *faults) setDown(down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.down = down && !f.quiet
+	f.down = down
 }
 
 // calm ends all faults.
--- a/internal/claim/faults_test.go
+++ b/internal/claim/faults_test.go
@@ -80,13 +80,15 @@
 		w.daemons = append(w.daemons, w.newDaemon(fmt.Sprintf("d%d", i)))
 	}
 	stop := make(chan struct{})
-	go w.outages(stop)
+	var outages sync.WaitGroup
+	outages.Go(func() { w.outages(stop) })
 	var callers sync.WaitGroup
 	for range worldCallers {
 		callers.Go(w.caller)
 	}
 	callers.Wait()
 	close(stop)
+	outages.Wait()
 	w.calm()
 	time.Sleep(time.Minute)
 	for _, d := range w.daemons {
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -151,6 +151,12 @@
 	return s.backlog.size()
 }
 
+// Flush waits until every report of the backlog is recorded, or the context ends. A
+// graceful stop calls it after the last request and before Close.
+func (s *Service) Flush(ctx context.Context) error {
+	return s.backlog.flush(ctx)
+}
+
 // Close ends the service. What waits is refused; reports in the backlog are lost, which
 // leaves their keys unknown.
 func (s *Service) Close() {
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"math/rand"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -31,3 +34,46 @@
 	is.Equal(s.Release(ctx, testKey("k2"), "t4"), nil)
 	is.Equal(s.Acquire(ctx, testKey("k2"), "t6").Kind, InProgress)
 }
+
+// TestStoreDownIsRefusedAtOnce checks that an outage is answered without a wait and that
+// a claim left behind by an attempt that was given up is taken back afterwards.
+func TestStoreDownIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &faults{random: rand.New(rand.NewSource(1)), counts: map[string]int{}, quiet: true}
+		store := newFakeStore(f)
+		s := NewService(Config{Member: "a", Writer: "a/1", Store: store, Settings: Settings{Shards: 1}})
+		defer s.Close()
+		ctx := context.Background()
+		is.Equal(s.Acquire(ctx, testKey("k0"), "t0").Kind, Granted)
+
+		store.lostThenDown = true
+		start := time.Now()
+		lost := s.Acquire(ctx, testKey("k1"), "t1")
+		is.Equal(lost.Kind, Refused)
+		is.True(lost.MayStand)
+		next := s.Acquire(ctx, testKey("k2"), "t2")
+		is.Equal(next.Kind, Refused)
+		is.True(next.RetryAfter() > 0)
+		is.Equal(time.Since(start), 0*time.Second)
+		is.Equal(s.Complete(ctx, testKey("k0"), "t0", 200, nil), ErrDeferred)
+
+		f.setDown(false)
+		is.NoErr(s.Flush(ctx))
+		is.Equal(s.Acquire(ctx, testKey("k1"), "t3").Kind, Granted)
+		is.Equal(s.Acquire(ctx, testKey("k0"), "t4").Kind, Completed)
+	})
+}
+
+func TestStoredShardCountWins(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore(nil)
+	a := NewService(Config{Member: "a", Writer: "a/1", Store: store, Settings: Settings{Shards: 8}})
+	b := NewService(Config{Member: "b", Writer: "b/1", Store: store, Settings: Settings{Shards: 64}})
+	defer a.Close()
+	defer b.Close()
+	for _, name := range []string{"k1", "k2", "k3", "k4"} {
+		is.Equal(a.Acquire(context.Background(), testKey(name), "a"+name).Kind, Granted)
+		is.Equal(b.Acquire(context.Background(), testKey(name), "b"+name).Kind, InProgress)
+	}
+}
--- a/internal/claim/settings.go
+++ b/internal/claim/settings.go
@@ -7,7 +7,7 @@
 	DefaultShards         = 64
 	DefaultMaxWait        = 100 * time.Millisecond
 	DefaultGroupTarget    = 24
-	DefaultStoreTimeout   = time.Second
+	DefaultStoreTimeout   = 500 * time.Millisecond
 	DefaultForwardTimeout = 2 * time.Second
 	DefaultMaxWaiting     = 4096
 	DefaultMaxBacklog     = 16384
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -43,6 +43,10 @@
 // depend on a write are returned only once the write is known to have taken effect: by
 // its answer, or by reading back a value that holds the attempt.
 func (s *shardStore) commit(ops []Op) []Result {
+	if wait := s.breaker.wait(time.Now()); wait > 0 {
+		// The store has failed while the group was waiting.
+		return refuseOps(ops, wait, false)
+	}
 	s.metrics.Groups.Add(1)
 	s.metrics.GroupedOps.Add(uint64(len(ops)))
 	var state attempted
--- a/internal/claim/verify.go
+++ b/internal/claim/verify.go
@@ -18,15 +18,16 @@
 
 // verify checks what must hold between a shard and its successor.
 func verify(before *Shard, a Applied, ops []Op, now time.Time) error {
+	withdrawn := withdrawals(ops)
 	for i, op := range ops {
 		id := op.Key.ID()
-		if what := verifyRecord(before, a.Shard, ops, id, now); what != "" {
+		if what := verifyRecord(before, a.Shard, withdrawn, id, now); what != "" {
 			return &InvariantError{What: what, ID: id}
 		}
 		if a.Results[i].Kind != Granted {
 			continue
 		}
-		if what := verifyGrant(before, a.Shard, ops, op); what != "" {
+		if what := verifyGrant(before, a.Shard, withdrawn, op); what != "" {
 			return &InvariantError{What: what, ID: id}
 		}
 	}
@@ -38,9 +39,12 @@
 
 // verifyRecord checks that a claim stays with its attempt until that is withdrawn or the
 // key may be forgotten.
-func verifyRecord(before, after *Shard, ops []Op, id ID, at time.Time) string {
+func verifyRecord(before, after *Shard, withdrawn map[holding]bool, id ID, at time.Time) string {
 	old, had := before.records[id]
-	if !had || isWithdrawn(old, ops) || old.age(at) >= FingerprintWindow {
+	if !had || old.State == StateWithdrawn || withdrawn[holding{id, old.Attempt}] {
+		return ""
+	}
+	if old.age(at) >= FingerprintWindow {
 		return ""
 	}
 	now, has := after.records[id]
@@ -58,13 +62,12 @@
 }
 
 // verifyGrant checks that a grant is backed by a record, and not given for a used key.
-func verifyGrant(before, after *Shard, ops []Op, op Op) string {
+func verifyGrant(before, after *Shard, withdrawn map[holding]bool, op Op) string {
 	id := op.Key.ID()
 	r, has := after.records[id]
+	holds := has && r.Attempt == op.Attempt
 	switch {
-	case !has && !withdraws(ops, id, op.Attempt):
-		return "granted without a record"
-	case has && r.Attempt != op.Attempt && !withdraws(ops, id, op.Attempt):
+	case !holds && !withdrawn[holding{id, op.Attempt}]:
 		return "granted without holding the record"
 	case after.hasPrint(id.fingerprint()) && before.hasPrint(id.fingerprint()):
 		return "granted a key that was used"
@@ -72,17 +75,19 @@
 	return ""
 }
 
-// isWithdrawn reports whether a claim was withdrawn before or by the operations.
-func isWithdrawn(r Record, ops []Op) bool {
-	return r.State == StateWithdrawn || withdraws(ops, r.ID, r.Attempt)
+// holding is a claim by an attempt.
+type holding struct {
+	id      ID
+	attempt string
 }
 
-// withdraws reports whether an attempt withdraws its claim among the operations.
-func withdraws(ops []Op, id ID, attempt string) bool {
+// withdrawals returns the claims that are withdrawn among the operations.
+func withdrawals(ops []Op) map[holding]bool {
+	withdrawn := map[holding]bool{}
 	for _, op := range ops {
-		if op.Kind == OpWithdraw && op.Attempt == attempt && op.Key.ID() == id {
-			return true
+		if op.Kind == OpWithdraw {
+			withdrawn[holding{op.Key.ID(), op.Attempt}] = true
 		}
 	}
-	return false
+	return withdrawn
 }
