--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -49,7 +49,9 @@
 	mu         sync.Mutex
 	layout     layout
 	committers map[int]*Committer
-	closed     bool
+	// silent holds until when members that did not answer are passed over.
+	silent map[string]time.Time
+	closed bool
 }
 
 // NewService makes a service; nothing is read or written before the first operation.
@@ -65,6 +67,7 @@
 		config:     config,
 		pool:       pond.NewPool(config.Settings.Writers),
 		committers: map[int]*Committer{},
+		silent:     map[string]time.Time{},
 	}
 	s.backlog = &backlog{limit: config.Settings.MaxBacklog, send: s.settle, metrics: config.Metrics}
 	return s
@@ -151,6 +154,12 @@
 	return s.backlog.size()
 }
 
+// Flush waits until every report of the backlog is recorded, or the context ends. A
+// graceful stop calls it after the last request and before Close.
+func (s *Service) Flush(ctx context.Context) error {
+	return s.backlog.flush(ctx)
+}
+
 // Close ends the service. What waits is refused; reports in the backlog are lost, which
 // leaves their keys unknown.
 func (s *Service) Close() {
