--- /dev/null
+++ b/internal/policybench/fakeengine.go
@@ -0,0 +1,173 @@
+package policybench
+
+import (
+	"slices"
+	"time"
+
+	"rattanchute/internal/engine"
+	"rattanchute/internal/fleet"
+)
+
+// connectTime is how long a refused connection or an error at once takes.
+const connectTime = 2 * time.Millisecond
+
+// fakeEngine has slots, one prefill at a time, a fixed time a token, a prefix cache and
+// a load report that lags.
+type fakeEngine struct {
+	clock    *clock
+	site     *Site
+	endpoint fleet.Endpoint
+	cache    *prefixCache
+	queue    []*attempt
+	prefills []*attempt
+	running  int
+	busy     bool
+	stopped  bool
+	failing  bool
+	active   []*attempt
+	report   engine.Load
+	// onPrefill is told what was computed of a request's prompt.
+	onPrefill func(r *request, cached int)
+}
+
+// attempt is one try of a request at one engine.
+type attempt struct {
+	request  *request
+	engine   *fakeEngine
+	priority int
+	began    time.Time
+	started  bool
+	ended    bool
+	// The node's handlers.
+	onFirst func()
+	onDone  func()
+	onFail  func(cut bool)
+}
+
+func (e *fakeEngine) submit(a *attempt) {
+	a.engine, a.began = e, e.clock.now
+	if e.stopped || e.failing {
+		e.clock.after(connectTime, func() { a.fail(e.stopped) })
+		return
+	}
+	e.active = append(slices.DeleteFunc(e.active, (*attempt).over), a)
+	at := len(e.queue)
+	for at > 0 && e.queue[at-1].priority < a.priority {
+		at--
+	}
+	e.queue = slices.Insert(e.queue, at, a)
+	e.start()
+}
+
+func (a *attempt) over() bool { return a.ended }
+
+func (a *attempt) fail(cut bool) {
+	if !a.ended {
+		a.ended = true
+		a.onFail(cut)
+	}
+}
+
+// start gives free slots to the queue.
+func (e *fakeEngine) start() {
+	for len(e.queue) > 0 && e.running < e.site.Slots {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		if next.ended {
+			continue
+		}
+		next.started = true
+		e.running++
+		e.prefills = append(e.prefills, next)
+	}
+	e.prefill()
+}
+
+func (e *fakeEngine) prefill() {
+	if e.stopped || e.busy || len(e.prefills) == 0 {
+		return
+	}
+	a := e.prefills[0]
+	e.prefills = e.prefills[1:]
+	if a.ended {
+		e.release()
+		return
+	}
+	e.busy = true
+	hit := e.cache.use(a.request)
+	e.onPrefill(a.request, hit)
+	computed := a.request.contextTokens() - hit
+	took := time.Duration(float64(computed) / e.site.PrefillRate * float64(time.Second))
+	e.clock.after(took, func() { e.decode(a) })
+}
+
+func (e *fakeEngine) decode(a *attempt) {
+	e.busy = false
+	if a.ended || e.stopped {
+		e.release()
+		return
+	}
+	a.request.decoding = e.clock.now
+	a.onFirst()
+	left := a.request.outputTokens - a.request.generated
+	took := time.Duration(max(left-1, 0)) * e.site.TokenTime
+	e.clock.after(took, func() { e.finish(a) })
+	e.prefill()
+}
+
+func (e *fakeEngine) finish(a *attempt) {
+	if e.stopped {
+		return
+	}
+	if !a.ended {
+		a.ended = true
+		a.onDone()
+	}
+	e.release()
+}
+
+func (e *fakeEngine) release() {
+	e.running--
+	e.start()
+}
+
+// cancel takes back an attempt that has not got a slot; one that has runs to its end.
+func (a *attempt) cancel() { a.ended = true }
+
+// publish renews the report that others read.
+func (e *fakeEngine) publish() {
+	e.report = engine.Load{
+		Running: e.running, Queued: e.waiting(), Slots: e.site.Slots,
+		QueuedTokens: e.queuedTokens(), TokensPerSecond: e.site.PrefillRate, At: e.clock.now,
+	}
+}
+
+func (e *fakeEngine) waiting() int {
+	count := 0
+	for _, a := range e.queue {
+		if !a.ended {
+			count++
+		}
+	}
+	return count
+}
+
+func (e *fakeEngine) queuedTokens() int {
+	tokens := 0
+	for _, waiting := range [][]*attempt{e.queue, e.prefills} {
+		for _, a := range waiting {
+			if !a.ended {
+				tokens += a.request.contextTokens() - e.cache.peek(a.request)
+			}
+		}
+	}
+	return tokens
+}
+
+// stop ends the engine with all that it runs.
+func (e *fakeEngine) stop() {
+	e.stopped = true
+	for _, a := range e.active {
+		a.fail(true)
+	}
+}
--- /dev/null
+++ b/internal/policybench/measured.go
@@ -0,0 +1,160 @@
+package policybench
+
+import (
+	"slices"
+	"time"
+
+	"rattanchute/internal/route"
+)
+
+// measured counts what happens in the measured time. Requests count by their arrival.
+type measured struct {
+	clock          *clock
+	from           time.Time
+	offered        int
+	good           int
+	inTarget       int
+	refused        int
+	lateCount      int
+	failedCount    int
+	failedAttempts int
+	attempts       int
+	priceSum       float64
+	computed       int
+	recomputed     int
+	firsts         []time.Duration
+	offeredBy      map[string]int
+	goodBy         map[string]int
+	ended          int
+	// onEnd, if set, follows each request that is over.
+	onEnd func()
+}
+
+// Result is what one run measured.
+type Result struct {
+	// Goodput is answers a second whose first token came before the caller gave up.
+	Goodput float64
+	// Throughput is answers that ended in the measured time, a second.
+	Throughput float64
+	// InTarget is the part of the good answers with the first token within the target.
+	InTarget float64
+	// P95 is of the first token of the good answers, in seconds.
+	P95 float64
+	// Recomputed is prompt tokens computed again, for each offered request.
+	Recomputed float64
+	// Refused, Late and Failed are parts of the offered requests.
+	Refused float64
+	Late    float64
+	Failed  float64
+	// FailedAttempts is for each offered request.
+	FailedAttempts float64
+	// Price is the mean price of the hosts over attempts, in thousandths an hour.
+	Price float64
+	// ServedBy is the good part of each organisation's requests.
+	ServedBy map[string]float64
+}
+
+func newMeasured(c *clock) *measured {
+	return &measured{clock: c, from: epoch.Add(warmUp), offeredBy: make(map[string]int), goodBy: make(map[string]int)}
+}
+
+func (m *measured) counts(r *request) bool { return m.within(r.arrived) }
+
+func (m *measured) running() bool { return m.within(m.clock.now) }
+
+func (m *measured) within(at time.Time) bool {
+	return !at.Before(m.from) && at.Before(m.from.Add(measuredTime))
+}
+
+func (m *measured) offer(r *request) {
+	if m.counts(r) {
+		m.offered++
+		m.offeredBy[r.organisation]++
+	}
+}
+
+func (m *measured) over() {
+	if m.onEnd != nil {
+		m.clock.after(time.Millisecond, m.onEnd)
+	}
+}
+
+func (m *measured) refuse(r *request) {
+	if m.counts(r) {
+		m.refused++
+	}
+	m.over()
+}
+
+func (m *measured) late(r *request) {
+	if m.counts(r) {
+		m.lateCount++
+	}
+	m.over()
+}
+
+func (m *measured) fail(r *request) {
+	if m.counts(r) {
+		m.failedCount++
+	}
+	m.over()
+}
+
+func (m *measured) attempt(choice route.Choice, price int64) {
+	if m.running() {
+		m.attempts++
+		m.priceSum += float64(price)
+	}
+}
+
+func (m *measured) prefill(computed, again int) {
+	if m.running() {
+		m.computed += computed
+		m.recomputed += again
+	}
+}
+
+func (m *measured) complete(r *request) {
+	if m.running() {
+		m.ended++
+	}
+	if m.counts(r) {
+		m.good++
+		m.goodBy[r.organisation]++
+		m.firsts = append(m.firsts, r.first)
+		if r.first <= route.FirstTokenTarget {
+			m.inTarget++
+		}
+	}
+	m.over()
+}
+
+func (m *measured) result(rate float64) Result {
+	seconds := measuredTime.Seconds()
+	offered := float64(max(m.offered, 1))
+	result := Result{
+		Goodput:        float64(m.good) / seconds,
+		Throughput:     float64(m.ended) / seconds,
+		InTarget:       float64(m.inTarget) / float64(max(m.good, 1)),
+		P95:            percentile(m.firsts, 0.95).Seconds(),
+		Recomputed:     float64(m.recomputed) / offered,
+		Refused:        float64(m.refused) / offered,
+		Late:           float64(m.lateCount) / offered,
+		Failed:         float64(m.failedCount) / offered,
+		FailedAttempts: float64(m.failedAttempts) / offered,
+		Price:          m.priceSum / float64(max(m.attempts, 1)),
+		ServedBy:       make(map[string]float64),
+	}
+	for name, count := range m.offeredBy {
+		result.ServedBy[name] = float64(m.goodBy[name]) / float64(count)
+	}
+	return result
+}
+
+func percentile(values []time.Duration, part float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[int(part*float64(len(sorted)-1))]
+}
--- a/internal/route/affinity.go
+++ b/internal/route/affinity.go
@@ -1,78 +1,97 @@
 package route
 
-import (
-	"math"
-	"math/bits"
-)
+import "slices"
 
-// ranking holds the best endpoints of a key in rendezvous order.
-type ranking struct {
-	index [affinityRanks]int
-	score [affinityRanks]uint64
-	count int
+// affinity finds an endpoint by the prompt's prefixes. Each prefix narrows the
+// candidates to as many, in rendezvous order, as its share of the requests needs, the
+// shortest prefix first; the last one orders what is left. The first that is eligible
+// and under its bounded load is taken, so that one prefix neither piles up on one
+// endpoint nor moves when another endpoint leaves.
+func (d *decision) affinity() contender {
+	if len(d.q.PrefixHashes) == 0 || d.off.has(MechanismAffinity) {
+		return noContender
+	}
+	ranks, width := d.narrow()
+	if width > 1 {
+		return d.spread(&ranks, width)
+	}
+	return d.firstUnderBound(ranks.index[:ranks.count])
 }
 
-// rank finds the endpoints with the highest rendezvous scores for the key.
-func (c *candidates) rank(key uint64) ranking {
-	r := c.rankAbove(key, c.threshold())
-	if r.count < affinityRanks {
-		return c.rankAbove(key, 0)
+// narrow ranks the endpoints and tells how many of the first ones share the requests.
+func (d *decision) narrow() (ranking, int) {
+	var filters filters
+	prefixes := d.q.PrefixHashes
+	level := 0
+	width := d.width(prefixes[0])
+	for width > affinityRanks && level+1 < len(prefixes) && filters.add(prefixes[level], width, len(d.list.hash)) {
+		level++
+		width = d.width(prefixes[level])
 	}
-	return r
+	ranks := d.list.rank(prefixes[level], &filters)
+	width = min(width, ranks.count)
+	for level+1 < len(prefixes) && width > 1 {
+		level++
+		ranks.reorder(d.list.hash, prefixes[level], width)
+		width = min(width, d.width(prefixes[level]))
+	}
+	return ranks, width
 }
 
-// threshold is a score that about expectedAbove endpoints exceed: it spares a long
-// list most of the insertions.
-func (c *candidates) threshold() uint64 {
-	const expectedAbove = 4 * affinityRanks
-	if len(c.hash) <= expectedAbove {
-		return 0
-	}
-	return math.MaxUint64 - math.MaxUint64/uint64(len(c.hash))*expectedAbove
+// width is how many endpoints the requests with the prefix need.
+func (d *decision) width(prefix uint64) int {
+	share := d.popularity.share(prefix)
+	return max(int(share*float64(len(d.list.hash))*loadFactor+0.5), 1)
 }
 
-func (c *candidates) rankAbove(key, lowest uint64) ranking {
-	var r ranking
-	offset, factor := mix(key), mix(key+1)|1
-	for i, hash := range c.hash {
-		high, low := bits.Mul64(hash^offset, factor)
-		if score := high ^ low; score > lowest {
-			lowest = max(lowest, r.insert(i, score))
-		}
+// spread takes the better of two random ones of the first ranks.
+func (d *decision) spread(ranks *ranking, width int) contender {
+	first := below(mix(d.rnd+2), width)
+	second := (first + 1 + below(mix(d.rnd+3), width-1)) % width
+	order := [2]int{ranks.index[first], ranks.index[second]}
+	a, b := d.underBound(order[0]), d.underBound(order[1])
+	switch {
+	case a.index >= 0 && b.index >= 0:
+		return d.better(a, b)
+	case a.index >= 0:
+		return a
+	case b.index >= 0:
+		return b
+	default:
+		return d.firstUnderBound(ranks.index[:ranks.count])
 	}
-	return r
 }
 
-// insert places an endpoint and returns the score that the next one must exceed.
-func (r *ranking) insert(index int, score uint64) uint64 {
-	if r.count < affinityRanks {
-		r.count++
-	}
-	at := r.count - 1
-	for at > 0 && r.score[at-1] < score {
-		r.index[at], r.score[at] = r.index[at-1], r.score[at-1]
-		at--
+func (d *decision) firstUnderBound(order []int) contender {
+	for _, index := range order {
+		if c := d.underBound(index); c.index >= 0 {
+			return c
+		}
 	}
-	r.index[at], r.score[at] = index, score
-	return r.score[affinityRanks-1]
+	return noContender
 }
 
-// affinity finds the first endpoint in rendezvous order of the shortest prefix that
-// is eligible and under its bounded load.
-func (d *decision) affinity() contender {
-	if len(d.q.PrefixHashes) == 0 || d.off.has(MechanismAffinity) {
+// underBound weighs an endpoint if it is eligible and under its bounded load.
+func (d *decision) underBound(index int) contender {
+	if !d.eligible(index) {
 		return noContender
 	}
-	ranks := d.list.rank(d.q.PrefixHashes[0])
-	for _, index := range ranks.index[:ranks.count] {
-		if !d.eligible(index) {
-			continue
-		}
-		c := d.weigh(index)
-		if d.off.has(MechanismBoundedLoad) || c.load < d.bound(d.list.targets[index].info.slots) {
-			return c
-		}
-		d.trace.overLoad(index)
+	c := d.weigh(index)
+	if d.off.has(MechanismBoundedLoad) || c.load < d.bound(d.list.targets[index].info.slots) {
+		return c
 	}
+	d.trace.overLoad(index)
 	return noContender
 }
+
+// reorder puts the first ranks in the rendezvous order of another key.
+func (r *ranking) reorder(hashes []uint64, key uint64, width int) {
+	k := newRendezvousKey(key)
+	first := r.index[:width]
+	slices.SortFunc(first, func(a, b int) int {
+		if k.score(hashes[a]) > k.score(hashes[b]) {
+			return -1
+		}
+		return 1
+	})
+}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// FirstTokenTarget is the time to first token within which price decides.
+	// FirstTokenTarget is the time to first token that a request should see.
 	FirstTokenTarget = 470 * time.Millisecond
+	// priceSlack is the difference of expected first tokens within which price decides.
+	priceSlack = FirstTokenTarget / 10
 	// loadFactor bounds the load of an affinity choice to a multiple of the mean.
 	loadFactor = 1.25
 	// affinityFloor is the share of its slots up to which an endpoint always takes
@@ -49,7 +51,9 @@
 		return Choice{}, ErrNoSelector
 	}
 	list.observePrompt(q.PromptTokens)
-	d := decision{now: now, rnd: rnd, q: &q, list: list, cache: r.cache, mean: list.meanLoad(now), off: r.off, records: true}
+	list.popularity.observe(now, q.PrefixHashes)
+	d := r.decision(now, rnd, &q, list)
+	d.records = true
 	best := d.decide()
 	if best.index < 0 {
 		return Choice{}, ErrNoEndpoint
@@ -63,12 +67,14 @@
 
 // decision is one run of the policy; Choose and Explain share it.
 type decision struct {
-	now   time.Time
-	rnd   uint64
-	q     *Query
-	list  *liveList
-	cache *cacheIndex
-	mean  float64
+	now  time.Time
+	rnd  uint64
+	q    *Query
+	list *liveList
+	// The list's parts that are read often.
+	popularity *popularity
+	cache      *cacheIndex
+	mean       float64
 	// records: the choice is real, so that what it looked at is noted.
 	records bool
 	off     Mechanism
@@ -76,6 +82,13 @@
 	trace *trace
 }
 
+func (r *Router) decision(now time.Time, rnd uint64, q *Query, list *liveList) decision {
+	return decision{
+		now: now, rnd: rnd, q: q, list: list, off: r.off,
+		popularity: list.popularity, cache: r.cache, mean: list.meanLoad(now),
+	}
+}
+
 // contender is an endpoint that is weighed; index -1 stands for none.
 type contender struct {
 	index    int
@@ -186,9 +199,9 @@
 	return -1
 }
 
-// better takes the cheaper of two that are both in time, else the sooner.
+// better takes the sooner of two; of two in time that hardly differ, the cheaper.
 func (d *decision) better(a, b contender) contender {
-	if !d.off.has(MechanismPrice) && a.expected <= FirstTokenTarget && b.expected <= FirstTokenTarget {
+	if !d.off.has(MechanismPrice) && tied(a, b) {
 		priceA := d.list.targets[a.index].info.host.PricePerHour
 		priceB := d.list.targets[b.index].info.host.PricePerHour
 		if priceA != priceB {
@@ -201,6 +214,11 @@
 	return pick(a.load <= b.load, a, b)
 }
 
+func tied(a, b contender) bool {
+	inTime := max(a.expected, b.expected) <= FirstTokenTarget
+	return inTime && (a.expected-b.expected).Abs() <= priceSlack
+}
+
 func pick(first bool, a, b contender) contender {
 	if first {
 		return a
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -71,10 +71,8 @@
 		return Explanation{Error: ErrNoSelector.Error(), Endpoints: v.refusals(q)}
 	}
 	t := &trace{contenders: make(map[int]contender), over: make(map[int]bool)}
-	d := decision{
-		now: now, rnd: mix(uint64(now.UnixNano())), q: &q,
-		list: list, cache: r.cache, mean: list.meanLoad(now), off: r.off, trace: t,
-	}
+	d := r.decision(now, mix(uint64(now.UnixNano())), &q, list)
+	d.trace = t
 	best := d.decide()
 	explanation := Explanation{MeanLoad: d.mean, Endpoints: v.refusals(q)}
 	for index := range list.targets {
--- /dev/null
+++ b/internal/route/rank.go
@@ -0,0 +1,121 @@
+package route
+
+import (
+	"math"
+	"math/bits"
+)
+
+// rendezvousKey scores endpoints for a prefix.
+type rendezvousKey struct {
+	offset, factor uint64
+}
+
+func newRendezvousKey(prefix uint64) rendezvousKey {
+	return rendezvousKey{mix(prefix), mix(prefix+1) | 1}
+}
+
+func (k rendezvousKey) score(hash uint64) uint64 {
+	high, low := bits.Mul64(hash^k.offset, k.factor)
+	return high ^ low
+}
+
+// ranking holds the best endpoints of a key in rendezvous order.
+type ranking struct {
+	index [affinityRanks]int
+	score [affinityRanks]uint64
+	count int
+}
+
+// maxFilters bounds the popular prefixes that narrow the candidates.
+const maxFilters = 3
+
+// filters keep the endpoints whose scores for popular prefixes are high.
+type filters struct {
+	keys   [maxFilters]rendezvousKey
+	lowest [maxFilters]uint64
+	count  int
+	passed float64 // part of the endpoints that pass, expected
+}
+
+// add keeps about width of n endpoints; it reports false if there is no room.
+func (f *filters) add(prefix uint64, width, n int) bool {
+	if f.count == maxFilters {
+		return false
+	}
+	part := min(float64(width)/float64(n), 1)
+	if f.count > 0 {
+		part = min(part/f.passed, 1)
+	} else {
+		f.passed = 1
+	}
+	f.passed *= part
+	f.keys[f.count] = newRendezvousKey(prefix)
+	f.lowest[f.count] = uint64((1 - part) * math.MaxUint64)
+	f.count++
+	return true
+}
+
+func (f *filters) pass(hash uint64) bool {
+	for i := range f.count {
+		if f.keys[i].score(hash) < f.lowest[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// rank finds the endpoints with the highest scores for the prefix among those that
+// pass the filters.
+func (c *candidates) rank(prefix uint64, f *filters) ranking {
+	if f.count == 0 {
+		r := c.rankAbove(prefix, c.threshold())
+		if r.count == affinityRanks {
+			return r
+		}
+		return c.rankAbove(prefix, 0)
+	}
+	var r ranking
+	lowest := uint64(0)
+	key := newRendezvousKey(prefix)
+	for i, hash := range c.hash {
+		if score := key.score(hash); score > lowest && f.pass(hash) {
+			lowest = r.insert(i, score)
+		}
+	}
+	return r
+}
+
+// threshold is a score that about expectedAbove endpoints exceed: it spares a long
+// list most of the insertions.
+func (c *candidates) threshold() uint64 {
+	const expectedAbove = 4 * affinityRanks
+	if len(c.hash) <= expectedAbove {
+		return 0
+	}
+	return math.MaxUint64 - math.MaxUint64/uint64(len(c.hash))*expectedAbove
+}
+
+func (c *candidates) rankAbove(prefix, lowest uint64) ranking {
+	var r ranking
+	key := newRendezvousKey(prefix)
+	for i, hash := range c.hash {
+		if score := key.score(hash); score > lowest {
+			lowest = max(lowest, r.insert(i, score))
+		}
+	}
+	return r
+}
+
+// insert places an endpoint and returns the score that the next one must exceed.
+func (r *ranking) insert(index int, score uint64) uint64 {
+	if r.count < affinityRanks {
+		r.count++
+	}
+	at := r.count - 1
+	for at > 0 && r.score[at-1] < score {
+		r.index[at], r.score[at] = r.index[at-1], r.score[at-1]
+		at--
+	}
+	r.index[at], r.score[at] = index, score
+	return r.score[affinityRanks-1]
+}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -16,10 +16,11 @@
 	cache           *cacheIndex
 	off             Mechanism
 
-	// mu guards the two maps and the change of view; what they hold has its own locks.
+	// mu guards the maps and the change of view; what they hold has its own locks.
 	mu        sync.RWMutex
 	endpoints map[string]*endpointState
 	hosts     map[string]*hostState
+	fleets    map[string]*popularity
 }
 
 // Result is how an attempt ended.
@@ -41,6 +42,7 @@
 		cache:           newCacheIndex(),
 		endpoints:       make(map[string]*endpointState),
 		hosts:           make(map[string]*hostState),
+		fleets:          make(map[string]*popularity),
 	}
 	r.SetTable(Compile(&fleet.Configuration{}))
 	return r
@@ -70,7 +72,7 @@
 		v.add(r.newTarget(&table.endpoints[i], region))
 	}
 	for key, list := range table.lists {
-		v.lists[key] = v.liveList(list)
+		v.lists[key] = v.liveList(list, r.popularityLocked(key.fleet))
 	}
 	return v
 }
@@ -106,8 +108,8 @@
 	v.byName[t.info.endpoint.Name] = t
 }
 
-func (v *view) liveList(list *candidates) *liveList {
-	live := &liveList{candidates: list, targets: make([]*target, len(list.endpoint))}
+func (v *view) liveList(list *candidates, popularity *popularity) *liveList {
+	live := &liveList{candidates: list, targets: make([]*target, len(list.endpoint)), popularity: popularity}
 	for i, index := range list.endpoint {
 		live.targets[i] = v.targets[index]
 	}
@@ -132,6 +134,15 @@
 	return state
 }
 
+func (r *Router) popularityLocked(fleetName string) *popularity {
+	p := r.fleets[fleetName]
+	if p == nil {
+		p = &popularity{}
+		r.fleets[fleetName] = p
+	}
+	return p
+}
+
 func (r *Router) hostLocked(name string) *hostState {
 	host := r.hosts[name]
 	if host == nil {
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -39,7 +39,8 @@
 // liveList is a candidate list with the state of its endpoints.
 type liveList struct {
 	*candidates
-	targets []*target
+	targets    []*target
+	popularity *popularity
 	// mean and usable are as of meanAt, in Unix nanoseconds.
 	meanAt     atomic.Int64
 	meanBits   atomic.Uint64
