Admit by requests in flight; keep own requests over a repeated load report

Cause: the expected first token lags, so that eight nodes overfilled the fleet by turns; a report read twice forgot the node's own requests begun since; the expected first token of a long prompt looked like a queue; a small organisation at the limit had no room of its own. Change: a window of requests in flight per fleet follows the expected wait slowly; priority and fair share add room to it; a report counts once; a choice is weighed by the first token and the prefill that others wait for.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -29,6 +29,8 @@
 	Priority int
 	// ExpectedFirstToken is that of the best endpoint.
 	ExpectedFirstToken time.Duration
+	// ExpectedPrefill is the part of it that the request's own prompt takes.
+	ExpectedPrefill time.Duration
 	// Deadline is when the caller gives up; zero means never.
 	Deadline time.Time
 }
@@ -94,12 +96,27 @@
 		if f == nil {
 			f = newFleetLoad()
 		}
-		f.configure(cfg.Organisations)
+		f.configure(cfg.Organisations, slotsOf(cfg, declared))
+		f.setMembers(a.members)
 		next.fleets[declared.Name] = f
 	}
 	a.state.Store(next)
 }
 
+func slotsOf(cfg *fleet.Configuration, declared fleet.Fleet) int {
+	slots := declared.SlotsPerEndpoint
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	total := 0
+	for _, endpoint := range cfg.Endpoints {
+		if endpoint.Fleet == declared.Name {
+			total += slots
+		}
+	}
+	return total
+}
+
 // SetMembers tells how many entry hosts are live, this one included.
 func (a *Admitter) SetMembers(now time.Time, count int) {
 	a.mu.Lock()
@@ -108,6 +125,9 @@
 	for _, o := range a.state.Load().organisations {
 		o.setMembers(now, a.members)
 	}
+	for _, f := range a.state.Load().fleets {
+		f.setMembers(a.members)
+	}
 }
 
 // Admit decides at once; an admitted request must be given back by Done.
--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -8,21 +9,41 @@
 )
 
 const (
-	// LatencyTarget is the expected first token up to which everything is admitted.
+	// LatencyTarget is the time to first token that a request should see.
 	LatencyTarget = 470 * time.Millisecond
-	// maxPriority is the last priority to be shed.
-	maxPriority = 9
+	// waitTarget is the expected wait at an endpoint that the window settles at.
+	waitTarget = LatencyTarget / 2
+	// windowGain is how fast the window follows the wait, a second.
+	windowGain = 0.15
+	// maxWindowStep bounds the time that one update of the window accounts for.
+	maxWindowStep = time.Second
+	// windowRoom is how far the window may exceed the requests in flight.
+	windowRoom = 2
+	// minWindowShare is the part of this member's share of the slots that the window keeps.
+	minWindowShare = 0.25
+	// priorityStep is the part of the window that each priority adds.
+	priorityStep = 0.1
+	maxPriority  = 9
 	// drainWindow is the time over which ended and shed requests are averaged.
 	drainWindow = 2 * time.Second
 	// activeFor is how long after its last request an organisation counts in the shares.
 	activeFor = 5 * time.Second
 	// defaultRetryAfter is used until the drain rate is known.
 	defaultRetryAfter = time.Second
+	// defaultSlots is taken for an endpoint of a fleet that declares none.
+	defaultSlots = 64
 )
 
 // fleetLoad is what this member knows of its own requests in one fleet.
 type fleetLoad struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// window is the number of requests in flight that the fleet serves without a queue
+	// for this member, as far as is known.
+	window   float64
+	windowAt time.Time
+	// fair is this member's part of the fleet's slots.
+	fair     float64
+	slots    int
 	usage    map[string]*usage
 	inFlight int
 	ended    meter
@@ -38,9 +59,10 @@
 
 func newFleetLoad() *fleetLoad { return &fleetLoad{usage: make(map[string]*usage)} }
 
-func (f *fleetLoad) configure(organisations []fleet.Organisation) {
+func (f *fleetLoad) configure(organisations []fleet.Organisation, slots int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.slots = slots
 	old := f.usage
 	f.usage = make(map[string]*usage, len(organisations))
 	for _, declared := range organisations {
@@ -60,6 +82,16 @@
 	}
 }
 
+// setMembers sets this member's part of the fleet's slots; the window starts there.
+func (f *fleetLoad) setMembers(members int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fair = max(float64(f.slots)/float64(members), 1)
+	if f.window == 0 {
+		f.window = f.fair
+	}
+}
+
 func (f *fleetLoad) admit(now time.Time, ask *Ask) Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -68,28 +100,42 @@
 		return Decision{Code: CodeUnknownOrganisation}
 	}
 	u.asked = now
+	f.follow(now, ask.ExpectedFirstToken-ask.ExpectedPrefill)
 	if !ask.Deadline.IsZero() && now.Add(ask.ExpectedFirstToken).After(ask.Deadline) {
 		return f.refuse(now, CodeDeadline, ask.ExpectedFirstToken-ask.Deadline.Sub(now))
 	}
-	limit := firstTokenLimit(ask.Priority, f.overShare(now, u))
-	if ask.ExpectedFirstToken > limit {
-		return f.refuse(now, CodeOverloaded, ask.ExpectedFirstToken-limit)
+	limit := f.limit(ask.Priority, f.overShare(now, u))
+	if float64(f.inFlight) >= limit {
+		return f.refuse(now, CodeOverloaded, 0)
 	}
 	u.inFlight++
 	f.inFlight++
 	return Decision{Admitted: true}
 }
 
-// firstTokenLimit is the expected first token up to which a request is admitted. It
-// rises with the priority, from one to two latency targets; within a priority, an
-// organisation over its share has the lower one.
-func firstTokenLimit(priority int, overShare bool) time.Duration {
-	step := 2 * min(max(priority, 0), maxPriority)
+// follow lets the window grow while the expected wait is under its target and shrink
+// while it is over. The requests in flight are known without a lag, so that the window
+// holds a full fleet steady although the wait is learned late.
+func (f *fleetLoad) follow(now time.Time, wait time.Duration) {
+	elapsed := min(now.Sub(f.windowAt), maxWindowStep)
+	if elapsed <= 0 {
+		return
+	}
+	f.windowAt = now
+	excess := min(max(float64(wait)/float64(waitTarget)-1, -1), 1)
+	f.window *= math.Exp(-windowGain * excess * elapsed.Seconds())
+	room := windowRoom * max(float64(f.inFlight), f.fair)
+	f.window = max(min(f.window, room), minWindowShare*f.fair)
+}
+
+// limit is the number in flight up to which a request is admitted. It rises with the
+// priority; within its share an organisation has the limit of the next one.
+func (f *fleetLoad) limit(priority int, overShare bool) float64 {
+	step := min(max(priority, 0), maxPriority)
 	if !overShare {
 		step++
 	}
-	const steps = 2*maxPriority + 1
-	return LatencyTarget + LatencyTarget*time.Duration(step)/steps
+	return f.window * (1 + priorityStep*float64(step))
 }
 
 // overShare reports whether one more request takes the organisation over its weighted
--- a/internal/policybench/node.go
+++ b/internal/policybench/node.go
@@ -61,7 +61,8 @@
 	}
 	decision := n.admitter.Admit(n.now(), admit.Ask{
 		Organisation: r.organisation, Fleet: fleetName, Priority: choice.Priority,
-		ExpectedFirstToken: choice.ExpectedFirstToken, Deadline: r.arrived.Add(patience),
+		ExpectedFirstToken: choice.ExpectedFirstToken, ExpectedPrefill: choice.ExpectedPrefill,
+		Deadline: r.arrived.Add(patience),
 	})
 	if !decision.Admitted && !n.run.variant.NoAdmission {
 		n.run.measured.refuse(r)
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -42,6 +42,8 @@
 	Endpoint           fleet.Endpoint
 	Priority           int
 	ExpectedFirstToken time.Duration
+	// ExpectedPrefill is the part of it that the prompt itself takes, without waiting.
+	ExpectedPrefill time.Duration
 }
 
 // Choose decides which endpoint answers. The random word settles the two choices.
@@ -93,9 +95,14 @@
 type contender struct {
 	index    int
 	expected time.Duration
+	prefill  time.Duration
 	load     float64
 }
 
+// cost is the expected first token and, for the others whose prompts wait meanwhile, the
+// time that the prompt is computed once more.
+func (c contender) cost() time.Duration { return c.expected + c.prefill }
+
 var noContender = contender{index: -1}
 
 func (d *decision) choice(c contender) Choice {
@@ -103,18 +110,19 @@
 		Endpoint:           d.list.targets[c.index].info.endpoint,
 		Priority:           d.list.priority[c.index],
 		ExpectedFirstToken: c.expected,
+		ExpectedPrefill:    c.prefill,
 	}
 }
 
 // decide prefers the affinity choice while its first token is expected in time, and
-// otherwise the sooner of that and the better of two random ones.
+// otherwise that or the better of two random ones, whichever costs less.
 func (d *decision) decide() contender {
 	affine := d.affinity()
 	if affine.index >= 0 && affine.expected <= FirstTokenTarget {
 		return affine
 	}
 	random := d.twoChoices()
-	if affine.index < 0 || (random.index >= 0 && random.expected < affine.expected) {
+	if affine.index < 0 || (random.index >= 0 && random.cost() < affine.cost()) {
 		return random
 	}
 	return affine
@@ -132,9 +140,10 @@
 	}
 	e := t.state.estimate(d.now, d.mean, t.info.slots, d.list.meanPrompt())
 	tokens := float64(d.q.PromptTokens - d.cached(t.info.hash))
-	expected := e.firstToken(t.state.meanDuration(), tokens)
-	expected += t.network + time.Duration(t.state.failures.Load())*failurePenalty
-	c := contender{index: index, expected: expected, load: e.requests}
+	prefill := e.prefill(tokens) + t.network
+	penalty := time.Duration(t.state.failures.Load()) * failurePenalty
+	expected := e.wait(t.state.meanDuration()) + prefill + penalty
+	c := contender{index: index, expected: expected, prefill: prefill, load: e.requests}
 	d.trace.weighed(c)
 	return c
 }
@@ -199,7 +208,8 @@
 	return -1
 }
 
-// better takes the sooner of two; of two in time that hardly differ, the cheaper.
+// better takes the one of two that costs less time; of two in time that hardly differ,
+// the one with the lower price.
 func (d *decision) better(a, b contender) contender {
 	if !d.off.has(MechanismPrice) && tied(a, b) {
 		priceA := d.list.targets[a.index].info.host.PricePerHour
@@ -208,8 +218,8 @@
 			return pick(priceA < priceB, a, b)
 		}
 	}
-	if a.expected != b.expected {
-		return pick(a.expected < b.expected, a, b)
+	if a.cost() != b.cost() {
+		return pick(a.cost() < b.cost(), a, b)
 	}
 	return pick(a.load <= b.load, a, b)
 }
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -47,7 +47,7 @@
 	next := &report{load: load, inFlight: s.inFlight.Load(), received: now}
 	for {
 		last := s.report.Load()
-		if last.newerThan(next) {
+		if last.supersedes(next) {
 			return
 		}
 		if s.report.CompareAndSwap(last, next) {
@@ -119,17 +119,24 @@
 	return e
 }
 
-// firstToken is the expected time until the first token of a prompt of which some
-// tokens are already cached.
-func (e *estimate) firstToken(duration, tokens float64) time.Duration {
-	prefill := (e.queuedTokens + tokens) / e.prefillRate
+// prefill is how long the endpoint computes prompt tokens.
+func (e *estimate) prefill(tokens float64) time.Duration {
+	return time.Duration(tokens / e.prefillRate * float64(time.Second))
+}
+
+// wait is the expected time until the endpoint begins with one more prompt.
+func (e *estimate) wait(duration float64) time.Duration {
 	excess := max(e.requests+1-e.slots, 0)
-	wait := excess / e.slots * duration
-	return time.Duration((prefill + wait) * float64(time.Second))
+	queued := excess / e.slots * duration
+	return e.prefill(e.queuedTokens) + time.Duration(queued*float64(time.Second))
 }
 
-// newerThan reports whether a report that came in later was made earlier. Past its
-// age a report counts for nothing, also when the engine's clock was set back.
-func (last *report) newerThan(next *report) bool {
-	return last != nil && next.load.At.Before(last.load.At) && next.received.Sub(last.received) <= maxReportAge
+// supersedes reports whether a report that came in later was made earlier or is the
+// same one again, which says nothing of the requests begun since. Past its age a report
+// counts for nothing, also when the engine's clock was set back.
+func (last *report) supersedes(next *report) bool {
+	if last == nil || next.received.Sub(last.received) > maxReportAge {
+		return false
+	}
+	return !next.load.At.After(last.load.At) && !next.load.At.IsZero()
 }
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,233 @@
+package route
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rattanchute/internal/engine"
+	"rattanchute/internal/fleet"
+)
+
+func newTestRouter(cfg *fleet.Configuration) *Router {
+	r := NewRouter(dataCentreName(0))
+	r.SetTable(Compile(cfg))
+	return r
+}
+
+func TestMatches(t *testing.T) {
+	endpoint, host := fleet.Labels{"tier": "gold"}, fleet.Labels{"tier": "iron", "class": "a"}
+	tests := []struct {
+		requirement fleet.Requirement
+		want        bool
+	}{
+		{fleet.Requirement{Label: "tier", Op: fleet.OpIn, Values: []string{"gold"}}, true},
+		{fleet.Requirement{Label: "tier", Op: fleet.OpIn, Values: []string{"iron"}}, false},
+		{fleet.Requirement{Label: "class", Op: fleet.OpIn, Values: []string{"a", "b"}}, true},
+		{fleet.Requirement{Label: "class", Op: fleet.OpNotIn, Values: []string{"a"}}, false},
+		{fleet.Requirement{Label: "none", Op: fleet.OpNotIn, Values: []string{"a"}}, true},
+		{fleet.Requirement{Label: "class", Op: fleet.OpExists}, true},
+		{fleet.Requirement{Label: "none", Op: fleet.OpExists}, false},
+		{fleet.Requirement{Label: "none", Op: fleet.OpAbsent}, true},
+		{fleet.Requirement{Label: "class", Op: "like"}, false},
+	}
+	for _, test := range tests {
+		got := matches([]fleet.Requirement{test.requirement}, endpoint, host)
+		if got != test.want {
+			t.Errorf("%+v: %v", test.requirement, got)
+		}
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	table := Compile(&fleet.Configuration{Fleets: []fleet.Fleet{{Calls: []fleet.Call{
+		{Method: "POST", Path: "/renew/quote", Repeatable: true},
+		{Method: "GET", Path: "/renew/fee", Repeatable: false},
+		{Method: "PUT", Path: "/renew/*", Repeatable: true},
+		{Method: "PUT", Path: "/renew/slots/*", Repeatable: false},
+	}}}})
+	tests := []struct {
+		method, path string
+		want         bool
+	}{
+		{"post", "/renew/quote?id=1", true},
+		{"POST", "/renew/book", false},
+		{"GET", "/renew/fee", false},
+		{"GET", "/renew/%66ee", false},
+		{"GET", "/renew//fee", false},
+		{"GET", "/renew/x/../fee", false},
+		{"GET", "/renew/other", true},
+		{"HEAD", "/", true},
+		{"OPTIONS", "/renew/", true},
+		{"DELETE", "/renew/a", false},
+		{"PUT", "/renew/a", true},
+		{"PUT", "/renew/slots/1", false},
+		{"PATCH", "/renew/a", false},
+	}
+	for _, test := range tests {
+		if got := table.Repeatable(test.method, test.path); got != test.want {
+			t.Errorf("%s %s: %v", test.method, test.path, got)
+		}
+	}
+}
+
+func TestTableLookups(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfiguration(4, 2, 1)
+	cfg.Fleets = append(cfg.Fleets,
+		fleet.Fleet{Name: "app", Kind: fleet.FleetService, PathPrefix: "/renew/"},
+		fleet.Fleet{Name: "fees", Kind: fleet.FleetService, PathPrefix: "/renew/fees/"})
+	cfg.Selectors[0].Organisations = []fleet.Requirement{{Label: "kind", Op: fleet.OpAbsent}}
+	cfg.Organisations[1].Labels = fleet.Labels{"kind": "guest"}
+	table := Compile(cfg)
+	f, ok := table.FleetForPath("/renew/fees/1")
+	is.True(ok && f.Name == "fees")
+	f, ok = table.FleetForPath("/renew/a")
+	is.True(ok && f.Name == "app")
+	_, ok = table.FleetForPath("/other")
+	is.True(!ok)
+	organisation, ok := table.OrganisationByKeyHash("key-1")
+	is.True(ok && organisation.Name == "org-1")
+	f, ok = table.FleetForModel("org-0", "m")
+	is.True(ok && f.Name == "llm")
+	_, ok = table.FleetForModel("org-1", "m")
+	is.True(!ok)
+	is.Equal(table.Models("org-0"), []string{"m"})
+	is.Equal(len(table.Models("org-1")), 0)
+}
+
+func TestPriorityIsTheHighestThatAllows(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfiguration(4, 1, 3)
+	cfg.Selectors[2].DataCentres = []string{"elsewhere"}
+	choice, err := newTestRouter(cfg).Choose(testStart, 1, testQuery())
+	is.NoErr(err)
+	is.Equal(choice.Priority, 1)
+}
+
+func TestExplainGivesEachReason(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfiguration(10, 1, 1)
+	cfg.Selectors[0].DataCentres = []string{dataCentreName(0), dataCentreName(1)}
+	cfg.Selectors[0].Endpoints = []fleet.Requirement{{Label: "tier", Op: fleet.OpNotIn, Values: []string{"5"}}}
+	r := newTestRouter(cfg)
+	// Candidates are the runners 0, 1, 4, 8 and 9.
+	r.SetHostState(fleet.HostState{Host: "host-0000", Instance: "1", Phase: fleet.PhaseLeaving})
+	for range failuresToEject {
+		r.End(testStart, "runner-0001", Result{Failed: true})
+	}
+	q := testQuery(7)
+	q.Exclude = []string{"runner-0004"}
+	explanation := r.Explain(testStart, q)
+	reasons := make(map[string]Reason)
+	for _, line := range explanation.Endpoints {
+		reasons[line.Endpoint] = line.Reason
+	}
+	is.Equal(len(reasons), 10)
+	is.Equal(reasons["runner-0000"], ReasonLeaving)
+	is.Equal(reasons["runner-0001"], ReasonEjected)
+	is.Equal(reasons["runner-0002"], ReasonWrongDataCentre)
+	is.Equal(reasons["runner-0004"], ReasonExcluded)
+	is.Equal(reasons["runner-0005"], ReasonNoSelector)
+	choice, err := r.Choose(testStart, 1, q)
+	is.NoErr(err)
+	is.Equal(explanation.Choice, choice)
+	is.Equal(reasons[choice.Endpoint.Name], ReasonChosen)
+	q.Organisation = "nobody"
+	is.Equal(r.Explain(testStart, q).Error, ErrNoSelector.Error())
+	_, err = r.Choose(testStart, 1, q)
+	is.True(errors.Is(err, ErrNoSelector))
+}
+
+func TestRepeatedReportKeepsOwnRequests(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(testConfiguration(1, 1, 1))
+	state := r.state("runner-0000")
+	r.ObserveLoad(testStart, "runner-0000", testLoad(testStart, 3))
+	r.Begin("runner-0000")
+	later := testStart.Add(time.Second)
+	r.ObserveLoad(later, "runner-0000", testLoad(testStart, 3))
+	e := state.estimate(later, 0, testSlots, 0)
+	is.Equal(e.requests, 4.0)
+	r.ObserveLoad(later, "runner-0000", testLoad(later, 9))
+	r.ObserveLoad(later, "runner-0000", testLoad(testStart, 1))
+	e = state.estimate(later, 0, testSlots, 0)
+	is.Equal(e.requests, 9.0)
+	e = state.estimate(later.Add(maxReportAge+1), 20, testSlots, 0)
+	is.Equal(e.requests, 20.0)
+}
+
+// TestPopularPrefixIsSpread: half of the requests share one prefix; with idle endpoints
+// it goes to about half of them, and a rare prefix to one.
+func TestPopularPrefixIsSpread(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(testConfiguration(12, 1, 1))
+	popular, rare := make(map[string]bool), make(map[string]bool)
+	for i := range uint64(400) {
+		choice, err := r.Choose(testStart, mix(i), testQuery(7, 8))
+		is.NoErr(err)
+		popular[choice.Endpoint.Name] = true
+		_, err = r.Choose(testStart, mix(i), testQuery(mix(i+1000), mix(i+5000)))
+		is.NoErr(err)
+	}
+	for i := range uint64(5) {
+		choice, err := r.Choose(testStart, mix(i), testQuery(9))
+		is.NoErr(err)
+		rare[choice.Endpoint.Name] = true
+	}
+	is.True(len(popular) >= 6 && len(popular) <= affinityRanks)
+	is.Equal(len(rare), 1)
+}
+
+func TestCacheEvents(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(testConfiguration(2, 1, 1))
+	hash := hashName("runner-0000")
+	r.ObserveCache("runner-0000", []engine.CacheEvent{{Prefix: 1}, {Prefix: 2}})
+	is.True(r.cache.holds(1, hash) && r.cache.holds(2, hash))
+	r.ObserveCache("runner-0000", []engine.CacheEvent{{Prefix: 2, Dropped: true}})
+	is.True(r.cache.holds(1, hash) && !r.cache.holds(2, hash))
+	is.True(!r.cache.holds(1, hashName("runner-0001")))
+}
+
+func TestStaleCandidates(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(testConfiguration(3, 1, 1))
+	r.SetHostState(fleet.HostState{Host: "host-0002", Instance: "1", Phase: fleet.PhaseGone})
+	is.Equal(len(r.StaleCandidates(testStart, 1)), 1)
+	is.Equal(len(r.StaleCandidates(testStart, 5)), 1)
+	is.Equal(len(r.StaleCandidates(testStart, 5)), 0)
+	for _, name := range []string{"runner-0000", "runner-0001"} {
+		r.ObserveLoad(testStart, name, testLoad(testStart, 1))
+	}
+	later := testStart.Add(2 * freshReport)
+	is.Equal(len(r.StaleCandidates(later, 5)), 0)
+	_, err := r.Choose(later, 1, testQuery())
+	is.NoErr(err)
+	is.Equal(len(r.StaleCandidates(later, 5)), 2)
+}
+
+func TestTableChangeKeepsState(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfiguration(2, 1, 1)
+	r := newTestRouter(cfg)
+	r.Begin("runner-0000")
+	r.Begin("runner-0001")
+	r.End(testStart, "runner-0001", Result{OK: true})
+	r.SetTable(Compile(&fleet.Configuration{}))
+	is.Equal(r.state("runner-0000").inFlight.Load(), int32(1))
+	is.True(r.state("runner-0001") == nil)
+	r.SetTable(Compile(cfg))
+	r.End(testStart, "runner-0000", Result{OK: true})
+	r.End(testStart, "runner-0000", Result{OK: true})
+	is.Equal(r.state("runner-0000").inFlight.Load(), int32(0))
+}
+
+func TestChooseDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(testConfiguration(100, 1, 1))
+	q := testQuery(1, 2, 3)
+	is.Equal(testing.AllocsPerRun(100, func() { _, _ = r.Choose(testStart, 1, q) }), 0.0)
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -8,6 +8,9 @@
 	"rattanchute/internal/fleet"
 )
 
+// defaultSlots is taken for an endpoint of a fleet that declares none.
+const defaultSlots = 64
+
 // Table is what one configuration says about routing. It is immutable.
 type Table struct {
 	generation    fleet.Generation
@@ -90,11 +93,18 @@
 			host:       host,
 			dataCentre: dataCentres[host.DataCentre],
 			hash:       hashName(endpoint.Name),
-			slots:      max(t.fleets[endpoint.Fleet].SlotsPerEndpoint, 1),
+			slots:      slotsOf(t.fleets[endpoint.Fleet]),
 		})
 	}
 }
 
+func slotsOf(f fleet.Fleet) int {
+	if f.SlotsPerEndpoint > 0 {
+		return f.SlotsPerEndpoint
+	}
+	return defaultSlots
+}
+
 // Generation is the configuration's.
 func (t *Table) Generation() fleet.Generation { return t.generation }
 
