--- /dev/null
+++ b/internal/adapter/peerhttp/peerhttp_test.go
@@ -0,0 +1,207 @@
+package peerhttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/member"
+	"rattanchute/internal/platform"
+	"rattanchute/internal/spread"
+	"rattanchute/internal/spread/spreadtest"
+)
+
+var secret = Secret("a secret of sixteen bytes")
+
+func listen(t *testing.T, s *Server) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	return l.Addr().String()
+}
+
+func newPair(t *testing.T, client Secret) (*Server, *Client, string) {
+	t.Helper()
+	s, err := NewServer(secret, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := NewClient(client, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, c, listen(t, s)
+}
+
+func TestPostReachesTheHandler(t *testing.T) {
+	is := is.New(t)
+	s, c, address := newPair(t, secret)
+	s.Handle("/peer/v1/echo", func(_ context.Context, body []byte) ([]byte, error) { return body, nil })
+	s.Handle("/peer/v1/busy", func(context.Context, []byte) ([]byte, error) {
+		return nil, &StatusError{Status: fasthttp.StatusConflict, Message: "busy"}
+	})
+	var out string
+	is.NoErr(c.Post(context.Background(), address, "/peer/v1/echo", "hello", &out))
+	is.Equal(out, "hello")
+
+	var status *StatusError
+	is.True(errors.As(c.Post(context.Background(), address, "/peer/v1/busy", 1, &out), &status))
+	is.Equal(status.Status, fasthttp.StatusConflict)
+	is.True(errors.As(c.Post(context.Background(), address, "/peer/v1/none", 1, &out), &status))
+	is.Equal(status.Status, fasthttp.StatusNotFound)
+}
+
+func TestForeignSecretIsRejected(t *testing.T) {
+	is := is.New(t)
+	s, c, address := newPair(t, Secret("another secret, also long"))
+	called := false
+	s.Handle("/peer/v1/echo", func(context.Context, []byte) ([]byte, error) {
+		called = true
+		return nil, nil
+	})
+	_, err := c.PostBytes(context.Background(), address, "/peer/v1/echo", nil)
+	is.True(errors.Is(err, ErrRejected))
+	is.True(!called)
+	_, err = NewServer(Secret("short"), nil)
+	is.True(errors.Is(err, ErrSecretTooShort))
+}
+
+func TestRequestSignatureCoversPathBodyAndTime(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	header, signature := secret.signRequest(now, "/p", []byte("b"))
+	for _, ok := range []struct {
+		now        time.Time
+		path, body string
+		want       bool
+	}{
+		{now, "/p", "b", true},
+		{now, "/q", "b", false},
+		{now, "/p", "c", false},
+		{now.Add(MaxClockSkew + time.Second), "/p", "b", false},
+	} {
+		_, got := secret.verifyRequest(ok.now, header, ok.path, []byte(ok.body))
+		is.Equal(got, ok.want)
+	}
+	answer := secret.signAnswer(signature, 200, []byte("x"))
+	is.True(secret.verifyAnswer(answer, signature, 200, []byte("x")))
+	is.True(!secret.verifyAnswer(answer, signature, 200, []byte("y")))
+	is.True(!secret.verifyAnswer(answer, "other", 200, []byte("x")))
+}
+
+func TestUnsignedAnswerIsRefused(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	impostor := &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) { c.SetBodyString(`"forged"`) }}
+	go func() { _ = impostor.Serve(l) }()
+	defer func() { _ = impostor.Shutdown() }()
+	c, err := NewClient(secret, nil)
+	is.NoErr(err)
+	_, err = c.PostBytes(context.Background(), l.Addr().String(), "/p", nil)
+	is.True(errors.Is(err, ErrForged))
+}
+
+func TestUnreachablePeerIsNotSent(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	c, err := NewClient(secret, nil)
+	is.NoErr(err)
+	_, err = c.PostBytes(context.Background(), address, "/p", nil)
+	is.True(errors.Is(err, ErrNotSent))
+}
+
+// daemon is a runner behind a server.
+type daemon struct {
+	runner *spread.Runner
+	client *Client
+}
+
+func startDaemon(t *testing.T, i int, store platform.Store, seeds []string) (daemon, string) {
+	t.Helper()
+	s, c, address := newPair(t, secret)
+	r := spread.NewRunner(spread.RunnerSettings{
+		Machine: spread.Settings{
+			Self:        member.Member{Name: fmt.Sprint("node-", i), Address: address, DataCentre: "dc", Incarnation: uint64(time.Now().UnixMilli())},
+			Seeds:       seeds,
+			OnViolation: func(text string) { t.Errorf("violation: %s", text) },
+		},
+		Transport: Transport{Client: c},
+		Store:     store,
+		Seed:      uint64(i + 1),
+	})
+	s.Handle(PathSpread, SpreadHandler(r.Receive))
+	r.Start()
+	t.Cleanup(r.Stop)
+	return daemon{r, c}, address
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(time.Minute); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func TestRunnersConvergeOverHTTP(t *testing.T) {
+	is := is.New(t)
+	store := spreadtest.NewStore()
+	put := func(g fleet.Generation, text string) {
+		value, err := json.Marshal(spread.StoredConfiguration{Generation: g, Text: text})
+		is.NoErr(err)
+		_, err = store.Create(context.Background(), platform.KindConfiguration, fmt.Sprint(g), value)
+		is.NoErr(err)
+	}
+	put(1, "one")
+	first, address := startDaemon(t, 0, store, nil)
+	all := []daemon{first}
+	for i := range 3 {
+		d, _ := startDaemon(t, i+1, store, []string{address})
+		all = append(all, d)
+	}
+	at := func(g fleet.Generation) func() bool {
+		return func() bool {
+			for _, d := range all {
+				if got, _ := d.runner.Configuration(); got != g {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, "generation 1 everywhere", at(1))
+	eventually(t, "four members", func() bool { return len(all[3].runner.Members()) == 4 })
+	put(2, "two")
+	eventually(t, "generation 2 everywhere", at(2))
+
+	store.SetDown(true)
+	late, _ := startDaemon(t, 9, store, []string{address})
+	<-late.runner.Ready()
+	generation, text := late.runner.Configuration()
+	is.Equal(generation, fleet.Generation(2)) // from peers, with the platform down
+	is.Equal(string(text), "two")
+	all = append(all, late)
+
+	store.SetDown(false)
+	is.NoErr(all[1].runner.Leave(context.Background()))
+	eventually(t, "the departed member is not live", func() bool { return len(first.runner.Members()) == 4 })
+	first.runner.LocalHostState(fleet.HostState{Host: "h", Instance: "i", Phase: fleet.PhaseLeaving})
+	eventually(t, "leaving known", func() bool { return len(late.runner.HostStates()) == 1 })
+}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"rattanchute/internal/spread/digest"
@@ -34,6 +35,7 @@
 
 type entry struct {
 	record Member
+	bucket int
 	// suspectedAt is when this node learned of the suspicion.
 	suspectedAt time.Time
 	dead        bool
@@ -48,10 +50,12 @@
 	self    Member
 	timing  Timing
 	entries map[string]*entry
+	// ordered holds the entries by name.
+	ordered []*entry
 	set     digest.Set
-	sorted  []string
 	live    []Member
-	stale   bool
+	// stale says that live must be computed anew.
+	stale bool
 }
 
 // NewTable returns a table that knows only its own node.
@@ -79,13 +83,21 @@
 	return e.record, e.live(), true
 }
 
+// All returns all records by name.
+func (t *Table) All() []Member {
+	out := make([]Member, 0, len(t.ordered))
+	for _, e := range t.ordered {
+		out = append(out, e.record)
+	}
+	return out
+}
+
 // Bucket returns the records of one bucket of the set.
 func (t *Table) Bucket(bucket int) []Member {
-	t.refresh()
 	var out []Member
-	for _, name := range t.sorted {
-		if digest.BucketOf(name) == bucket {
-			out = append(out, t.entries[name].record)
+	for _, e := range t.ordered {
+		if e.bucket == bucket {
+			out = append(out, e.record)
 		}
 	}
 	return out
@@ -154,15 +166,14 @@
 
 // Advance lets time pass: unrefuted suspicions become deaths and old records go.
 func (t *Table) Advance(now time.Time) []Change {
-	t.refresh()
 	var out []Change
-	for _, name := range t.sorted {
-		e := t.entries[name]
-		if name == t.self.Name || e.record.State == StateAlive {
+	var old []*entry
+	for _, e := range t.ordered {
+		if e.record.State == StateAlive || e.record.Name == t.self.Name {
 			continue
 		}
 		if e.record.age(now) > t.timing.ForgetAfter {
-			t.remove(e)
+			old = append(old, e)
 			continue
 		}
 		if e.live() && now.Sub(e.suspectedAt) >= t.timing.SuspectTimeout {
@@ -171,21 +182,32 @@
 			out = append(out, Change{Member: e.record})
 		}
 	}
+	for _, e := range old {
+		t.remove(e)
+	}
 	return out
 }
 
 // Live returns the live members by name, this node included. It must not be changed.
 func (t *Table) Live() []Member {
-	t.refresh()
+	if !t.stale {
+		return t.live
+	}
+	t.stale = false
+	t.live = make([]Member, 0, len(t.ordered))
+	for _, e := range t.ordered {
+		if e.live() {
+			t.live = append(t.live, e.record)
+		}
+	}
 	return t.live
 }
 
 // Dead returns the members that were found dead and have not departed, by name.
 func (t *Table) Dead() []Member {
-	t.refresh()
 	var out []Member
-	for _, name := range t.sorted {
-		if e := t.entries[name]; e.dead {
+	for _, e := range t.ordered {
+		if e.dead {
 			out = append(out, e.record)
 		}
 	}
@@ -194,8 +216,13 @@
 
 func (t *Table) put(e *entry) {
 	name := e.record.Name
-	if old, ok := t.entries[name]; ok {
-		t.set.Toggle(name, old.record.encode())
+	e.bucket = digest.BucketOf(name)
+	i, known := t.position(name)
+	if known {
+		t.set.Toggle(name, t.ordered[i].record.encode())
+		t.ordered[i] = e
+	} else {
+		t.ordered = slices.Insert(t.ordered, i, e)
 	}
 	t.entries[name] = e
 	t.set.Toggle(name, e.record.encode())
@@ -204,25 +231,16 @@
 
 func (t *Table) remove(e *entry) {
 	name := e.record.Name
+	if i, known := t.position(name); known {
+		t.ordered = slices.Delete(t.ordered, i, i+1)
+	}
 	t.set.Toggle(name, e.record.encode())
 	delete(t.entries, name)
 	t.stale = true
 }
 
-func (t *Table) refresh() {
-	if !t.stale {
-		return
-	}
-	t.stale = false
-	t.sorted = t.sorted[:0:0]
-	for name := range t.entries {
-		t.sorted = append(t.sorted, name)
-	}
-	slices.Sort(t.sorted)
-	t.live = make([]Member, 0, len(t.sorted))
-	for _, name := range t.sorted {
-		if e := t.entries[name]; e.live() {
-			t.live = append(t.live, e.record)
-		}
-	}
+func (t *Table) position(name string) (int, bool) {
+	return slices.BinarySearchFunc(t.ordered, name, func(e *entry, name string) int {
+		return strings.Compare(e.record.Name, name)
+	})
 }
--- /dev/null
+++ b/internal/spread/configuration.go
@@ -0,0 +1,49 @@
+package spread
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"time"
+
+	"rattanchute/internal/fleet"
+)
+
+// configuration is what is in force and what is known to be newer.
+type configuration struct {
+	inForce fleet.Generation
+	text    []byte
+	packed  []byte
+	// newest is the highest generation any peer has named.
+	newest fleet.Generation
+	// fetchSince is when the fetch in flight was sent; zero when there is none.
+	fetchSince time.Time
+}
+
+// offer puts a configuration in force if it is newer than the one in force.
+func (m *Machine) offer(rnd *rand.Rand, g fleet.Generation, text []byte) Output {
+	if g == m.config.inForce && g > 0 && !bytes.Equal(text, m.config.text) {
+		m.violated("configuration %d has two texts", g)
+	}
+	if g <= m.config.inForce {
+		return Output{}
+	}
+	return m.force(rnd, g, text)
+}
+
+func (m *Machine) force(rnd *rand.Rand, g fleet.Generation, text []byte) Output {
+	packed, err := compress(text)
+	if err != nil || len(text) > MaxTextBytes {
+		m.violated("configuration %d cannot be sent: %d bytes, %v", g, len(text), err)
+		return Output{}
+	}
+	if g <= m.config.inForce {
+		m.violated("configuration %d put in force after %d", g, m.config.inForce)
+	}
+	m.config.inForce = g
+	m.config.text = text
+	m.config.packed = packed
+	m.config.newest = max(m.config.newest, g)
+	out := Output{Events: []Event{ConfigurationInForce{Generation: g, Text: text}}}
+	out.Sends = m.toRandom(rnd, m.message(KindPush), Fanout, "")
+	return out
+}
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -124,6 +124,7 @@
 			continue
 		}
 		leaving = append(leaving, merged)
+		m.fresh = append(m.fresh, freshHost{keyOf(merged), now})
 	}
 	for _, r := range members {
 		change, changed := m.members.Merge(now, r)
@@ -132,7 +133,7 @@
 		}
 		out.Events = append(out.Events, MemberChanged{change})
 		m.pendingMembers[r.Name] = struct{}{}
-		m.askMember(change)
+		m.askMember(change.Member)
 	}
 	// What a starting node learns from a peer is no news to the others.
 	if m.join.done || from == "" {
--- a/internal/spread/join.go
+++ b/internal/spread/join.go
@@ -7,10 +7,10 @@
 )
 
 // joinWindow is the number of members a starting node asks at the same time.
-const joinWindow = 16
+const joinWindow = 32
 
-// join is the start of a node: it asks its seeds, and then every live member it hears
-// of, which configuration is in force, and is done when it has the newest.
+// join is the start of a node: it asks its seeds, and then every member it hears of,
+// which configuration is in force, and is done when it has the newest.
 type join struct {
 	seeds []string
 	// queue lists the addresses still to be asked.
@@ -39,12 +39,13 @@
 	j.queue = append(j.queue, address)
 }
 
-// askMember queues a live member that a starting node has heard of.
-func (m *Machine) askMember(change member.Change) {
-	if m.join.done || !change.Live || change.Member.Name == m.settings.Self.Name {
+// askMember queues a member that a starting node has heard of. Those that others
+// suspect are asked too: they may be within this node's reach.
+func (m *Machine) askMember(r member.Member) {
+	if m.join.done || r.State == member.StateLeft || r.Name == m.settings.Self.Name {
 		return
 	}
-	m.join.enqueue(change.Member.Address)
+	m.join.enqueue(r.Address)
 }
 
 // askAll makes a starting node ask every seed and live member again.
@@ -57,8 +58,8 @@
 	for _, address := range m.join.seeds {
 		m.join.enqueue(address)
 	}
-	for _, r := range m.members.Live() {
-		m.askMember(member.Change{Member: r, Live: true})
+	for _, r := range m.members.All() {
+		m.askMember(r)
 	}
 }
 
@@ -109,7 +110,7 @@
 	if _, ok := j.outstanding[s.To]; !ok {
 		return Output{}
 	}
-	if !answered && s.attempt+1 < maxAttempts {
+	if !answered && s.attempt+1 < m.attemptsFor(s.To) {
 		s.attempt++
 		s.Message = m.message(KindExchange)
 		j.outstanding[s.To] = now
@@ -118,3 +119,13 @@
 	delete(j.outstanding, s.To)
 	return m.advanceJoin(now)
 }
+
+// attemptsFor is how often an address is asked; one found dead only once.
+func (m *Machine) attemptsFor(address string) int {
+	for _, r := range m.members.Dead() {
+		if r.Address == address {
+			return 1
+		}
+	}
+	return maxAttempts
+}
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -5,7 +5,6 @@
 package spread
 
 import (
-	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -13,6 +12,7 @@
 
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/member"
+	"rattanchute/internal/platform"
 )
 
 // Timing and fan-out of the machine.
@@ -27,6 +27,12 @@
 	ProbeTimeout = 3 * time.Second
 	// RequestTimeout is after how long an unanswered question is asked anew.
 	RequestTimeout = 5 * time.Second
+	// RelaysPerDataCentre members of each data centre watch the platform for all.
+	RelaysPerDataCentre = 2
+	// freshFor is how long the news that a host leaves is repeated.
+	freshFor = 5 * time.Second
+	// maxFresh is the number of leaving hosts that an exchange repeats at most.
+	maxFresh = 64
 	// deadRetryTicks is the mean number of ticks between two tries to reach a dead member.
 	deadRetryTicks = 10
 	// maxAttempts is how often one member is asked the same question in a row.
@@ -56,7 +62,9 @@
 	// pendingMembers and pendingHosts are news that the next tick pushes.
 	pendingMembers map[string]struct{}
 	pendingHosts   map[hostKey]struct{}
-	violations     uint64
+	// fresh are the hosts lately heard to be leaving; every exchange repeats them.
+	fresh      []freshHost
+	violations uint64
 }
 
 // New returns a machine that has yet to hear from the platform or a peer.
@@ -88,6 +96,7 @@
 	out.add(m.flushPending(rnd))
 	out.add(m.tickJoin(now))
 	out.add(m.tickFetch(now, rnd))
+	m.expireFresh(now)
 	out.Sends = append(out.Sends, m.exchangeWithRandom(rnd)...)
 	out.Sends = append(out.Sends, m.retryDead(rnd)...)
 	return out
@@ -144,6 +153,20 @@
 // Members returns the live members by name, this node included.
 func (m *Machine) Members() []member.Member { return m.members.Live() }
 
+// IsRelay says whether this node watches a kind of object for the others: the first
+// few of each data centre by rendezvous hash do.
+func (m *Machine) IsRelay(kind platform.Kind) bool {
+	self := m.members.Self()
+	near := member.InDataCentre(m.members.Live(), self.DataCentre)
+	ranked := member.Rank(member.Duty("relay/"+string(kind)), near)
+	for _, r := range ranked[:min(RelaysPerDataCentre, len(ranked))] {
+		if r.Name == self.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // Self returns the node's own record.
 func (m *Machine) Self() member.Member { return m.members.Self() }
 
@@ -188,7 +211,11 @@
 }
 
 func (m *Machine) message(kind MessageKind) Message {
-	return Message{Kind: kind, From: m.members.Self(), Digest: m.digest()}
+	msg := Message{Kind: kind, From: m.members.Self(), Digest: m.digest()}
+	if kind == KindExchange {
+		msg.Hosts = m.freshHosts()
+	}
+	return msg
 }
 
 // toRandom addresses a message to n members drawn uniformly from the live ones.
@@ -217,43 +244,3 @@
 	}
 	return out
 }
-
-// configuration is what is in force and what is known to be newer.
-type configuration struct {
-	inForce fleet.Generation
-	text    []byte
-	packed  []byte
-	// newest is the highest generation any peer has named.
-	newest fleet.Generation
-	// fetchSince is when the fetch in flight was sent; zero when there is none.
-	fetchSince time.Time
-}
-
-// offer puts a configuration in force if it is newer than the one in force.
-func (m *Machine) offer(rnd *rand.Rand, g fleet.Generation, text []byte) Output {
-	if g == m.config.inForce && g > 0 && !bytes.Equal(text, m.config.text) {
-		m.violated("configuration %d has two texts", g)
-	}
-	if g <= m.config.inForce {
-		return Output{}
-	}
-	return m.force(rnd, g, text)
-}
-
-func (m *Machine) force(rnd *rand.Rand, g fleet.Generation, text []byte) Output {
-	packed, err := compress(text)
-	if err != nil || len(text) > MaxTextBytes {
-		m.violated("configuration %d cannot be sent: %d bytes, %v", g, len(text), err)
-		return Output{}
-	}
-	if g <= m.config.inForce {
-		m.violated("configuration %d put in force after %d", g, m.config.inForce)
-	}
-	m.config.inForce = g
-	m.config.text = text
-	m.config.packed = packed
-	m.config.newest = max(m.config.newest, g)
-	out := Output{Events: []Event{ConfigurationInForce{Generation: g, Text: text}}}
-	out.Sends = m.toRandom(rnd, m.message(KindPush), Fanout, "")
-	return out
-}
--- a/internal/spread/relay.go
+++ b/internal/spread/relay.go
@@ -11,14 +11,11 @@
 	"github.com/phuslu/log"
 
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/member"
 	"rattanchute/internal/platform"
 )
 
 // Timing of the calls to the platform.
 const (
-	// relaysPerDataCentre members of each data centre watch the platform for all.
-	relaysPerDataCentre = 2
 	// relayCheckInterval is how often a node looks whether it has become a relay.
 	relayCheckInterval = time.Second
 	firstBackoff       = 200 * time.Millisecond
@@ -46,15 +43,9 @@
 
 // IsRelay says whether this node watches a kind of object for the others.
 func (r *Runner) IsRelay(kind platform.Kind) bool {
-	self := r.Self()
-	near := member.InDataCentre(r.Members(), self.DataCentre)
-	ranked := member.Rank(member.Duty("relay/"+string(kind)), near)
-	for _, m := range ranked[:min(relaysPerDataCentre, len(ranked))] {
-		if m.Name == self.Name {
-			return true
-		}
-	}
-	return false
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.IsRelay(kind)
 }
 
 // relayLoop lists and watches a kind while this node is a relay for it.
