Test that regions that lost each other merge again

Cause: regions lose each other for minutes; nothing proved that the member tables merge without the parts declaring each other dead. Change: TestHealedRegionsMerge; promise tests run in parallel; live hosts are not logged one by one at start.

--- a/internal/spread/deliver.go
+++ b/internal/spread/deliver.go
@@ -7,6 +7,8 @@
 
 	"github.com/alitto/pond/v2"
 	"github.com/phuslu/log"
+
+	"rattanchute/internal/fleet"
 )
 
 // Bounds of a runner's sending.
@@ -74,6 +76,9 @@
 	case MemberChanged:
 		log.Info().Str("member", e.Member.Name).Str("state", e.Member.State.String()).Bool("live", e.Live).Msg("member changed")
 	case HostStateChanged:
+		if e.State.Phase == fleet.PhaseLive {
+			break
+		}
 		log.Info().Str("host", e.State.Host).Str("instance", e.State.Instance).Int("phase", int(e.State.Phase)).Msg("host state changed")
 	}
 	if r.settings.OnEvent != nil {
--- a/internal/spread/promise_test.go
+++ b/internal/spread/promise_test.go
@@ -44,6 +44,7 @@
 }
 
 func TestPromiseConfigurationNeverReverts(t *testing.T) {
+	t.Parallel()
 	const nodes, centres, regions = 12, 4, 2
 	var sum total
 	rapid.Check(t, func(t *rapid.T) {
@@ -112,6 +113,7 @@
 }
 
 func TestConfigurationInForceWithinBound(t *testing.T) {
+	t.Parallel()
 	const nodes, centres, regions = 370, 11, 3
 	for seed := range *largeSeeds {
 		w := newWorld(t, seed+1, nodes, centres, regions)
@@ -142,6 +144,7 @@
 }
 
 func TestLeavingReachesEveryNode(t *testing.T) {
+	t.Parallel()
 	const nodes, centres, regions = 370, 11, 3
 	for seed := range *largeSeeds {
 		w := newWorld(t, seed+1, nodes, centres, regions)
@@ -176,3 +179,48 @@
 	}
 	return out
 }
+
+func TestHealedRegionsMerge(t *testing.T) {
+	t.Parallel()
+	const nodes, centres, regions = 36, 6, 3
+	for seed := range *largeSeeds {
+		w := newWorld(t, seed+1, nodes, centres, regions)
+		w.Run(20 * time.Second)
+		cutRegion(w, "region-0", true)
+		w.Run(3 * time.Minute)
+		perRegion := nodes / regions
+		is := is.New(t)
+		is.Equal(len(w.Nodes[0].Machine.Members()), perRegion)
+		is.Equal(len(w.Nodes[1].Machine.Members()), nodes-perRegion)
+
+		cutRegion(w, "region-0", false)
+		start := w.Now
+		for !allKnown(w) {
+			for _, n := range w.Nodes {
+				is.True(len(n.Machine.Members()) >= perRegion) // the parts do not declare each other dead
+			}
+			is.True(w.Now.Sub(start) < time.Minute)
+			w.Run(100 * time.Millisecond)
+		}
+		t.Logf("seed %d: one table again %v after the cut ended", seed+1, w.Now.Sub(start))
+	}
+}
+
+func cutRegion(w *world, region string, cut bool) {
+	for _, a := range w.Nodes {
+		for _, b := range w.Nodes {
+			if a.Region == region && b.Region != region {
+				w.Cut(a.DataCentre, b.DataCentre, cut)
+			}
+		}
+	}
+}
+
+func allKnown(w *world) bool {
+	for _, n := range w.Nodes {
+		if len(n.Machine.Members()) != len(w.Nodes) {
+			return false
+		}
+	}
+	return true
+}
