Accept configuration changes with their audit entry in one write

Cause: racing operators and lost answers must neither lose, double nor silently merge a change, and no change may lack its audit entry. The current object holds text and latest entries; older entries move to pages before they are dropped, replaced texts are kept for 20 generations for the three-way difference. Ruled out: a separate audit write (can be lost alone); taking a read-back of the old version as proof that nothing was written (a delayed write may still arrive).

--- /dev/null
+++ b/internal/change/accept.go
@@ -0,0 +1,211 @@
+package change
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"rattanchute/internal/findings"
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/platform"
+)
+
+// maxWriteAttempts bounds how often one change is written again after lost answers.
+const maxWriteAttempts = 4
+
+// Change is a configuration that an operator wants in force.
+type Change struct {
+	// ID is unique to this change; a repeated one is accepted once.
+	ID       string
+	Operator string
+	// Base is the generation that the text was derived from.
+	Base fleet.Generation
+	// File names the text in findings.
+	File string
+	Text string
+}
+
+// Accepted is a change that is in force.
+type Accepted struct {
+	Entry Entry
+	// Version is the platform's version of the configuration, zero when the change had
+	// been accepted by an earlier call.
+	Version uint64
+}
+
+// Accept validates a change and writes it together with its audit entry. Its errors
+// are findings.List for a text that is not valid, *ConflictError, *UnknownError, and
+// wrapped errors of the platform, after which nothing was written.
+func Accept(ctx context.Context, store platform.Store, c Change, now time.Time) (Accepted, error) {
+	configuration, list := fleet.ParseConfiguration(c.File, []byte(c.Text))
+	if err := list.Err(); err != nil {
+		return Accepted{}, err
+	}
+	current, err := Read(ctx, store)
+	if err != nil {
+		return Accepted{}, err
+	}
+	a := &acceptance{store: store, change: c, configuration: configuration, now: now}
+	return a.run(ctx, current)
+}
+
+// acceptance is one change on its way into the platform.
+type acceptance struct {
+	store         platform.Store
+	change        Change
+	configuration *fleet.Configuration
+	now           time.Time
+}
+
+func (a *acceptance) run(ctx context.Context, current Stored) (Accepted, error) {
+	if accepted, settled, err := a.settle(ctx, current); settled {
+		return accepted, err
+	}
+	next, err := a.next(ctx, current)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if err := keepRevision(ctx, a.store, current); err != nil {
+		return Accepted{}, err
+	}
+	return a.write(ctx, current, next)
+}
+
+// settle decides from the configuration in force whether the change is accepted
+// already or can no longer be.
+func (a *acceptance) settle(ctx context.Context, current Stored) (Accepted, bool, error) {
+	if entry, found := current.entry(a.change.ID); found {
+		return Accepted{Entry: entry}, true, nil
+	}
+	if current.Generation != a.change.Base {
+		return Accepted{}, true, a.conflict(ctx, current)
+	}
+	return Accepted{}, false, nil
+}
+
+// next builds the value that puts the change in force.
+func (a *acceptance) next(ctx context.Context, current Stored) (Stored, error) {
+	old, err := current.Configuration()
+	if err != nil {
+		// The replaced text may predate a rule of validation; it must not block its
+		// own replacement.
+		old = &fleet.Configuration{}
+	}
+	next := Stored{
+		Generation: current.Generation + 1,
+		Text:       a.change.Text,
+		Audit:      append(current.Audit[:len(current.Audit):len(current.Audit)], a.entry(old, current.Generation)),
+		AuditPages: current.AuditPages,
+	}
+	if next, err = moveOldEntries(ctx, a.store, next); err != nil {
+		return Stored{}, err
+	}
+	if err := a.checkSize(next); err != nil {
+		return Stored{}, err
+	}
+	return next, nil
+}
+
+func (a *acceptance) entry(old *fleet.Configuration, from fleet.Generation) Entry {
+	differences, omitted := bounded(Diff(old, a.configuration))
+	return Entry{
+		ID:          a.change.ID,
+		Operator:    a.change.Operator,
+		At:          a.now,
+		From:        from,
+		To:          from + 1,
+		Differences: differences,
+		Omitted:     omitted,
+	}
+}
+
+func (a *acceptance) checkSize(next Stored) error {
+	size, err := encodedSize(next)
+	if err != nil {
+		return err
+	}
+	if size <= platform.MaxValueBytes {
+		return nil
+	}
+	return findings.List{{
+		File:     a.change.File,
+		Line:     1,
+		Column:   1,
+		Message:  fmt.Sprintf("the configuration takes %d bytes in the platform", size),
+		Accepted: fmt.Sprintf("accepted are at most %d bytes", platform.MaxValueBytes),
+	}}
+}
+
+// write stores the next value. After a lost answer it reads back; while the platform
+// still holds the old version, the same conditional update is tried again, of which at
+// most one can take effect.
+func (a *acceptance) write(ctx context.Context, current, next Stored) (Accepted, error) {
+	var lost error
+	for range maxWriteAttempts {
+		object, err := a.put(ctx, current.Version, next)
+		switch {
+		case err == nil:
+			return Accepted{Entry: next.Audit[len(next.Audit)-1], Version: object.Version}, nil
+		case !provesNothingWritten(err):
+			lost = err
+		case lost != nil:
+			return Accepted{}, &UnknownError{ID: a.change.ID, Err: err}
+		default:
+			return Accepted{}, fmt.Errorf("write the configuration: %w", err)
+		}
+		stored, err := Read(ctx, a.store)
+		if err != nil {
+			lost = err
+			continue
+		}
+		if accepted, settled, err := a.settle(ctx, stored); settled {
+			return accepted, err
+		}
+	}
+	return Accepted{}, &UnknownError{ID: a.change.ID, Err: lost}
+}
+
+// provesNothingWritten tells whether a failed write can be given up for good. A version
+// conflict cannot: an earlier write of the same change may have caused it.
+func provesNothingWritten(err error) bool {
+	return errors.Is(err, platform.ErrThrottled) ||
+		errors.Is(err, platform.ErrTooLarge) ||
+		errors.Is(err, platform.ErrNotFound)
+}
+
+func (a *acceptance) put(ctx context.Context, version uint64, next Stored) (platform.Object, error) {
+	value, err := encode(next)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	if version == 0 {
+		return a.store.Create(ctx, platform.KindConfiguration, CurrentName, value)
+	}
+	return a.store.Update(ctx, platform.Object{
+		Kind:    platform.KindConfiguration,
+		Name:    CurrentName,
+		Version: version,
+		Value:   value,
+	})
+}
+
+// conflict compares the change with what is in force and with what both came from.
+func (a *acceptance) conflict(ctx context.Context, current Stored) error {
+	theirs, err := current.Configuration()
+	if err != nil {
+		return err
+	}
+	base, known := readRevision(ctx, a.store, a.change.Base)
+	conflict := &ConflictError{Base: a.change.Base, Current: current.Generation, BaseKnown: known}
+	if !known {
+		base = theirs
+	}
+	conflict.Differences = DiffThreeWay(base, theirs, a.configuration)
+	return conflict
+}
+
+func encodedSize(s Stored) (int, error) {
+	value, err := encode(s)
+	return len(value), err
+}
--- /dev/null
+++ b/internal/change/audit.go
@@ -0,0 +1,138 @@
+package change
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/platform"
+)
+
+const (
+	// MaxCurrentEntries is how many audit entries lie beside the configuration.
+	MaxCurrentEntries = 100
+	// entriesPerPage is how many entries move to a page at once.
+	entriesPerPage = 50
+	// MaxAuditPages is how many pages are kept; older ones are deleted.
+	MaxAuditPages = 1000
+)
+
+// page holds audit entries that were moved away from the configuration. Its entries
+// never change once it is written.
+type page struct {
+	Entries []Entry `json:"entries"`
+}
+
+func pageName(number int) string {
+	return fmt.Sprintf("page-%08d", number)
+}
+
+// moveOldEntries writes the oldest entries to a page and returns the value without
+// them, if there are too many entries or the value is too large. Only entries of
+// earlier generations move, so that a page holds nothing that was not accepted.
+func moveOldEntries(ctx context.Context, store platform.Store, s Stored) (Stored, error) {
+	for {
+		count, err := entriesToMove(s)
+		if err != nil || count == 0 {
+			return s, err
+		}
+		moved, err := writePage(ctx, store, s.AuditPages+1, s.Audit[:count])
+		if err != nil {
+			return s, err
+		}
+		s.Audit = dropThrough(s.Audit, moved)
+		s.AuditPages++
+		deleteOldPages(ctx, store, s.AuditPages)
+	}
+}
+
+// entriesToMove returns how many of the oldest entries have to go to a page.
+func entriesToMove(s Stored) (int, error) {
+	old := len(s.Audit) - 1
+	if len(s.Audit) > MaxCurrentEntries {
+		return entriesPerPage, nil
+	}
+	size, err := encodedSize(s)
+	if err != nil || size <= platform.MaxValueBytes {
+		return 0, err
+	}
+	return min(old, entriesPerPage), nil
+}
+
+// writePage creates a page and returns the generation of its last entry. A page that
+// is there already was written by a change that did not get further; what it holds
+// counts.
+func writePage(ctx context.Context, store platform.Store, number int, entries []Entry) (fleet.Generation, error) {
+	value, err := encode(page{Entries: entries})
+	if err != nil {
+		return 0, err
+	}
+	_, err = store.Create(ctx, platform.KindAudit, pageName(number), value)
+	if err == nil {
+		return entries[len(entries)-1].To, nil
+	}
+	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnavailable) {
+		return 0, fmt.Errorf("write audit page %d: %w", number, err)
+	}
+	written, err := readPage(ctx, store, number)
+	if err != nil {
+		return 0, err
+	}
+	if len(written.Entries) == 0 || written.Entries[0].ID != entries[0].ID {
+		return 0, fmt.Errorf("%w: audit page %d does not continue the trail", ErrCorrupt, number)
+	}
+	return written.Entries[len(written.Entries)-1].To, nil
+}
+
+func readPage(ctx context.Context, store platform.Store, number int) (page, error) {
+	object, err := store.Get(ctx, platform.KindAudit, pageName(number))
+	if err != nil {
+		return page{}, fmt.Errorf("read audit page %d: %w", number, err)
+	}
+	var p page
+	if err := json.Unmarshal(object.Value, &p); err != nil {
+		return page{}, fmt.Errorf("%w: audit page %d: %w", ErrCorrupt, number, err)
+	}
+	return p, nil
+}
+
+func dropThrough(entries []Entry, last fleet.Generation) []Entry {
+	keep := slices.IndexFunc(entries, func(e Entry) bool { return e.To > last })
+	return slices.Clone(entries[keep:])
+}
+
+// deleteOldPages removes the pages that fell out of retention. It tries two, so that a
+// failed deletion is made up for at the next page.
+func deleteOldPages(ctx context.Context, store platform.Store, newest int) {
+	for number := newest - MaxAuditPages; number >= newest-MaxAuditPages-1 && number > 0; number-- {
+		object, err := store.Get(ctx, platform.KindAudit, pageName(number))
+		if err == nil {
+			_ = store.Delete(ctx, object)
+		}
+	}
+}
+
+// AuditTrail returns up to limit entries, newest first.
+func AuditTrail(ctx context.Context, store platform.Store, limit int) ([]Entry, error) {
+	current, err := Read(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	trail := slices.Clone(current.Audit)
+	slices.Reverse(trail)
+	for number := current.AuditPages; number > 0 && len(trail) < limit; number-- {
+		p, err := readPage(ctx, store, number)
+		if errors.Is(err, platform.ErrNotFound) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		slices.Reverse(p.Entries)
+		trail = append(trail, p.Entries...)
+	}
+	return trail[:min(limit, len(trail))], nil
+}
--- /dev/null
+++ b/internal/change/errors.go
@@ -0,0 +1,40 @@
+package change
+
+import (
+	"fmt"
+
+	"rattanchute/internal/fleet"
+)
+
+// ConflictError means that another change was accepted since the base generation.
+// Nothing was written.
+type ConflictError struct {
+	Base    fleet.Generation
+	Current fleet.Generation
+	// BaseKnown is false when the base generation is no longer kept; Differences then
+	// compares theirs and yours only.
+	BaseKnown   bool
+	Differences []ThreeWay
+}
+
+// Error names the two generations.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("change: based on generation %d, but generation %d is in force", e.Base, e.Current)
+}
+
+// UnknownError means that the platform gave no answer and could not be read back: the
+// change may be in force or not. Accepting it again with the same id settles it.
+type UnknownError struct {
+	ID  string
+	Err error
+}
+
+// Error names the change.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("change: effect of change %s unknown: %v", e.ID, e.Err)
+}
+
+// Unwrap returns the platform's error.
+func (e *UnknownError) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/internal/change/revision.go
@@ -0,0 +1,72 @@
+package change
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/platform"
+)
+
+// KindRevision holds the texts of replaced generations. It is a kind of its own, so
+// that watches of the configuration do not carry them.
+const KindRevision platform.Kind = "configuration-revisions"
+
+// MaxRevisions is how many replaced generations are kept.
+const MaxRevisions = 20
+
+// revision is the text of one accepted generation.
+type revision struct {
+	Generation fleet.Generation `json:"generation"`
+	Text       string           `json:"text"`
+}
+
+func revisionName(g fleet.Generation) string {
+	return fmt.Sprintf("generation-%012d", g)
+}
+
+// keepRevision stores the text that is about to be replaced. A revision never changes,
+// so that one that is there already is as good.
+func keepRevision(ctx context.Context, store platform.Store, s Stored) error {
+	if s.Generation == 0 {
+		return nil
+	}
+	value, err := encode(revision{Generation: s.Generation, Text: s.Text})
+	if err != nil {
+		return err
+	}
+	_, err = store.Create(ctx, KindRevision, revisionName(s.Generation), value)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return fmt.Errorf("keep generation %d: %w", s.Generation, err)
+	}
+	if s.Generation > MaxRevisions {
+		deleteRevision(ctx, store, s.Generation-MaxRevisions)
+	}
+	return nil
+}
+
+func deleteRevision(ctx context.Context, store platform.Store, g fleet.Generation) {
+	object, err := store.Get(ctx, KindRevision, revisionName(g))
+	if err == nil {
+		_ = store.Delete(ctx, object)
+	}
+}
+
+// readRevision returns a replaced generation if it is still kept and readable.
+func readRevision(ctx context.Context, store platform.Store, g fleet.Generation) (*fleet.Configuration, bool) {
+	if g == 0 {
+		return &fleet.Configuration{}, true
+	}
+	object, err := store.Get(ctx, KindRevision, revisionName(g))
+	if err != nil {
+		return nil, false
+	}
+	var r revision
+	if err := json.Unmarshal(object.Value, &r); err != nil {
+		return nil, false
+	}
+	c, err := parseGeneration(r.Text, g)
+	return c, err == nil
+}
--- /dev/null
+++ b/internal/change/stored.go
@@ -0,0 +1,108 @@
+package change
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/platform"
+)
+
+// CurrentName is the name of the platform object that holds the configuration in force.
+const CurrentName = "current"
+
+// Stored is the configuration in force together with its latest audit entries.
+type Stored struct {
+	Generation fleet.Generation `json:"generation"`
+	// Text is the configuration as its operator wrote it.
+	Text string `json:"text"`
+	// Audit is the latest entries, oldest first; the last one is of this generation.
+	Audit []Entry `json:"audit"`
+	// AuditPages is the number of pages that older entries were moved to.
+	AuditPages int `json:"audit_pages"`
+	// Version is the platform's version of the object; zero if there is none yet.
+	Version uint64 `json:"-"`
+}
+
+// Entry records one accepted change.
+type Entry struct {
+	// ID is unique to the change.
+	ID       string           `json:"id"`
+	Operator string           `json:"operator"`
+	At       time.Time        `json:"at"`
+	From     fleet.Generation `json:"from"`
+	To       fleet.Generation `json:"to"`
+	// Differences is what changed; Omitted counts those left out for their number.
+	Differences []Difference `json:"differences"`
+	Omitted     int          `json:"omitted,omitempty"`
+}
+
+// ErrCorrupt means that a stored value contradicts itself.
+var ErrCorrupt = errors.New("change: stored configuration is corrupt")
+
+// Read returns the configuration in force; the zero Stored if none was accepted yet.
+func Read(ctx context.Context, store platform.Store) (Stored, error) {
+	object, err := store.Get(ctx, platform.KindConfiguration, CurrentName)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Stored{}, nil
+	}
+	if err != nil {
+		return Stored{}, fmt.Errorf("read the configuration: %w", err)
+	}
+	return Decode(object)
+}
+
+// Decode reads the object that Read and watches of platform.KindConfiguration return.
+func Decode(object platform.Object) (Stored, error) {
+	var s Stored
+	if err := json.Unmarshal(object.Value, &s); err != nil {
+		return Stored{}, fmt.Errorf("%w: %w", ErrCorrupt, err)
+	}
+	s.Version = object.Version
+	if len(s.Audit) == 0 || s.Audit[len(s.Audit)-1].To != s.Generation {
+		return Stored{}, fmt.Errorf("%w: generation %d has no audit entry", ErrCorrupt, s.Generation)
+	}
+	return s, nil
+}
+
+// Configuration parses the stored text and sets its generation.
+func (s Stored) Configuration() (*fleet.Configuration, error) {
+	if s.Generation == 0 {
+		return &fleet.Configuration{}, nil
+	}
+	return parseGeneration(s.Text, s.Generation)
+}
+
+func parseGeneration(text string, g fleet.Generation) (*fleet.Configuration, error) {
+	c, list := fleet.ParseConfiguration(fmt.Sprintf("generation %d", g), []byte(text))
+	if err := list.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+	}
+	c.Generation = g
+	return c, nil
+}
+
+// entry finds the audit entry of a change.
+func (s Stored) entry(id string) (Entry, bool) {
+	for _, e := range s.Audit {
+		if e.ID == id {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// encode writes a value without the HTML escapes that would make texts longer.
+func encode(v any) (json.RawMessage, error) {
+	var b bytes.Buffer
+	encoder := json.NewEncoder(&b)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(v); err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	return bytes.TrimSpace(b.Bytes()), nil
+}
