Add the operators' interface and its command-line tool

Cause: operators need to check, apply, explain, drain and audit from any host. Conclusion: go test -race -count=3 ./internal/ctl/... ./internal/adapter/... passes.

--- /dev/null
+++ b/cmd/rattanchutectl/main.go
@@ -0,0 +1,12 @@
+// Command rattanchutectl is the operators' tool of rattanchute.
+package main
+
+import (
+	"os"
+
+	"rattanchute/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Run(os.Args[1:], ctl.OS()))
+}
--- /dev/null
+++ b/internal/adapter/operators/answers.go
@@ -0,0 +1,93 @@
+package operators
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/ctl/api"
+	"rattanchute/internal/findings/jsonc"
+)
+
+// The number of audit entries that are returned.
+const (
+	defaultAuditLimit = 100
+	maxAuditLimit     = 10_000
+)
+
+const contentTypeJSON = "application/json"
+
+func (h *handler) status(ctx *fasthttp.RequestCtx, _ string) {
+	answer(ctx, h.backend.Status())
+}
+
+func (h *handler) members(ctx *fasthttp.RequestCtx, _ string) {
+	answer(ctx, api.Members{Members: h.backend.Members()})
+}
+
+func (h *handler) drain(ctx *fasthttp.RequestCtx, _ string) {
+	h.backend.Drain()
+	answer(ctx, h.backend.Status())
+}
+
+func (h *handler) explain(ctx *fasthttp.RequestCtx, _ string) {
+	var request api.ExplainRequest
+	document := jsonc.Parse("request", ctx.PostBody())
+	document.Decode(&request)
+	if (request.Model == "") == (request.Path == "") {
+		document.Add(nil, "the request names no call", `accepted is either "model" or "method" and "path"`)
+	}
+	if list := document.Findings(); len(list) > 0 {
+		problem(ctx, fasthttp.StatusBadRequest, api.Problem{
+			Code:     api.CodeBadRequest,
+			Message:  "the request is not valid",
+			Findings: list,
+		})
+		return
+	}
+	answer(ctx, h.backend.Explain(request))
+}
+
+func (h *handler) audit(ctx *fasthttp.RequestCtx, _ string) {
+	limit := defaultAuditLimit
+	if raw := ctx.QueryArgs().Peek(api.QueryLimit); len(raw) > 0 {
+		n, err := strconv.Atoi(string(raw))
+		if err != nil || n < 1 || n > maxAuditLimit {
+			problem(ctx, fasthttp.StatusBadRequest, api.Problem{
+				Code:    api.CodeBadRequest,
+				Message: "limit is not a number from 1 to " + strconv.Itoa(maxAuditLimit),
+				Field:   api.QueryLimit,
+			})
+			return
+		}
+		limit = n
+	}
+	operation, cancel := operationContext()
+	defer cancel()
+	entries, err := h.backend.Audit(operation, limit)
+	if err != nil {
+		h.fail(ctx, err)
+		return
+	}
+	answer(ctx, api.Audit{Entries: entries})
+}
+
+func answer(ctx *fasthttp.RequestCtx, body any) {
+	write(ctx, fasthttp.StatusOK, body)
+}
+
+func problem(ctx *fasthttp.RequestCtx, status int, p api.Problem) {
+	write(ctx, status, p)
+}
+
+func write(ctx *fasthttp.RequestCtx, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(contentTypeJSON)
+	ctx.SetBody(raw)
+}
--- /dev/null
+++ b/internal/adapter/operators/configuration.go
@@ -0,0 +1,104 @@
+package operators
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/change"
+	"rattanchute/internal/ctl/api"
+	"rattanchute/internal/findings"
+	"rattanchute/internal/fleet"
+)
+
+// maxHeaderValueBytes bounds the change id and the file name of a change.
+const maxHeaderValueBytes = 128
+
+func (h *handler) configuration(ctx *fasthttp.RequestCtx, _ string) {
+	operation, cancel := operationContext()
+	defer cancel()
+	c, err := h.backend.Configuration(operation)
+	if err != nil {
+		h.fail(ctx, err)
+		return
+	}
+	ctx.Response.Header.Set(fasthttp.HeaderETag, strconv.Quote(strconv.FormatUint(uint64(c.Generation), 10)))
+	answer(ctx, c)
+}
+
+func (h *handler) apply(ctx *fasthttp.RequestCtx, operator string) {
+	base, ok := baseGeneration(ctx)
+	if !ok {
+		badHeader(ctx, api.HeaderIfMatch, `the generation that the text was derived from, such as "12"`)
+		return
+	}
+	id := string(ctx.Request.Header.Peek(api.HeaderChangeID))
+	if id == "" || len(id) > maxHeaderValueBytes {
+		badHeader(ctx, api.HeaderChangeID, "a unique id of at most 128 bytes")
+		return
+	}
+	file := string(ctx.Request.Header.Peek(api.HeaderFile))
+	if file == "" || len(file) > maxHeaderValueBytes {
+		file = "configuration"
+	}
+	operation, cancel := operationContext()
+	defer cancel()
+	accepted, err := h.backend.Apply(operation, change.Change{
+		ID:       id,
+		Operator: operator,
+		Base:     base,
+		File:     file,
+		Text:     string(ctx.PostBody()),
+	})
+	if err != nil {
+		h.fail(ctx, err)
+		return
+	}
+	answer(ctx, api.Applied{Entry: accepted.Entry})
+}
+
+func baseGeneration(ctx *fasthttp.RequestCtx) (fleet.Generation, bool) {
+	header := string(ctx.Request.Header.Peek(api.HeaderIfMatch))
+	n, err := strconv.ParseUint(strings.Trim(header, `"`), 10, 64)
+	return fleet.Generation(n), err == nil
+}
+
+func badHeader(ctx *fasthttp.RequestCtx, name, accepted string) {
+	problem(ctx, fasthttp.StatusBadRequest, api.Problem{
+		Code:    api.CodeBadRequest,
+		Message: "header " + name + " is missing or wrong; accepted is " + accepted,
+		Field:   name,
+	})
+}
+
+// fail answers with what a backend's error means to the operator.
+func (h *handler) fail(ctx *fasthttp.RequestCtx, err error) {
+	var list findings.List
+	var conflict *change.ConflictError
+	var unknown *change.UnknownError
+	p := api.Problem{Message: err.Error()}
+	switch {
+	case errors.As(err, &list):
+		p.Code = api.CodeFindings
+		p.Message = "the configuration is not valid"
+		p.Findings = list
+		problem(ctx, fasthttp.StatusUnprocessableEntity, p)
+	case errors.As(err, &conflict):
+		p.Code = api.CodeConflict
+		p.Conflict = &api.Conflict{
+			Base:        conflict.Base,
+			Current:     conflict.Current,
+			BaseKnown:   conflict.BaseKnown,
+			Differences: conflict.Differences,
+		}
+		problem(ctx, fasthttp.StatusConflict, p)
+	case errors.As(err, &unknown):
+		p.Code = api.CodeUnknownEffect
+		problem(ctx, fasthttp.StatusServiceUnavailable, p)
+	default:
+		p.Code = api.CodeUnavailable
+		problem(ctx, fasthttp.StatusServiceUnavailable, p)
+	}
+}
--- /dev/null
+++ b/internal/adapter/operators/handler_test.go
@@ -0,0 +1,172 @@
+package operators
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/change"
+	"rattanchute/internal/ctl/api"
+	"rattanchute/internal/findings"
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/platform"
+	"rattanchute/internal/settings"
+)
+
+// The digest of "test".
+const testKeyHash = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+
+// fakeBackend records what it is asked and returns err from Apply.
+type fakeBackend struct {
+	err     error
+	applied []change.Change
+	limit   int
+	drained bool
+}
+
+func (b *fakeBackend) Configuration(context.Context) (api.Configuration, error) {
+	return api.Configuration{Generation: 7, Text: "{}"}, b.err
+}
+
+func (b *fakeBackend) Apply(_ context.Context, c change.Change) (change.Accepted, error) {
+	b.applied = append(b.applied, c)
+	return change.Accepted{Entry: change.Entry{ID: c.ID, Operator: c.Operator, To: c.Base + 1}}, b.err
+}
+
+func (b *fakeBackend) Audit(_ context.Context, limit int) ([]change.Entry, error) {
+	b.limit = limit
+	return nil, b.err
+}
+
+func (b *fakeBackend) Status() api.Status {
+	return api.Status{Node: "n1", Ready: !b.drained, Draining: b.drained, NotReady: "draining"}
+}
+
+func (b *fakeBackend) Members() []api.Member { return []api.Member{{Node: "n1"}} }
+
+func (b *fakeBackend) Explain(api.ExplainRequest) api.Explanation {
+	return api.Explanation{Fleet: "llm"}
+}
+
+func (b *fakeBackend) Drain() { b.drained = true }
+
+type exchange struct {
+	method, path, body, key string
+	headers                 map[string]string
+}
+
+func serve(b *fakeBackend, e exchange) (int, api.Problem, string) {
+	operators := []settings.Operator{{Name: "ana", KeyHash: testKeyHash}}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(prometheus.NewCounter(prometheus.CounterOpts{Name: "test_total"}))
+	var ctx fasthttp.RequestCtx
+	ctx.Request.Header.SetMethod(e.method)
+	ctx.Request.SetRequestURI(e.path)
+	ctx.Request.SetBodyString(e.body)
+	if e.key != "" {
+		ctx.Request.Header.Set("Authorization", "Bearer "+e.key)
+	}
+	for name, value := range e.headers {
+		ctx.Request.Header.Set(name, value)
+	}
+	New(b, operators, registry)(&ctx)
+	var p api.Problem
+	_ = json.Unmarshal(ctx.Response.Body(), &p)
+	return ctx.Response.StatusCode(), p, string(ctx.Response.Body())
+}
+
+func TestOnlyOperatorsAreServed(t *testing.T) {
+	is := is.New(t)
+	b := &fakeBackend{}
+	for _, key := range []string{"", "wrong", testKeyHash} {
+		status, p, _ := serve(b, exchange{method: "POST", path: api.PathDrain, key: key})
+		is.Equal(status, 401)
+		is.Equal(p.Code, api.CodeUnauthorised)
+	}
+	is.True(!b.drained)
+	for _, path := range []string{api.PathHealth, api.PathReady, api.PathMetrics} {
+		status, _, body := serve(b, exchange{method: "GET", path: path})
+		is.Equal(status, 200)
+		is.True(body != "")
+	}
+}
+
+func TestEachPathAnswers(t *testing.T) {
+	is := is.New(t)
+	b := &fakeBackend{}
+	for _, e := range []exchange{
+		{method: "GET", path: api.PathConfiguration},
+		{method: "GET", path: api.PathStatus},
+		{method: "GET", path: api.PathMembers},
+		{method: "POST", path: api.PathExplain, body: `{"organisation": "o", "model": "m"}`},
+		{method: "GET", path: api.PathAudit + "?limit=5"},
+		{method: "POST", path: api.PathDrain},
+	} {
+		e.key = "test"
+		status, _, _ := serve(b, e)
+		is.Equal(status, 200)
+	}
+	is.Equal(b.limit, 5)
+	is.True(b.drained)
+	status, _, body := serve(b, exchange{method: "GET", path: api.PathReady})
+	is.Equal(status, 503)
+	is.Equal(body, "not ready: draining\n")
+}
+
+func TestBadRequestsNameTheFault(t *testing.T) {
+	is := is.New(t)
+	b := &fakeBackend{}
+	match := map[string]string{api.HeaderIfMatch: `"3"`}
+	cases := []struct {
+		e      exchange
+		status int
+		field  string
+	}{
+		{exchange{method: "PUT", path: api.PathConfiguration}, 400, api.HeaderIfMatch},
+		{exchange{method: "PUT", path: api.PathConfiguration, headers: match}, 400, api.HeaderChangeID},
+		{exchange{method: "GET", path: api.PathAudit + "?limit=x"}, 400, api.QueryLimit},
+		{exchange{method: "POST", path: api.PathExplain, body: `{"mdoel": 1}`}, 400, ""},
+		{exchange{method: "POST", path: api.PathStatus}, 405, ""},
+		{exchange{method: "GET", path: "/v1/other"}, 404, ""},
+	}
+	for _, c := range cases {
+		c.e.key = "test"
+		status, p, _ := serve(b, c.e)
+		is.Equal(status, c.status)
+		is.Equal(p.Field, c.field)
+	}
+	is.Equal(len(b.applied), 0)
+}
+
+func TestApplyTellsWhatBecameOfTheChange(t *testing.T) {
+	put := exchange{
+		method: "PUT", path: api.PathConfiguration, key: "test", body: "{}",
+		headers: map[string]string{api.HeaderIfMatch: `"3"`, api.HeaderChangeID: "id-1"},
+	}
+	cases := []struct {
+		err    error
+		status int
+		code   api.Code
+	}{
+		{nil, 200, ""},
+		{findings.List{{Message: "m"}}, 422, api.CodeFindings},
+		{&change.ConflictError{Base: 3, Current: 4}, 409, api.CodeConflict},
+		{&change.UnknownError{ID: "id-1", Err: platform.ErrUnavailable}, 503, api.CodeUnknownEffect},
+		{fmt.Errorf("read: %w", platform.ErrUnavailable), 503, api.CodeUnavailable},
+		{errors.New("other"), 503, api.CodeUnavailable},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		b := &fakeBackend{err: c.err}
+		status, p, _ := serve(b, put)
+		is.Equal(status, c.status)
+		is.Equal(p.Code, c.code)
+		is.Equal(b.applied[0], change.Change{ID: "id-1", Operator: "ana", Base: fleet.Generation(3), File: "configuration", Text: "{}"})
+	}
+}
--- /dev/null
+++ b/internal/ctl/api/api.go
@@ -0,0 +1,183 @@
+// Package api is the contract between the operators' tool and a daemon's operators'
+// listener: paths, headers and bodies. All bodies are JSON but for the configuration
+// text itself, which travels as its operator wrote it.
+package api
+
+import (
+	"time"
+
+	"rattanchute/internal/change"
+	"rattanchute/internal/findings"
+	"rattanchute/internal/fleet"
+)
+
+// The paths. All but the last three need an operator's key as bearer token.
+const (
+	// PathConfiguration answers GET with Configuration, and PUT of a text with Applied.
+	PathConfiguration = "/v1/configuration"
+	// PathStatus answers GET with Status.
+	PathStatus = "/v1/status"
+	// PathMembers answers GET with Members.
+	PathMembers = "/v1/members"
+	// PathExplain answers POST of ExplainRequest with Explanation.
+	PathExplain = "/v1/explain"
+	// PathDrain answers POST with Status; the daemon that is asked drains itself.
+	PathDrain = "/v1/drain"
+	// PathAudit answers GET with Audit; query "limit" bounds the entries.
+	PathAudit = "/v1/audit"
+	// PathMetrics answers GET in the Prometheus text format.
+	PathMetrics = "/metrics"
+	// PathHealth answers GET with 200 while the process works.
+	PathHealth = "/healthz"
+	// PathReady answers GET with 200 while the daemon takes new requests, else 503.
+	PathReady = "/readyz"
+)
+
+// The headers of a PUT of PathConfiguration.
+const (
+	// HeaderIfMatch is the generation that the text was derived from, in quotes.
+	HeaderIfMatch = "If-Match"
+	// HeaderChangeID is unique to the change, so that it can be sent again.
+	HeaderChangeID = "Idempotency-Key"
+	// HeaderFile names the text's file in findings.
+	HeaderFile = "X-File"
+)
+
+// QueryLimit bounds the entries of PathAudit.
+const QueryLimit = "limit"
+
+// Configuration is the configuration in force, as stored in the platform.
+type Configuration struct {
+	Generation fleet.Generation `json:"generation"`
+	Text       string           `json:"text"`
+}
+
+// Applied tells that a change was accepted.
+type Applied struct {
+	Entry change.Entry `json:"entry"`
+}
+
+// Status is what one daemon says of itself.
+type Status struct {
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	Version    string `json:"version"`
+	// Generation is the one in force on this daemon.
+	Generation fleet.Generation `json:"generation"`
+	Ready      bool             `json:"ready"`
+	Draining   bool             `json:"draining"`
+	// NotReady says why the daemon is not ready.
+	NotReady          string    `json:"not_ready,omitempty"`
+	OpenRequests      int       `json:"open_requests"`
+	OpenStreams       int       `json:"open_streams"`
+	PlatformReachable bool      `json:"platform_reachable"`
+	StartedAt         time.Time `json:"started_at"`
+}
+
+// MemberState is what the daemons believe of one another.
+type MemberState string
+
+// The states of a member.
+const (
+	MemberLive    MemberState = "live"
+	MemberSuspect MemberState = "suspect"
+	MemberLeaving MemberState = "leaving"
+	MemberDead    MemberState = "dead"
+)
+
+// Member is one daemon as the answering one knows it.
+type Member struct {
+	Node       string      `json:"node"`
+	DataCentre string      `json:"data_centre"`
+	State      MemberState `json:"state"`
+	// Operators is the address of its operators' listener.
+	Operators string `json:"operators"`
+	// Generation is the last one heard to be in force there.
+	Generation fleet.Generation `json:"generation"`
+}
+
+// Members lists the daemons that the answering one knows, itself among them.
+type Members struct {
+	Members []Member `json:"members"`
+}
+
+// ExplainRequest describes a request that is not sent: either a model, or a method and
+// a path of a service.
+type ExplainRequest struct {
+	Organisation string `json:"organisation"`
+	Model        string `json:"model,omitempty"`
+	Method       string `json:"method,omitempty"`
+	Path         string `json:"path,omitempty"`
+}
+
+// Explanation says where such a request would go and why.
+type Explanation struct {
+	Generation fleet.Generation `json:"generation"`
+	Fleet      string           `json:"fleet"`
+	// Repeatable tells whether the call may be run again.
+	Repeatable bool `json:"repeatable"`
+	// Candidates come in the order of choice.
+	Candidates []Candidate `json:"candidates"`
+	Excluded   []Excluded  `json:"excluded"`
+	// Refused says why no endpoint may answer; empty if there are candidates.
+	Refused string `json:"refused,omitempty"`
+}
+
+// Candidate is an endpoint that may answer.
+type Candidate struct {
+	Endpoint   string `json:"endpoint"`
+	Host       string `json:"host"`
+	DataCentre string `json:"data_centre"`
+	// Selector is the one that allows it.
+	Selector string `json:"selector"`
+	Priority int    `json:"priority"`
+	// ExpectedFirstTokenMillis is the estimated time to the first token or byte.
+	ExpectedFirstTokenMillis float64 `json:"expected_first_token_ms"`
+	Reason                   string  `json:"reason"`
+}
+
+// Excluded is an endpoint of the fleet that may not answer.
+type Excluded struct {
+	Endpoint string `json:"endpoint"`
+	Reason   string `json:"reason"`
+}
+
+// Audit lists accepted changes, newest first.
+type Audit struct {
+	Entries []change.Entry `json:"entries"`
+}
+
+// Code identifies what is wrong with a request.
+type Code string
+
+// The codes of a Problem.
+const (
+	CodeUnauthorised  Code = "unauthorised"
+	CodeNotFound      Code = "not_found"
+	CodeMethod        Code = "method_not_allowed"
+	CodeBadRequest    Code = "bad_request"
+	CodeFindings      Code = "findings"
+	CodeConflict      Code = "conflict"
+	CodeUnknownEffect Code = "unknown_effect"
+	CodeUnavailable   Code = "unavailable"
+)
+
+// Problem is the body of every answer that is not a success.
+type Problem struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Field names the part of the request that is at fault, where it is one.
+	Field    string        `json:"field,omitempty"`
+	Findings findings.List `json:"findings,omitempty"`
+	Conflict *Conflict     `json:"conflict,omitempty"`
+}
+
+// Conflict tells what was accepted since the base of a refused change.
+type Conflict struct {
+	Base      fleet.Generation `json:"base"`
+	Current   fleet.Generation `json:"current"`
+	BaseKnown bool             `json:"base_known"`
+	// Differences is by object and field.
+	Differences []change.ThreeWay `json:"differences"`
+}
--- /dev/null
+++ b/internal/ctl/command.go
@@ -0,0 +1,216 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/integrii/flaggy"
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/settings"
+)
+
+// Names of environment variables that the tool reads.
+const (
+	envServer = "RATTANCHUTE_SERVER"
+	envKey    = "RATTANCHUTE_OPERATOR_KEY"
+)
+
+// Environment is what the tool finds around it.
+type Environment struct {
+	Stdout    io.Writer
+	Stderr    io.Writer
+	LookupEnv func(name string) (string, bool)
+	ReadFile  func(name string) ([]byte, error)
+	Now       func() time.Time
+	Sleep     func(time.Duration)
+	// NewID returns a unique id for a change.
+	NewID func() string
+	// Dial may be nil.
+	Dial fasthttp.DialFunc
+}
+
+// OS returns the environment of this process.
+func OS() Environment {
+	return Environment{
+		Stdout:    os.Stdout,
+		Stderr:    os.Stderr,
+		LookupEnv: os.LookupEnv,
+		ReadFile:  os.ReadFile,
+		Now:       time.Now,
+		Sleep:     time.Sleep,
+		NewID:     uuid.NewString,
+	}
+}
+
+// options are the values of all flags and positional arguments.
+type options struct {
+	server  string
+	keyFile string
+	output  string
+	timeout time.Duration
+
+	file         string
+	base         string
+	wait         bool
+	organisation string
+	model        string
+	method       string
+	path         string
+	node         string
+	limit        int
+}
+
+// command is one invocation.
+type command struct {
+	env    Environment
+	opts   options
+	client *Client
+}
+
+// result is what a command prints, as text or as JSON.
+type result interface {
+	text(w io.Writer)
+}
+
+// subcommand ties a name to what it does.
+type subcommand struct {
+	parsed *flaggy.Subcommand
+	local  bool
+	run    func(*command) (result, error)
+}
+
+// Run executes a command line, without the program's name, and returns the exit code.
+// For --help, completion scripts and wrong flags the flag parser ends the process.
+func Run(args []string, env Environment) int {
+	c := &command{env: env, opts: options{output: outputText, timeout: defaultWait, limit: defaultAuditLimit}}
+	parser := flaggy.NewParser("rattanchutectl")
+	parser.Description = "checks, applies and explains the configuration of rattanchute"
+	parser.DisableShowVersionWithVersion()
+	parser.AdditionalHelpAppend = exitCodeHelp
+	c.addGlobalFlags(parser)
+	subcommands := c.subcommands(parser)
+	if err := parser.ParseArgs(args); err != nil {
+		return c.finish(nil, &usageError{err.Error()})
+	}
+	for _, s := range subcommands {
+		if s.parsed.Used {
+			return c.finish(c.execute(s))
+		}
+	}
+	parser.ShowHelp()
+	return ExitUsage
+}
+
+const exitCodeHelp = `
+Exit codes: 0 done, 1 findings or refused, 2 usage, 3 conflict with another change,
+4 not yet in force everywhere, 5 no answer from a daemon or the platform.`
+
+func (c *command) addGlobalFlags(p *flaggy.Parser) {
+	p.String(&c.opts.server, "s", "server", "operators' addresses of daemons, ip:port[,ip:port]; else "+envServer)
+	p.String(&c.opts.keyFile, "k", "key-file", "file with the operator's key; else "+envKey)
+	p.String(&c.opts.output, "o", "output", "text or json")
+}
+
+func (c *command) subcommands(p *flaggy.Parser) []subcommand {
+	add := func(name, description string) *flaggy.Subcommand {
+		s := flaggy.NewSubcommand(name)
+		s.Description = description
+		p.AttachSubcommand(s, 1)
+		return s
+	}
+	validate := add("validate", "check a configuration file without any daemon")
+	c.addFile(validate)
+
+	diff := add("diff", "compare a configuration file with the configuration in force")
+	c.addFile(diff)
+
+	apply := add("apply", "put a configuration file in force, unless another change came first")
+	c.addFile(apply)
+	apply.String(&c.opts.base, "b", "base", "generation that the file was derived from, or current (required)")
+	apply.Bool(&c.opts.wait, "w", "wait", "wait until it is in force on every live daemon")
+	apply.Duration(&c.opts.timeout, "t", "timeout", "how long to try and to wait")
+
+	get := add("get", "print the configuration in force; its generation goes to the error output")
+
+	status := add("status", "show every daemon: state, generation in force, open requests")
+
+	explain := add("explain", "say where a request would go and why, without sending it")
+	explain.String(&c.opts.organisation, "g", "organisation", "organisation that would ask (required)")
+	explain.String(&c.opts.model, "m", "model", "model that would be asked for")
+	explain.String(&c.opts.method, "x", "method", "method of a service call")
+	explain.String(&c.opts.path, "p", "path", "path of a service call")
+
+	drain := add("drain", "let a daemon fail its readiness and finish its open requests")
+	drain.AddPositionalValue(&c.opts.node, "node", 1, true, "name of the daemon")
+
+	audit := add("audit", "list accepted changes, newest first")
+	audit.Int(&c.opts.limit, "n", "limit", "greatest number of changes")
+
+	version := add("version", "print the version of this tool")
+
+	return []subcommand{
+		{validate, true, (*command).validate},
+		{diff, false, (*command).diff},
+		{apply, false, (*command).apply},
+		{get, false, (*command).get},
+		{status, false, (*command).status},
+		{explain, false, (*command).explain},
+		{drain, false, (*command).drain},
+		{audit, false, (*command).audit},
+		{version, true, (*command).version},
+	}
+}
+
+func (c *command) addFile(s *flaggy.Subcommand) {
+	s.AddPositionalValue(&c.opts.file, "file", 1, true, "configuration in JSON with comments")
+}
+
+func (c *command) execute(s subcommand) (result, error) {
+	if c.opts.output != outputText && c.opts.output != outputJSON {
+		return nil, &usageError{fmt.Sprintf("output is %q; accepted are text and json", c.opts.output)}
+	}
+	if s.local {
+		return s.run(c)
+	}
+	key, err := c.key()
+	if err != nil {
+		return nil, err
+	}
+	servers, err := c.servers()
+	if err != nil {
+		return nil, err
+	}
+	c.client = NewClient(servers, key, c.env.Dial)
+	return s.run(c)
+}
+
+func (c *command) servers() ([]string, error) {
+	list := c.opts.server
+	if list == "" {
+		list, _ = c.env.LookupEnv(envServer)
+	}
+	if list == "" {
+		return nil, &usageError{"no server; accepted is --server or " + envServer}
+	}
+	return strings.Split(list, ","), nil
+}
+
+func (c *command) key() (settings.Secret, error) {
+	if c.opts.keyFile != "" {
+		raw, err := c.env.ReadFile(c.opts.keyFile)
+		if err != nil {
+			return settings.Secret{}, &usageError{fmt.Sprintf("read the key: %v", err)}
+		}
+		return settings.NewSecret(strings.TrimSpace(string(raw))), nil
+	}
+	value, _ := c.env.LookupEnv(envKey)
+	if value == "" {
+		return settings.Secret{}, &usageError{"no operator's key; accepted is --key-file or " + envKey}
+	}
+	return settings.NewSecret(value), nil
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,67 @@
+package ctl
+
+import (
+	"errors"
+
+	"rattanchute/internal/ctl/api"
+	"rattanchute/internal/findings"
+)
+
+// The exit codes.
+const (
+	// ExitOK means that the command did what was asked.
+	ExitOK = 0
+	// ExitRefused means findings, or a daemon that refused the request.
+	ExitRefused = 1
+	// ExitUsage means a wrong command line.
+	ExitUsage = 2
+	// ExitConflict means that another change was accepted since the base generation.
+	ExitConflict = 3
+	// ExitNotInForce means that the change is accepted but not yet in force everywhere.
+	ExitNotInForce = 4
+	// ExitUnreachable means that no daemon answered, or that the platform did not.
+	ExitUnreachable = 5
+)
+
+// usageError is a fault of the command line that the flag parser does not know of.
+type usageError struct {
+	message string
+}
+
+func (e *usageError) Error() string {
+	return e.message
+}
+
+// exitCode maps an error to the process's exit code.
+func exitCode(err error) int {
+	var list findings.List
+	var usage *usageError
+	var lagging *LaggingError
+	var unreachable *UnreachableError
+	var problem *ProblemError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &list):
+		return ExitRefused
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &lagging):
+		return ExitNotInForce
+	case errors.As(err, &unreachable):
+		return ExitUnreachable
+	case errors.As(err, &problem):
+		return problemExitCode(problem.Problem.Code)
+	}
+	return ExitRefused
+}
+
+func problemExitCode(code api.Code) int {
+	switch code {
+	case api.CodeConflict:
+		return ExitConflict
+	case api.CodeUnavailable, api.CodeUnknownEffect:
+		return ExitUnreachable
+	}
+	return ExitRefused
+}
--- /dev/null
+++ b/internal/ctl/inspect.go
@@ -0,0 +1,178 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"runtime/debug"
+	"text/tabwriter"
+	"time"
+
+	"rattanchute/internal/change"
+	"rattanchute/internal/ctl/api"
+)
+
+const (
+	defaultAuditLimit = 20
+	tableGap          = 2
+)
+
+func newTable(w io.Writer) *tabwriter.Writer {
+	return tabwriter.NewWriter(w, 0, 0, tableGap, ' ', 0)
+}
+
+// statuses is the result of status.
+type statuses struct {
+	Daemons []memberStatus `json:"daemons"`
+}
+
+func (s statuses) text(w io.Writer) {
+	table := newTable(w)
+	fmt.Fprintln(table, "NODE\tDATA CENTRE\tSTATE\tGENERATION\tREADY\tREQUESTS\tSTREAMS\tPLATFORM")
+	for _, d := range s.Daemons {
+		if d.Status == nil {
+			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t-\t-\t-\t%s\n", d.Member.Node, d.Member.DataCentre, d.Member.State, d.Member.Generation, d.Error)
+			continue
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\t%d\t%s\n", d.Member.Node, d.Member.DataCentre, d.Member.State,
+			d.Status.Generation, readiness(*d.Status), d.Status.OpenRequests, d.Status.OpenStreams, reachability(*d.Status))
+	}
+	_ = table.Flush()
+}
+
+func readiness(s api.Status) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Ready:
+		return "yes"
+	}
+	return "no: " + s.NotReady
+}
+
+func reachability(s api.Status) string {
+	if s.PlatformReachable {
+		return "reachable"
+	}
+	return "unreachable"
+}
+
+func (c *command) status() (result, error) {
+	seen, err := c.pollMembers()
+	if err != nil {
+		return nil, err
+	}
+	return statuses{Daemons: seen}, nil
+}
+
+// explanation is the result of explain.
+type explanation struct {
+	api.Explanation
+}
+
+func (e explanation) text(w io.Writer) {
+	if e.Refused != "" {
+		fmt.Fprintf(w, "refused: %s\n", e.Refused)
+	}
+	fmt.Fprintf(w, "fleet %s, generation %d, repeatable: %t\n", e.Fleet, e.Generation, e.Repeatable)
+	table := newTable(w)
+	for _, candidate := range e.Candidates {
+		fmt.Fprintf(table, "%s\t%s\t%s\tselector %s\tpriority %d\t%.1f ms\t%s\n", candidate.Endpoint, candidate.Host,
+			candidate.DataCentre, candidate.Selector, candidate.Priority, candidate.ExpectedFirstTokenMillis, candidate.Reason)
+	}
+	for _, excluded := range e.Excluded {
+		fmt.Fprintf(table, "%s\texcluded: %s\n", excluded.Endpoint, excluded.Reason)
+	}
+	_ = table.Flush()
+}
+
+func (c *command) explain() (result, error) {
+	model := c.opts.model != ""
+	service := c.opts.method != "" && c.opts.path != ""
+	if c.opts.organisation == "" || model == service {
+		return nil, &usageError{"accepted is --organisation with either --model, or --method and --path"}
+	}
+	answer, err := c.client.Explain(api.ExplainRequest{
+		Organisation: c.opts.organisation,
+		Model:        c.opts.model,
+		Method:       c.opts.method,
+		Path:         c.opts.path,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return explanation{answer}, nil
+}
+
+// drained is the result of drain.
+type drained struct {
+	api.Status
+}
+
+func (d drained) text(w io.Writer) {
+	fmt.Fprintf(w, "%s is draining, %d requests and %d streams open\n", d.Node, d.OpenRequests, d.OpenStreams)
+}
+
+func (c *command) drain() (result, error) {
+	members, err := c.client.Members()
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range members.Members {
+		if m.Node != c.opts.node {
+			continue
+		}
+		status, err := c.client.DrainAt(m.Operators)
+		if err != nil {
+			return nil, err
+		}
+		return drained{status}, nil
+	}
+	return nil, fmt.Errorf("there is no daemon %q; accepted is a node that status lists", c.opts.node)
+}
+
+// trail is the result of audit.
+type trail struct {
+	Entries []change.Entry `json:"entries"`
+}
+
+func (t trail) text(w io.Writer) {
+	for _, e := range t.Entries {
+		fmt.Fprintf(w, "%s %s: generation %d -> %d, change %s\n", e.At.UTC().Format(time.RFC3339), e.Operator, e.From, e.To, e.ID)
+		for _, d := range e.Differences {
+			fmt.Fprintf(w, "  %s\n", d)
+		}
+		if e.Omitted > 0 {
+			fmt.Fprintf(w, "  and %d more differences\n", e.Omitted)
+		}
+	}
+}
+
+func (c *command) audit() (result, error) {
+	answer, err := c.client.Audit(c.opts.limit)
+	if err != nil {
+		return nil, err
+	}
+	return trail{answer.Entries}, nil
+}
+
+// versionResult is the result of version.
+type versionResult struct {
+	Version string `json:"version"`
+}
+
+func (v versionResult) text(w io.Writer) {
+	fmt.Fprintln(w, v.Version)
+}
+
+func (c *command) version() (result, error) {
+	return versionResult{Version()}, nil
+}
+
+// Version returns the version that the tool was built from.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "unknown"
+	}
+	return info.Main.Version
+}
