--- a/internal/findings/jsonc/decode.go
+++ b/internal/findings/jsonc/decode.go
@@ -57,7 +57,7 @@
 		d.wrongType(v, p, "an object")
 		return
 	}
-	fields := fieldsOf(to.Type())
+	fields := d.fieldsOf(to.Type())
 	seen := map[string]bool{}
 	for _, m := range object.Members {
 		key := literalString(m.Name)
@@ -174,7 +174,10 @@
 	names string
 }
 
-func fieldsOf(t reflect.Type) fields {
+func (d *Document) fieldsOf(t reflect.Type) fields {
+	if f, known := d.fields[t]; known {
+		return f
+	}
 	f := fields{index: map[string]int{}}
 	var names []string
 	for i := range t.NumField() {
@@ -186,6 +189,7 @@
 		names = append(names, key)
 	}
 	f.names = strings.Join(names, ", ")
+	d.fields[t] = f
 	return f
 }
 
--- a/internal/findings/jsonc/document.go
+++ b/internal/findings/jsonc/document.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"strings"
 	"unicode/utf8"
 
@@ -22,12 +23,19 @@
 	findings findings.List
 	// failed holds the offsets of values that could not be decoded.
 	failed map[int]bool
+	// fields holds the keys of the struct types met so far.
+	fields map[reflect.Type]fields
 }
 
 // Parse reads a text. A text that is not JSON with comments gives a document with one
 // finding and no values.
 func Parse(file string, text []byte) *Document {
-	d := &Document{file: file, text: text, failed: map[int]bool{}}
+	d := &Document{
+		file:   file,
+		text:   text,
+		failed: map[int]bool{},
+		fields: map[reflect.Type]fields{},
+	}
 	if place := invalidUTF8(text); place >= 0 {
 		d.addAtOffset(place, "not valid UTF-8", "accepted is UTF-8 text")
 		return d
--- a/internal/findings/jsonc/path.go
+++ b/internal/findings/jsonc/path.go
@@ -1,6 +1,7 @@
 package jsonc
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"strings"
@@ -85,11 +86,15 @@
 	return v, false
 }
 
+// literalString returns the value of a string, decoding it only if it has escapes.
 func literalString(v hujson.Value) string {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok {
 		return ""
 	}
+	if literal.Kind() == '"' && bytes.IndexByte(literal, '\\') < 0 {
+		return string(literal[1 : len(literal)-1])
+	}
 	return literal.String()
 }
 
