Document each key of the configuration and of the settings

Cause: operators need type, unit, default and range of each key. Change: docs/CONFIGURATION.md, and a test that each key of both files is on the page. Ruled out: generating the page, which would lose the explanations. Conclusion: the test first failed for the key env, which its word split hid; the split now knows quotes and braces, and it passes.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -46,3 +48,35 @@
 		is.Equal(len(s.Peers.Seeds), 3)
 	}
 }
+
+func TestEveryKeyIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	words := strings.FieldsFunc(string(page), func(r rune) bool { return strings.ContainsRune("`.[]{}:\", \n|", r) })
+	for _, top := range []reflect.Type{reflect.TypeFor[fleet.Configuration](), reflect.TypeFor[settings.Settings]()} {
+		for _, key := range keysOf(top) {
+			if !slices.Contains(words, key) {
+				t.Errorf("key %q of %s is not documented", key, top)
+			}
+		}
+	}
+}
+
+// keysOf returns the keys of a type and of the types in it.
+func keysOf(t reflect.Type) []string {
+	if t.Kind() == reflect.Slice {
+		return keysOf(t.Elem())
+	}
+	if t.Kind() != reflect.Struct {
+		return nil
+	}
+	var keys []string
+	for i := range t.NumField() {
+		if key := t.Field(i).Tag.Get("json"); key != "" && key != "-" {
+			keys = append(append(keys, key), keysOf(t.Field(i).Type)...)
+		}
+	}
+	return keys
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,7 +63,8 @@
 // TLS holds the certificates of the listeners; a listener without one speaks plainly.
 type TLS struct {
 	Callers Certificate `json:"callers"`
-	// Peers is also the certificate that the daemon presents to its peers.
+	// Peers is also the certificate that the daemon presents to its peers; its
+	// ClientCAFile also verifies theirs.
 	Peers Certificate `json:"peers"`
 	// ReloadInterval is how often the files are read again.
 	ReloadInterval Duration `json:"reload_interval"`
