--- a/cmd/rattanchuted/main.go
+++ b/cmd/rattanchuted/main.go
@@ -15,9 +15,6 @@
 	"rattanchute/internal/settings"
 )
 
-// version is set when a release is linked.
-var version = "dev"
-
 // The exit codes.
 const (
 	exitFailed   = 1
@@ -29,7 +26,7 @@
 	check := false
 	flaggy.SetName("rattanchuted")
 	flaggy.SetDescription("serves callers, routes their requests and recovers them")
-	flaggy.SetVersion(version)
+	flaggy.SetVersion(app.Version)
 	flaggy.String(&file, "s", "settings", "settings file, JSON with comments")
 	flaggy.Bool(&check, "c", "check", "check the settings and exit")
 	flaggy.Parse()
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -11,10 +11,13 @@
 	"github.com/alitto/pond/v2"
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/valyala/fasthttp"
 
 	"rattanchute/internal/adapter/callers"
 	"rattanchute/internal/adapter/cloudhttp"
 	"rattanchute/internal/adapter/enginehttp"
+	"rattanchute/internal/adapter/operators"
 	"rattanchute/internal/adapter/peerhttp"
 	"rattanchute/internal/adapter/platformhttp"
 	"rattanchute/internal/admit"
@@ -46,6 +49,7 @@
 	service     *serve.Service
 	spread      *spread.Runner
 	callers     *callers.Server
+	operators   *fasthttp.Server
 	peers       *peerhttp.Server
 	peerCall    *peerhttp.Client
 	pool        pond.Pool
@@ -74,8 +78,10 @@
 	}
 	a.store = newStore(s.Platform)
 	a.cloud = newCloud(s.Platform)
+	a.registry.MustRegister(collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	a.counter = newControlCounters(a.registry)
-	steps := []func() error{a.buildTLS, a.buildPeers, a.buildSpread, a.buildClaims, a.buildService}
+	steps := []func() error{a.buildTLS, a.buildPeers, a.buildSpread, a.buildClaims, a.buildService, a.buildOperators}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -125,6 +131,20 @@
 	return nil
 }
 
+// operatorsBodyBytes bounds a configuration on its way in.
+const operatorsBodyBytes = 2 << 20
+
+func (a *App) buildOperators() error {
+	b := &backend{app: a, started: time.Now()}
+	a.operators = &fasthttp.Server{
+		Handler:            operators.New(b, a.settings.Operators, a.registry),
+		MaxRequestBodySize: operatorsBodyBytes,
+		ReadTimeout:        a.settings.Limits.ReadHeaderTimeout.Std(),
+		CloseOnShutdown:    true,
+	}
+	return nil
+}
+
 func callerLimits(l settings.Limits) callers.Limits {
 	limits := callers.DefaultLimits()
 	limits.MaxBodyBytes = int(l.MaxBodyBytes)
@@ -167,6 +187,7 @@
 	}{
 		{a.settings.Listen.Callers, func(l net.Listener) error { return a.callers.Serve(l, a.tls.callers()) }},
 		{a.settings.Listen.Peers, a.peers.Serve},
+		{a.settings.Listen.Operators, a.operators.Serve},
 	}
 	list := make([]served, 0, len(wanted))
 	for _, w := range wanted {
--- /dev/null
+++ b/internal/app/backend.go
@@ -0,0 +1,164 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rattanchute/internal/change"
+	"rattanchute/internal/ctl/api"
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/route"
+)
+
+// Version is that of the running program; it is set when a release is linked.
+var Version = "dev"
+
+// explainPromptTokens is the prompt size that explanations assume.
+const explainPromptTokens = 256
+
+// backend does what operators ask of the daemon.
+type backend struct {
+	app     *App
+	started time.Time
+}
+
+// Configuration implements operators.Backend.
+func (b *backend) Configuration(ctx context.Context) (api.Configuration, error) {
+	stored, err := change.Read(ctx, b.app.store)
+	if err == nil {
+		b.app.state.platformReached(true)
+		return api.Configuration{Generation: stored.Generation, Text: stored.Text}, nil
+	}
+	b.app.state.platformReached(false)
+	generation, text := b.app.spread.Configuration()
+	if generation == 0 {
+		return api.Configuration{}, err
+	}
+	return api.Configuration{Generation: generation, Text: string(text)}, nil
+}
+
+// Apply implements operators.Backend. The change is in force here at once, and its
+// spread begins here, without a wait for a watch.
+func (b *backend) Apply(ctx context.Context, c change.Change) (change.Accepted, error) {
+	accepted, err := change.Accept(ctx, b.app.store, c, time.Now())
+	if err != nil {
+		return change.Accepted{}, err
+	}
+	b.app.log.Info().Str("operator", c.Operator).Uint64("from", uint64(accepted.Entry.From)).
+		Uint64("to", uint64(accepted.Entry.To)).Msg("configuration accepted")
+	b.app.spread.LocalConfiguration(accepted.Entry.To, []byte(c.Text))
+	return accepted, nil
+}
+
+// Audit implements operators.Backend.
+func (b *backend) Audit(ctx context.Context, limit int) ([]change.Entry, error) {
+	return change.AuditTrail(ctx, b.app.store, limit)
+}
+
+// Status implements operators.Backend.
+func (b *backend) Status() api.Status {
+	ready, why := b.app.ready()
+	generation, _ := b.app.spread.Configuration()
+	return api.Status{
+		Node:              b.app.settings.Node,
+		DataCentre:        b.app.settings.DataCentre,
+		Region:            b.app.settings.Region,
+		Version:           Version,
+		Generation:        generation,
+		Ready:             ready,
+		Draining:          b.app.state.draining.Load(),
+		NotReady:          why,
+		OpenRequests:      b.app.service.Open(),
+		OpenStreams:       b.app.service.OpenStreams(),
+		PlatformReachable: !b.app.state.platformDown.Load(),
+		StartedAt:         b.started,
+	}
+}
+
+// Members implements operators.Backend.
+func (b *backend) Members() []api.Member {
+	live := b.app.spread.Members()
+	list := make([]api.Member, 0, len(live))
+	for _, m := range live {
+		list = append(list, api.Member{
+			Node:       m.Name,
+			DataCentre: m.DataCentre,
+			State:      api.MemberLive,
+			Operators:  m.Operators,
+		})
+	}
+	return list
+}
+
+// Drain implements operators.Backend.
+func (b *backend) Drain() { b.app.Drain() }
+
+// Explain implements operators.Backend.
+func (b *backend) Explain(r api.ExplainRequest) api.Explanation {
+	table := b.app.router.Table()
+	target, ok := explainedFleet(table, r)
+	e := api.Explanation{Generation: table.Generation(), Fleet: target.Name}
+	if !ok {
+		e.Refused = "no fleet serves this model or path to the organisation"
+		return e
+	}
+	e.Repeatable = target.Kind == fleet.FleetModel || table.Repeatable(r.Method, r.Path)
+	found := b.app.router.Explain(time.Now(), route.Query{
+		Organisation: r.Organisation,
+		Fleet:        target.Name,
+		PromptTokens: explainPromptTokens,
+	})
+	e.Refused = found.Error
+	for _, d := range found.Endpoints {
+		addDecision(&e, table, d)
+	}
+	return e
+}
+
+func explainedFleet(table *route.Table, r api.ExplainRequest) (fleet.Fleet, bool) {
+	if r.Model != "" {
+		return table.FleetForModel(r.Organisation, r.Model)
+	}
+	return table.FleetForPath(r.Path)
+}
+
+// addDecision lists an endpoint as a candidate if it may answer, the chosen one first.
+func addDecision(e *api.Explanation, table *route.Table, d route.EndpointDecision) {
+	switch d.Reason {
+	case route.ReasonChosen, route.ReasonOverLoad, route.ReasonNotDrawn, route.ReasonOutweighed:
+	default:
+		e.Excluded = append(e.Excluded, api.Excluded{Endpoint: d.Endpoint, Reason: string(d.Reason)})
+		return
+	}
+	endpoint, _ := table.Endpoint(d.Endpoint)
+	candidate := api.Candidate{
+		Endpoint:                 d.Endpoint,
+		Host:                     endpoint.Host,
+		DataCentre:               d.DataCentre,
+		Priority:                 d.Priority,
+		ExpectedFirstTokenMillis: float64(d.ExpectedFirstToken) / float64(time.Millisecond),
+		Reason:                   string(d.Reason),
+	}
+	if d.Reason == route.ReasonChosen {
+		e.Candidates = append([]api.Candidate{candidate}, e.Candidates...)
+		return
+	}
+	e.Candidates = append(e.Candidates, candidate)
+}
+
+// ready tells whether the daemon takes new requests, and if not, why.
+func (a *App) ready() (bool, string) {
+	if a.state.draining.Load() {
+		return false, "draining"
+	}
+	select {
+	case <-a.spread.Ready():
+	default:
+		return false, "neither the platform nor a peer has been heard"
+	}
+	if a.router.Table().Generation() == 0 {
+		return false, fmt.Sprintf("no configuration is in force on %s", a.settings.Node)
+	}
+	return true, ""
+}
--- a/internal/app/shutdown.go
+++ b/internal/app/shutdown.go
@@ -9,9 +9,13 @@
 
 // state is what readiness depends on.
 type state struct {
-	draining atomic.Bool
+	draining     atomic.Bool
+	platformDown atomic.Bool
 }
 
+// platformReached notes whether the last call to the platform was answered.
+func (s *state) platformReached(ok bool) { s.platformDown.Store(!ok) }
+
 const (
 	// deregisterDelay is how long a stopping daemon still takes requests while the
 	// balancer learns that it is not ready.
@@ -41,17 +45,18 @@
 	if drainErr != nil {
 		drainErr = errors.Join(drainErr, a.service.EndStreams(leaveTimeout))
 	}
-	a.awaitBacklog()
+	a.flushClaims()
 	err := a.leave()
 	a.log.Info().Str("node", a.settings.Node).Msg("stopped")
 	return errors.Join(drainErr, err)
 }
 
-// awaitBacklog waits until the claims' reports are stored, for a bounded time.
-func (a *App) awaitBacklog() {
-	end := time.Now().Add(backlogTimeout)
-	for a.claims.Backlog() > 0 && time.Now().Before(end) {
-		time.Sleep(10 * time.Millisecond)
+// flushClaims waits until the claims' reports are stored, for a bounded time.
+func (a *App) flushClaims() {
+	ctx, cancel := context.WithTimeout(context.Background(), backlogTimeout)
+	defer cancel()
+	if err := a.claims.Flush(ctx); err != nil {
+		a.log.Warn().Int("reports", a.claims.Backlog()).Msg("claims' reports lost at the stop; their keys stay unknown")
 	}
 }
 
@@ -63,6 +68,7 @@
 	a.claims.Close()
 	return errors.Join(
 		a.callers.Shutdown(ctx),
+		a.operators.ShutdownWithContext(ctx),
 		a.spread.Leave(ctx),
 		a.peers.Shutdown(ctx),
 	)
--- a/internal/serve/registry.go
+++ b/internal/serve/registry.go
@@ -63,3 +63,22 @@
 	}
 	return list
 }
+
+// count is the number of open streams.
+func (r *registry) count() int {
+	n := 0
+	for i := range r.shards {
+		n += r.shards[i].count()
+	}
+	return n
+}
+
+func (sh *registryShard) count() int {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	n := 0
+	for _, set := range sh.streams {
+		n += len(set)
+	}
+	return n
+}
--- a/internal/serve/service.go
+++ b/internal/serve/service.go
@@ -66,6 +66,7 @@
 	moveRates MoveRates
 	pool      pond.Pool
 	closing   atomic.Bool
+	open      atomic.Int64
 	inflight  sync.WaitGroup
 	// ending is done once open streams are to be ended.
 	ending context.Context
@@ -134,6 +135,12 @@
 	}
 }
 
+// Open is the number of requests in flight.
+func (s *Service) Open() int { return int(s.open.Load()) }
+
+// OpenStreams is the number of streams that engines are making now.
+func (s *Service) OpenStreams() int { return s.streams.count() }
+
 // EndStreams ends all open streams; their callers get a resume token to go on with at
 // another daemon. It waits until they have ended, at most for the given time.
 func (s *Service) EndStreams(wait time.Duration) error {
@@ -150,11 +157,13 @@
 		s.inflight.Done()
 		return false
 	}
+	s.open.Add(1)
 	s.counters.InFlight.Inc()
 	return true
 }
 
 func (s *Service) leave() {
+	s.open.Add(-1)
 	s.counters.InFlight.Dec()
 	s.inflight.Done()
 }
--- a/internal/testsite/caller.go
+++ b/internal/testsite/caller.go
@@ -26,7 +26,7 @@
 // NewCaller returns a caller with connections of its own.
 func NewCaller(key, address string) *Caller {
 	return &Caller{key: key, address: address, client: &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: 256, DialContext: nil},
+		Transport: &http.Transport{MaxIdleConnsPerHost: 256},
 	}}
 }
 
@@ -88,10 +88,15 @@
 	return a
 }
 
-// ChatBody returns a chat-completions request.
+// ChatBody returns a chat-completions request for the test model.
 func ChatBody(prompt string, maxTokens int, stream bool) []byte {
+	return ModelBody(Model, prompt, maxTokens, stream)
+}
+
+// ModelBody returns a chat-completions request for a model.
+func ModelBody(model, prompt string, maxTokens int, stream bool) []byte {
 	body, err := json.Marshal(chat.Request{
-		Model:     Model,
+		Model:     model,
 		Messages:  []chat.Message{{Role: "user", Content: prompt}},
 		Stream:    stream,
 		MaxTokens: &maxTokens,
@@ -224,10 +229,10 @@
 // Close drops the connection.
 func (s *Stream) Close() { _ = s.resp.Body.Close() }
 
-// serves tells whether the daemon knows the organisation and its model.
-func (c *Caller) serves() bool {
+// serves tells whether the daemon lists the model to the caller's organisation.
+func (c *Caller) serves(model string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	a, err := c.Call(ctx, http.MethodGet, "/v1/models", nil)
-	return err == nil && a.Status == http.StatusOK && bytes.Contains(a.Body, []byte(Model))
+	return err == nil && a.Status == http.StatusOK && bytes.Contains(a.Body, []byte(model))
 }
--- a/internal/testsite/daemon.go
+++ b/internal/testsite/daemon.go
@@ -24,6 +24,7 @@
 
 // Daemon is one rattanchuted process.
 type Daemon struct {
+	Name string
 	// Callers and Operators are the addresses of its listeners.
 	Callers   string
 	Operators string
@@ -72,6 +73,18 @@
 	return nil
 }
 
+// AwaitServes waits until the daemon lists a model to the caller.
+func (d *Daemon) AwaitServes(c *Caller, model string, timeout time.Duration) error {
+	end := time.Now().Add(timeout)
+	for !c.serves(model) {
+		if time.Now().After(end) {
+			return fmt.Errorf("testsite: %s does not serve %s: %s", d.Name, model, d.Output())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
+
 // Kill ends the process without any chance to tidy up.
 func (d *Daemon) Kill() error {
 	err := d.Signal(syscall.SIGKILL)
@@ -96,8 +109,8 @@
 // Output is what the process has printed.
 func (d *Daemon) Output() string { return d.output.String() }
 
-// close ends the process if it runs.
-func (d *Daemon) close() {
+// Close ends the process if it runs.
+func (d *Daemon) Close() {
 	if d.process == nil {
 		return
 	}
--- /dev/null
+++ b/internal/testsite/settings.go
@@ -0,0 +1,108 @@
+package testsite
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+)
+
+// Node is what one daemon of a site is told.
+type Node struct {
+	Name       string
+	DataCentre string
+	Callers    string
+	Peers      string
+	Operators  string
+}
+
+// Common is what all daemons of a site are told alike.
+type Common struct {
+	// Platform is "ip:port" of the stand-in's platform.
+	Platform      string
+	ShutdownGrace string
+}
+
+// NewNodes gives each of the named nodes free ports of the loopback interface.
+func NewNodes(count int, dataCentre func(int) string) ([]Node, error) {
+	nodes := make([]Node, count)
+	for i := range nodes {
+		nodes[i] = Node{Name: fmt.Sprintf("node-%d", i), DataCentre: dataCentre(i)}
+		for _, p := range []*string{&nodes[i].Callers, &nodes[i].Peers, &nodes[i].Operators} {
+			var err error
+			if *p, err = freeAddress(); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return nodes, nil
+}
+
+// freeAddress finds a free port of the loopback interface.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// settingsText is a daemon's settings file.
+const settingsText = `// Settings of one daemon of a test site.
+{
+  "node": %q,
+  "data_centre": %q,
+  "region": "region",
+  "listen": {"callers": %q, "peers": %q, "operators": %q},
+  "platform": {"url": "http://%s", "token": {"file": %q}},
+  "peers": {"seeds": %s, "secret": {"file": %q}},
+  "resume_tokens": {"keys": [{"file": %q}]},
+  "operators": [{"name": "tester", "key_sha256": %q}],
+  "shutdown_grace": %q,
+}
+`
+
+// NewDaemons writes the settings of all nodes and their secrets to dir and returns the
+// daemons, not yet started.
+func NewDaemons(dir, binary string, nodes []Node, c Common) ([]*Daemon, error) {
+	if err := writeSecrets(dir); err != nil {
+		return nil, err
+	}
+	seeds := make([]string, 0, len(nodes))
+	for _, n := range nodes {
+		seeds = append(seeds, n.Peers)
+	}
+	list, err := json.Marshal(seeds)
+	if err != nil {
+		return nil, err
+	}
+	daemons := make([]*Daemon, 0, len(nodes))
+	for _, n := range nodes {
+		text := fmt.Sprintf(settingsText, n.Name, n.DataCentre, n.Callers, n.Peers, n.Operators,
+			c.Platform, filepath.Join(dir, "platform"), list, filepath.Join(dir, "peer"),
+			filepath.Join(dir, "resume"), Digest(OperatorKey), c.ShutdownGrace)
+		file := filepath.Join(dir, n.Name+".jsonc")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+		daemons = append(daemons, &Daemon{Name: n.Name, Callers: n.Callers, Operators: n.Operators, binary: binary, settings: file})
+	}
+	return daemons, nil
+}
+
+// writeSecrets writes the secrets that the settings name.
+func writeSecrets(dir string) error {
+	secrets := []struct{ file, value string }{
+		{"platform", PlatformToken},
+		{"peer", peerSecret},
+		{"resume", resumeKey},
+	}
+	for _, s := range secrets {
+		if err := os.WriteFile(filepath.Join(dir, s.file), []byte(s.value), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -7,9 +7,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
-	"os"
-	"path/filepath"
 
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/standin"
@@ -126,68 +123,3 @@
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
 }
-
-// addresses are one daemon's listeners.
-type addresses struct {
-	callers, peers, operators string
-}
-
-// freeAddress finds a free port of the loopback interface.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
-func freeAddresses() (addresses, error) {
-	var a addresses
-	var err error
-	for _, p := range []*string{&a.callers, &a.peers, &a.operators} {
-		if *p, err = freeAddress(); err != nil {
-			return addresses{}, err
-		}
-	}
-	return a, nil
-}
-
-// writeSettings writes a daemon's settings file and the secrets that it names.
-func writeSettings(dir string, o Options, i int, platform string, all []addresses) (string, error) {
-	secrets := map[string]string{"platform": PlatformToken, "peer": peerSecret, "resume": resumeKey}
-	for name, value := range secrets {
-		if err := os.WriteFile(filepath.Join(dir, name), []byte(value), 0o600); err != nil {
-			return "", err
-		}
-	}
-	seeds, err := json.Marshal(peerAddresses(all))
-	if err != nil {
-		return "", err
-	}
-	a := all[i]
-	text := fmt.Sprintf(`// Settings of one daemon of a test site.
-{
-  "node": "node-%d",
-  "data_centre": %q,
-  "region": "region",
-  "listen": {"callers": %q, "peers": %q, "operators": %q},
-  "platform": {"url": "http://%s", "token": {"file": %q}},
-  "peers": {"seeds": %s, "secret": {"file": %q}},
-  "resume_tokens": {"keys": [{"file": %q}]},
-  "operators": [{"name": "tester", "key_sha256": %q}],
-  "shutdown_grace": %q,
-}
-`, i, o.dataCentre(i), a.callers, a.peers, a.operators, platform, filepath.Join(dir, "platform"),
-		seeds, filepath.Join(dir, "peer"), filepath.Join(dir, "resume"), Digest(OperatorKey), o.shutdownGrace())
-	file := filepath.Join(dir, fmt.Sprintf("node-%d.jsonc", i))
-	return file, os.WriteFile(file, []byte(text), 0o600)
-}
-
-func peerAddresses(all []addresses) []string {
-	list := make([]string, 0, len(all))
-	for _, a := range all {
-		list = append(list, a.peers)
-	}
-	return list
-}
--- a/internal/testsite/start.go
+++ b/internal/testsite/start.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"time"
 
 	"rattanchute/internal/fleet"
@@ -59,21 +58,15 @@
 }
 
 func (s *Site) prepareDaemons(dir, binary string) error {
-	all := make([]addresses, s.options.Daemons)
-	for i := range all {
-		var err error
-		if all[i], err = freeAddresses(); err != nil {
-			return err
-		}
-	}
-	for i, a := range all {
-		file, err := writeSettings(dir, s.options, i, s.Standin.Address(), all)
-		if err != nil {
-			return err
-		}
-		s.Daemons = append(s.Daemons, &Daemon{Callers: a.callers, Operators: a.operators, binary: binary, settings: file})
+	nodes, err := NewNodes(s.options.Daemons, s.options.dataCentre)
+	if err != nil {
+		return err
 	}
-	return nil
+	s.Daemons, err = NewDaemons(dir, binary, nodes, Common{
+		Platform:      s.Standin.Address(),
+		ShutdownGrace: s.options.shutdownGrace(),
+	})
+	return err
 }
 
 // Apply writes a configuration to the platform as the given generation.
@@ -105,11 +98,8 @@
 func (s *Site) AwaitReady(timeout time.Duration) error {
 	end := time.Now().Add(timeout)
 	for _, d := range s.Daemons {
-		for !NewCaller(CallerKey, d.Callers).serves() {
-			if time.Now().After(end) {
-				return fmt.Errorf("testsite: daemon does not serve: %s", d.Output())
-			}
-			time.Sleep(10 * time.Millisecond)
+		if err := d.AwaitServes(NewCaller(CallerKey, d.Callers), Model, time.Until(end)); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -118,7 +108,7 @@
 // Close ends everything.
 func (s *Site) Close() {
 	for _, d := range s.Daemons {
-		d.close()
+		d.Close()
 	}
 	s.Standin.Close()
 }
