Move finished claims to segments, so that a shard's value stays small

Cause: each group rewrote up to 1 MiB, and 24 h of fingerprints filled a shard of 64 at about 68 claims a second. Change: a shard that has grown past 128 KiB moves its completed claims to an object of its own that never changes; the shard's value names its segments, so the conditional update still decides alone. Old segments are merged to fingerprints, replaced ones deleted. Ruled out: one object per group (a late writer could create a number that was already compacted away); segments without a list in the shard's value.

--- a/internal/claim/codec.go
+++ b/internal/claim/codec.go
@@ -18,6 +18,8 @@
 	Format  int            `json:"format"`
 	Records []Record       `json:"records"`
 	Buckets []storedBucket `json:"fingerprints"`
+	// Segments are the names of the shard's segments; a segment has none.
+	Segments []segmentRef `json:"segments,omitempty"`
 }
 
 // Encode returns the stored form; equal shards have equal forms.
@@ -30,6 +32,9 @@
 	for _, b := range s.buckets {
 		stored.Buckets = append(stored.Buckets, b.stored())
 	}
+	for _, sealed := range s.segments {
+		stored.Segments = append(stored.Segments, sealed.segmentRef)
+	}
 	value, err := json.Marshal(stored)
 	if err != nil {
 		return nil, fmt.Errorf("encode claims: %w", err)
@@ -37,7 +42,7 @@
 	return value, nil
 }
 
-// Decode reads the stored form.
+// Decode reads the stored form; the contents of segments are still to be attached.
 func Decode(value json.RawMessage) (*Shard, error) {
 	var stored storedShard
 	if err := json.Unmarshal(value, &stored); err != nil {
@@ -57,5 +62,8 @@
 		}
 		s.buckets = append(s.buckets, b)
 	}
+	for _, ref := range stored.Segments {
+		s.segments = append(s.segments, segment{segmentRef: ref})
+	}
 	return s, nil
 }
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -93,13 +93,28 @@
 
 func (s *Service) shardStore(shard int) *shardStore {
 	return &shardStore{
-		name:    shardName(shard),
-		store:   s.config.Store,
-		breaker: &s.breaker,
-		timeout: s.config.Settings.StoreTimeout,
-		gone:    s.config.Gone,
-		metrics: s.config.Metrics,
-		logger:  s.config.Logger,
+		name:          shardName(shard),
+		store:         s.config.Store,
+		breaker:       &s.breaker,
+		timeout:       s.config.Settings.StoreTimeout,
+		gone:          s.config.Gone,
+		metrics:       s.config.Metrics,
+		logger:        s.config.Logger,
+		later:         s.later,
+		sealBytes:     s.config.Settings.SealBytes,
+		mergeSegments: s.config.Settings.MergeSegments,
+	}
+}
+
+// later runs a task in the pool; Close waits for it.
+func (s *Service) later(task func()) {
+	s.tasks.Add(1)
+	err := s.pool.Go(func() {
+		defer s.tasks.Done()
+		task()
+	})
+	if err != nil {
+		s.tasks.Done()
 	}
 }
 
--- a/internal/claim/editor.go
+++ b/internal/claim/editor.go
@@ -24,10 +24,10 @@
 // acquire claims the key, or tells what is known of the claim that stands.
 func (e *editor) acquire(op Op) Result {
 	id := op.Key.ID()
-	if op.Key.tooOld(e.env.Now) || e.shard.hasPrint(id.fingerprint()) {
+	if op.Key.tooOld(e.env.Now) || e.shard.used(id, e.env.Now) {
 		return Result{Kind: Expired}
 	}
-	r, found := e.shard.records[id]
+	r, found := e.shard.find(id, e.env.Now)
 	switch {
 	case found && r.Attempt == op.Attempt && r.State == StatePending:
 		// The same attempt asks again: its first answer was lost.
@@ -45,7 +45,7 @@
 
 // complete records the answer of the attempt that holds the claim.
 func (e *editor) complete(op Op) Result {
-	r, found := e.shard.records[op.Key.ID()]
+	r, found := e.shard.find(op.Key.ID(), e.env.Now)
 	if !found || r.Attempt != op.Attempt || r.State == StateWithdrawn {
 		return Result{Kind: Ignored}
 	}
@@ -76,7 +76,7 @@
 // delayed write of the attempt's claim can no longer take effect.
 func (e *editor) withdraw(op Op) Result {
 	id := op.Key.ID()
-	r, found := e.shard.records[id]
+	r, found := e.shard.find(id, e.env.Now)
 	switch {
 	case found && r.Attempt != op.Attempt:
 		return Result{Kind: Recorded}
@@ -88,7 +88,7 @@
 		r.State = StateWithdrawn
 		e.store(r)
 		return Result{Kind: Recorded}
-	case e.shard.hasPrint(id.fingerprint()):
+	case e.shard.used(id, e.env.Now):
 		return Result{Kind: Ignored}
 	}
 	if !e.put(e.newRecord(op, StateWithdrawn)) {
--- a/internal/claim/fakestore_test.go
+++ b/internal/claim/fakestore_test.go
@@ -89,7 +89,20 @@
 func (f *fakeStore) List(context.Context, platform.Kind) ([]platform.Object, uint64, error) {
 	panic("not used")
 }
-func (f *fakeStore) Delete(context.Context, platform.Object) error { panic("not used") }
+
+func (f *fakeStore) Delete(_ context.Context, o platform.Object) error {
+	if f.faults.draw("store delete unanswered", 0.1) || f.faults.isDown() {
+		return platform.ErrUnavailable
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.objects[o.Name].Version != o.Version {
+		return platform.ErrConflict
+	}
+	delete(f.objects, o.Name)
+	return nil
+}
+
 func (f *fakeStore) Watch(context.Context, platform.Kind, uint64) ([]platform.Event, uint64, error) {
 	panic("not used")
 }
--- a/internal/claim/faults_test.go
+++ b/internal/claim/faults_test.go
@@ -19,7 +19,7 @@
 
 var (
 	firstSeed = flag.Int64("claim.seed", 1, "first seed of the fault runs")
-	seeds     = flag.Int("claim.seeds", 30, "number of fault runs")
+	seeds     = flag.Int("claim.seeds", 60, "number of fault runs")
 )
 
 // provoked lists the faults that the runs must have seen.
@@ -29,6 +29,7 @@
 	"forward lost", "forward answer lost", "forward duplicated", "forward delayed", "another owner",
 	"caller gave up", "crash between claim and dispatch", "pause longer than any lease",
 	"endpoint refused", "crash after dispatch",
+	"segment sealed", "segments merged", "segment removed", "store delete unanswered",
 }
 
 // TestAtMostOnceUnderFaults lets callers retry few keys on several daemons while the
@@ -48,8 +49,8 @@
 
 const (
 	worldDaemons = 3
-	worldCallers = 40
-	worldKeys    = 5
+	worldCallers = 60
+	worldKeys    = 8
 )
 
 // world is one run: daemons over one store, and the endpoint's ledger.
@@ -99,8 +100,18 @@
 		if n := d.Backlog(); n > 0 {
 			t.Errorf("seed %d: %d reports left after the faults", seed, n)
 		}
+		for i := range worldKeys {
+			attempt := fmt.Sprintf("last-%s-%d", d.member, i)
+			if r := d.Acquire(context.Background(), testKey(fmt.Sprint("key-", i)), attempt); r.Kind == Refused {
+				t.Errorf("seed %d: key-%d refused after the faults", seed, i)
+			}
+		}
 		d.Close()
-		if n := d.config.Metrics.Violations.Load(); n > 0 {
+		m := d.config.Metrics
+		counts["segment sealed"] += int(m.Seals.Load())
+		counts["segments merged"] += int(m.Merges.Load())
+		counts["segment removed"] += int(m.Removals.Load())
+		if n := m.Violations.Load(); n > 0 {
 			t.Errorf("seed %d: %d invariants broken inside", seed, n)
 		}
 	}
@@ -116,7 +127,7 @@
 		Owner:    w.owner,
 		Forward:  d,
 		Gone:     w.isGone,
-		Settings: Settings{Shards: 2},
+		Settings: Settings{Shards: 2, SealBytes: 200, MergeSegments: 2},
 		Logger:   &log.Logger{Level: log.ErrorLevel},
 	})
 	return d
@@ -194,7 +205,7 @@
 
 // caller sends one key, some time, to some daemon.
 func (w *world) caller() {
-	spread := []time.Duration{time.Second, time.Minute, time.Minute, 20 * time.Minute, 3 * time.Hour}
+	spread := []time.Duration{time.Second, time.Minute, 20 * time.Minute, 20 * time.Minute, 3 * time.Hour}
 	time.Sleep(w.duration(spread[w.pick(len(spread))]))
 	key := testKey(fmt.Sprintf("key-%d", w.pick(worldKeys)))
 	d := w.running(fmt.Sprintf("d%d", w.pick(worldDaemons)))
--- a/internal/claim/metrics.go
+++ b/internal/claim/metrics.go
@@ -26,6 +26,13 @@
 	Fallbacks atomic.Uint64
 	// Dropped are reports lost because the backlog was full.
 	Dropped atomic.Uint64
+	// Seals and Merges are the segments made of finished claims and of old segments.
+	Seals  atomic.Uint64
+	Merges atomic.Uint64
+	// Removals are the segments deleted, or tried to be; Leftovers are those of them
+	// that stay as objects that nothing refers to.
+	Removals  atomic.Uint64
+	Leftovers atomic.Uint64
 	// Violations are broken invariants.
 	Violations atomic.Uint64
 	// ShardBytes is a gauge: the size of the shard that was written last.
--- /dev/null
+++ b/internal/claim/segmentstore.go
@@ -0,0 +1,159 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"rattanchute/internal/platform"
+)
+
+// segmentReaders limits the segments that are read at the same time.
+const segmentReaders = 16
+
+// errSegmentGone means that a shard's value names a segment that does not exist any
+// more, because another member has replaced that value since.
+var errSegmentGone = errors.New("claim: segment replaced")
+
+// orphan is a segment that may or may not be part of the shard, because the write that
+// was to name it, at a version, had no answer.
+type orphan struct {
+	name    string
+	version uint64
+}
+
+// attach reads the segments that a shard names and that are not known yet.
+func (s *shardStore) attach(shard *Shard) error {
+	known := map[string]*Shard{}
+	if s.last != nil {
+		for _, old := range s.last.segments {
+			known[old.Name] = old.content
+		}
+	}
+	var readers errgroup.Group
+	readers.SetLimit(segmentReaders)
+	for i := range shard.segments {
+		target := &shard.segments[i]
+		if target.content = known[target.Name]; target.content != nil {
+			continue
+		}
+		readers.Go(func() error {
+			content, err := s.readSegment(target.Name)
+			target.content = content
+			return err
+		})
+	}
+	if err := readers.Wait(); err != nil {
+		return err
+	}
+	s.last = shard
+	return nil
+}
+
+func (s *shardStore) readSegment(name string) (*Shard, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+	defer cancel()
+	s.metrics.Reads.Add(1)
+	object, err := s.store.Get(ctx, platform.KindClaims, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, fmt.Errorf("%w: %s", errSegmentGone, name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return Decode(object.Value)
+}
+
+// compact moves claims into a new segment if that is due, and returns the value to
+// write in place of next. If the segment cannot be stored, that is next itself.
+func (s *shardStore) compact(next *Shard, now time.Time) (*Shard, error) {
+	c, due := next.compact(now)
+	if !due {
+		return next, nil
+	}
+	name := s.name + "-" + uuid.NewString()
+	compacted := c.with(name)
+	if err := verifyCompaction(next, compacted); err != nil {
+		return nil, err
+	}
+	if !s.createSegment(name, c.content) {
+		return next, nil
+	}
+	if c.merged {
+		s.metrics.Merges.Add(1)
+	} else {
+		s.metrics.Seals.Add(1)
+	}
+	// Until the shard's value names the segment, it is nobody's.
+	s.orphans = append(s.orphans, orphan{name: name, version: s.version})
+	return compacted, nil
+}
+
+func (s *shardStore) createSegment(name string, content *Shard) bool {
+	value, err := content.Encode()
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+	defer cancel()
+	s.metrics.Writes.Add(1)
+	s.metrics.WrittenBytes.Add(uint64(len(value)))
+	_, err = s.store.Create(ctx, platform.KindClaims, name, value)
+	if err != nil && !errors.Is(err, platform.ErrThrottled) && !errors.Is(err, platform.ErrTooLarge) {
+		s.orphans = append(s.orphans, orphan{name: name, version: s.version})
+	}
+	return err == nil
+}
+
+// collect deletes the segments that are no part of the shard any more, now that its
+// stored value is known: those it has replaced, and orphans of writes that can no longer
+// take effect because the version has moved on. A failed delete leaves an object that
+// nothing refers to.
+func (s *shardStore) collect(replaced *Shard) {
+	named := map[string]bool{}
+	for _, kept := range s.base.segments {
+		named[kept.Name] = true
+	}
+	var garbage []string
+	if replaced != nil {
+		for _, old := range replaced.segments {
+			if !named[old.Name] {
+				garbage = append(garbage, old.Name)
+			}
+		}
+	}
+	var open []orphan
+	for _, o := range s.orphans {
+		switch {
+		case named[o.name]:
+		case o.version >= s.version:
+			open = append(open, o)
+		default:
+			garbage = append(garbage, o.name)
+		}
+	}
+	s.orphans = open
+	if len(garbage) > 0 {
+		s.later(func() { s.remove(garbage) })
+	}
+}
+
+// remove deletes segments that nothing refers to.
+func (s *shardStore) remove(names []string) {
+	for _, name := range names {
+		ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+		object, err := s.store.Get(ctx, platform.KindClaims, name)
+		if err == nil {
+			err = s.store.Delete(ctx, object)
+		}
+		cancel()
+		s.metrics.Removals.Add(1)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			s.metrics.Leftovers.Add(1)
+		}
+	}
+}
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -45,6 +45,7 @@
 	pool    pond.Pool
 	breaker breaker
 	backlog *backlog
+	tasks   sync.WaitGroup
 
 	mu         sync.Mutex
 	layout     layout
@@ -172,4 +173,5 @@
 	for _, c := range committers {
 		c.close()
 	}
+	s.tasks.Wait()
 }
--- a/internal/claim/settings.go
+++ b/internal/claim/settings.go
@@ -33,6 +33,10 @@
 	MaxBacklog int
 	// Writers limits the shards that are written at the same time.
 	Writers int
+	// SealBytes is the size from which a shard's finished claims are moved to a segment,
+	// and MergeSegments the number of old segments that are merged into one.
+	SealBytes     int
+	MergeSegments int
 }
 
 // withDefaults fills in the zero values.
@@ -45,6 +49,8 @@
 	setDefault(&s.MaxWaiting, DefaultMaxWaiting)
 	setDefault(&s.MaxBacklog, DefaultMaxBacklog)
 	setDefault(&s.Writers, DefaultWriters)
+	setDefault(&s.SealBytes, DefaultSealBytes)
+	setDefault(&s.MergeSegments, DefaultMergeSegments)
 	return s
 }
 
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -17,12 +17,23 @@
 	records map[ID]Record
 	// buckets are in order of their span.
 	buckets []bucket
-	limit   int
+	// segments hold more claims, the latest segment last.
+	segments []segment
+	// limit is the largest size that is written.
+	limit int
+	// sealBytes and mergeSegments say when claims are moved to a segment.
+	sealBytes     int
+	mergeSegments int
 }
 
 // NewShard returns a shard without claims.
 func NewShard() *Shard {
-	return &Shard{records: map[ID]Record{}, limit: limitBytes}
+	return &Shard{
+		records:       map[ID]Record{},
+		limit:         limitBytes,
+		sealBytes:     DefaultSealBytes,
+		mergeSegments: DefaultMergeSegments,
+	}
 }
 
 // Env is what a decision depends on beside the shard.
@@ -73,6 +84,11 @@
 
 // size bounds the encoded length of the shard.
 func (s *Shard) size() int {
+	return s.ownSize() + len(s.segments)*segmentRefBytes
+}
+
+// ownSize bounds the encoded length of what is not in segments.
+func (s *Shard) ownSize() int {
 	total := 0
 	for _, r := range s.records {
 		total += r.size()
@@ -84,11 +100,11 @@
 }
 
 func (s *Shard) clone() *Shard {
-	return &Shard{
-		records: maps.Clone(s.records),
-		buckets: slices.Clone(s.buckets),
-		limit:   s.limit,
-	}
+	next := *s
+	next.records = maps.Clone(s.records)
+	next.buckets = slices.Clone(s.buckets)
+	next.segments = slices.Clone(s.segments)
+	return &next
 }
 
 // hasPrint reports whether a claim with this fingerprint was made within the window.
@@ -98,9 +114,43 @@
 			return true
 		}
 	}
+	for _, sealed := range s.segments {
+		if sealed.content.hasPrint(print) {
+			return true
+		}
+	}
 	return false
 }
 
+// anyRecord returns the claim on a key, however old.
+func (s *Shard) anyRecord(id ID) (Record, bool) {
+	if r, found := s.records[id]; found {
+		return r, true
+	}
+	for _, sealed := range slices.Backward(s.segments) {
+		if r, found := sealed.content.records[id]; found {
+			return r, true
+		}
+	}
+	return Record{}, false
+}
+
+// find returns the claim on a key if it is still kept in full.
+func (s *Shard) find(id ID, now time.Time) (Record, bool) {
+	r, found := s.anyRecord(id)
+	return r, found && r.age(now) < RecordWindow
+}
+
+// used reports whether no more is known of a key than that it was used.
+func (s *Shard) used(id ID, now time.Time) bool {
+	if s.hasPrint(id.fingerprint()) {
+		return true
+	}
+	r, found := s.anyRecord(id)
+	age := r.age(now)
+	return found && r.State == StateCompleted && age >= RecordWindow && age < FingerprintWindow
+}
+
 // expire drops what is past its window.
 func (s *Shard) expire(now time.Time) {
 	var old []Record
@@ -113,6 +163,9 @@
 	s.buckets = slices.DeleteFunc(s.buckets, func(b bucket) bool {
 		return b.expired(now)
 	})
+	s.segments = slices.DeleteFunc(s.segments, func(sealed segment) bool {
+		return sealed.expired(now)
+	})
 }
 
 // reduce replaces records by their fingerprints. A withdrawn claim leaves none, since
--- a/internal/claim/shard_test.go
+++ b/internal/claim/shard_test.go
@@ -18,7 +18,7 @@
 }
 
 // frameBytes is the JSON around records and fingerprints.
-const frameBytes = 64
+const frameBytes = 80
 
 // TestShardProperty applies random groups to a small shard over days and holds every
 // grant against a model.
@@ -26,7 +26,9 @@
 	seen := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		shard := NewShard()
-		shard.limit = 1600
+		shard.limit = 2200
+		shard.sealBytes = 300
+		shard.mergeSegments = 2
 		now := time.Unix(1_800_000_000, 0)
 		used := map[Key]time.Time{}
 		holder := map[Key]string{}
@@ -56,12 +58,23 @@
 					delete(used, op.Key)
 				}
 			}
-			shard = checkStored(t, applied.Shard)
+			shard = applied.Shard
+			if c, due := shard.compact(now); due {
+				serial++
+				seen[fmt.Sprint("compacted, merged=", c.merged)]++
+				before := shard
+				shard = c.with(fmt.Sprint("segment", serial))
+				if err := verifyCompaction(before, shard); err != nil {
+					t.Fatal(err)
+				}
+			}
+			shard = checkStored(t, shard)
 		}
 	})
 	for _, what := range []string{"write failed", "acquire granted", "acquire completed", "acquire in-progress",
 		"acquire unknown", "acquire expired", "acquire refused", "complete recorded", "complete ignored",
-		"withdraw recorded", "withdraw ignored"} {
+		"withdraw recorded", "withdraw ignored",
+		"compacted, merged=false", "compacted, merged=true"} {
 		if seen[what] == 0 {
 			t.Errorf("never happened: %s", what)
 		}
@@ -99,7 +112,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	back.limit = shard.limit
+	back.limit, back.sealBytes, back.mergeSegments = shard.limit, shard.sealBytes, shard.mergeSegments
+	for i, sealed := range shard.segments {
+		back.segments[i].content = checkStored(t, sealed.content)
+	}
 	again, _ := back.Encode()
 	if !reflect.DeepEqual(value, again) {
 		t.Fatalf("read back as\n%s\nwant\n%s", again, value)
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -23,10 +23,18 @@
 	gone    func(writer string) bool
 	metrics *Metrics
 	logger  *log.Logger
+	// later runs what no caller waits for.
+	later func(func())
+	// sealBytes and mergeSegments are set on every value that is read.
+	sealBytes     int
+	mergeSegments int
 
 	// base is the value last known to be stored, at version; nil if it has to be read.
 	base    *Shard
 	version uint64
+	// last is the value whose segments are known, which may have been replaced since.
+	last    *Shard
+	orphans []orphan
 	// reported says that a fault of this shard has been logged.
 	reported bool
 }
@@ -66,7 +74,12 @@
 // try makes one pass. It returns nothing at all if another pass is needed.
 func (s *shardStore) try(ops []Op, state *attempted) ([]Result, error) {
 	if s.base == nil {
-		if err := s.read(); err != nil {
+		err := s.read()
+		if errors.Is(err, errSegmentGone) {
+			s.base = nil
+			return nil, nil
+		}
+		if err != nil {
 			return nil, err
 		}
 		state.fresh = true
@@ -92,8 +105,7 @@
 	s.metrics.Reads.Add(1)
 	object, err := s.store.Get(ctx, platform.KindClaims, s.name)
 	if errors.Is(err, platform.ErrNotFound) {
-		s.base = NewShard()
-		s.version = 0
+		s.setBase(NewShard(), 0)
 		return nil
 	}
 	if err != nil {
@@ -103,22 +115,39 @@
 	if err != nil {
 		return err
 	}
-	s.base = base
-	s.version = object.Version
+	if err := s.attach(base); err != nil {
+		return err
+	}
+	s.setBase(base, object.Version)
+	s.collect(nil)
 	return nil
 }
 
+// setBase notes the stored value.
+func (s *shardStore) setBase(base *Shard, version uint64) {
+	base.sealBytes = s.sealBytes
+	base.mergeSegments = s.mergeSegments
+	s.base = base
+	s.last = base
+	s.version = version
+}
+
 // write stores a new value in place of the base.
 func (s *shardStore) write(applied Applied, state *attempted) ([]Result, error) {
-	value, err := applied.Shard.Encode()
+	next, err := s.compact(applied.Shard, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	value, err := next.Encode()
 	if err != nil {
 		return nil, err
 	}
 	object, err := s.put(value)
 	switch {
 	case err == nil:
-		s.base = applied.Shard
-		s.version = object.Version
+		replaced := s.base
+		s.setBase(next, object.Version)
+		s.collect(replaced)
 		s.metrics.ShardBytes.Store(int64(len(value)))
 		return applied.Results, nil
 	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
--- a/internal/claim/verify.go
+++ b/internal/claim/verify.go
@@ -27,7 +27,7 @@
 		if a.Results[i].Kind != Granted {
 			continue
 		}
-		if what := verifyGrant(before, a.Shard, withdrawn, op); what != "" {
+		if what := verifyGrant(before, a.Shard, withdrawn, op, now); what != "" {
 			return &InvariantError{What: what, ID: id}
 		}
 	}
@@ -62,15 +62,17 @@
 }
 
 // verifyGrant checks that a grant is backed by a record, and not given for a used key.
-func verifyGrant(before, after *Shard, withdrawn map[holding]bool, op Op) string {
+func verifyGrant(before, after *Shard, withdrawn map[holding]bool, op Op, at time.Time) string {
 	id := op.Key.ID()
 	r, has := after.records[id]
 	holds := has && r.Attempt == op.Attempt
 	switch {
 	case !holds && !withdrawn[holding{id, op.Attempt}]:
 		return "granted without holding the record"
-	case after.hasPrint(id.fingerprint()) && before.hasPrint(id.fingerprint()):
+	case after.used(id, at) && before.used(id, at):
 		return "granted a key that was used"
+	case sealedWithin(before, id, at):
+		return "granted a key with a sealed claim"
 	}
 	return ""
 }
@@ -91,3 +93,12 @@
 	}
 	return withdrawn
 }
+
+// sealedWithin reports whether a segment holds a claim on the key that still counts.
+func sealedWithin(s *Shard, id ID, now time.Time) bool {
+	if _, hot := s.records[id]; hot {
+		return false
+	}
+	r, found := s.anyRecord(id)
+	return found && r.age(now) < FingerprintWindow
+}
