Let a closed owner send claims back to their daemon

Cause: the new check after the faults, that every key is answered again, found that a closed owner refused what was forwarded to it. Change: Handle returns ErrClosed, on which the sender commits the claim itself. Ruled out: closing all daemons of a run only after the checks; the fault was real.

--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -20,6 +20,9 @@
 // ErrIgnored means that a report came too late or from an attempt without a claim.
 var ErrIgnored = errors.New("claim: attempt does not hold the claim")
 
+// ErrClosed means that this member commits nothing more; the sender does it itself.
+var ErrClosed = errors.New("claim: service closed")
+
 // Config is what a Service works with.
 type Config struct {
 	// Member is this daemon's name among the members, as Owner returns it.
@@ -147,9 +150,18 @@
 	if err := op.Validate(); err != nil {
 		return Result{}, err
 	}
+	if s.isClosed() {
+		return Result{}, ErrClosed
+	}
 	return s.commit(ctx, op), nil
 }
 
+func (s *Service) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // Backlog returns the number of reports that wait for the store.
 func (s *Service) Backlog() int {
 	return s.backlog.size()
