--- a/internal/policybench/variant.go
+++ b/internal/policybench/variant.go
@@ -26,10 +26,14 @@
 	LeastLoaded     = Variant{Name: "least-loaded by report", Plain: "least-loaded"}
 	NoAdmission     = Variant{Name: "no admission control", NoAdmission: true}
 	WithoutAffinity = Variant{Name: "affinity off", Off: route.MechanismAffinity}
+	WithoutSpread   = Variant{Name: "popular prefixes off", Off: route.MechanismSpread}
 	WithoutBound    = Variant{Name: "bounded load off", Off: route.MechanismBoundedLoad}
 	WithoutTwo      = Variant{Name: "two choices off", Off: route.MechanismTwoChoices}
 	WithoutEjection = Variant{Name: "ejection off", Off: route.MechanismEjection}
 	WithoutPrice    = Variant{Name: "price off", Off: route.MechanismPrice}
+	// Requests without prefixes, such as those of plain services, have no affinity.
+	NoPrefixes      = Variant{Name: "no prefixes", Off: route.MechanismAffinity}
+	NoPrefixesPrice = Variant{Name: "no prefixes, price off", Off: route.MechanismAffinity | route.MechanismPrice}
 )
 
 func (v Variant) policy(cfg *fleet.Configuration, random *rand.Rand) policy {
--- a/internal/route/affinity.go
+++ b/internal/route/affinity.go
@@ -40,6 +40,9 @@
 
 // width is how many endpoints the requests with the prefix need.
 func (d *decision) width(prefix uint64) int {
+	if d.off.has(MechanismSpread) {
+		return 1
+	}
 	share := d.popularity.share(prefix)
 	return max(int(share*float64(len(d.list.hash))*loadFactor+0.5), 1)
 }
--- a/internal/route/mechanism.go
+++ b/internal/route/mechanism.go
@@ -7,6 +7,8 @@
 // The parts of the policy.
 const (
 	MechanismAffinity Mechanism = 1 << iota
+	// MechanismSpread widens the affinity of popular prefixes.
+	MechanismSpread
 	MechanismBoundedLoad
 	MechanismTwoChoices
 	MechanismEjection
