Push leaving hosts in groups when many leave at once

Cause: a data centre's hosts leaving together would have been pushed one by one by every node: by arithmetic 688 hosts times 3 pushes a node. Change: the first push goes at once, what follows within 100 ms goes together (Machine.Flush, Output.Wake). Ruled out: waiting for the tick, which adds up to a second a hop.

--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -137,21 +137,9 @@
 	}
 	// What a starting node learns from a peer is no news to the others.
 	if m.join.done || from == "" {
-		out.Sends = append(out.Sends, m.pushLeaving(rnd, leaving, from)...)
-	}
-	return out
-}
-
-func (m *Machine) pushLeaving(rnd *rand.Rand, leaving []HostRecord, from string) []Send {
-	var out []Send
-	for part := range slices.Chunk(leaving, MaxRecords) {
-		msg := m.message(KindPush)
-		msg.Hosts = part
-		out = append(out, m.toRandom(rnd, msg, Fanout, from)...)
-	}
-	for i := range out {
-		out[i].Urgent = true
+		m.urgent = append(m.urgent, leaving...)
 	}
+	out.add(m.Flush(now, rnd))
 	return out
 }
 
--- a/internal/spread/fresh.go
+++ b/internal/spread/fresh.go
@@ -1,6 +1,14 @@
 package spread
 
-import "time"
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// urgentInterval is the shortest time between two pushes of leaving hosts. The first
+// one goes at once; what comes in the meantime goes together with the next.
+const urgentInterval = 100 * time.Millisecond
 
 // freshHost is a run of a host lately heard to be leaving.
 type freshHost struct {
@@ -28,3 +36,36 @@
 	}
 	m.fresh = m.fresh[i:]
 }
+
+// Flush pushes the hosts that are leaving, or asks to be called again when the last
+// push was too short ago.
+func (m *Machine) Flush(now time.Time, rnd *rand.Rand) Output {
+	if len(m.urgent) == 0 {
+		return Output{}
+	}
+	if wait := m.urgentAt.Add(urgentInterval).Sub(now); wait > 0 {
+		return m.wakeIn(now, wait)
+	}
+	leaving := m.urgent
+	m.urgent = nil
+	m.urgentAt = now
+	var out Output
+	for part := range slices.Chunk(leaving, MaxRecords) {
+		msg := m.message(KindPush)
+		msg.Hosts = part
+		out.Sends = append(out.Sends, m.toRandom(rnd, msg, Fanout, "")...)
+	}
+	for i := range out.Sends {
+		out.Sends[i].Urgent = true
+	}
+	return out
+}
+
+// wakeIn asks for a Flush, once for all that wait.
+func (m *Machine) wakeIn(now time.Time, wait time.Duration) Output {
+	if m.wakeAt.After(now) {
+		return Output{}
+	}
+	m.wakeAt = now.Add(wait)
+	return Output{Wake: wait}
+}
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -63,7 +63,12 @@
 	pendingMembers map[string]struct{}
 	pendingHosts   map[hostKey]struct{}
 	// fresh are the hosts lately heard to be leaving; every exchange repeats them.
-	fresh      []freshHost
+	fresh []freshHost
+	// urgent are the leaving hosts still to be pushed, urgentAt is the time of the last
+	// push, and wakeAt is when Flush was asked for.
+	urgent     []HostRecord
+	urgentAt   time.Time
+	wakeAt     time.Time
 	violations uint64
 }
 
@@ -93,6 +98,7 @@
 	m.hosts.expire(now)
 	m.expireDelta(now)
 	out.add(m.endProbes(now))
+	out.add(m.Flush(now, rnd))
 	out.add(m.flushPending(rnd))
 	out.add(m.tickJoin(now))
 	out.add(m.tickFetch(now, rnd))
--- a/internal/spread/message.go
+++ b/internal/spread/message.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"time"
+
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/member"
 )
@@ -116,9 +118,12 @@
 type Output struct {
 	Sends  []Send
 	Events []Event
+	// Wake, if not zero, asks for a call of Flush after that time.
+	Wake time.Duration
 }
 
 func (o *Output) add(other Output) {
 	o.Sends = append(o.Sends, other.Sends...)
 	o.Events = append(o.Events, other.Events...)
+	o.Wake = max(o.Wake, other.Wake)
 }
--- a/internal/spread/runner.go
+++ b/internal/spread/runner.go
@@ -217,9 +217,19 @@
 	if len(out.Events) > 0 {
 		r.signal()
 	}
+	if out.Wake > 0 {
+		time.AfterFunc(out.Wake, r.flush)
+	}
 	r.sendAll(out.Sends)
 }
 
+func (r *Runner) flush() {
+	if r.ctx.Err() != nil {
+		return
+	}
+	r.with(func(now time.Time) Output { return r.machine.Flush(now, r.rnd) })
+}
+
 func (r *Runner) observe() {
 	generation, _ := r.machine.Configuration()
 	r.metrics.generation.Set(float64(generation))
--- a/internal/spread/spreadtest/network.go
+++ b/internal/spread/spreadtest/network.go
@@ -39,10 +39,12 @@
 	Paused     bool
 	// Life counts the starts.
 	Life int
-	// Sent is the bytes sent since the start of the run, when messages are encoded.
+	// Sent and Received are the bytes of the encoded messages, when they are encoded.
 	Sent, Received int64
-	held           []func()
-	lastDelivery   map[string]time.Time
+	// Requests counts the messages sent, without answers.
+	Requests     int64
+	held         []func()
+	lastDelivery map[string]time.Time
 }
 
 // Network is a set of nodes with one virtual clock.
@@ -168,6 +170,11 @@
 	for _, s := range out.Sends {
 		n.send(node, s)
 	}
+	if out.Wake > 0 {
+		n.at(node, node.Life, out.Wake, func() {
+			n.Do(node, func(m *spread.Machine, now time.Time, rnd *rand.Rand) spread.Output { return m.Flush(now, rnd) })
+		})
+	}
 	if n.OnStep != nil {
 		n.OnStep(node)
 	}
--- a/internal/spread/spreadtest/wire.go
+++ b/internal/spread/spreadtest/wire.go
@@ -26,6 +26,7 @@
 }
 
 func (n *Network) send(from *Node, s spread.Send) {
+	from.Requests++
 	x := &exchange{send: s, from: from, life: from.Life}
 	to := n.byAddress[s.To]
 	n.at(from, x.life, AnswerTimeout, func() { n.fail(x) })
