Let the asked daemon gather the others' status and drain by name

Cause: members know one another's peers' address only, and an operator may reach just one daemon. Ruled out: an operators' address in the membership records, which all daemons would have to spread. Conclusion: go test -race -count=3 ./internal/ctl/... ./internal/adapter/... passes.

--- a/internal/adapter/operators/answers.go
+++ b/internal/adapter/operators/answers.go
@@ -23,12 +23,29 @@
 }
 
 func (h *handler) members(ctx *fasthttp.RequestCtx, _ string) {
-	answer(ctx, api.Members{Members: h.backend.Members()})
+	operation, cancel := operationContext()
+	defer cancel()
+	answer(ctx, api.Members{Members: h.backend.Members(operation)})
 }
 
 func (h *handler) drain(ctx *fasthttp.RequestCtx, _ string) {
-	h.backend.Drain()
-	answer(ctx, h.backend.Status())
+	var request api.DrainRequest
+	document := jsonc.Parse("request", ctx.PostBody())
+	document.Decode(&request)
+	if request.Node == "" {
+		document.Add(jsonc.Path{}.Key("node"), "node is empty", "accepted is the name of a daemon")
+	}
+	if badBody(ctx, document) {
+		return
+	}
+	operation, cancel := operationContext()
+	defer cancel()
+	status, err := h.backend.Drain(operation, request.Node)
+	if err != nil {
+		h.fail(ctx, err)
+		return
+	}
+	answer(ctx, status)
 }
 
 func (h *handler) explain(ctx *fasthttp.RequestCtx, _ string) {
@@ -38,17 +55,26 @@
 	if (request.Model == "") == (request.Path == "") {
 		document.Add(nil, "the request names no call", `accepted is either "model" or "method" and "path"`)
 	}
-	if list := document.Findings(); len(list) > 0 {
-		problem(ctx, fasthttp.StatusBadRequest, api.Problem{
-			Code:     api.CodeBadRequest,
-			Message:  "the request is not valid",
-			Findings: list,
-		})
+	if badBody(ctx, document) {
 		return
 	}
 	answer(ctx, h.backend.Explain(request))
 }
 
+// badBody answers with the findings of a request's body, if there are any.
+func badBody(ctx *fasthttp.RequestCtx, document *jsonc.Document) bool {
+	list := document.Findings()
+	if len(list) == 0 {
+		return false
+	}
+	problem(ctx, fasthttp.StatusBadRequest, api.Problem{
+		Code:     api.CodeBadRequest,
+		Message:  "the request is not valid",
+		Findings: list,
+	})
+	return true
+}
+
 func (h *handler) audit(ctx *fasthttp.RequestCtx, _ string) {
 	limit := defaultAuditLimit
 	if raw := ctx.QueryArgs().Peek(api.QueryLimit); len(raw) > 0 {
--- a/internal/adapter/operators/configuration.go
+++ b/internal/adapter/operators/configuration.go
@@ -16,6 +16,9 @@
 // maxHeaderValueBytes bounds the change id and the file name of a change.
 const maxHeaderValueBytes = 128
 
+// retryAfterSeconds is when an operator may try again after an outage.
+const retryAfterSeconds = "1"
+
 func (h *handler) configuration(ctx *fasthttp.RequestCtx, _ string) {
 	operation, cancel := operationContext()
 	defer cancel()
@@ -94,11 +97,19 @@
 			Differences: conflict.Differences,
 		}
 		problem(ctx, fasthttp.StatusConflict, p)
+	case errors.Is(err, ErrNoNode):
+		p.Code = api.CodeNotFound
+		problem(ctx, fasthttp.StatusNotFound, p)
 	case errors.As(err, &unknown):
 		p.Code = api.CodeUnknownEffect
-		problem(ctx, fasthttp.StatusServiceUnavailable, p)
+		unavailable(ctx, p)
 	default:
 		p.Code = api.CodeUnavailable
-		problem(ctx, fasthttp.StatusServiceUnavailable, p)
+		unavailable(ctx, p)
 	}
 }
+
+func unavailable(ctx *fasthttp.RequestCtx, p api.Problem) {
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds)
+	problem(ctx, fasthttp.StatusServiceUnavailable, p)
+}
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -22,6 +22,8 @@
 	Findings findings.List `json:"findings,omitempty"`
 	Conflict *api.Conflict `json:"conflict,omitempty"`
 	Lagging  []Lagging     `json:"lagging,omitempty"`
+	// Result is what the command did before it failed.
+	Result result `json:"result,omitempty"`
 }
 
 // finish prints a result or an error and returns the exit code. A failed command may
@@ -44,7 +46,9 @@
 func (c *command) printJSON(r result, err error, code int) {
 	var body any = r
 	if err != nil {
-		body = newFailure(err, code)
+		f := newFailure(err, code)
+		f.Result = r
+		body = f
 	}
 	encoder := json.NewEncoder(c.env.Stdout)
 	encoder.SetEscapeHTML(false)
