Gather the daemons' status over the peers' listener; report breaches of invariants

Change: status and drain between daemons by peers' messages, the operators' address left out of the members' records again, breaches counted and logged once a name.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -76,6 +76,7 @@
 		pool:     pond.NewPool(controlWorkers),
 		stop:     make(chan struct{}),
 	}
+	a.reportBreaches()
 	a.store = newStore(s.Platform)
 	a.cloud = newCloud(s.Platform)
 	a.registry.MustRegister(collectors.NewGoCollector(),
@@ -131,17 +132,12 @@
 	return nil
 }
 
-// operatorsBodyBytes bounds a configuration on its way in.
-const operatorsBodyBytes = 2 << 20
-
 func (a *App) buildOperators() error {
 	b := &backend{app: a, started: time.Now()}
-	a.operators = &fasthttp.Server{
-		Handler:            operators.New(b, a.settings.Operators, a.registry),
-		MaxRequestBodySize: operatorsBodyBytes,
-		ReadTimeout:        a.settings.Limits.ReadHeaderTimeout.Std(),
-		CloseOnShutdown:    true,
-	}
+	handler := operators.New(b, a.settings.Operators, a.registry)
+	a.operators = operators.NewServer(handler, a.settings.Limits)
+	a.peers.Handle(pathStatus, b.handleStatus)
+	a.peers.Handle(pathDrain, b.handleDrain)
 	return nil
 }
 
--- a/internal/app/backend.go
+++ b/internal/app/backend.go
@@ -76,24 +76,6 @@
 	}
 }
 
-// Members implements operators.Backend.
-func (b *backend) Members() []api.Member {
-	live := b.app.spread.Members()
-	list := make([]api.Member, 0, len(live))
-	for _, m := range live {
-		list = append(list, api.Member{
-			Node:       m.Name,
-			DataCentre: m.DataCentre,
-			State:      api.MemberLive,
-			Operators:  m.Operators,
-		})
-	}
-	return list
-}
-
-// Drain implements operators.Backend.
-func (b *backend) Drain() { b.app.Drain() }
-
 // Explain implements operators.Backend.
 func (b *backend) Explain(r api.ExplainRequest) api.Explanation {
 	table := b.app.router.Table()
@@ -110,8 +92,9 @@
 		PromptTokens: explainPromptTokens,
 	})
 	e.Refused = found.Error
+	e.Chosen = found.Choice.Endpoint.Name
 	for _, d := range found.Endpoints {
-		addDecision(&e, table, d)
+		e.Endpoints = append(e.Endpoints, newDecision(d))
 	}
 	return e
 }
@@ -123,28 +106,17 @@
 	return table.FleetForPath(r.Path)
 }
 
-// addDecision lists an endpoint as a candidate if it may answer, the chosen one first.
-func addDecision(e *api.Explanation, table *route.Table, d route.EndpointDecision) {
-	switch d.Reason {
-	case route.ReasonChosen, route.ReasonOverLoad, route.ReasonNotDrawn, route.ReasonOutweighed:
-	default:
-		e.Excluded = append(e.Excluded, api.Excluded{Endpoint: d.Endpoint, Reason: string(d.Reason)})
-		return
-	}
-	endpoint, _ := table.Endpoint(d.Endpoint)
-	candidate := api.Candidate{
+func newDecision(d route.EndpointDecision) api.EndpointDecision {
+	return api.EndpointDecision{
 		Endpoint:                 d.Endpoint,
-		Host:                     endpoint.Host,
 		DataCentre:               d.DataCentre,
 		Priority:                 d.Priority,
-		ExpectedFirstTokenMillis: float64(d.ExpectedFirstToken) / float64(time.Millisecond),
 		Reason:                   string(d.Reason),
+		ExpectedFirstTokenMillis: float64(d.ExpectedFirstToken) / float64(time.Millisecond),
+		Load:                     d.Load,
+		CachedTokens:             d.CachedTokens,
+		PricePerHourMilli:        d.PricePerHour,
 	}
-	if d.Reason == route.ReasonChosen {
-		e.Candidates = append([]api.Candidate{candidate}, e.Candidates...)
-		return
-	}
-	e.Candidates = append(e.Candidates, candidate)
 }
 
 // ready tells whether the daemon takes new requests, and if not, why.
--- /dev/null
+++ b/internal/app/backendpeers.go
@@ -0,0 +1,70 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+
+	"rattanchute/internal/adapter/operators"
+	"rattanchute/internal/ctl/api"
+	"rattanchute/internal/member"
+)
+
+// The paths by which one daemon asks another on an operator's behalf.
+const (
+	pathStatus = "/peer/v1/status"
+	pathDrain  = "/peer/v1/drain"
+)
+
+// Members implements operators.Backend.
+func (b *backend) Members(ctx context.Context) []api.Member {
+	live := b.app.spread.Members()
+	list := make([]api.Member, 0, len(live))
+	for _, m := range live {
+		list = append(list, newMember(m))
+	}
+	return operators.Gather(ctx, list, b.askStatus)
+}
+
+func newMember(m member.Member) api.Member {
+	state := api.MemberLive
+	if m.State == member.StateSuspect {
+		state = api.MemberSuspect
+	}
+	return api.Member{Node: m.Name, DataCentre: m.DataCentre, Address: m.Address, State: state}
+}
+
+// askStatus asks one daemon for its status; this one answers itself.
+func (b *backend) askStatus(ctx context.Context, m api.Member) (api.Status, error) {
+	if m.Node == b.app.settings.Node {
+		return b.Status(), nil
+	}
+	var status api.Status
+	err := b.app.peerCall.Post(ctx, m.Address, pathStatus, struct{}{}, &status)
+	return status, err
+}
+
+// Drain implements operators.Backend.
+func (b *backend) Drain(ctx context.Context, node string) (api.Status, error) {
+	if node == b.app.settings.Node {
+		b.app.Drain()
+		return b.Status(), nil
+	}
+	for _, m := range b.app.spread.Members() {
+		if m.Name != node {
+			continue
+		}
+		var status api.Status
+		err := b.app.peerCall.Post(ctx, m.Address, pathDrain, struct{}{}, &status)
+		return status, err
+	}
+	return api.Status{}, operators.ErrNoNode
+}
+
+func (b *backend) handleStatus(context.Context, []byte) ([]byte, error) {
+	return json.Marshal(b.Status())
+}
+
+func (b *backend) handleDrain(context.Context, []byte) ([]byte, error) {
+	b.app.Drain()
+	return json.Marshal(b.Status())
+}
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -49,7 +49,6 @@
 			Self: member.Member{
 				Name:        a.settings.Node,
 				Address:     a.settings.Listen.Peers,
-				Operators:   a.settings.Listen.Operators,
 				DataCentre:  a.settings.DataCentre,
 				Incarnation: uint64(time.Now().UnixMilli()),
 			},
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -39,8 +39,6 @@
 	// Address is "ip:port" of the peers' listener.
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
-	// Operators is "ip:port" of the operators' listener.
-	Operators string `json:"operators,omitempty"`
 	// Incarnation is the start time in Unix milliseconds, or higher after a refutation.
 	Incarnation uint64 `json:"incarnation"`
 	State       State  `json:"state,omitempty"`
@@ -79,15 +77,13 @@
 
 // encode gives the bytes whose hash stands for the record.
 func (m Member) encode() []byte {
-	out := make([]byte, 0, len(m.Name)+len(m.Address)+len(m.DataCentre)+len(m.Operators)+64)
+	out := make([]byte, 0, len(m.Name)+len(m.Address)+len(m.DataCentre)+64)
 	out = append(out, m.Name...)
 	out = append(out, 0)
 	out = append(out, m.Address...)
 	out = append(out, 0)
 	out = append(out, m.DataCentre...)
 	out = append(out, 0)
-	out = append(out, m.Operators...)
-	out = append(out, 0)
 	out = strconv.AppendUint(out, m.Incarnation, 10)
 	out = append(out, ' ')
 	out = strconv.AppendInt(out, int64(m.State), 10)
--- a/internal/testsite/settings.go
+++ b/internal/testsite/settings.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 )
 
 // Node is what one daemon of a site is told.
@@ -39,14 +41,30 @@
 	return nodes, nil
 }
 
+// Daemons listen below the range from which the system takes ports of outgoing
+// connections, so that none of those can take a port between its choice and its use.
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
+// nextPort starts at a place of the process's own.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(uint32(os.Getpid() * 64 % portCount)) }
+
 // freeAddress finds a free port of the loopback interface.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portCount {
+		port := firstPort + nextPort.Add(1)%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("testsite: no free port")
 }
 
 // settingsText is a daemon's settings file.
