Make the promise tests notice a masked fault; read out bodies that are too large

The callers' own resumes, the adapter's second check and the listener's shutdown hid the fault. Also: a 9 MiB body got a reset connection instead of its 413. Conclusion: the tests now hold the system, not the caller's patience, to the promise.

--- a/internal/adapter/callers/server.go
+++ b/internal/adapter/callers/server.go
@@ -136,7 +136,37 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status, code = fasthttp.StatusRequestTimeout, "request_timeout"
 	}
+	discardBody(ctx, err)
 	ctx.Response.Reset()
 	writeRefusal(ctx, serve.NewRefusal(status, serve.NewRequestID(), code, "the request could not be read"))
 	ctx.SetConnectionClose()
 }
+
+const (
+	// maxDiscardBytes bounds what is read of a body that is too large.
+	maxDiscardBytes = 64 << 20
+	// discardTimeout bounds the whole, discardIdle the wait for the next piece.
+	discardTimeout = 2 * time.Second
+	discardIdle    = 200 * time.Millisecond
+)
+
+// discardBody reads what the caller still sends of a body that is too large: closing
+// with unread data would reset the connection before the answer is read.
+func discardBody(ctx *fasthttp.RequestCtx, err error) {
+	if !errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return
+	}
+	conn := ctx.Conn()
+	end := time.Now().Add(discardTimeout)
+	buf := make([]byte, 64<<10)
+	for total := 0; total < maxDiscardBytes && time.Now().Before(end); {
+		if conn.SetReadDeadline(time.Now().Add(discardIdle)) != nil {
+			return
+		}
+		n, err := conn.Read(buf)
+		total += n
+		if err != nil {
+			return
+		}
+	}
+}
--- a/internal/e2e/answer_test.go
+++ b/internal/e2e/answer_test.go
@@ -35,6 +35,7 @@
 			}
 			for _, r := range runAll(s, jobs)() {
 				r.check(t)
+				r.checkUncut(t)
 			}
 		})
 	}
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -121,6 +121,14 @@
 	}
 }
 
+// checkUncut fails the test if the caller had to come back.
+func (r streamResult) checkUncut(t *testing.T) {
+	t.Helper()
+	if r.resumes > 0 {
+		t.Errorf("%s: the caller was cut %d times", r.job.prompt, r.resumes)
+	}
+}
+
 // manyJobs makes jobs of different prompts.
 func manyJobs(n, tokens int) []streamJob {
 	jobs := make([]streamJob, n)
--- a/internal/e2e/reclaim_test.go
+++ b/internal/e2e/reclaim_test.go
@@ -27,16 +27,19 @@
 	cases := []struct {
 		name    string
 		provoke func(t *testing.T, s *testsite.Site)
+		// cut: a daemon dies, so that its callers have to come back. Otherwise no
+		// caller notices anything.
+		cut bool
 	}{
-		{"host noticed", noticeHost},
-		{"data centre noticed", noticeDataCentre},
-		{"import target reclaimed too", noticeTargetToo},
-		{"engine dies before the deadline", engineDiesEarly},
-		{"host lost without a notice", engineDies},
-		{"daemon killed before the move", killDaemon(0)},
-		{"daemon killed while caches are transferred", killDaemon(200 * time.Millisecond)},
-		{"daemon killed after the move", killDaemon(900 * time.Millisecond)},
-		{"data centre noticed, daemon killed, engine dies", severalFaults},
+		{"host noticed", noticeHost, false},
+		{"data centre noticed", noticeDataCentre, false},
+		{"import target reclaimed too", noticeTargetToo, false},
+		{"engine dies before the deadline", engineDiesEarly, false},
+		{"host lost without a notice", engineDies, false},
+		{"daemon killed before the move", killDaemon(0), true},
+		{"daemon killed while caches are transferred", killDaemon(200 * time.Millisecond), true},
+		{"daemon killed after the move", killDaemon(900 * time.Millisecond), true},
+		{"data centre noticed, daemon killed, engine dies", severalFaults, true},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -50,6 +53,9 @@
 			tc.provoke(t, s)
 			for _, r := range wait() {
 				r.check(t)
+				if !tc.cut {
+					r.checkUncut(t)
+				}
 			}
 		})
 	}
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -33,9 +33,7 @@
 			tc.provoke(t, s)
 			for _, r := range wait() {
 				r.check(t)
-				if r.resumes > 0 {
-					t.Errorf("%s: cut %d times", r.job.prompt, r.resumes)
-				}
+				r.checkUncut(t)
 			}
 			code, err := s.Daemons[0].Wait(awaitLimit)
 			is := is.New(t)
--- a/internal/testsite/settings.go
+++ b/internal/testsite/settings.go
@@ -24,6 +24,15 @@
 	// Platform is "ip:port" of the stand-in's platform.
 	Platform      string
 	ShutdownGrace string
+	// ReadHeaderTimeout bounds the arrival of a request.
+	ReadHeaderTimeout string
+}
+
+func (c Common) readHeaderTimeout() string {
+	if c.ReadHeaderTimeout == "" {
+		return "10s"
+	}
+	return c.ReadHeaderTimeout
 }
 
 // NewNodes gives each of the named nodes free ports of the loopback interface.
@@ -79,6 +88,7 @@
   "resume_tokens": {"keys": [{"file": %q}]},
   "operators": [{"name": "tester", "key_sha256": %q}],
   "shutdown_grace": %q,
+  "limits": {"read_header_timeout": %q},
 }
 `
 
@@ -100,7 +110,7 @@
 	for _, n := range nodes {
 		text := fmt.Sprintf(settingsText, n.Name, n.DataCentre, n.Callers, n.Peers, n.Operators,
 			c.Platform, filepath.Join(dir, "platform"), list, filepath.Join(dir, "peer"),
-			filepath.Join(dir, "resume"), Digest(OperatorKey), c.ShutdownGrace)
+			filepath.Join(dir, "resume"), Digest(OperatorKey), c.ShutdownGrace, c.readHeaderTimeout())
 		file := filepath.Join(dir, n.Name+".jsonc")
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			return nil, err
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -40,6 +40,8 @@
 	RequestsPerSecond float64
 	// ShutdownGrace is how long a stopping daemon waits; empty is half a minute.
 	ShutdownGrace string
+	// ReadHeaderTimeout bounds the arrival of a request; empty is the default.
+	ReadHeaderTimeout string
 }
 
 func (o Options) shutdownGrace() string {
--- a/internal/testsite/start.go
+++ b/internal/testsite/start.go
@@ -63,8 +63,9 @@
 		return err
 	}
 	s.Daemons, err = NewDaemons(dir, binary, nodes, Common{
-		Platform:      s.Standin.Address(),
-		ShutdownGrace: s.options.shutdownGrace(),
+		Platform:          s.Standin.Address(),
+		ShutdownGrace:     s.options.shutdownGrace(),
+		ReadHeaderTimeout: s.options.ReadHeaderTimeout,
 	})
 	return err
 }
