Show an added or removed object as one difference

Cause: a first apply listed each field of each object, and an audit entry's bound was used up by the fields of two objects. Change: Diff gives one difference with the whole object where one side lacks it; the fields are kept by object, in place of one flat map; explain leaves out an empty selector. Ruled out: looking up an object's fields in the flat map, which is quadratic. Conclusion: go test -race ./internal/change ./internal/ctl passes.

--- a/internal/change/diff.go
+++ b/internal/change/diff.go
@@ -24,17 +24,21 @@
 	return o.Kind + "/" + o.Name
 }
 
-// Difference is one field of one object that changed. Values are JSON; an object or a
-// field that is absent has the empty value.
+// Difference is one field that changed, or one object that was added or removed. Values
+// are JSON; an object or a field that is absent has the empty value.
 type Difference struct {
 	Object Object `json:"object"`
-	Field  string `json:"field"`
+	// Field is empty when the whole object was added or removed.
+	Field  string `json:"field,omitempty"`
 	Before string `json:"before"`
 	After  string `json:"after"`
 }
 
 // String prints the difference on one line.
 func (d Difference) String() string {
+	if d.Field == "" {
+		return fmt.Sprintf("%s: %s -> %s", d.Object, orAbsent(d.Before), orAbsent(d.After))
+	}
 	return fmt.Sprintf("%s %s: %s -> %s", d.Object, d.Field, orAbsent(d.Before), orAbsent(d.After))
 }
 
@@ -45,81 +49,105 @@
 	return value
 }
 
-// position is one field of one object.
-type position struct {
-	object Object
-	field  string
-}
-
-func comparePositions(a, b position) int {
-	return cmp.Or(
-		cmp.Compare(a.object.Kind, b.object.Kind),
-		cmp.Compare(a.object.Name, b.object.Name),
-		cmp.Compare(a.field, b.field),
-	)
-}
+// fields maps the fields of one object that are not empty to their JSON.
+type fields map[string]json.RawMessage
 
-// fieldValues maps each field of each object to its JSON.
-type fieldValues map[position]string
+// objects maps each declared object to its fields.
+type objects map[Object]fields
 
 // Diff compares two configurations by object and field; the order of objects and
 // fields in the texts does not count. Differences come ordered by object and field.
 func Diff(before, after *fleet.Configuration) []Difference {
-	from := valuesOf(before)
-	to := valuesOf(after)
+	from := objectsOf(before)
+	to := objectsOf(after)
 	var differences []Difference
-	for _, p := range positions(from, to) {
-		if from[p] != to[p] {
-			differences = append(differences, Difference{Object: p.object, Field: p.field, Before: from[p], After: to[p]})
+	for _, object := range sortedObjects(from, to) {
+		differences = append(differences, diffObject(object, from[object], to[object])...)
+	}
+	return differences
+}
+
+func diffObject(object Object, from, to fields) []Difference {
+	if from == nil || to == nil {
+		return []Difference{{Object: object, Before: from.json(), After: to.json()}}
+	}
+	var differences []Difference
+	for _, field := range sortedFields(from, to) {
+		before, after := string(from[field]), string(to[field])
+		if before != after {
+			differences = append(differences, Difference{Object: object, Field: field, Before: before, After: after})
 		}
 	}
 	return differences
 }
 
-// positions returns all positions of several configurations in order.
-func positions(all ...fieldValues) []position {
-	set := map[position]bool{}
-	for _, values := range all {
-		for p := range values {
-			set[p] = true
+// json returns the whole object, empty if it is absent.
+func (f fields) json() string {
+	if f == nil {
+		return ""
+	}
+	raw, err := json.Marshal(f)
+	if err != nil {
+		panic(fmt.Sprintf("change: encode an object: %v", err))
+	}
+	return string(raw)
+}
+
+// sortedObjects returns the objects of several configurations in order.
+func sortedObjects(all ...objects) []Object {
+	set := map[Object]bool{}
+	for _, declared := range all {
+		for object := range declared {
+			set[object] = true
+		}
+	}
+	return slices.SortedFunc(maps.Keys(set), func(a, b Object) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// sortedFields returns the fields of several versions of an object in order.
+func sortedFields(all ...fields) []string {
+	set := map[string]bool{}
+	for _, f := range all {
+		for field := range f {
+			set[field] = true
 		}
 	}
-	return slices.SortedFunc(maps.Keys(set), comparePositions)
+	return slices.Sorted(maps.Keys(set))
 }
 
-func valuesOf(c *fleet.Configuration) fieldValues {
-	values := fieldValues{}
-	addObjects(values, "data_centres", c.DataCentres, func(d fleet.DataCentre) string { return d.Name })
-	addObjects(values, "hosts", c.Hosts, func(h fleet.Host) string { return h.Name })
-	addObjects(values, "organisations", c.Organisations, func(o fleet.Organisation) string { return o.Name })
-	addObjects(values, "fleets", c.Fleets, func(f fleet.Fleet) string { return f.Name })
-	addObjects(values, "endpoints", c.Endpoints, func(e fleet.Endpoint) string { return e.Name })
-	addObjects(values, "selectors", c.Selectors, func(s fleet.Selector) string { return s.Name })
-	return values
+func objectsOf(c *fleet.Configuration) objects {
+	all := objects{}
+	addObjects(all, "data_centres", c.DataCentres, func(d fleet.DataCentre) string { return d.Name })
+	addObjects(all, "hosts", c.Hosts, func(h fleet.Host) string { return h.Name })
+	addObjects(all, "organisations", c.Organisations, func(o fleet.Organisation) string { return o.Name })
+	addObjects(all, "fleets", c.Fleets, func(f fleet.Fleet) string { return f.Name })
+	addObjects(all, "endpoints", c.Endpoints, func(e fleet.Endpoint) string { return e.Name })
+	addObjects(all, "selectors", c.Selectors, func(s fleet.Selector) string { return s.Name })
+	return all
 }
 
-func addObjects[T any](values fieldValues, kind string, objects []T, name func(T) string) {
-	for _, o := range objects {
-		addFields(values, Object{Kind: kind, Name: name(o)}, o)
+func addObjects[T any](all objects, kind string, declared []T, name func(T) string) {
+	for _, d := range declared {
+		object := Object{Kind: kind, Name: name(d)}
+		all[object] = fieldsOf(object, d)
 	}
 }
 
-// addFields adds the fields of an object that are not empty. All these types can be
+// fieldsOf returns the fields of an object that are not empty. All these types can be
 // encoded, so that an error is a fault of the program.
-func addFields(values fieldValues, object Object, declared any) {
+func fieldsOf(object Object, declared any) fields {
 	raw, err := json.Marshal(declared)
 	if err != nil {
 		panic(fmt.Sprintf("change: encode %s: %v", object, err))
 	}
-	fields := map[string]json.RawMessage{}
-	if err := json.Unmarshal(raw, &fields); err != nil {
+	f := fields{}
+	if err := json.Unmarshal(raw, &f); err != nil {
 		panic(fmt.Sprintf("change: decode %s: %v", object, err))
 	}
-	for field, value := range fields {
-		if !isEmpty(value) {
-			values[position{object, field}] = string(value)
-		}
-	}
+	maps.DeleteFunc(f, func(_ string, value json.RawMessage) bool { return isEmpty(value) })
+	return f
 }
 
 // isEmpty tells whether a field is as if it were not declared.
--- a/internal/change/threeway.go
+++ b/internal/change/threeway.go
@@ -31,22 +31,25 @@
 // DiffThreeWay compares two configurations with the one that both came from. It
 // returns each field that either side changed, ordered by object and field.
 func DiffThreeWay(base, theirs, yours *fleet.Configuration) []ThreeWay {
-	b := valuesOf(base)
-	t := valuesOf(theirs)
-	y := valuesOf(yours)
+	b := objectsOf(base)
+	t := objectsOf(theirs)
+	y := objectsOf(yours)
 	var differences []ThreeWay
-	for _, p := range positions(b, t, y) {
-		if b[p] == t[p] && b[p] == y[p] {
-			continue
+	for _, object := range sortedObjects(b, t, y) {
+		for _, field := range sortedFields(b[object], t[object], y[object]) {
+			d := ThreeWay{
+				Object: object,
+				Field:  field,
+				Base:   string(b[object][field]),
+				Theirs: string(t[object][field]),
+				Yours:  string(y[object][field]),
+			}
+			if d.Base == d.Theirs && d.Base == d.Yours {
+				continue
+			}
+			d.Clash = d.Base != d.Theirs && d.Base != d.Yours && d.Theirs != d.Yours
+			differences = append(differences, d)
 		}
-		differences = append(differences, ThreeWay{
-			Object: p.object,
-			Field:  p.field,
-			Base:   b[p],
-			Theirs: t[p],
-			Yours:  y[p],
-			Clash:  b[p] != t[p] && b[p] != y[p] && t[p] != y[p],
-		})
 	}
 	return differences
 }
--- a/internal/ctl/inspect.go
+++ b/internal/ctl/inspect.go
@@ -76,8 +76,8 @@
 	fmt.Fprintf(w, "fleet %s, generation %d, repeatable: %t\n", e.Fleet, e.Generation, e.Repeatable)
 	table := newTable(w)
 	for _, candidate := range e.Candidates {
-		fmt.Fprintf(table, "%s\t%s\t%s\tselector %s\tpriority %d\t%.1f ms\t%s\n", candidate.Endpoint, candidate.Host,
-			candidate.DataCentre, candidate.Selector, candidate.Priority, candidate.ExpectedFirstTokenMillis, candidate.Reason)
+		fmt.Fprintf(table, "%s\t%s\t%s\tpriority %d\t%.1f ms\t%s\t%s\n", candidate.Endpoint, candidate.Host,
+			candidate.DataCentre, candidate.Priority, candidate.ExpectedFirstTokenMillis, candidate.Reason, candidate.Selector)
 	}
 	for _, excluded := range e.Excluded {
 		fmt.Fprintf(table, "%s\texcluded: %s\n", excluded.Endpoint, excluded.Reason)
