Go back to gathered status and drain by name

Change: reverts; members carry their own status, drain names a daemon. Ruled out: both forms side by side. Conclusion: go test -race ./internal/ctl/... ./internal/adapter/... passes; this form stays.

--- a/internal/adapter/operators/answers.go
+++ b/internal/adapter/operators/answers.go
@@ -23,12 +23,29 @@
 }
 
 func (h *handler) members(ctx *fasthttp.RequestCtx, _ string) {
-	answer(ctx, api.Members{Members: h.backend.Members()})
+	operation, cancel := operationContext()
+	defer cancel()
+	answer(ctx, api.Members{Members: h.backend.Members(operation)})
 }
 
 func (h *handler) drain(ctx *fasthttp.RequestCtx, _ string) {
-	h.backend.Drain()
-	answer(ctx, h.backend.Status())
+	var request api.DrainRequest
+	document := jsonc.Parse("request", ctx.PostBody())
+	document.Decode(&request)
+	if request.Node == "" {
+		document.Add(jsonc.Path{}.Key("node"), "node is empty", "accepted is the name of a daemon")
+	}
+	if badBody(ctx, document) {
+		return
+	}
+	operation, cancel := operationContext()
+	defer cancel()
+	status, err := h.backend.Drain(operation, request.Node)
+	if err != nil {
+		h.fail(ctx, err)
+		return
+	}
+	answer(ctx, status)
 }
 
 func (h *handler) explain(ctx *fasthttp.RequestCtx, _ string) {
--- a/internal/adapter/operators/configuration.go
+++ b/internal/adapter/operators/configuration.go
@@ -97,6 +97,9 @@
 			Differences: conflict.Differences,
 		}
 		problem(ctx, fasthttp.StatusConflict, p)
+	case errors.Is(err, ErrNoNode):
+		p.Code = api.CodeNotFound
+		problem(ctx, fasthttp.StatusNotFound, p)
 	case errors.As(err, &unknown):
 		p.Code = api.CodeUnknownEffect
 		unavailable(ctx, p)
--- a/internal/adapter/operators/handler.go
+++ b/internal/adapter/operators/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,12 +25,17 @@
 	// Audit returns up to limit entries, newest first.
 	Audit(ctx context.Context, limit int) ([]change.Entry, error)
 	Status() api.Status
-	Members() []api.Member
+	// Members returns the daemons with their status; see Gather.
+	Members(ctx context.Context) []api.Member
 	Explain(request api.ExplainRequest) api.Explanation
-	// Drain makes the daemon fail its readiness and finish its open requests.
-	Drain()
+	// Drain makes a daemon fail its readiness and finish its open requests; ErrNoNode
+	// if there is none of that name.
+	Drain(ctx context.Context, node string) (api.Status, error)
 }
 
+// ErrNoNode means that no daemon of the name is known.
+var ErrNoNode = errors.New("operators: no such daemon")
+
 // operationTimeout bounds one request to the platform on an operator's behalf.
 const operationTimeout = 15 * time.Second
 
--- a/internal/adapter/operators/handler_test.go
+++ b/internal/adapter/operators/handler_test.go
@@ -51,13 +51,27 @@
 	return api.Status{Node: "n1", Ready: !b.drained, Draining: b.drained, NotReady: "draining"}
 }
 
-func (b *fakeBackend) Members() []api.Member { return []api.Member{{Node: "n1"}} }
+func (b *fakeBackend) Members(ctx context.Context) []api.Member {
+	members := []api.Member{{Node: "n1"}, {Node: "n2"}, {Node: "n3", State: api.MemberDead}}
+	return Gather(ctx, members, func(_ context.Context, m api.Member) (api.Status, error) {
+		if m.Node == "n2" {
+			return api.Status{}, errors.New("no answer")
+		}
+		return api.Status{Node: m.Node}, nil
+	})
+}
 
 func (b *fakeBackend) Explain(api.ExplainRequest) api.Explanation {
 	return api.Explanation{Fleet: "llm"}
 }
 
-func (b *fakeBackend) Drain() { b.drained = true }
+func (b *fakeBackend) Drain(_ context.Context, node string) (api.Status, error) {
+	if node != "n1" {
+		return api.Status{}, fmt.Errorf("drain %s: %w", node, ErrNoNode)
+	}
+	b.drained = true
+	return b.Status(), nil
+}
 
 type exchange struct {
 	method, path, body, key string
@@ -88,7 +102,7 @@
 	is := is.New(t)
 	b := &fakeBackend{}
 	for _, key := range []string{"", "wrong", testKeyHash} {
-		status, p, _ := serve(b, exchange{method: "POST", path: api.PathDrain, key: key})
+		status, p, _ := serve(b, exchange{method: "POST", path: api.PathDrain, key: key, body: `{"node": "n1"}`})
 		is.Equal(status, 401)
 		is.Equal(p.Code, api.CodeUnauthorised)
 	}
@@ -109,7 +123,7 @@
 		{method: "GET", path: api.PathMembers},
 		{method: "POST", path: api.PathExplain, body: `{"organisation": "o", "model": "m"}`},
 		{method: "GET", path: api.PathAudit + "?limit=5"},
-		{method: "POST", path: api.PathDrain},
+		{method: "POST", path: api.PathDrain, body: `{"node": "n1"}`},
 	} {
 		e.key = "test"
 		status, _, _ := serve(b, e)
@@ -122,6 +136,16 @@
 	is.Equal(body, "not ready: draining\n")
 }
 
+func TestMembersComeWithTheirOwnWord(t *testing.T) {
+	is := is.New(t)
+	_, _, body := serve(&fakeBackend{}, exchange{method: "GET", path: api.PathMembers, key: "test"})
+	var members api.Members
+	is.NoErr(json.Unmarshal([]byte(body), &members))
+	is.Equal(members.Members[0].Status.Node, "n1")
+	is.Equal(members.Members[1].Problem, "no answer")
+	is.Equal(members.Members[2].Problem, "dead")
+}
+
 func TestServerBoundsRequests(t *testing.T) {
 	is := is.New(t)
 	listener := fasthttputil.NewInmemoryListener()
@@ -160,6 +184,8 @@
 		{exchange{method: "PUT", path: api.PathConfiguration, headers: match}, 400, api.HeaderChangeID},
 		{exchange{method: "GET", path: api.PathAudit + "?limit=x"}, 400, api.QueryLimit},
 		{exchange{method: "POST", path: api.PathExplain, body: `{"mdoel": 1}`}, 400, ""},
+		{exchange{method: "POST", path: api.PathDrain, body: `{}`}, 400, ""},
+		{exchange{method: "POST", path: api.PathDrain, body: `{"node": "n9"}`}, 404, ""},
 		{exchange{method: "POST", path: api.PathStatus}, 405, ""},
 		{exchange{method: "GET", path: "/v1/other"}, 404, ""},
 	}
--- a/internal/ctl/api/api.go
+++ b/internal/ctl/api/api.go
@@ -17,11 +17,11 @@
 	PathConfiguration = "/v1/configuration"
 	// PathStatus answers GET with Status.
 	PathStatus = "/v1/status"
-	// PathMembers answers GET with Members.
+	// PathMembers answers GET with Members, each with its own word.
 	PathMembers = "/v1/members"
 	// PathExplain answers POST of ExplainRequest with Explanation.
 	PathExplain = "/v1/explain"
-	// PathDrain answers POST with Status; the daemon that is asked drains itself.
+	// PathDrain answers POST of DrainRequest with the Status of the drained daemon.
 	PathDrain = "/v1/drain"
 	// PathAudit answers GET with Audit; query "limit" bounds the entries.
 	PathAudit = "/v1/audit"
@@ -86,15 +86,17 @@
 	MemberDead    MemberState = "dead"
 )
 
-// Member is one daemon as the answering one knows it.
+// Member is one daemon as the answering one knows it, with its own word.
 type Member struct {
-	Node       string      `json:"node"`
-	DataCentre string      `json:"data_centre"`
-	State      MemberState `json:"state"`
-	// Operators is the address of its operators' listener.
-	Operators string `json:"operators"`
-	// Generation is the last one heard to be in force there.
-	Generation fleet.Generation `json:"generation"`
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+	// Address is "ip:port" of its peers' listener.
+	Address string      `json:"address"`
+	State   MemberState `json:"state"`
+	// Status is what the daemon answered just now; nil if it did not.
+	Status *Status `json:"status,omitempty"`
+	// Problem is why there is no status.
+	Problem string `json:"problem,omitempty"`
 }
 
 // Members lists the daemons that the answering one knows, itself among them.
@@ -102,6 +104,11 @@
 	Members []Member `json:"members"`
 }
 
+// DrainRequest names the daemon to drain.
+type DrainRequest struct {
+	Node string `json:"node"`
+}
+
 // ExplainRequest describes a request that is not sent: either a model, or a method and
 // a path of a service.
 type ExplainRequest struct {
@@ -117,30 +124,26 @@
 	Fleet      string           `json:"fleet"`
 	// Repeatable tells whether the call may be run again.
 	Repeatable bool `json:"repeatable"`
-	// Candidates come in the order of choice.
-	Candidates []Candidate `json:"candidates"`
-	Excluded   []Excluded  `json:"excluded"`
-	// Refused says why no endpoint may answer; empty if there are candidates.
+	// Chosen is the endpoint that would answer; empty if the request is refused.
+	Chosen string `json:"chosen,omitempty"`
+	// Refused says why no endpoint would answer; empty if one is chosen.
 	Refused string `json:"refused,omitempty"`
+	// Endpoints holds all of the fleet.
+	Endpoints []EndpointDecision `json:"endpoints"`
 }
 
-// Candidate is an endpoint that may answer.
-type Candidate struct {
+// EndpointDecision is what the policy made of one endpoint.
+type EndpointDecision struct {
 	Endpoint   string `json:"endpoint"`
-	Host       string `json:"host"`
 	DataCentre string `json:"data_centre"`
-	// Selector is the one that allows it.
-	Selector string `json:"selector"`
-	Priority int    `json:"priority"`
-	// ExpectedFirstTokenMillis is the estimated time to the first token or byte.
+	Priority   int    `json:"priority"`
+	// Reason is a stable word, such as "chosen" or "no-selector".
+	Reason string `json:"reason"`
+	// The scores are zero for an endpoint that was not weighed.
 	ExpectedFirstTokenMillis float64 `json:"expected_first_token_ms"`
-	Reason                   string  `json:"reason"`
-}
-
-// Excluded is an endpoint of the fleet that may not answer.
-type Excluded struct {
-	Endpoint string `json:"endpoint"`
-	Reason   string `json:"reason"`
+	Load                     float64 `json:"load"`
+	CachedTokens             int     `json:"cached_tokens"`
+	PricePerHourMilli        int64   `json:"price_per_hour_milli"`
 }
 
 // Audit lists accepted changes, newest first.
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -18,7 +18,6 @@
 
 const (
 	requestTimeout   = 20 * time.Second
-	statusTimeout    = 2 * time.Second
 	maxResponseBytes = 16 << 20
 	defaultScheme    = "http"
 )
@@ -88,7 +87,6 @@
 	path    string
 	body    []byte
 	headers []header
-	timeout time.Duration
 }
 
 type header struct {
@@ -121,11 +119,7 @@
 		req.Header.Set(h.name, h.value)
 	}
 	req.SetBody(request.body)
-	timeout := request.timeout
-	if timeout == 0 {
-		timeout = requestTimeout
-	}
-	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
+	if err := c.http.DoTimeout(req, resp, requestTimeout); err != nil {
 		return &UnreachableError{Server: server, Err: err}
 	}
 	return decodeAnswer(server, resp, into)
@@ -172,24 +166,21 @@
 	return strconv.Quote(strconv.FormatUint(uint64(g), 10))
 }
 
-// Members lists the daemons.
+// Members lists the daemons with their status.
 func (c *Client) Members() (api.Members, error) {
 	var answer api.Members
 	err := c.ask(call{method: fasthttp.MethodGet, path: api.PathMembers}, &answer)
 	return answer, err
 }
 
-// StatusOf asks one daemon for its status.
-func (c *Client) StatusOf(address string) (api.Status, error) {
-	var answer api.Status
-	err := c.askServer(address, call{method: fasthttp.MethodGet, path: api.PathStatus, timeout: statusTimeout}, &answer)
-	return answer, err
-}
-
-// DrainAt asks one daemon to drain itself.
-func (c *Client) DrainAt(address string) (api.Status, error) {
+// Drain asks that a daemon drains itself.
+func (c *Client) Drain(node string) (api.Status, error) {
 	var answer api.Status
-	err := c.askServer(address, call{method: fasthttp.MethodPost, path: api.PathDrain}, &answer)
+	body, err := json.Marshal(api.DrainRequest{Node: node})
+	if err != nil {
+		return answer, fmt.Errorf("encode the request: %w", err)
+	}
+	err = c.ask(call{method: fasthttp.MethodPost, path: api.PathDrain, body: body}, &answer)
 	return answer, err
 }
 
--- a/internal/ctl/inspect.go
+++ b/internal/ctl/inspect.go
@@ -22,19 +22,19 @@
 
 // statuses is the result of status.
 type statuses struct {
-	Daemons []memberStatus `json:"daemons"`
+	api.Members
 }
 
 func (s statuses) text(w io.Writer) {
 	table := newTable(w)
 	fmt.Fprintln(table, "NODE\tDATA CENTRE\tSTATE\tGENERATION\tREADY\tREQUESTS\tSTREAMS\tPLATFORM")
-	for _, d := range s.Daemons {
-		if d.Status == nil {
-			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t-\t-\t-\t%s\n", d.Member.Node, d.Member.DataCentre, d.Member.State, d.Member.Generation, d.Error)
+	for _, m := range s.Members.Members {
+		if m.Status == nil {
+			fmt.Fprintf(table, "%s\t%s\t%s\t-\t-\t-\t-\t%s\n", m.Node, m.DataCentre, m.State, m.Problem)
 			continue
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\t%d\t%s\n", d.Member.Node, d.Member.DataCentre, d.Member.State,
-			d.Status.Generation, readiness(*d.Status), d.Status.OpenRequests, d.Status.OpenStreams, reachability(*d.Status))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\t%d\t%s\n", m.Node, m.DataCentre, m.State,
+			m.Status.Generation, readiness(*m.Status), m.Status.OpenRequests, m.Status.OpenStreams, reachability(*m.Status))
 	}
 	_ = table.Flush()
 }
@@ -57,11 +57,11 @@
 }
 
 func (c *command) status() (result, error) {
-	seen, err := c.pollMembers()
+	members, err := c.client.Members()
 	if err != nil {
 		return nil, err
 	}
-	return statuses{Daemons: seen}, nil
+	return statuses{members}, nil
 }
 
 // explanation is the result of explain.
@@ -72,15 +72,15 @@
 func (e explanation) text(w io.Writer) {
 	if e.Refused != "" {
 		fmt.Fprintf(w, "refused: %s\n", e.Refused)
+	} else {
+		fmt.Fprintf(w, "chosen: %s\n", e.Chosen)
 	}
 	fmt.Fprintf(w, "fleet %s, generation %d, repeatable: %t\n", e.Fleet, e.Generation, e.Repeatable)
 	table := newTable(w)
-	for _, candidate := range e.Candidates {
-		fmt.Fprintf(table, "%s\t%s\t%s\tpriority %d\t%.1f ms\t%s\t%s\n", candidate.Endpoint, candidate.Host,
-			candidate.DataCentre, candidate.Priority, candidate.ExpectedFirstTokenMillis, candidate.Reason, candidate.Selector)
-	}
-	for _, excluded := range e.Excluded {
-		fmt.Fprintf(table, "%s\texcluded: %s\n", excluded.Endpoint, excluded.Reason)
+	fmt.Fprintln(table, "ENDPOINT\tDATA CENTRE\tPRIORITY\tREASON\tFIRST TOKEN\tLOAD\tCACHED\tPRICE")
+	for _, d := range e.Endpoints {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%.1f ms\t%.2f\t%d\t%d\n", d.Endpoint, d.DataCentre, d.Priority, d.Reason,
+			d.ExpectedFirstTokenMillis, d.Load, d.CachedTokens, d.PricePerHourMilli)
 	}
 	_ = table.Flush()
 }
@@ -113,21 +113,11 @@
 }
 
 func (c *command) drain() (result, error) {
-	members, err := c.client.Members()
+	status, err := c.client.Drain(c.opts.node)
 	if err != nil {
 		return nil, err
 	}
-	for _, m := range members.Members {
-		if m.Node != c.opts.node {
-			continue
-		}
-		status, err := c.client.DrainAt(m.Operators)
-		if err != nil {
-			return nil, err
-		}
-		return drained{status}, nil
-	}
-	return nil, fmt.Errorf("there is no daemon %q; accepted is a node that status lists", c.opts.node)
+	return drained{status}, nil
 }
 
 // trail is the result of audit.
--- a/internal/ctl/run_test.go
+++ b/internal/ctl/run_test.go
@@ -97,7 +97,6 @@
 const (
 	callGet     = "GET " + api.PathConfiguration
 	callPut     = "PUT " + api.PathConfiguration
-	callStatus  = "GET " + api.PathStatus
 	callMembers = "GET " + api.PathMembers
 )
 
@@ -140,20 +139,21 @@
 
 func TestApplyWaitsAndNamesWhatLags(t *testing.T) {
 	is := is.New(t)
-	fast, slow := startDaemon(t), startDaemon(t)
-	fast.on(callPut, api.Applied{Entry: change.Entry{To: 8}})
-	fast.on(callMembers, api.Members{Members: []api.Member{
-		{Node: "fast", State: api.MemberLive, Operators: fast.address},
-		{Node: "slow", State: api.MemberLive, Operators: slow.address},
-		{Node: "dead", State: api.MemberDead, Operators: "127.0.0.1:1"},
-	}})
-	fast.on(callStatus, api.Status{Generation: 8})
-	slow.on(callStatus, api.Status{Generation: 7}, api.Status{Generation: 7}, api.Status{Generation: 8})
-	done := runTool(fast.address, "apply", "good", "--base", "7", "--wait")
+	d := startDaemon(t)
+	members := func(slow *api.Status) api.Members {
+		return api.Members{Members: []api.Member{
+			{Node: "fast", State: api.MemberLive, Status: &api.Status{Generation: 8}},
+			{Node: "slow", State: api.MemberSuspect, Status: slow, Problem: "no answer"},
+			{Node: "dead", State: api.MemberDead},
+		}}
+	}
+	d.on(callPut, api.Applied{Entry: change.Entry{To: 8}})
+	d.on(callMembers, members(nil), members(&api.Status{Generation: 7}), members(&api.Status{Generation: 8}))
+	done := runTool(d.address, "apply", "good", "--base", "7", "--wait")
 	is.Equal(done.code, ExitOK)
 	is.True(strings.Contains(done.stdout, "in force on 2 daemons"))
-	slow.on(callStatus, api.Status{Generation: 7})
-	lagging := runTool(fast.address, "apply", "good", "--base", "7", "--wait", "--output", "json")
+	d.on(callMembers, members(&api.Status{Generation: 7}))
+	lagging := runTool(d.address, "apply", "good", "--base", "7", "--wait", "--output", "json")
 	is.Equal(lagging.code, ExitNotInForce)
 	var f struct {
 		Lagging []Lagging
@@ -162,16 +162,22 @@
 	is.NoErr(json.Unmarshal([]byte(lagging.stdout), &f))
 	is.Equal(f.Result.InForce, []string{"fast"})
 	is.Equal(f.Lagging, []Lagging{{Node: "slow", Generation: fleet.Generation(7)}})
+	d.on(callMembers, members(nil))
+	silent := runTool(d.address, "apply", "good", "--base", "7", "--wait")
+	is.Equal(silent.code, ExitNotInForce)
+	is.True(strings.Contains(silent.stderr, "slow (no answer)"))
 }
 
 func TestInspection(t *testing.T) {
 	is := is.New(t)
 	d := startDaemon(t)
 	d.on(callGet, api.Configuration{Generation: 3, Text: `{"data_centres": [{"name": "a", "region": "r"}]}`})
-	d.on(callMembers, api.Members{Members: []api.Member{{Node: "n1", State: api.MemberLive, Operators: d.address}}})
-	d.on(callStatus, api.Status{Ready: true, PlatformReachable: true})
+	d.on(callMembers, api.Members{Members: []api.Member{
+		{Node: "n1", State: api.MemberLive, Status: &api.Status{Ready: true, PlatformReachable: true}},
+		{Node: "n2", State: api.MemberDead},
+	}})
 	d.on("POST "+api.PathDrain, api.Status{Node: "n1"})
-	d.on("POST "+api.PathExplain, api.Explanation{Fleet: "llm", Candidates: []api.Candidate{{Endpoint: "e1"}}})
+	d.on("POST "+api.PathExplain, api.Explanation{Fleet: "llm", Endpoints: []api.EndpointDecision{{Endpoint: "e1"}}})
 	d.on("GET "+api.PathAudit, api.Audit{Entries: []change.Entry{{Operator: "ana", To: 3}}})
 	for _, c := range []struct{ args, want string }{
 		{"get", `"name": "a"`},
@@ -188,6 +194,7 @@
 		encoded := runTool(d.address, append(strings.Fields(c.args), "--output", "json")...)
 		is.True(json.Valid([]byte(encoded.stdout)))
 	}
+	d.on("POST "+api.PathDrain, api.Problem{Code: api.CodeNotFound})
 	is.Equal(runTool(d.address, "drain", "n9").code, ExitRefused)
 	is.Equal(runTool(d.address, "explain", "--model", "m").code, ExitUsage)
 }
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -5,8 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/alitto/pond/v2"
-
 	"rattanchute/internal/ctl/api"
 	"rattanchute/internal/fleet"
 )
@@ -16,8 +14,6 @@
 	// The time between two polls doubles from the first to the greatest.
 	firstPollInterval = 100 * time.Millisecond
 	maxPollInterval   = 2 * time.Second
-	// maxParallelPolls bounds how many daemons are asked at once.
-	maxParallelPolls = 32
 )
 
 // Lagging is a live daemon on which a generation is not seen in force.
@@ -63,60 +59,23 @@
 	}
 }
 
+// pollInForce asks once. Daemons that are leaving or dead are not waited for.
 func (c *command) pollInForce(g fleet.Generation) (inForce []string, lagging []Lagging, err error) {
-	seen, err := c.pollMembers()
+	answer, err := c.client.Members()
 	if err != nil {
 		return nil, nil, err
 	}
-	for _, s := range seen {
+	for _, m := range answer.Members {
 		switch {
-		case s.Member.State != api.MemberLive && s.Member.State != api.MemberSuspect:
+		case m.State != api.MemberLive && m.State != api.MemberSuspect:
 			continue
-		case s.err != nil:
-			lagging = append(lagging, Lagging{Node: s.Member.Node, Generation: s.Member.Generation, Reason: s.err.Error()})
-		case s.Status.Generation < g:
-			lagging = append(lagging, Lagging{Node: s.Member.Node, Generation: s.Status.Generation})
+		case m.Status == nil:
+			lagging = append(lagging, Lagging{Node: m.Node, Reason: m.Problem})
+		case m.Status.Generation < g:
+			lagging = append(lagging, Lagging{Node: m.Node, Generation: m.Status.Generation})
 		default:
-			inForce = append(inForce, s.Member.Node)
+			inForce = append(inForce, m.Node)
 		}
 	}
 	return inForce, lagging, nil
 }
-
-// memberStatus is a member as another daemon knows it and as it speaks for itself.
-type memberStatus struct {
-	Member api.Member  `json:"member"`
-	Status *api.Status `json:"status,omitempty"`
-	Error  string      `json:"error,omitempty"`
-	err    error
-}
-
-// pollMembers asks each member that is not dead for its status.
-func (c *command) pollMembers() ([]memberStatus, error) {
-	members, err := c.client.Members()
-	if err != nil {
-		return nil, err
-	}
-	seen := make([]memberStatus, len(members.Members))
-	pool := pond.NewPool(maxParallelPolls)
-	defer pool.StopAndWait()
-	group := pool.NewGroup()
-	for i, m := range members.Members {
-		seen[i].Member = m
-		if m.State == api.MemberDead {
-			continue
-		}
-		group.Submit(func() { c.pollMember(&seen[i]) })
-	}
-	return seen, group.Wait()
-}
-
-func (c *command) pollMember(s *memberStatus) {
-	status, err := c.client.StatusOf(s.Member.Operators)
-	if err != nil {
-		s.err = err
-		s.Error = err.Error()
-		return
-	}
-	s.Status = &status
-}
