Print segments and value size with the claim figures

Cause: a window of seconds says little about a value that grows for minutes. Change: -claim.span sets the virtual time of each figure. Ruled out: nothing.

--- a/internal/claim/group_test.go
+++ b/internal/claim/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -11,15 +12,17 @@
 	"time"
 )
 
+var figureSpan = flag.Duration("claim.span", 5*time.Second, "virtual time of each figure")
+
 const (
 	figureLatency = 5 * time.Millisecond
-	figureSpan    = 5 * time.Second
 	figureTarget  = 20.0
 	answerTime    = 50 * time.Millisecond
 )
 
 // figure is what one load has cost.
 type figure struct {
+	*Metrics
 	claims, writes int
 	bytes          uint64
 	p50, p99       time.Duration
@@ -28,13 +31,15 @@
 // TestGroupFigures measures claims a platform write and the wait for a grant, in virtual
 // time, with arrivals at random and a report for each claim.
 func TestGroupFigures(t *testing.T) {
+	span := figureSpan.Seconds()
 	for _, shards := range []int{1, 8, 64} {
 		for _, rate := range []float64{0.5, 23, 230} {
 			var f figure
 			synctest.Test(t, func(t *testing.T) { f = measure(t, shards, rate) })
 			ratio := float64(f.claims) / float64(f.writes)
-			t.Logf("shards=%d claims/s=%g claims/write=%.2f writes/s=%.1f bytes/s=%.0f wait p50=%v p99=%v target met=%v",
-				shards, rate, ratio, float64(f.writes)/figureSpan.Seconds(), float64(f.bytes)/figureSpan.Seconds(), f.p50, f.p99, ratio >= figureTarget)
+			t.Logf("shards=%d claims/s=%g claims/write=%.2f writes/s=%.1f bytes/s=%.0f seals=%d merges=%d last bytes=%d wait p50=%v p99=%v target met=%v",
+				shards, rate, ratio, float64(f.writes)/span, float64(f.bytes)/span,
+				f.Seals.Load(), f.Merges.Load(), f.ShardBytes.Load(), f.p50, f.p99, ratio >= figureTarget)
 			if shards == 1 && rate == 230 && ratio < figureTarget {
 				t.Errorf("%.2f claims a write with one shard, want %g", ratio, figureTarget)
 			}
@@ -56,7 +61,7 @@
 	var mu sync.Mutex
 	var waits []time.Duration
 	var group sync.WaitGroup
-	for end := time.Now().Add(figureSpan); time.Now().Before(end); {
+	for end := time.Now().Add(*figureSpan); time.Now().Before(end); {
 		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 		name := fmt.Sprint("k", random.Int63())
 		group.Go(func() {
@@ -79,11 +84,12 @@
 	s.Close()
 	slices.Sort(waits)
 	return figure{
-		claims: len(waits),
-		writes: int(s.config.Metrics.Writes.Load() - before),
-		bytes:  s.config.Metrics.WrittenBytes.Load(),
-		p50:    waits[len(waits)/2],
-		p99:    waits[len(waits)*99/100],
+		Metrics: s.config.Metrics,
+		claims:  len(waits),
+		writes:  int(s.config.Metrics.Writes.Load() - before),
+		bytes:   s.config.Metrics.WrittenBytes.Load(),
+		p50:     waits[len(waits)/2],
+		p99:     waits[len(waits)*99/100],
 	}
 }
 
