Seal shards at 64 KiB

Cause: bytes written a second follow the size of the shard's value. Change: 64 KiB in place of 128 KiB.

--- a/internal/claim/segment.go
+++ b/internal/claim/segment.go
@@ -9,7 +9,7 @@
 const (
 	// DefaultSealBytes is the size from which a shard's finished claims are moved to a
 	// segment.
-	DefaultSealBytes = 128 << 10
+	DefaultSealBytes = 64 << 10
 	// DefaultMergeSegments is the number of old segments that are merged into one.
 	DefaultMergeSegments = 16
 	// mergedBytes bounds the size of a merged segment.
