--- a/internal/claim/fakestore_test.go
+++ b/internal/claim/fakestore_test.go
@@ -12,8 +12,9 @@
 
 // fakeStore keeps objects in memory and fails as its random source says.
 type fakeStore struct {
-	latency time.Duration
-	faults  *faults // nil: none
+	platform.Store // the calls that are not used
+	latency        time.Duration
+	faults         *faults // nil: none
 	// lostThenDown makes the next write take effect unanswered and begins an outage.
 	lostThenDown bool
 
@@ -86,10 +87,6 @@
 	return o, nil
 }
 
-func (f *fakeStore) List(context.Context, platform.Kind) ([]platform.Object, uint64, error) {
-	panic("not used")
-}
-
 func (f *fakeStore) Delete(_ context.Context, o platform.Object) error {
 	if f.faults.draw("store delete unanswered", 0.1) || f.faults.isDown() {
 		return platform.ErrUnavailable
@@ -103,10 +100,6 @@
 	return nil
 }
 
-func (f *fakeStore) Watch(context.Context, platform.Kind, uint64) ([]platform.Event, uint64, error) {
-	panic("not used")
-}
-
 // faults draws faults from a seed and counts them; nil draws none.
 type faults struct {
 	mu     sync.Mutex
@@ -116,62 +109,50 @@
 	counts map[string]int
 }
 
-func (f *faults) draw(kind string, probability float64) bool {
-	if f == nil {
-		return false
-	}
+// locked runs a function under the lock.
+func locked[T any](f *faults, run func() T) T {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.quiet || f.random.Float64() >= probability {
-		return false
-	}
-	f.counts[kind]++
-	return true
+	return run()
+}
+
+func (f *faults) draw(kind string, probability float64) bool {
+	return f != nil && locked(f, func() bool {
+		hit := !f.quiet && f.random.Float64() < probability
+		if hit {
+			f.counts[kind]++
+		}
+		return hit
+	})
 }
 
 func (f *faults) count(kind string) {
-	if f == nil {
-		return
+	if f != nil {
+		locked(f, func() int { f.counts[kind]++; return 0 })
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.counts[kind]++
 }
 
 func (f *faults) duration(limit time.Duration) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return time.Duration(f.random.Int63n(int64(limit)))
+	return locked(f, func() time.Duration { return time.Duration(f.random.Int63n(int64(limit))) })
 }
 
 func (f *faults) pick(n int) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.random.Intn(n)
+	return locked(f, func() int { return f.random.Intn(n) })
 }
 
 func (f *faults) setDown(down bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.down = down
+	locked(f, func() int { f.down = down; return 0 })
 }
 
 // calm ends all faults.
 func (f *faults) calm() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.quiet = true
-	f.down = false
+	locked(f, func() int { f.quiet, f.down = true, false; return 0 })
 }
 
 func (f *faults) isDown() bool {
-	if f == nil {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		f.counts["store outage"]++
+	down := f != nil && locked(f, func() bool { return f.down })
+	if down {
+		f.count("store outage")
 	}
-	return f.down
+	return down
 }
