Check only what a compaction moves

Cause: a profile of one shard at 230 claims a second spent 71% in the check of a compaction, which looked up every sealed claim in every segment. Change: it looks at the claims and fingerprints that move, in the new segment. Ruled out: leaving the check out. Conclusion: cost follows the size of one segment.

--- a/internal/claim/segment.go
+++ b/internal/claim/segment.go
@@ -160,35 +160,44 @@
 	}
 }
 
-// verifyCompaction checks that no claim is lost by a compaction.
+// verifyCompaction checks that no claim is lost by a compaction, whose segment is the
+// last one of the new value.
 func verifyCompaction(before, after *Shard) error {
+	added := after.segments[len(after.segments)-1]
 	for id, r := range before.records {
-		now, found := after.anyRecord(id)
-		if !found || now.Attempt != r.Attempt || now.State != r.State {
-			return &InvariantError{What: "claim lost by compaction", ID: id}
+		if same(after.records, r) || same(added.content.records, r) {
+			continue
 		}
+		return &InvariantError{What: "claim lost by compaction", ID: id}
 	}
+	moved := before.buckets
 	for _, old := range before.segments {
+		if after.hasSegment(old.Name) {
+			continue
+		}
+		moved = append(slices.Clone(moved), old.content.buckets...)
 		for id := range old.content.records {
-			if _, found := after.anyRecord(id); !found && !after.hasPrint(id.fingerprint()) {
+			if !added.content.hasPrint(id.fingerprint()) {
 				return &InvariantError{What: "sealed claim lost by compaction", ID: id}
 			}
 		}
 	}
-	if before.printCount() > after.printCount() {
-		return &InvariantError{What: "fingerprints lost by compaction"}
+	for _, b := range moved {
+		for _, print := range b.prints {
+			if !added.content.hasPrint(print) && !hasPrint(after.buckets, print) {
+				return &InvariantError{What: "fingerprint lost by compaction"}
+			}
+		}
 	}
 	return nil
 }
 
-// printCount counts the fingerprints and the sealed records.
-func (s *Shard) printCount() int {
-	count := 0
-	for _, b := range s.buckets {
-		count += len(b.prints)
-	}
-	for _, sealed := range s.segments {
-		count += sealed.content.printCount() + len(sealed.content.records)
-	}
-	return count
+// same reports whether a claim is among the records as it was.
+func same(records map[ID]Record, r Record) bool {
+	now, found := records[r.ID]
+	return found && now.Attempt == r.Attempt && now.State == r.State
+}
+
+func (s *Shard) hasSegment(name string) bool {
+	return slices.ContainsFunc(s.segments, func(kept segment) bool { return kept.Name == name })
 }
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -109,10 +109,8 @@
 
 // hasPrint reports whether a claim with this fingerprint was made within the window.
 func (s *Shard) hasPrint(print uint64) bool {
-	for _, b := range s.buckets {
-		if b.has(print) {
-			return true
-		}
+	if hasPrint(s.buckets, print) {
+		return true
 	}
 	for _, sealed := range s.segments {
 		if sealed.content.hasPrint(print) {
@@ -122,6 +120,10 @@
 	return false
 }
 
+func hasPrint(buckets []bucket, print uint64) bool {
+	return slices.ContainsFunc(buckets, func(b bucket) bool { return b.has(print) })
+}
+
 // anyRecord returns the claim on a key, however old.
 func (s *Shard) anyRecord(id ID) (Record, bool) {
 	if r, found := s.records[id]; found {
