Weigh uncertain load; spill to the cheapest endpoint; common preamble scenario

Cause: late requests in the calm had been sent to endpoints believed just not full by a report up to a second old; a full first choice passed a prompt on to the next rank even where another held its prefix; one preamble common to all requests was not measured. Change: the expected wait counts what may have come and gone since the report; past the first rank the cheapest of the others under their bound is taken; the window settles at a wait of one latency target, since the wait is no longer zero or a whole queue; the bench has a common preamble and a light load. Ruled out, by trial: a higher floor of the bound, which these fakes can't judge, since a token takes the same time in a full batch.

--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -12,7 +12,7 @@
 	// LatencyTarget is the time to first token that a request should see.
 	LatencyTarget = 470 * time.Millisecond
 	// waitTarget is the expected wait at an endpoint that the window settles at.
-	waitTarget = LatencyTarget / 2
+	waitTarget = LatencyTarget
 	// windowGain is how fast the window follows the wait, a second.
 	windowGain = 0.15
 	// maxWindowStep bounds the time that one update of the window accounts for.
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -34,6 +34,8 @@
 	Reclaim bool
 	// Faulty makes one engine fail each request at once during the measured time.
 	Faulty bool
+	// Preamble: all prompts begin with the same text.
+	Preamble bool
 	// Closed keeps all slots busy in place of open arrivals, to measure the capacity.
 	Closed bool
 }
@@ -56,6 +58,9 @@
 
 // Run drives one scenario. The rate is the mean of offered requests a second.
 func Run(site *Site, scenario Scenario, variant Variant, rate float64, seed uint64) Result {
+	if scenario.Preamble {
+		site = site.withPreamble()
+	}
 	r := &run{
 		site: site, scenario: scenario, variant: variant,
 		clock: newClock(), random: rand.New(rand.NewPCG(seed, 1)),
--- a/internal/policybench/scenario.go
+++ b/internal/policybench/scenario.go
@@ -7,6 +7,7 @@
 
 const (
 	calmLoad    = 0.6
+	lightLoad   = 0.4
 	reportEvery = time.Second
 	staleEvery  = 5 * time.Second
 )
@@ -15,8 +16,10 @@
 var (
 	Calm      = Scenario{Name: "calm", Load: calmLoad, ReportEvery: reportEvery, LoadOnChunks: true}
 	Reclaimed = Scenario{Name: "data centre reclaimed", Load: calmLoad, ReportEvery: reportEvery, LoadOnChunks: true, Reclaim: true}
+	Light     = Scenario{Name: "light", Load: lightLoad, ReportEvery: reportEvery, LoadOnChunks: true}
 	StaleLoad = Scenario{Name: "stale load", Load: calmLoad, ReportEvery: staleEvery}
 	Faulty    = Scenario{Name: "faulty runner", Load: calmLoad, ReportEvery: reportEvery, LoadOnChunks: true, Faulty: true}
+	Preamble  = Scenario{Name: "common preamble", Load: calmLoad, ReportEvery: reportEvery, LoadOnChunks: true, Preamble: true}
 	Full      = Scenario{Name: "1x capacity", Load: 1, ReportEvery: reportEvery, LoadOnChunks: true}
 	Double    = Scenario{Name: "2x capacity", Load: 2, ReportEvery: reportEvery, LoadOnChunks: true}
 	Fourfold  = Scenario{Name: "4x capacity", Load: 4, ReportEvery: reportEvery, LoadOnChunks: true}
@@ -80,10 +83,12 @@
 var comparisons = []comparison{
 	{Calm, recomputed, RandomRouting, halfOfRandom},
 	{Calm, recomputed, LeastLoaded, noTarget},
+	{Light, firstToken, RandomRouting, latencyTarget},
 	{Calm, firstToken, RandomRouting, latencyTarget},
 	{Calm, firstToken, LeastLoaded, latencyTarget},
 	{Calm, unserved, RandomRouting, noTarget},
 	{Calm, unserved, LeastLoaded, noTarget},
+	{Preamble, recomputed, RandomRouting, halfOfRandom},
 	{Reclaimed, recomputed, RandomRouting, noTarget},
 	{Reclaimed, firstToken, RandomRouting, noTarget},
 	{Reclaimed, unserved, RandomRouting, noTarget},
@@ -105,7 +110,8 @@
 	{Calm, firstToken, WithoutAffinity, noTarget},
 	{Double, goodput, WithoutAffinity, noTarget},
 	{Calm, recomputed, WithoutSpread, noTarget},
-	{Calm, firstToken, WithoutSpread, noTarget},
+	{Preamble, recomputed, WithoutSpread, noTarget},
+	{Preamble, firstToken, WithoutSpread, noTarget},
 	{Calm, unserved, WithoutSpread, noTarget},
 	{Calm, recomputed, WithoutBound, noTarget},
 	{Calm, unserved, WithoutBound, noTarget},
--- a/internal/policybench/workload.go
+++ b/internal/policybench/workload.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// preambleTokens is the length of a text that all requests share.
+const preambleTokens = 500
+
 // request is one caller's order.
 type request struct {
 	organisation string
@@ -100,6 +103,13 @@
 	}
 }
 
+// withPreamble puts a text before each prompt that all requests share.
+func (s *Site) withPreamble() *Site {
+	changed := *s
+	changed.Parts = append([]part{{"preamble", 1, preambleTokens}}, s.Parts...)
+	return &changed
+}
+
 // draw makes one request.
 func (s *Site) draw(random *rand.Rand, now time.Time) *request {
 	c := s.customer(random)
--- a/internal/route/affinity.go
+++ b/internal/route/affinity.go
@@ -4,9 +4,9 @@
 
 // affinity finds an endpoint by the prompt's prefixes. Each prefix narrows the
 // candidates to as many, in rendezvous order, as its share of the requests needs, the
-// shortest prefix first; the last one orders what is left. The first that is eligible
-// and under its bounded load is taken, so that one prefix neither piles up on one
-// endpoint nor moves when another endpoint leaves.
+// shortest prefix first; the last one orders what is left. The first is taken if it is
+// under its bounded load, so that one prefix neither piles up on one endpoint nor moves
+// when another endpoint leaves.
 func (d *decision) affinity() contender {
 	if len(d.q.PrefixHashes) == 0 || d.off.has(MechanismAffinity) {
 		return noContender
@@ -15,7 +15,7 @@
 	if width > 1 {
 		return d.spread(&ranks, width)
 	}
-	return d.firstUnderBound(ranks.index[:ranks.count])
+	return d.firstOrCheapest(ranks.index[:ranks.count])
 }
 
 // narrow ranks the endpoints and tells how many of the first ones share the requests.
@@ -61,17 +61,25 @@
 	case b.index >= 0:
 		return b
 	default:
-		return d.firstUnderBound(ranks.index[:ranks.count])
+		return d.firstOrCheapest(ranks.index[:ranks.count])
 	}
 }
 
-func (d *decision) firstUnderBound(order []int) contender {
-	for _, index := range order {
-		if c := d.underBound(index); c.index >= 0 {
-			return c
+// firstOrCheapest takes the first of an order if it is eligible and under its bound, and
+// else the one of the others that costs least, which is often one that holds the prefix.
+func (d *decision) firstOrCheapest(order []int) contender {
+	first := d.underBound(order[0])
+	if first.index >= 0 {
+		return first
+	}
+	best := noContender
+	for _, index := range order[1:] {
+		c := d.underBound(index)
+		if c.index >= 0 && (best.index < 0 || c.cost() < best.cost()) {
+			best = c
 		}
 	}
-	return noContender
+	return best
 }
 
 // underBound weighs an endpoint if it is eligible and under its bounded load.
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -18,6 +18,10 @@
 	defaultDuration = 2 * time.Second
 	// durationWeight is the weight of a new sample in the mean duration.
 	durationWeight = 0.1
+	// logisticScale is that of a logistic distribution with standard deviation 1.
+	logisticScale = 0.55
+	// maxLogistic is the number of scales beyond which the distribution is cut off.
+	maxLogistic = 8
 	// failurePenalty is added to the expected first token for each consecutive failure.
 	failurePenalty = 250 * time.Millisecond
 )
@@ -92,7 +96,8 @@
 	queuedTokens float64
 	prefillRate  float64
 	slots        float64
-	fresh        bool
+	// age is how long ago the load was reported.
+	age time.Duration
 }
 
 // estimate corrects the last report by this node's requests begun and ended since.
@@ -115,7 +120,7 @@
 	reported := float64(last.load.Running + last.load.Queued)
 	e.requests = max(reported+since, float64(own))
 	e.queuedTokens = float64(last.load.QueuedTokens) + max(since, 0)*prompt
-	e.fresh = true
+	e.age = now.Sub(last.received)
 	return e
 }
 
@@ -126,11 +131,22 @@
 
 // wait is the expected time until the endpoint begins with one more prompt.
 func (e *estimate) wait(duration float64) time.Duration {
-	excess := max(e.requests+1-e.slots, 0)
-	queued := excess / e.slots * duration
+	queued := e.excess(duration) / e.slots * duration
 	return e.prefill(e.queuedTokens) + time.Duration(queued*float64(time.Second))
 }
 
+// excess is the expected number of requests without a slot, one more included. The older
+// the report, the less certain the load: about as many requests have come and gone as
+// end in that time.
+func (e *estimate) excess(duration float64) float64 {
+	over := e.requests + 1 - e.slots
+	scale := logisticScale * math.Sqrt(2*e.age.Seconds()*e.requests/duration)
+	if scale*maxLogistic <= math.Abs(over) {
+		return max(over, 0)
+	}
+	return scale * math.Log1p(math.Exp(over/scale))
+}
+
 // supersedes reports whether a report that came in later was made earlier or is the
 // same one again, which says nothing of the requests begun since. Past its age a report
 // counts for nothing, also when the engine's clock was set back.
