Route: old load settles at the mean; tests of concurrent use

Change: the expected wait uses the load settled towards the mean, by the report's age against the time a request runs; the bound keeps the reported load.

--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -92,6 +92,8 @@
 type estimate struct {
 	// requests running and queued.
 	requests float64
+	// settled is what the requests have probably come to since the report.
+	settled float64
 	// queuedTokens are prompt tokens that wait to be computed.
 	queuedTokens float64
 	prefillRate  float64
@@ -100,8 +102,9 @@
 	age time.Duration
 }
 
-// estimate corrects the last report by this node's requests begun and ended since.
-// Without a report young enough, an endpoint counts as loaded as the mean.
+// estimate corrects the last report by this node's requests begun and ended since. The
+// older it is, against the time that a request runs, the more the load has settled at the
+// mean; without a report young enough, an endpoint counts as loaded as the mean.
 func (s *endpointState) estimate(now time.Time, mean float64, slots int, prompt float64) estimate {
 	own := s.inFlight.Load()
 	last := s.report.Load()
@@ -114,16 +117,29 @@
 	}
 	if last == nil || now.Sub(last.received) > maxReportAge {
 		e.requests = max(float64(own), mean)
+		e.settled = e.requests
 		return e
 	}
 	since := float64(own - last.inFlight)
-	reported := float64(last.load.Running + last.load.Queued)
-	e.requests = max(reported+since, float64(own))
-	e.queuedTokens = float64(last.load.QueuedTokens) + max(since, 0)*prompt
 	e.age = now.Sub(last.received)
+	e.requests = max(float64(last.load.Running+last.load.Queued)+since, float64(own))
+	lives := e.age.Seconds() / s.meanDuration()
+	kept := math.Exp(-lives * lives)
+	e.settled = mean + (e.requests-mean)*kept
+	e.queuedTokens = float64(last.load.QueuedTokens)*kept + max(since, 0)*prompt
 	return e
 }
 
+// lastRequests is the last report with this node's requests begun and ended since.
+func (s *endpointState) lastRequests(now time.Time) float64 {
+	own := s.inFlight.Load()
+	last := s.report.Load()
+	if last == nil || now.Sub(last.received) > maxReportAge {
+		return float64(own)
+	}
+	return float64(max(int32(last.load.Running+last.load.Queued)+own-last.inFlight, own))
+}
+
 // prefill is how long the endpoint computes prompt tokens.
 func (e *estimate) prefill(tokens float64) time.Duration {
 	return time.Duration(tokens / e.prefillRate * float64(time.Second))
@@ -139,7 +155,7 @@
 // the report, the less certain the load: about as many requests have come and gone as
 // end in that time.
 func (e *estimate) excess(duration float64) float64 {
-	over := e.requests + 1 - e.slots
+	over := e.settled + 1 - e.slots
 	scale := logisticScale * math.Sqrt(2*e.age.Seconds()*e.requests/duration)
 	if scale*maxLogistic <= math.Abs(over) {
 		return max(over, 0)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -155,6 +156,10 @@
 	r.ObserveLoad(later, "runner-0000", testLoad(testStart, 1))
 	e = state.estimate(later, 0, testSlots, 0)
 	is.Equal(e.requests, 9.0)
+	old := later.Add(2 * defaultDuration)
+	e = state.estimate(old, 20, testSlots, 0)
+	is.Equal(e.requests, 9.0)
+	is.True(e.settled > 15 && e.settled < 20)
 	e = state.estimate(later.Add(maxReportAge+1), 20, testSlots, 0)
 	is.Equal(e.requests, 20.0)
 }
@@ -231,3 +236,33 @@
 	q := testQuery(1, 2, 3)
 	is.Equal(testing.AllocsPerRun(100, func() { _, _ = r.Choose(testStart, 1, q) }), 0.0)
 }
+
+// TestConcurrentUse: tables change while requests are routed; none is lost from the counts.
+func TestConcurrentUse(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfiguration(8, 1, 1)
+	r := newTestRouter(cfg)
+	var group sync.WaitGroup
+	for worker := range 8 {
+		group.Go(func() {
+			for i := range 300 {
+				now := testStart.Add(time.Duration(i) * time.Millisecond)
+				choice, err := r.Choose(now, mix(uint64(i)), testQuery(uint64(i%5)))
+				if err != nil {
+					continue
+				}
+				r.Begin(choice.Endpoint.Name)
+				r.ObserveLoad(now, choice.Endpoint.Name, testLoad(now, i%testSlots))
+				r.Explain(now, testQuery(uint64(i)))
+				r.End(now, choice.Endpoint.Name, Result{OK: i%3 > 0, Failed: i%3 == 0, Duration: time.Second})
+				if i%50 == worker {
+					r.SetTable(Compile(cfg))
+				}
+			}
+		})
+	}
+	group.Wait()
+	for _, endpoint := range cfg.Endpoints {
+		is.Equal(r.state(endpoint.Name).inFlight.Load(), int32(0))
+	}
+}
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -67,8 +67,7 @@
 		if !t.available(now) {
 			continue
 		}
-		e := t.state.estimate(now, 0, t.info.slots, 0)
-		sum += e.requests
+		sum += t.state.lastRequests(now)
 		known++
 	}
 	return sum / float64(max(known, 1))
