--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -18,6 +18,10 @@
 	defaultDuration = 2 * time.Second
 	// durationWeight is the weight of a new sample in the mean duration.
 	durationWeight = 0.1
+	// logisticScale is that of a logistic distribution with standard deviation 1.
+	logisticScale = 0.55
+	// maxLogistic is the number of scales beyond which the distribution is cut off.
+	maxLogistic = 8
 	// failurePenalty is added to the expected first token for each consecutive failure.
 	failurePenalty = 250 * time.Millisecond
 )
@@ -88,15 +92,19 @@
 type estimate struct {
 	// requests running and queued.
 	requests float64
+	// settled is what the requests have probably come to since the report.
+	settled float64
 	// queuedTokens are prompt tokens that wait to be computed.
 	queuedTokens float64
 	prefillRate  float64
 	slots        float64
-	fresh        bool
+	// age is how long ago the load was reported.
+	age time.Duration
 }
 
-// estimate corrects the last report by this node's requests begun and ended since.
-// Without a report young enough, an endpoint counts as loaded as the mean.
+// estimate corrects the last report by this node's requests begun and ended since. The
+// older it is, against the time that a request runs, the more the load has settled at the
+// mean; without a report young enough, an endpoint counts as loaded as the mean.
 func (s *endpointState) estimate(now time.Time, mean float64, slots int, prompt float64) estimate {
 	own := s.inFlight.Load()
 	last := s.report.Load()
@@ -109,16 +117,29 @@
 	}
 	if last == nil || now.Sub(last.received) > maxReportAge {
 		e.requests = max(float64(own), mean)
+		e.settled = e.requests
 		return e
 	}
 	since := float64(own - last.inFlight)
-	reported := float64(last.load.Running + last.load.Queued)
-	e.requests = max(reported+since, float64(own))
-	e.queuedTokens = float64(last.load.QueuedTokens) + max(since, 0)*prompt
-	e.fresh = true
+	e.age = now.Sub(last.received)
+	e.requests = max(float64(last.load.Running+last.load.Queued)+since, float64(own))
+	lives := e.age.Seconds() / s.meanDuration()
+	kept := math.Exp(-lives * lives)
+	e.settled = mean + (e.requests-mean)*kept
+	e.queuedTokens = float64(last.load.QueuedTokens)*kept + max(since, 0)*prompt
 	return e
 }
 
+// lastRequests is the last report with this node's requests begun and ended since.
+func (s *endpointState) lastRequests(now time.Time) float64 {
+	own := s.inFlight.Load()
+	last := s.report.Load()
+	if last == nil || now.Sub(last.received) > maxReportAge {
+		return float64(own)
+	}
+	return float64(max(int32(last.load.Running+last.load.Queued)+own-last.inFlight, own))
+}
+
 // prefill is how long the endpoint computes prompt tokens.
 func (e *estimate) prefill(tokens float64) time.Duration {
 	return time.Duration(tokens / e.prefillRate * float64(time.Second))
@@ -126,11 +147,22 @@
 
 // wait is the expected time until the endpoint begins with one more prompt.
 func (e *estimate) wait(duration float64) time.Duration {
-	excess := max(e.requests+1-e.slots, 0)
-	queued := excess / e.slots * duration
+	queued := e.excess(duration) / e.slots * duration
 	return e.prefill(e.queuedTokens) + time.Duration(queued*float64(time.Second))
 }
 
+// excess is the expected number of requests without a slot, one more included. The older
+// the report, the less certain the load: about as many requests have come and gone as
+// end in that time.
+func (e *estimate) excess(duration float64) float64 {
+	over := e.settled + 1 - e.slots
+	scale := logisticScale * math.Sqrt(2*e.age.Seconds()*e.requests/duration)
+	if scale*maxLogistic <= math.Abs(over) {
+		return max(over, 0)
+	}
+	return scale * math.Log1p(math.Exp(over/scale))
+}
+
 // supersedes reports whether a report that came in later was made earlier or is the
 // same one again, which says nothing of the requests begun since. Past its age a report
 // counts for nothing, also when the engine's clock was set back.
