--- a/internal/spread/configuration.go
+++ b/internal/spread/configuration.go
@@ -20,22 +20,25 @@
 }
 
 // offer puts a configuration in force if it is newer than the one in force.
-func (m *Machine) offer(rnd *rand.Rand, g fleet.Generation, text []byte) Output {
+// packed is the compressed text, if it is at hand.
+func (m *Machine) offer(rnd *rand.Rand, g fleet.Generation, text, packed []byte) Output {
 	if g == m.config.inForce && g > 0 && !bytes.Equal(text, m.config.text) {
 		m.violated("configuration %d has two texts", g)
 	}
 	if g <= m.config.inForce {
 		return Output{}
 	}
-	return m.force(rnd, g, text)
+	return m.force(rnd, g, text, packed)
 }
 
-func (m *Machine) force(rnd *rand.Rand, g fleet.Generation, text []byte) Output {
-	packed, err := compress(text)
-	if err != nil || len(text) > MaxTextBytes {
-		m.violated("configuration %d cannot be sent: %d bytes, %v", g, len(text), err)
+func (m *Machine) force(rnd *rand.Rand, g fleet.Generation, text, packed []byte) Output {
+	if len(text) > MaxTextBytes {
+		m.violated("configuration %d has %d bytes, more than can be sent", g, len(text))
 		return Output{}
 	}
+	if packed == nil {
+		packed = Compress(text)
+	}
 	if g <= m.config.inForce {
 		m.violated("configuration %d put in force after %d", g, m.config.inForce)
 	}
--- a/internal/spread/fetch.go
+++ b/internal/spread/fetch.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return m.forgetNewest(now)
 	}
-	out := m.offer(rnd, reply.Text.Generation, text)
+	out := m.offer(rnd, reply.Text.Generation, text, reply.Text.Gzip)
 	out.add(m.advanceJoin(now))
 	return out
 }
--- a/internal/spread/hosts_test.go
+++ b/internal/spread/hosts_test.go
@@ -54,8 +54,6 @@
 
 func TestTextIsBounded(t *testing.T) {
 	is := is.New(t)
-	packed, err := compress(make([]byte, MaxTextBytes+1))
-	is.NoErr(err)
-	_, err = decompress(packed)
+	_, err := decompress(Compress(make([]byte, MaxTextBytes+1)))
 	is.True(err != nil)
 }
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -112,7 +112,7 @@
 // this node.
 func (m *Machine) LocalConfiguration(now time.Time, rnd *rand.Rand, g fleet.Generation, text []byte) Output {
 	m.join.heard = true
-	out := m.offer(rnd, g, text)
+	out := m.offer(rnd, g, text, nil)
 	out.add(m.advanceJoin(now))
 	return out
 }
--- a/internal/spread/text.go
+++ b/internal/spread/text.go
@@ -8,17 +8,14 @@
 	"github.com/klauspost/compress/gzip"
 )
 
-// compress packs a configuration text for sending.
-func compress(text []byte) ([]byte, error) {
+// Compress packs a configuration text for sending.
+func Compress(text []byte) []byte {
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
-	if _, err := w.Write(text); err != nil {
-		return nil, fmt.Errorf("compress configuration: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("compress configuration: %w", err)
-	}
-	return out.Bytes(), nil
+	// Writes to a bytes.Buffer do not fail.
+	_, _ = w.Write(text)
+	_ = w.Close()
+	return out.Bytes()
 }
 
 // decompress unpacks a configuration text and refuses one beyond MaxTextBytes.
