--- /dev/null
+++ b/internal/soak/node_test.go
@@ -0,0 +1,308 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rattanchute/internal/admit"
+	"rattanchute/internal/claim"
+	"rattanchute/internal/engine"
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/platform"
+	"rattanchute/internal/route"
+	"rattanchute/internal/serve"
+	"rattanchute/internal/token"
+)
+
+var errNodeGone = errors.New("soak: daemon gone")
+
+// node is the serving code of one daemon behind gates that a pause or a crash closes.
+type node struct {
+	w       *world
+	name    string
+	writer  string
+	service *serve.Service
+	claims  *claim.Service
+	router  *route.Router
+	crashed chan struct{}
+
+	mu      sync.Mutex
+	paused  chan struct{}
+	stopped atomic.Bool
+	// told is when the node learnt that a host leaves.
+	told map[string]time.Time
+}
+
+func newNode(w *world, name string, run int) *node {
+	n := &node{
+		w: w, name: name, writer: fmt.Sprintf("%s-%d", name, run),
+		crashed: make(chan struct{}), router: route.NewRouter("dc-0"), told: map[string]time.Time{},
+	}
+	n.router.SetTable(route.Compile(w.configuration))
+	admitter := admit.NewAdmitter(name)
+	admitter.SetConfiguration(time.Now(), w.configuration)
+	n.claims = claim.NewService(claim.Config{
+		Member: name, Writer: n.writer, Store: gatedStore{n},
+		Owner: w.owner, Forward: forwarder{n}, Gone: w.gone,
+		Settings: claim.Settings{Shards: 4, MaxWait: 5 * time.Millisecond, StoreTimeout: 200 * time.Millisecond, ForwardTimeout: 200 * time.Millisecond},
+	})
+	signer, err := token.NewSigner([]byte("soak"))
+	if err != nil {
+		panic(err)
+	}
+	settings := serve.DefaultSettings()
+	settings.FirstChunkTimeout = 200 * time.Millisecond
+	settings.ChunkTimeout = 200 * time.Millisecond
+	settings.MaxAttempts = 64
+	settings.MaxStreams = 256
+	rates := serve.DefaultMoveRates()
+	rates.Margin = 20 * time.Millisecond
+	n.service = serve.New(serve.Parts{
+		Settings: settings, Router: n.router, Admitter: admitter, Claims: n.claims,
+		Engines: gatedEngines{n}, Signer: signer,
+		Counters: serve.NewCounters(prometheus.NewRegistry()), MoveRates: rates,
+	})
+	return n
+}
+
+// gate holds a call back while the daemon is paused; an error means that it is gone.
+func (n *node) gate() error {
+	n.mu.Lock()
+	paused := n.paused
+	n.mu.Unlock()
+	if paused != nil {
+		select {
+		case <-paused:
+		case <-n.crashed:
+		}
+	}
+	select {
+	case <-n.crashed:
+		return errNodeGone
+	default:
+		return nil
+	}
+}
+
+func (n *node) pause(d time.Duration) {
+	resume := make(chan struct{})
+	n.mu.Lock()
+	n.paused = resume
+	n.mu.Unlock()
+	time.Sleep(d)
+	n.mu.Lock()
+	n.paused = nil
+	n.mu.Unlock()
+	close(resume)
+}
+
+func (n *node) isCrashed() bool {
+	select {
+	case <-n.crashed:
+		return true
+	default:
+		return false
+	}
+}
+
+// learn tells the node of a host's state.
+func (n *node) learn(s fleet.HostState) {
+	if n.gate() != nil {
+		return
+	}
+	n.router.SetHostState(s)
+	if s.Phase != fleet.PhaseLeaving {
+		return
+	}
+	n.mu.Lock()
+	n.told[s.Host] = time.Now()
+	n.mu.Unlock()
+	n.service.HostLeaving(s, len(n.w.nodeList()))
+}
+
+func (n *node) forget(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.told, host)
+}
+
+// leavingSlack allows for a request that had its endpoint chosen before the notice.
+const leavingSlack = time.Second
+
+// dispatching checks that no new work goes to a host that the node knows to leave.
+func (n *node) dispatching(e *endpoint) {
+	n.mu.Lock()
+	told, leaving := n.told[e.host]
+	n.mu.Unlock()
+	ok := !leaving || time.Since(told) < leavingSlack
+	n.w.report.check(promiseLeaving, ok, "%s sends to %s %s after the notice", n.name, e.name, time.Since(told))
+}
+
+// gatedStore is the platform as the node reaches it.
+type gatedStore struct{ n *node }
+
+func (s gatedStore) reach() (platform.Store, error) {
+	if err := s.n.gate(); err != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return s.n.w.store, nil
+}
+
+// Get implements platform.Store.
+func (s gatedStore) Get(ctx context.Context, k platform.Kind, name string) (platform.Object, error) {
+	store, err := s.reach()
+	if err != nil {
+		return platform.Object{}, err
+	}
+	return store.Get(ctx, k, name)
+}
+
+// List implements platform.Store.
+func (s gatedStore) List(ctx context.Context, k platform.Kind) ([]platform.Object, uint64, error) {
+	store, err := s.reach()
+	if err != nil {
+		return nil, 0, err
+	}
+	return store.List(ctx, k)
+}
+
+// Create implements platform.Store.
+func (s gatedStore) Create(ctx context.Context, k platform.Kind, name string, v json.RawMessage) (platform.Object, error) {
+	store, err := s.reach()
+	if err != nil {
+		return platform.Object{}, err
+	}
+	return store.Create(ctx, k, name, v)
+}
+
+// Update implements platform.Store.
+func (s gatedStore) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+	store, err := s.reach()
+	if err != nil {
+		return platform.Object{}, err
+	}
+	return store.Update(ctx, o)
+}
+
+// Delete implements platform.Store.
+func (s gatedStore) Delete(ctx context.Context, o platform.Object) error {
+	store, err := s.reach()
+	if err != nil {
+		return err
+	}
+	return store.Delete(ctx, o)
+}
+
+// Watch implements platform.Store.
+func (s gatedStore) Watch(ctx context.Context, k platform.Kind, after uint64) ([]platform.Event, uint64, error) {
+	store, err := s.reach()
+	if err != nil {
+		return nil, 0, err
+	}
+	return store.Watch(ctx, k, after)
+}
+
+// gatedEngines are the endpoints as the node reaches them.
+type gatedEngines struct{ n *node }
+
+func (g gatedEngines) reach(address string) (*endpoint, error) {
+	if err := g.n.gate(); err != nil {
+		return nil, err
+	}
+	return g.n.w.endpointAt(address), nil
+}
+
+// Generate implements engine.Client.
+func (g gatedEngines) Generate(ctx context.Context, address string, r engine.Generate) (engine.Stream, error) {
+	e, err := g.reach(address)
+	if err != nil {
+		return nil, err
+	}
+	g.n.dispatching(e)
+	return e.generate(ctx, r)
+}
+
+// Call implements engine.Client.
+func (g gatedEngines) Call(ctx context.Context, address string, c engine.Call) (engine.Answer, error) {
+	e, err := g.reach(address)
+	if err != nil {
+		return engine.Answer{}, err
+	}
+	g.n.dispatching(e)
+	return e.call(ctx, c)
+}
+
+// Load implements engine.Client.
+func (g gatedEngines) Load(context.Context, string) (engine.Load, error) {
+	return engine.Load{}, errCut
+}
+
+// CacheEvents implements engine.Client.
+func (g gatedEngines) CacheEvents(context.Context, string, uint64) ([]engine.CacheEvent, error) {
+	return nil, errCut
+}
+
+// ExportKV implements engine.Client.
+func (g gatedEngines) ExportKV(ctx context.Context, address string, s engine.StreamID) (engine.KVBlob, error) {
+	e, err := g.reach(address)
+	if err != nil {
+		return engine.KVBlob{}, err
+	}
+	g.n.w.sleep(ctx, g.n.w.upTo(20*time.Millisecond))
+	if e.isDead() || g.n.w.chance(0.2) {
+		g.n.w.report.provoked(faultTransfer)
+		return engine.KVBlob{}, errGone
+	}
+	return engine.KVBlob{Stream: s, Source: address}, nil
+}
+
+// ImportKV implements engine.Client.
+func (g gatedEngines) ImportKV(ctx context.Context, address string, _ engine.KVBlob) error {
+	e, err := g.reach(address)
+	if err != nil {
+		return err
+	}
+	if e.isDead() {
+		return errGone
+	}
+	return nil
+}
+
+// Order implements engine.Client.
+func (g gatedEngines) Order(context.Context, string, engine.Order) error { return errGone }
+
+// forwarder carries claims between nodes, with loss and repetition.
+type forwarder struct{ n *node }
+
+// Forward implements claim.Forwarder.
+func (f forwarder) Forward(ctx context.Context, owner string, op claim.Op) (claim.Result, error) {
+	if err := f.n.gate(); err != nil {
+		return claim.Result{}, err
+	}
+	w := f.n.w
+	to := w.node(owner)
+	if to == nil || w.chance(0.05) {
+		w.report.provoked(faultForwardLost)
+		return claim.Result{}, errCut
+	}
+	if err := to.gate(); err != nil {
+		return claim.Result{}, err
+	}
+	if w.chance(0.05) {
+		w.report.provoked(faultForwardTwice)
+		go func() { _, _ = to.claims.Handle(context.Background(), op) }()
+	}
+	result, err := to.claims.Handle(ctx, op)
+	if w.chance(0.05) {
+		w.report.provoked(faultForwardAnswer)
+		return claim.Result{}, errCut
+	}
+	return result, err
+}
--- /dev/null
+++ b/internal/soak/report_test.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"testing"
+)
+
+// faultKind names a fault that a run provokes.
+type faultKind string
+
+// The kinds of fault. A run in which one of them never happened has failed.
+const (
+	faultNotSent       faultKind = "request not sent"
+	faultRefused       faultKind = "request refused by the endpoint"
+	faultCutBefore     faultKind = "connection cut before the run"
+	faultCutAfter      faultKind = "connection cut after the run"
+	faultStreamCut     faultKind = "stream cut"
+	faultStreamFrozen  faultKind = "stream frozen"
+	faultChunkTwice    faultKind = "chunk twice"
+	faultChunkCrossed  faultKind = "chunk of another stream"
+	faultEndpointDied  faultKind = "endpoint died"
+	faultNotice        faultKind = "host noticed"
+	faultTransfer      faultKind = "cache transfer failed"
+	faultNodeCrashed   faultKind = "daemon crashed"
+	faultNodePaused    faultKind = "daemon paused"
+	faultNodeStopped   faultKind = "daemon stopped gracefully"
+	faultOutage        faultKind = "platform outage"
+	faultLostAnswer    faultKind = "platform answer lost"
+	faultForwardLost   faultKind = "forwarded claim lost"
+	faultForwardTwice  faultKind = "forwarded claim twice"
+	faultForwardAnswer faultKind = "answer to a forwarded claim lost"
+)
+
+var allFaults = []faultKind{
+	faultNotSent, faultRefused, faultCutBefore, faultCutAfter, faultStreamCut, faultStreamFrozen,
+	faultChunkTwice, faultChunkCrossed, faultEndpointDied, faultNotice, faultTransfer,
+	faultNodeCrashed, faultNodePaused, faultNodeStopped, faultOutage, faultLostAnswer,
+	faultForwardLost, faultForwardTwice, faultForwardAnswer,
+}
+
+// promise names what a run checks.
+type promise string
+
+// The promises, by their tests' names.
+const (
+	promiseSurvives promise = "AcceptedWorkSurvivesReclaim"
+	promiseWhole    promise = "WholeOwnAnswer"
+	promiseNotRun   promise = "NotRunMeansNotRun"
+	promiseOnce     promise = "AtMostOnce"
+	promiseLeaving  promise = "LeavingGetsNoNewWork"
+	promiseStop     promise = "GracefulStop"
+)
+
+var allPromises = []promise{
+	promiseSurvives, promiseWhole, promiseNotRun, promiseOnce, promiseLeaving, promiseStop,
+}
+
+// report counts what a run provoked, checked and found.
+type report struct {
+	mu         sync.Mutex
+	faults     map[faultKind]int
+	checks     map[promise]int
+	outcomes   map[string]int
+	violations []string
+}
+
+func newReport() *report {
+	return &report{
+		faults:   map[faultKind]int{},
+		checks:   map[promise]int{},
+		outcomes: map[string]int{},
+	}
+}
+
+func (r *report) provoked(k faultKind) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults[k]++
+}
+
+func (r *report) told(what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes[what]++
+}
+
+// check counts one check of a promise and notes a violation unless it holds.
+func (r *report) check(p promise, ok bool, format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.checks[p]++
+	if !ok {
+		r.violations = append(r.violations, string(p)+": "+fmt.Sprintf(format, args...))
+	}
+}
+
+func (r *report) breach(name, detail string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violations = append(r.violations, "invariant "+name+": "+detail)
+}
+
+// maxPrinted bounds the violations that are printed.
+const maxPrinted = 20
+
+// finish prints the counters and fails the test on a violation, and on a fault or a
+// check that never happened.
+func (r *report) finish(t *testing.T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, k := range allFaults {
+		fmt.Printf("fault: %s: %d\n", k, r.faults[k])
+		if r.faults[k] == 0 {
+			t.Errorf("fault %q never happened", k)
+		}
+	}
+	for _, told := range sortedKeys(r.outcomes) {
+		fmt.Printf("told: %s: %d\n", told, r.outcomes[told])
+	}
+	for _, p := range allPromises {
+		fmt.Printf("checked: %s: %d\n", p, r.checks[p])
+		if r.checks[p] == 0 {
+			t.Errorf("promise %s was never checked", p)
+		}
+	}
+	for i, v := range r.violations {
+		if i < maxPrinted {
+			t.Error(v)
+		}
+	}
+	fmt.Printf("violations: %d\n", len(r.violations))
+}
+
+func sortedKeys(m map[string]int) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
