--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -69,7 +69,7 @@
 	}
 	s := &Service{
 		config:     config,
-		pool:       pond.NewPool(config.Settings.Writers),
+		pool:       pond.NewPool(config.Settings.Writers, pond.WithoutPanicRecovery()),
 		committers: map[int]*Committer{},
 		silent:     map[string]time.Time{},
 	}
