Admit: limit only a fleet that has had a queue lately

Cause: on a small site the window of one member is a few requests; callers that all come to one daemon were shed although the fleet was idle. Change: the window limits for ten seconds after a wait over its target and otherwise takes in what is in flight. Ruled out: a larger first window, which only moves the number.

--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -13,6 +13,8 @@
 	LatencyTarget = 470 * time.Millisecond
 	// waitTarget is the expected wait at an endpoint that the window settles at.
 	waitTarget = LatencyTarget
+	// pressedFor is how long after a wait over the target the window limits requests.
+	pressedFor = 10 * time.Second
 	// windowGain is how fast the window follows the wait, a second.
 	windowGain = 0.15
 	// maxWindowStep bounds the time that one update of the window accounts for.
@@ -41,6 +43,8 @@
 	// for this member, as far as is known.
 	window   float64
 	windowAt time.Time
+	// pressedAt is when the wait was last over its target.
+	pressedAt time.Time
 	// fair is this member's part of the fleet's slots.
 	fair     float64
 	slots    int
@@ -104,19 +108,30 @@
 	if !ask.Deadline.IsZero() && now.Add(ask.ExpectedFirstToken).After(ask.Deadline) {
 		return f.refuse(now, CodeDeadline, ask.ExpectedFirstToken-ask.Deadline.Sub(now))
 	}
-	limit := f.limit(ask.Priority, f.overShare(now, u))
-	if float64(f.inFlight) >= limit {
+	if f.pressed(now) && float64(f.inFlight) >= f.limit(ask.Priority, f.overShare(now, u)) {
 		return f.refuse(now, CodeOverloaded, 0)
 	}
 	u.inFlight++
 	f.inFlight++
+	if !f.pressed(now) {
+		f.window = max(f.window, float64(f.inFlight))
+	}
 	return Decision{Admitted: true}
 }
 
+// pressed reports whether the fleet has had a queue lately. Without one the window
+// limits nothing and takes in what is in flight.
+func (f *fleetLoad) pressed(now time.Time) bool {
+	return now.Sub(f.pressedAt) < pressedFor
+}
+
 // follow lets the window grow while the expected wait is under its target and shrink
 // while it is over. The requests in flight are known without a lag, so that the window
 // holds a full fleet steady although the wait is learned late.
 func (f *fleetLoad) follow(now time.Time, wait time.Duration) {
+	if wait >= waitTarget {
+		f.pressedAt = now
+	}
 	elapsed := min(now.Sub(f.windowAt), maxWindowStep)
 	if elapsed <= 0 {
 		return
--- a/internal/admit/shed_test.go
+++ b/internal/admit/shed_test.go
@@ -103,6 +103,24 @@
 	is.True(d.Admitted)
 }
 
+// TestNoQueueNoLimit: callers that all come to one member are not shed by it while the
+// fleet has no queue, and are limited once it has one.
+func TestNoQueueNoLimit(t *testing.T) {
+	is := is.New(t)
+	a := testAdmitter("a", 8)
+	free := Ask{Organisation: "small", Fleet: "llm"}
+	for range 100 {
+		is.True(a.Admit(testStart, free).Admitted)
+	}
+	queued := free
+	queued.ExpectedFirstToken = 2 * waitTarget
+	for range 20 {
+		a.Admit(testStart, queued)
+	}
+	is.Equal(a.Admit(testStart, queued).Code, CodeOverloaded)
+	is.True(a.Admit(testStart.Add(pressedFor), free).Admitted)
+}
+
 func TestGivesUpAtOnce(t *testing.T) {
 	is := is.New(t)
 	a := testAdmitter("a", 1)
