--- a/internal/e2e/reclaim_test.go
+++ b/internal/e2e/reclaim_test.go
@@ -129,7 +129,7 @@
 		}},
 		{"configuration changes", func(t *testing.T, s *testsite.Site) {
 			is := is.New(t)
-			is.NoErr(s.ApplyAgain(2))
+			is.NoErr(s.Apply(append([]byte("// changed\n"), s.Configuration()...)))
 		}},
 	}
 	for _, tc := range cases {
--- a/internal/testsite/start.go
+++ b/internal/testsite/start.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
+	"fmt"
 	"time"
 
-	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
-	"rattanchute/internal/spread"
+	"rattanchute/internal/change"
 	"rattanchute/internal/standin"
 )
 
@@ -43,7 +40,7 @@
 	if err := s.Standin.Listen(); err != nil {
 		return err
 	}
-	if err := s.Apply(1, s.options.configuration(s.Standin.ListenMap())); err != nil {
+	if err := s.Apply(s.Configuration()); err != nil {
 		return err
 	}
 	if err := s.prepareDaemons(dir, binary); err != nil {
@@ -70,30 +67,25 @@
 	return err
 }
 
-// Apply writes a configuration to the platform as the given generation.
-func (s *Site) Apply(g fleet.Generation, text []byte) error {
-	value, err := json.Marshal(spread.StoredConfiguration{Generation: g, Text: string(text)})
-	if err != nil {
-		return err
-	}
+// Apply accepts a configuration on top of the one in force.
+func (s *Site) Apply(text []byte) error {
 	ctx := context.Background()
-	object, err := s.Standin.Store.Get(ctx, platform.KindConfiguration, "current")
-	if errors.Is(err, platform.ErrNotFound) {
-		_, err = s.Standin.Store.Create(ctx, platform.KindConfiguration, "current", value)
-		return err
-	}
+	stored, err := change.Read(ctx, s.Standin.Store)
 	if err != nil {
 		return err
 	}
-	object.Value = value
-	_, err = s.Standin.Store.Update(ctx, object)
+	_, err = change.Accept(ctx, s.Standin.Store, change.Change{
+		ID:       fmt.Sprintf("apply-%d", stored.Generation),
+		Operator: "tester",
+		Base:     stored.Generation,
+		File:     "configuration",
+		Text:     string(text),
+	}, time.Now())
 	return err
 }
 
-// ApplyAgain writes the site's own configuration as another generation.
-func (s *Site) ApplyAgain(g fleet.Generation) error {
-	return s.Apply(g, s.options.configuration(s.Standin.ListenMap()))
-}
+// Configuration is the site's own configuration.
+func (s *Site) Configuration() []byte { return s.options.configuration(s.Standin.ListenMap()) }
 
 // AwaitReady waits until each daemon answers callers by the configuration.
 func (s *Site) AwaitReady(timeout time.Duration) error {
