Never take over a segment name that was refused

Cause: a name already taken was kept for deletion like a write without an answer. Change: only unanswered creations are. Ruled out: nothing. Conclusion: closes a case of one in 2^64.

--- a/internal/claim/segmentstore.go
+++ b/internal/claim/segmentstore.go
@@ -104,12 +104,19 @@
 	s.metrics.Writes.Add(1)
 	s.metrics.WrittenBytes.Add(uint64(len(value)))
 	_, err = s.store.Create(ctx, platform.KindClaims, name, value)
-	if err != nil && !errors.Is(err, platform.ErrThrottled) && !errors.Is(err, platform.ErrTooLarge) {
+	if err != nil && !isRefusal(err) {
 		s.orphans = append(s.orphans, orphan{name: name, version: s.version})
 	}
 	return err == nil
 }
 
+// isRefusal reports whether an error says that nothing was written.
+func isRefusal(err error) bool {
+	return errors.Is(err, platform.ErrThrottled) ||
+		errors.Is(err, platform.ErrTooLarge) ||
+		errors.Is(err, platform.ErrConflict)
+}
+
 // collect deletes the segments that are no part of the shard any more, now that its
 // stored value is known: those it has replaced, and orphans of writes that can no longer
 // take effect because the version has moved on. A failed delete leaves an object that
