Route: an endpoint below three quarters of its slots is under its bound

Change: the floor of the bound is 0.75 of the slots. Ruled out: 0.5, which changed little. The fakes give each token the same time in a full batch, so that they cannot show what packing costs in time between tokens.

--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -14,9 +14,9 @@
 	priceSlack = FirstTokenTarget / 10
 	// loadFactor bounds the load of an affinity choice to a multiple of the mean.
 	loadFactor = 1.25
-	// affinityFloor is the share of its slots up to which an endpoint always takes
-	// requests that share a prefix with what it has.
-	affinityFloor = 0.25
+	// affinityFloor is the share of its slots up to which an endpoint is under its bound
+	// whatever the mean: nothing queues there yet.
+	affinityFloor = 0.75
 	// affinityRanks is how many endpoints are tried in rendezvous order.
 	affinityRanks = 8
 	// maxDraws bounds the random draws for two available endpoints.
