--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -36,24 +36,31 @@
 	return a
 }
 
-// TestRetryBudget: retries stay within their share of first attempts and the floor.
+// TestRetryBudget: for each organisation and each endpoint, retries stay within their
+// share of first attempts and the floor.
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := testAdmitter("a", 1)
-		now, attempts := testStart, 0
-		retries := make(map[string]int)
+		now := testStart
+		attempts, retries := make(map[string]int), make(map[string]int)
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			organisation := rapid.SampledFrom([]string{"large", "small", "limited"}).Draw(t, "organisation")
 			endpoint := rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "endpoint")
+			counts := retries
 			if rapid.Bool().Draw(t, "first") {
-				a.Attempted(now, "small", endpoint)
-				attempts++
-			} else if a.AllowRetry(now, "small", endpoint) {
-				retries[endpoint]++
+				a.Attempted(now, organisation, endpoint)
+				counts = attempts
+			} else if !a.AllowRetry(now, organisation, endpoint) {
+				continue
 			}
-			bound := retryStart + retryShare*float64(attempts) + retryFloor*now.Sub(testStart).Seconds()
-			if float64(retries["e1"]+retries["e2"]) > bound+1e-6 {
-				t.Fatalf("%v retries of %d attempts", retries, attempts)
+			counts[organisation]++
+			counts[endpoint]++
+			for _, name := range []string{organisation, endpoint} {
+				bound := retryStart + retryShare*float64(attempts[name]) + retryFloor*now.Sub(testStart).Seconds()
+				if float64(retries[name]) > bound+1e-6 {
+					t.Fatalf("%s: %d retries of %d attempts", name, retries[name], attempts[name])
+				}
 			}
 		}
 	})
