Add the serve bench: added latency, cost and goodput of one daemon

Cause: what the entry host adds to an answer and its goodput past capacity were not measured against the running daemon. Ruled out: switching the daemon's admission off for the baseline; there is no such switch, so the baseline is the load spread in turn over equal engines.

--- /dev/null
+++ b/internal/servebench/site.go
@@ -0,0 +1,194 @@
+package servebench
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"rattanchute/internal/adapter/platformhttp"
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/platform"
+	"rattanchute/internal/spread"
+	"rattanchute/internal/standin"
+	"rattanchute/internal/testsite"
+)
+
+// fleetPlan is one set of engines; the daemon's callers and the direct ones have a set
+// each.
+type fleetPlan struct {
+	model   string
+	engines int
+	config  standin.EngineConfig
+}
+
+var steadyFleet = fleetPlan{"steady", steadyEngines, standin.EngineConfig{
+	Slots:       steadySlots,
+	TokenMillis: milliseconds(plannedToken),
+	KeepMillis:  int(keepTime.Milliseconds()),
+}}
+
+var smallFleet = fleetPlan{"small", smallEngines, standin.EngineConfig{
+	Slots:                  smallSlots,
+	TokenMillis:            milliseconds(smallToken),
+	PrefillTokensPerSecond: smallPrefillRate,
+	KeepMillis:             int(keepTime.Milliseconds()),
+}}
+
+var fleetPlans = []fleetPlan{steadyFleet, smallFleet}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// The two sets of each fleet.
+const (
+	behindDaemon = "daemon"
+	reachedAlone = "direct"
+)
+
+// site is the stand-in's and the daemon's process.
+type site struct {
+	outside *exec.Cmd
+	listen  standin.ListenMap
+	daemon  *testsite.Daemon
+}
+
+// startTimeout bounds the wait until the daemon serves.
+const startTimeout = 20 * time.Second
+
+func startSite(dir string) (*site, error) {
+	s := &site{}
+	for _, step := range []func(string) error{s.startOutside, s.putConfiguration, s.startDaemon} {
+		if err := step(dir); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *site) startOutside(dir string) error {
+	binary, err := testsite.Build(dir, "rattanchute-standin")
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(outsideConfig())
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(dir, "standin.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return err
+	}
+	command := exec.Command(binary, "--settings", file)
+	command.Stderr = os.Stderr
+	out, err := command.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	s.outside = command
+	return json.NewDecoder(bufio.NewReader(out)).Decode(&s.listen)
+}
+
+func outsideConfig() standin.SiteConfig {
+	var c standin.SiteConfig
+	c.Platform.Token = testsite.PlatformToken
+	for _, f := range fleetPlans {
+		for _, set := range []string{behindDaemon, reachedAlone} {
+			for i := range f.engines {
+				e := standin.EndpointConfig{EngineConfig: f.config, Kind: fleet.FleetModel, Fleet: f.model}
+				e.Name = fmt.Sprintf("%s-%s-%d", f.model, set, i)
+				e.Host = "host-" + e.Name
+				e.DataCentre = "dc"
+				c.Endpoints = append(c.Endpoints, e)
+			}
+		}
+	}
+	return c
+}
+
+// addresses are those of one set of a fleet.
+func (s *site) addresses(f fleetPlan, set string) []string {
+	var list []string
+	for _, e := range s.listen.Endpoints {
+		if strings.HasPrefix(e.Name, f.model+"-"+set+"-") {
+			list = append(list, e.Address)
+		}
+	}
+	return list
+}
+
+func (s *site) putConfiguration(string) error {
+	text, err := json.Marshal(s.configuration())
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(spread.StoredConfiguration{Generation: 1, Text: string(text)})
+	if err != nil {
+		return err
+	}
+	store := platformhttp.New(platformhttp.Options{Address: s.listen.Platform, Token: testsite.PlatformToken})
+	_, err = store.Create(context.Background(), platform.KindConfiguration, "current", value)
+	return err
+}
+
+// configuration declares the engines behind the daemon.
+func (s *site) configuration() fleet.Configuration {
+	c := fleet.Configuration{
+		DataCentres:   []fleet.DataCentre{{Name: "dc", Region: "region"}},
+		Organisations: []fleet.Organisation{{Name: "first", KeyHashes: []string{testsite.Digest(testsite.CallerKey)}}},
+		Selectors:     []fleet.Selector{{Name: "all", Priority: 5}},
+	}
+	for _, f := range fleetPlans {
+		c.Fleets = append(c.Fleets, fleet.Fleet{Name: f.model, Kind: fleet.FleetModel,
+			Models: []string{f.model}, SlotsPerEndpoint: f.config.Slots})
+	}
+	for _, e := range s.listen.Endpoints {
+		if !strings.Contains(e.Name, "-"+behindDaemon+"-") {
+			continue
+		}
+		c.Hosts = append(c.Hosts, fleet.Host{Name: e.Host, DataCentre: e.DataCentre, Class: "small", Kind: fleet.HostReclaimable})
+		c.Endpoints = append(c.Endpoints, fleet.Endpoint{Name: e.Name, Host: e.Host, Fleet: e.Fleet, Address: e.Address})
+	}
+	return c
+}
+
+func (s *site) startDaemon(dir string) error {
+	binary, err := testsite.Build(dir, "rattanchuted")
+	if err != nil {
+		return err
+	}
+	nodes, err := testsite.NewNodes(1, func(int) string { return "dc" })
+	if err != nil {
+		return err
+	}
+	daemons, err := testsite.NewDaemons(dir, binary, nodes, testsite.Common{Platform: s.listen.Platform, ShutdownGrace: "1s"})
+	if err != nil {
+		return err
+	}
+	s.daemon = daemons[0]
+	if err := s.daemon.Start(); err != nil {
+		return err
+	}
+	caller := testsite.NewCaller(testsite.CallerKey, s.daemon.Callers)
+	return s.daemon.AwaitServes(caller, steadyFleet.model, startTimeout)
+}
+
+// close ends both processes.
+func (s *site) close() {
+	if s.daemon != nil {
+		s.daemon.Close()
+	}
+	if s.outside != nil {
+		_ = s.outside.Process.Signal(syscall.SIGTERM)
+		_ = s.outside.Wait()
+	}
+}
