--- a/internal/adapter/tlsfiles/reloader.go
+++ b/internal/adapter/tlsfiles/reloader.go
@@ -59,14 +59,23 @@
 // Failures counts the reads that failed.
 func (r *Reloader) Failures() uint64 { return r.failed.Load() }
 
-// Run reloads at the interval until stop is closed.
-func (r *Reloader) Run(interval time.Duration, stop <-chan struct{}) {
+// NotAfter is when the certificate in use expires.
+func (r *Reloader) NotAfter() time.Time { return r.current.Load().certificate.Leaf.NotAfter }
+
+// Run reloads at the interval until stop is closed. It tells of the first of several
+// failures and, with a nil error, of the first success after them.
+func (r *Reloader) Run(interval time.Duration, stop <-chan struct{}, changed func(error)) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	failing := false
 	for {
 		select {
 		case <-ticker.C:
-			_ = r.Reload()
+			err := r.Reload()
+			if (err != nil) != failing {
+				failing = err != nil
+				changed(err)
+			}
 		case <-stop:
 			return
 		}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -95,6 +95,9 @@
 func (l *loader) checkTLS(p jsonc.Path) {
 	l.checkCertificate(p.Key("callers"), l.s.TLS.Callers)
 	l.checkCertificate(p.Key("peers"), l.s.TLS.Peers)
+	if l.s.TLS.Peers.Enabled() && l.s.TLS.Peers.ClientCAFile == "" {
+		l.doc.Add(p.Key("peers"), "client_ca_file is missing", "accepted is the file of the authorities that peers' certificates are verified by")
+	}
 	l.checkDuration(p.Key("reload_interval"), l.s.TLS.ReloadInterval, minReloadInterval, maxReloadInterval)
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -97,6 +97,7 @@
 		{`"operators": [`, `"tls": {"callers": {"cert_file": "not.pem"}}, "operators": [`, `is missing`},
 		{`"operators": [`, `"tls": {"callers": {"cert_file": "not.pem", "key_file": "not.pem"}}, "operators": [`, `do not fit`},
 		{`"operators": [`, `"tls": {"peers": {"client_ca_file": "not.pem"}}, "operators": [`, `without a certificate`},
+		{`"operators": [`, `"tls": {"peers": {"cert_file": "not.pem", "key_file": "not.pem"}}, "operators": [`, `client_ca_file is missing`},
 	}
 	for _, c := range cases {
 		t.Run(c.want, func(t *testing.T) {
--- a/internal/testsite/caller.go
+++ b/internal/testsite/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,17 +20,25 @@
 // Caller is a client of one organisation at one daemon.
 type Caller struct {
 	key     string
+	scheme  string
 	address string
 	client  *http.Client
 }
 
 // NewCaller returns a caller with connections of its own.
 func NewCaller(key, address string) *Caller {
-	return &Caller{key: key, address: address, client: &http.Client{
+	return &Caller{key: key, scheme: "http", address: address, client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 256},
 	}}
 }
 
+// NewTLSCaller returns a caller that connects by TLS.
+func NewTLSCaller(key, address string, cfg *tls.Config) *Caller {
+	return &Caller{key: key, scheme: "https", address: address, client: &http.Client{
+		Transport: &http.Transport{TLSClientConfig: cfg, MaxIdleConnsPerHost: 256},
+	}}
+}
+
 // Answer is what a caller got.
 type Answer struct {
 	Status  int
@@ -61,7 +70,7 @@
 }
 
 func (c *Caller) send(ctx context.Context, method, path string, body []byte, headers []Header) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+c.address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/testsite/certificates.go
@@ -0,0 +1,111 @@
+package testsite
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Authority issues certificates for tests.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// certificateLifetime is longer than any test.
+const certificateLifetime = time.Hour
+
+// NewAuthority returns an authority of its own.
+func NewAuthority(name string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := newTemplate(1)
+	template.Subject = pkix.Name{CommonName: name}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return &Authority{certificate: certificate, key: key}, err
+}
+
+func newTemplate(serial int64) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(serial),
+		NotBefore:    time.Now().Add(-certificateLifetime),
+		NotAfter:     time.Now().Add(certificateLifetime),
+	}
+}
+
+// Pool is the authority as others trust it.
+func (a *Authority) Pool() *x509.CertPool {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	return pool
+}
+
+// WriteTo writes the authority's certificate to a file.
+func (a *Authority) WriteTo(file string) error {
+	return os.WriteFile(file, encode("CERTIFICATE", a.certificate.Raw), 0o600)
+}
+
+// Files are those of one certificate and its authority.
+type Files struct{ Cert, Key, Authority string }
+
+// FilesIn names the files of a listener's certificate in a directory.
+func FilesIn(dir, listener string) Files {
+	at := func(suffix string) string { return filepath.Join(dir, listener+suffix) }
+	return Files{Cert: at(".crt"), Key: at(".key"), Authority: at("-ca.crt")}
+}
+
+// Issue writes a certificate for the loopback address, with its key and authority.
+func (a *Authority) Issue(serial int64, f Files) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	template := newTemplate(serial)
+	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	if err != nil {
+		return err
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(f.Key, encode("PRIVATE KEY", keyDER), 0o600); err != nil {
+		return err
+	}
+	if err := os.WriteFile(f.Cert, encode("CERTIFICATE", der), 0o600); err != nil {
+		return err
+	}
+	return a.WriteTo(f.Authority)
+}
+
+// ClientConfig connects with the certificate of the files, trusting their authority.
+func (a *Authority) ClientConfig(f Files) (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{RootCAs: a.Pool(), Certificates: []tls.Certificate{certificate}}, nil
+}
+
+func encode(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
--- a/internal/testsite/daemon.go
+++ b/internal/testsite/daemon.go
@@ -25,8 +25,9 @@
 // Daemon is one rattanchuted process.
 type Daemon struct {
 	Name string
-	// Callers and Operators are the addresses of its listeners.
+	// Callers, Peers and Operators are the addresses of its listeners.
 	Callers   string
+	Peers     string
 	Operators string
 
 	binary   string
--- a/internal/testsite/settings.go
+++ b/internal/testsite/settings.go
@@ -26,6 +26,15 @@
 	ShutdownGrace string
 	// ReadHeaderTimeout bounds the arrival of a request.
 	ReadHeaderTimeout string
+	// TLS is the value of the settings' key "tls"; empty leaves it out.
+	TLS string
+}
+
+func (c Common) tls() string {
+	if c.TLS == "" {
+		return "{}"
+	}
+	return c.TLS
 }
 
 func (c Common) readHeaderTimeout() string {
@@ -89,6 +98,7 @@
   "operators": [{"name": "tester", "key_sha256": %q}],
   "shutdown_grace": %q,
   "limits": {"read_header_timeout": %q},
+  "tls": %s,
 }
 `
 
@@ -110,12 +120,12 @@
 	for _, n := range nodes {
 		text := fmt.Sprintf(settingsText, n.Name, n.DataCentre, n.Callers, n.Peers, n.Operators,
 			c.Platform, filepath.Join(dir, "platform"), list, filepath.Join(dir, "peer"),
-			filepath.Join(dir, "resume"), Digest(OperatorKey), c.ShutdownGrace, c.readHeaderTimeout())
+			filepath.Join(dir, "resume"), Digest(OperatorKey), c.ShutdownGrace, c.readHeaderTimeout(), c.tls())
 		file := filepath.Join(dir, n.Name+".jsonc")
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
-		daemons = append(daemons, &Daemon{Name: n.Name, Callers: n.Callers, Operators: n.Operators, binary: binary, settings: file})
+		daemons = append(daemons, &Daemon{Name: n.Name, Callers: n.Callers, Peers: n.Peers, Operators: n.Operators, binary: binary, settings: file})
 	}
 	return daemons, nil
 }
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -42,6 +43,10 @@
 	ShutdownGrace string
 	// ReadHeaderTimeout bounds the arrival of a request; empty is the default.
 	ReadHeaderTimeout string
+	// TLS is the value of the daemons' settings key "tls"; empty leaves it out.
+	TLS string
+	// CallerTLS is how callers connect; nil is plainly.
+	CallerTLS *tls.Config
 }
 
 func (o Options) shutdownGrace() string {
--- a/internal/testsite/start.go
+++ b/internal/testsite/start.go
@@ -66,6 +66,7 @@
 		Platform:          s.Standin.Address(),
 		ShutdownGrace:     s.options.shutdownGrace(),
 		ReadHeaderTimeout: s.options.ReadHeaderTimeout,
+		TLS:               s.options.TLS,
 	})
 	return err
 }
@@ -99,13 +100,21 @@
 func (s *Site) AwaitReady(timeout time.Duration) error {
 	end := time.Now().Add(timeout)
 	for _, d := range s.Daemons {
-		if err := d.AwaitServes(NewCaller(CallerKey, d.Callers), Model, time.Until(end)); err != nil {
+		if err := d.AwaitServes(s.Caller(d), Model, time.Until(end)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// Caller returns a caller of the first organisation at a daemon.
+func (s *Site) Caller(d *Daemon) *Caller {
+	if s.options.CallerTLS == nil {
+		return NewCaller(CallerKey, d.Callers)
+	}
+	return NewTLSCaller(CallerKey, d.Callers, s.options.CallerTLS)
+}
+
 // Close ends everything.
 func (s *Site) Close() {
 	for _, d := range s.Daemons {
