Look again at an endpoint chosen earlier before dispatching to it

Change: Router.Usable, asked again before each dispatch; no attach at an endpoint that is leaving. Ruled out: choosing only after the claim is granted (admission needs the expected first token before a claim is worth its write).

--- a/internal/route/room.go
+++ b/internal/route/room.go
@@ -31,3 +31,9 @@
 	}
 	return rooms
 }
+
+// Usable reports whether an endpoint chosen earlier still takes new work.
+func (r *Router) Usable(now time.Time, endpoint string) bool {
+	t := r.view.Load().byName[endpoint]
+	return t != nil && t.available(now)
+}
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -217,12 +217,9 @@
 }
 
 func (c *call) choose() (route.Choice, error) {
-	if c.next != nil {
-		choice := *c.next
-		c.next = nil
-		return choice, nil
-	}
-	return c.service.router.Choose(c.service.now(), randomWord(), c.query)
+	next := c.next
+	c.next = nil
+	return c.service.choose(next, c.query)
 }
 
 func (c *call) retryAllowed(ctx context.Context, choice route.Choice) bool {
--- a/internal/serve/ports.go
+++ b/internal/serve/ports.go
@@ -14,6 +14,8 @@
 type Router interface {
 	Table() *route.Table
 	Choose(now time.Time, rnd uint64, q route.Query) (route.Choice, error)
+	// Usable tells whether an endpoint that was chosen earlier still takes new work.
+	Usable(now time.Time, endpoint string) bool
 	Begin(endpoint string)
 	End(now time.Time, endpoint string, r route.Result)
 	ObserveLoad(now time.Time, endpoint string, l engine.Load)
--- a/internal/serve/service.go
+++ b/internal/serve/service.go
@@ -12,6 +12,7 @@
 
 	"rattanchute/internal/admit"
 	"rattanchute/internal/engine"
+	"rattanchute/internal/route"
 	"rattanchute/internal/token"
 )
 
@@ -173,6 +174,16 @@
 	s.admitter.Done(s.now(), admit.Ended{Organisation: a.Organisation, Fleet: a.Fleet})
 }
 
+// choose takes an endpoint chosen earlier if it still takes new work, since a claim or
+// a planned move may have waited, and else asks the router.
+func (s *Service) choose(earlier *route.Choice, q route.Query) (route.Choice, error) {
+	now := s.now()
+	if earlier != nil && s.router.Usable(now, earlier.Endpoint.Name) {
+		return *earlier, nil
+	}
+	return s.router.Choose(now, randomWord(), q)
+}
+
 func (s *Service) timeout(asked time.Duration) time.Duration {
 	if asked <= 0 {
 		return s.settings.DefaultTimeout
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -181,7 +181,7 @@
 		return false
 	}
 	endpoint, ok := c.service.router.Table().Endpoint(t.Endpoint)
-	if !ok {
+	if !ok || !c.service.router.Usable(c.service.now(), t.Endpoint) {
 		return false
 	}
 	c.next = nil
@@ -200,12 +200,9 @@
 }
 
 func (c *ChatStream) choose() (route.Choice, error) {
-	if c.next != nil {
-		choice := *c.next
-		c.next = nil
-		return choice, nil
-	}
-	return c.service.router.Choose(c.service.now(), randomWord(), c.query)
+	next := c.next
+	c.next = nil
+	return c.service.choose(next, c.query)
 }
 
 // waitForEndpoint pauses an interrupted stream that no endpoint can take now, and
--- a/internal/soak/node_test.go
+++ b/internal/soak/node_test.go
@@ -65,7 +65,7 @@
 	rates := serve.DefaultMoveRates()
 	rates.Margin = 20 * time.Millisecond
 	n.service = serve.New(serve.Parts{
-		Settings: settings, Router: n.router, Admitter: admitter, Claims: n.claims,
+		Settings: settings, Router: watchedRouter{n.router, n}, Admitter: admitter, Claims: n.claims,
 		Engines: gatedEngines{n}, Signer: signer,
 		Counters: serve.NewCounters(prometheus.NewRegistry()), MoveRates: rates,
 	})
@@ -133,16 +133,23 @@
 	delete(n.told, host)
 }
 
-// leavingSlack allows for a request that had its endpoint chosen before the notice.
-const leavingSlack = time.Second
+// leavingSlack is for a notice that arrives between the choice and the dispatch.
+const leavingSlack = 100 * time.Millisecond
 
-// dispatching checks that no new work goes to a host that the node knows to leave.
-func (n *node) dispatching(e *endpoint) {
-	n.mu.Lock()
-	told, leaving := n.told[e.host]
-	n.mu.Unlock()
+// watchedRouter checks that no new work goes to a host that the node knows to leave.
+type watchedRouter struct {
+	*route.Router
+	n *node
+}
+
+// Begin implements serve.Router.
+func (r watchedRouter) Begin(endpoint string) {
+	r.n.mu.Lock()
+	told, leaving := r.n.told["host-"+endpoint]
+	r.n.mu.Unlock()
 	ok := !leaving || time.Since(told) < leavingSlack
-	n.w.report.check(promiseLeaving, ok, "%s sends to %s %s after the notice", n.name, e.name, time.Since(told))
+	r.n.w.report.check(promiseLeaving, ok, "%s sends to %s %s after the notice", r.n.name, endpoint, time.Since(told))
+	r.Router.Begin(endpoint)
 }
 
 // gatedStore is the platform as the node reaches it.
@@ -225,7 +232,6 @@
 	if err != nil {
 		return nil, err
 	}
-	g.n.dispatching(e)
 	return e.generate(ctx, r)
 }
 
@@ -235,7 +241,6 @@
 	if err != nil {
 		return engine.Answer{}, err
 	}
-	g.n.dispatching(e)
 	return e.call(ctx, c)
 }
 
