Let a starting node learn the members of every seed

Cause: one exchange of differing buckets is in flight at a time; a peer that answered meanwhile was not asked again, so a starting node could end its join without knowing members that only that peer knew. Change: such peers are asked once more after the exchange in flight. Proof of failing: TestStartLearnsTheMembersOfEverySeed before the change: '4 != 5' members. Ruled out: several exchanges at once, which bring mostly the same records when many nodes start together.

--- a/internal/capacitybench/force.go
+++ b/internal/capacitybench/force.go
@@ -23,6 +23,8 @@
 	scenario  string
 	p50, p100 time.Duration
 	unreached int
+	// bytes is what one node sent and received until the end of the scenario.
+	bytes float64
 }
 
 // scenario does something harmful right after a configuration is accepted and tells
@@ -90,9 +92,10 @@
 func measureLeaving(nodes int) []spreadTime {
 	var out []spreadTime
 	for _, hosts := range []int{1, int(reclaimableShare * planHosts)} {
-		s := newSite(nodes, 0, false, [][]byte{[]byte("one")})
+		s := newSite(nodes, 0, true, [][]byte{[]byte("one")})
 		s.Faults.Loss = scenarioLoss
 		start := s.Now
+		before, _ := s.totals()
 		for i := range hosts {
 			s.notice(s.Nodes[i%nodes], hostName(i), fleet.PhaseLeaving)
 		}
@@ -106,7 +109,10 @@
 				delete(s.leavingAt, n)
 			}
 		}
-		out = append(out, s.timesSince(name, start, s.leavingAt, everyNode))
+		t := s.timesSince(name, start, s.leavingAt, everyNode)
+		after, _ := s.totals()
+		t.bytes = float64(after-before) / float64(nodes)
+		out = append(out, t)
 	}
 	return out
 }
--- a/internal/capacitybench/report.go
+++ b/internal/capacitybench/report.go
@@ -85,6 +85,9 @@
 		value = math.Inf(1)
 	}
 	basis := fmt.Sprintf("370 nodes in virtual time, p50 %.2f s, not reached %d", t.p50.Seconds(), t.unreached)
+	if t.bytes > 0 {
+		basis += fmt.Sprintf(", %.0f B a node in %v", t.bytes, scenarioTime)
+	}
 	return Row{Name: name, Value: value, Budget: budget.Seconds(), Unit: "s", Basis: basis}
 }
 
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -180,6 +180,7 @@
 // several would mostly bring the same records.
 func (m *Machine) sendDelta(now time.Time, s Send, reply Message) []Send {
 	if !m.deltaSince.IsZero() {
+		m.askAgain(s, reply)
 		return nil
 	}
 	msg := m.message(KindDelta)
--- a/internal/spread/join.go
+++ b/internal/spread/join.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"rattanchute/internal/member"
@@ -19,12 +21,15 @@
 	known map[string]struct{}
 	// outstanding holds the addresses asked and not yet heard from, with the time.
 	outstanding map[string]time.Time
-	heard       bool
-	done        bool
+	// differing holds the addresses whose member table differed while a delta was in
+	// flight; they are asked once more after it.
+	differing map[string]struct{}
+	heard     bool
+	done      bool
 }
 
 func newJoin(seeds []string) join {
-	j := join{seeds: seeds, known: map[string]struct{}{}, outstanding: map[string]time.Time{}}
+	j := join{seeds: seeds, known: map[string]struct{}{}, outstanding: map[string]time.Time{}, differing: map[string]struct{}{}}
 	for _, address := range seeds {
 		j.enqueue(address)
 	}
@@ -48,6 +53,13 @@
 	m.join.enqueue(r.Address)
 }
 
+// askAgain has a starting node ask a peer once more whose members it does not all know.
+func (m *Machine) askAgain(s Send, reply Message) {
+	if !m.join.done && len(m.members.Set().Differing(reply.MemberBuckets)) > 0 {
+		m.join.differing[s.To] = struct{}{}
+	}
+}
+
 // askAll makes a starting node ask every seed and live member again.
 func (m *Machine) askAll() {
 	if m.join.done {
@@ -85,6 +97,10 @@
 	if j.done {
 		return Output{}
 	}
+	if m.deltaSince.IsZero() && len(j.queue) == 0 {
+		j.queue = slices.Sorted(maps.Keys(j.differing))
+		clear(j.differing)
+	}
 	var out Output
 	for len(j.queue) > 0 && len(j.outstanding) < joinWindow {
 		address := j.queue[0]
@@ -95,7 +111,7 @@
 		j.outstanding[address] = now
 		out.Sends = append(out.Sends, Send{To: address, Message: m.message(KindExchange)})
 	}
-	idle := len(j.outstanding) == 0 && len(j.queue) == 0 && m.deltaSince.IsZero()
+	idle := len(j.outstanding)+len(j.queue)+len(j.differing) == 0 && m.deltaSince.IsZero()
 	j.done = idle && j.heard && m.config.inForce >= m.config.newest
 	return out
 }
