Add the operators' page, checked against a running daemon's metrics

Cause: there was no page for operators; counters with labels did not exist before their first event, so that increase() misses it; a spent retry budget was not counted. Change: docs/OPERATIONS.md (start, secrets, stop, upgrade, metrics, alerts, explain, loss of a data centre); a test compares each metric's name on the page with /metrics of a daemon, both ways; labelled counters of the serving path and of invariants begin at 0; retries_refused_total. Ruled out: a generated page, whose meanings and advice would have to live in the code. Conclusion: go test -race ./internal/e2e -run OperationsPage -count=3 green. The alerts' expressions were not run against a Prometheus server.

--- a/internal/app/breaches.go
+++ b/internal/app/breaches.go
@@ -8,6 +8,15 @@
 	"rattanchute/internal/invariant"
 )
 
+// invariants are the names whose series exist before the first breach, so that this one
+// is an increase.
+var invariants = []string{
+	"delivered_offsets_contiguous",
+	"non_idempotent_dispatched_once",
+	"reclaim_plan_covers_all_streams",
+	"reclaim_step_starts_in_time",
+}
+
 // reportBreaches counts each breach of an invariant and logs the first of each name, so
 // that a daemon goes on serving what is not affected.
 func (a *App) reportBreaches() {
@@ -17,6 +26,9 @@
 		Help:      "Breaches of invariants, by name.",
 	}, []string{"name"})
 	a.registry.MustRegister(breaches)
+	for _, name := range invariants {
+		breaches.WithLabelValues(name)
+	}
 	var logged sync.Map
 	invariant.SetHandler(func(name, detail string) {
 		breaches.WithLabelValues(name).Inc()
--- /dev/null
+++ b/internal/e2e/operations_test.go
@@ -0,0 +1,58 @@
+package e2e
+
+import (
+	"maps"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"rattanchute/internal/testsite"
+)
+
+const operationsPage = "../../docs/OPERATIONS.md"
+
+var (
+	metricName  = regexp.MustCompile(`rattanchute_[a-z_]+`)
+	metricType  = regexp.MustCompile(`(?m)^# TYPE (rattanchute_[a-z_]+) (\w+)$`)
+	metricEntry = regexp.MustCompile("(?m)^\\| `(rattanchute_[a-z_]+)` \\|")
+)
+
+// TestOperationsPageNamesTheDaemonsMetrics compares the page with a running daemon:
+// each metric has its line in the table, and every name on the page is a metric.
+func TestOperationsPageNamesTheDaemonsMetrics(t *testing.T) {
+	is := is.New(t)
+	s := startTLSSite(t, testsite.Options{Daemons: 2, Engines: 1})
+	exported := map[string]bool{}
+	await(t, "messages between daemons are counted", func() bool {
+		text := metrics(t, s.Daemons[0])
+		for _, m := range metricType.FindAllStringSubmatch(text, -1) {
+			exported[m[1]] = true
+			if m[2] == "histogram" {
+				exported[m[1]+"_bucket"], exported[m[1]+"_count"] = true, true
+			}
+		}
+		return exported["rattanchute_spread_messages_sent_total"] &&
+			exported["rattanchute_spread_messages_received_total"]
+	})
+	page, err := os.ReadFile(operationsPage)
+	is.NoErr(err)
+	for _, name := range metricName.FindAllString(string(page), -1) {
+		if !exported[name] {
+			t.Errorf("the page names %s, which no daemon exports", name)
+		}
+	}
+	listed := map[string]bool{}
+	for _, m := range metricEntry.FindAllStringSubmatch(string(page), -1) {
+		listed[m[1]] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(exported)) {
+		part := strings.HasSuffix(name, "_bucket") || strings.HasSuffix(name, "_count")
+		if !part && !listed[name] {
+			t.Errorf("the page's table lacks %s", name)
+		}
+	}
+}
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -229,7 +229,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	return c.service.admitter.AllowRetry(c.service.now(), c.ask.Organisation, choice.Endpoint.Name)
+	return c.service.allowRetry(c.ask.Organisation, choice.Endpoint.Name)
 }
 
 // dispatch makes one attempt.
--- a/internal/serve/counters.go
+++ b/internal/serve/counters.go
@@ -12,6 +12,7 @@
 	Requests         *prometheus.CounterVec
 	Refused          *prometheus.CounterVec
 	Attempts         *prometheus.CounterVec
+	RetriesRefused   prometheus.Counter
 	DroppedChunks    prometheus.Counter
 	RecomputedTokens prometheus.Counter
 	PrefilledTokens  prometheus.Counter
@@ -30,6 +31,7 @@
 		Requests:         counterVec("requests_total", "Requests ended, by kind and outcome.", "kind", "outcome"),
 		Refused:          counterVec("refused_total", "Requests refused, by code.", "code"),
 		Attempts:         counterVec("attempts_total", "Attempts ended, by result.", "result"),
+		RetriesRefused:   prometheus.NewCounter(counter("retries_refused_total", "Retries not made because a retry budget was spent.")),
 		DroppedChunks:    prometheus.NewCounter(counter("dropped_chunks_total", "Late or crossed chunks dropped.")),
 		RecomputedTokens: prometheus.NewCounter(counter("recomputed_tokens_total", "Output tokens made again after delivery.")),
 		PrefilledTokens:  prometheus.NewCounter(counter("prefilled_tokens_total", "Prompt tokens computed by engines.")),
@@ -37,8 +39,9 @@
 		FirstToken:       prometheus.NewHistogram(seconds("first_token_seconds", "Time to the first token.")),
 		BetweenTokens:    prometheus.NewHistogram(seconds("between_tokens_seconds", "Time between tokens.")),
 	}
-	reg.MustRegister(c.InFlight, c.Requests, c.Refused, c.Attempts, c.DroppedChunks,
+	reg.MustRegister(c.InFlight, c.Requests, c.Refused, c.Attempts, c.RetriesRefused, c.DroppedChunks,
 		c.RecomputedTokens, c.PrefilledTokens, c.Moves, c.FirstToken, c.BetweenTokens)
+	c.begin()
 	return c
 }
 
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -253,7 +253,7 @@
 // retryAllowed asks the retry budget. Streams that have delivered something are
 // exempt: they were accepted, and their number is bounded by admission.
 func (c *ChatStream) retryAllowed(endpoint string) bool {
-	return c.service.admitter.AllowRetry(c.service.now(), c.ask.Organisation, endpoint)
+	return c.service.allowRetry(c.ask.Organisation, endpoint)
 }
 
 // ResumeToken returns a token for the chunks delivered so far.
