Serve bench: no prompt twice, capacity by tokens

Cause: prompts and stream ids began anew with each arm, so that later runs found their prompts in the engines' caches (first token p50 13 ms instead of 64 at half load); capacity came out as exactly 64.0 in each run, since answers end in waves. Change: one counter over all arms; capacity counts tokens. Ruled out: staggered workers alone, which still end in waves.

--- a/internal/servebench/client.go
+++ b/internal/servebench/client.go
@@ -26,10 +26,14 @@
 	// direct speaks the engine's protocol, else the callers'.
 	direct   bool
 	exchange *httpexchange.Client
-	sent     atomic.Uint64
+	turn     atomic.Uint64
 	open     atomic.Int64
 }
 
+// numbers makes prompts and stream ids differ over all arms and runs, so that no engine
+// has anything of a request in its cache.
+var numbers atomic.Uint64
+
 func newArm(name string, f fleetPlan, addresses []string) *arm {
 	return &arm{name: name, model: f.model, addresses: addresses, direct: name == reachedAlone,
 		exchange: httpexchange.New(httpexchange.Options{})}
@@ -63,8 +67,8 @@
 
 // request builds the request; it goes to the addresses in turn.
 func (a *arm) request(req *fasthttp.Request, w wish) string {
-	n := a.sent.Add(1)
-	address := a.addresses[n%uint64(len(a.addresses))]
+	n := numbers.Add(1)
+	address := a.addresses[a.turn.Add(1)%uint64(len(a.addresses))]
 	body := testsite.ModelBody(a.model, prompt(n), w.tokens, true)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetHost(address)
--- a/internal/servebench/goodput.go
+++ b/internal/servebench/goodput.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -82,25 +83,25 @@
 	return run
 }
 
-// measureCapacity keeps the engines full by a closed loop straight to them.
+// measureCapacity keeps the engines full by a closed loop straight to them. It counts
+// tokens, which arrive evenly, and not answers, which end in waves.
 func measureCapacity(p Plan, direct *arm) float64 {
 	begin := time.Now().Add(p.Capacity / 2)
 	end := begin.Add(p.Capacity)
-	var mu sync.Mutex
-	ended := 0
+	var tokens atomic.Int64
+	count := func(now, _ time.Time) {
+		if !now.Before(begin) && now.Before(end) {
+			tokens.Add(1)
+		}
+	}
 	var workers sync.WaitGroup
 	for range 2 * smallEngines * smallSlots {
 		workers.Go(func() {
 			for time.Now().Before(end) {
-				r := direct.run(context.Background(), wish{intended: time.Now(), tokens: smallTokens}, noToken)
-				mu.Lock()
-				if r.completed && !r.ended.Before(begin) && r.ended.Before(end) {
-					ended++
-				}
-				mu.Unlock()
+				direct.run(context.Background(), wish{intended: time.Now(), tokens: smallTokens}, count)
 			}
 		})
 	}
 	workers.Wait()
-	return float64(ended) / p.Capacity.Seconds()
+	return float64(tokens.Load()) / smallTokens / p.Capacity.Seconds()
 }
