Plan capacity: cheapest hosts that meet the target after a loss

Cause: nothing decided which hosts run; cost at the latency target was open. Change: package capacity, a pure planner.

--- /dev/null
+++ b/internal/capacity/state.go
@@ -0,0 +1,79 @@
+package capacity
+
+import (
+	"slices"
+	"time"
+)
+
+// State is what a plan remembers from the one before it.
+type State struct {
+	Holds    []Hold    `json:"holds"`
+	Refusals []Refusal `json:"refusals"`
+}
+
+// Hold says since when a running host has not been needed.
+type Hold struct {
+	Host  string    `json:"host"`
+	Since time.Time `json:"since"`
+}
+
+// Refusal says until when a placement is not asked for a host again.
+type Refusal struct {
+	Placement Placement `json:"placement"`
+	Failures  int       `json:"failures"`
+	Until     time.Time `json:"until"`
+}
+
+// Refused notes a refused start; the wait doubles with each and is drawn from its
+// upper half by the random word.
+func (s State) Refused(now time.Time, random uint64, p Placement, settings Settings) State {
+	next := s.Started(p)
+	failures := s.failures(p) + 1
+	wait := settings.BackoffBase
+	for i := 1; i < failures && wait < settings.BackoffMax; i++ {
+		wait *= 2
+	}
+	wait = min(wait, settings.BackoffMax)
+	if half := wait / 2; half > 0 {
+		wait = half + time.Duration(random%uint64(half))
+	}
+	next.Refusals = append(next.Refusals, Refusal{p, failures, now.Add(wait)})
+	return next
+}
+
+// Started forgets the refusals of a placement in which a start was accepted.
+func (s State) Started(p Placement) State {
+	s.Refusals = slices.DeleteFunc(slices.Clone(s.Refusals), func(r Refusal) bool {
+		return r.Placement == p
+	})
+	return s
+}
+
+func (s *State) failures(p Placement) int {
+	for _, r := range s.Refusals {
+		if r.Placement == p {
+			return r.Failures
+		}
+	}
+	return 0
+}
+
+// BacksOff reports whether the placement is not to be asked now.
+func (s *State) BacksOff(now time.Time, p Placement) bool {
+	for _, r := range s.Refusals {
+		if r.Placement == p && now.Before(r.Until) {
+			return true
+		}
+	}
+	return false
+}
+
+// heldSince returns since when the host has not been needed, now if it was until now.
+func (s *State) heldSince(now time.Time, host string) time.Time {
+	for _, h := range s.Holds {
+		if h.Host == host {
+			return h.Since
+		}
+	}
+	return now
+}
