Stop the search for hosts once the bound keeps none out

Cause: most bounds on a data centre's share gave the same set again. Change: the search ends with the first bound that kept no host out. Ruled out: nothing. Conclusion: the same sets; the enumeration property still holds.

--- a/internal/capacity/selection.go
+++ b/internal/capacity/selection.go
@@ -126,10 +126,13 @@
 	slices.SortStableFunc(ranked, compareValue)
 	var best *selection
 	for _, bound := range bounds(n, base, ranked) {
-		s := fill(n, base, ranked, bound)
+		s, bounded := fill(n, base, ranked, bound)
 		if s.betterThan(best) {
 			best = s
 		}
+		if !bounded {
+			break // a higher bound gives the same
+		}
 	}
 	return best
 }
@@ -167,8 +170,10 @@
 	return bounds[min(first, len(bounds)-1):]
 }
 
-func fill(n need, base, ranked []offer, bound float64) *selection {
-	s := newSelection(n)
+// fill adds hosts until the need is met; bounded tells whether the bound kept any out.
+func fill(n need, base, ranked []offer, bound float64) (s *selection, bounded bool) {
+	s = newSelection(n)
+	s.offers = make([]offer, 0, len(base)+len(ranked))
 	for _, o := range base {
 		s.add(o)
 	}
@@ -177,10 +182,11 @@
 			break
 		}
 		if s.losses[o.dataCentre]+o.lost(n.tolerance) > bound+rounding {
+			bounded = true
 			continue
 		}
 		s.add(o)
 	}
 	s.trim()
-	return s
+	return s, bounded
 }
