Add the bench of cost and recomputed tokens

Cause: cost at the latency target and recomputed tokens were not measured. Change: package costbench drives capacity, reclaim and route in virtual time against a fake cloud and fake engines, with baselines and each mechanism off alone. Ruled out: transfers at a fixed lane's speed in the fake: nothing limits a transfer to its lane, so the host's bandwidth is shared by the transfers that go on.

--- /dev/null
+++ b/internal/costbench/control.go
@@ -0,0 +1,115 @@
+package costbench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"rattanchute/internal/capacity"
+)
+
+const planInterval = 10 * time.Second
+
+// control carries out the plans of package capacity.
+type control struct {
+	clock    *clock
+	cloud    *fakeCloud
+	site     *Site
+	variant  *Variant
+	settings capacity.Settings
+	meter    *capacity.Meter
+	rng      *rand.Rand
+	state    capacity.State
+	// shortPlans counts plans that the catalogue could not serve.
+	shortPlans int
+	// peakHosts is the most hosts that were ready at once.
+	peakHosts int
+}
+
+func (c *control) plan() {
+	s := capacity.Snapshot{
+		Now:      c.clock.now,
+		Hosts:    c.hosts(),
+		Demands:  []capacity.Demand{c.demand()},
+		Classes:  []capacity.Class{c.site.class},
+		Settings: c.settings,
+		State:    c.state,
+	}
+	r := capacity.Plan(s)
+	c.state = r.State
+	c.shortPlans += len(r.Shortfalls)
+	for _, a := range r.Actions {
+		c.carryOut(a)
+	}
+}
+
+// demand is the measured one; before anything was measured, what was sized for.
+func (c *control) demand() capacity.Demand {
+	d := c.meter.Demand(c.clock.now)
+	d.Fleet = c.site.fleet
+	if d.PromptTokens == 0 {
+		d.PromptTokens = c.site.promptTokens
+	}
+	if d.OutputTokens == 0 {
+		d.OutputTokens = c.site.outputTokens
+	}
+	if c.variant.noLookAhead {
+		d.Growth = 0
+	}
+	return d
+}
+
+func (c *control) hosts() []capacity.Host {
+	var list []capacity.Host
+	ready := 0
+	for _, m := range c.cloud.machines {
+		if !c.variant.offers(m.spec) {
+			continue
+		}
+		h := capacity.Host{
+			Name: m.spec.Name, DataCentre: m.spec.DataCentre, Class: m.spec.Class, Kind: m.spec.Kind,
+			PricePerHour: m.spec.PricePerHour, Fleet: c.site.fleet, Endpoint: m.spec.Name,
+			Phase: m.phase, Since: m.since, Deadline: m.deadline,
+			ReportedAt: c.clock.now.Add(-emptyReport),
+			Empty:      m.engine == nil || len(m.engine.streams) == 0,
+		}
+		switch m.phase {
+		case capacity.PhaseReady:
+			ready++
+		case capacity.PhaseStopped:
+			h.Deadline = time.Time{}
+		case capacity.PhaseWaiting:
+			h.MissingModels = []string{c.site.fleet}
+		}
+		list = append(list, h)
+	}
+	c.peakHosts = max(c.peakHosts, ready)
+	return list
+}
+
+func (c *control) carryOut(a capacity.Action) {
+	m := c.cloud.byName[a.Host]
+	switch a.Kind {
+	case capacity.ActionStart:
+		c.start(m)
+	case capacity.ActionLoad:
+		c.cloud.load(m)
+	case capacity.ActionDrain:
+		c.cloud.drain(m)
+	case capacity.ActionStop:
+		c.cloud.stop(m)
+	}
+}
+
+func (c *control) start(m *machine) {
+	place := capacity.Placement{DataCentre: m.spec.DataCentre, Class: m.spec.Class, Kind: m.spec.Kind}
+	if c.state.BacksOff(c.clock.now, place) {
+		return // refused a moment ago, in this same plan
+	}
+	if c.cloud.start(m) {
+		c.state = c.state.Started(place)
+		return
+	}
+	if !c.variant.noRefusalMemory {
+		c.state = c.state.Refused(c.clock.now, c.rng.Uint64(), place, c.settings)
+	}
+}
--- /dev/null
+++ b/internal/costbench/engine.go
@@ -0,0 +1,176 @@
+package costbench
+
+import (
+	"time"
+
+	"rattanchute/internal/capacity"
+	"rattanchute/internal/engine"
+)
+
+// request is one caller's request over all its attempts.
+type request struct {
+	arrived time.Time
+	node    int
+	// prompt is what is computed of the prompt on top of the shared start.
+	prompt    int
+	output    int
+	generated int
+	// transferred: the engine has the KV cache of the prompt and of what is generated.
+	transferred bool
+	answered    bool
+	// left is when it last left an engine before its end.
+	left    time.Time
+	attempt *attempt
+}
+
+// attempt is a request at an engine.
+type attempt struct {
+	request  *request
+	engine   *fakeEngine
+	state    attemptState
+	interval time.Duration
+	decoding time.Time
+	done     func()
+}
+
+type attemptState int
+
+const (
+	stateQueued attemptState = iota
+	statePrefill
+	stateDecoding
+	stateEnded
+)
+
+// fakeEngine has slots, one prefill at a time, and a token interval that grows with the
+// batch.
+type fakeEngine struct {
+	clock   *clock
+	class   capacity.Class
+	queue   []*attempt
+	running int
+	// prefillFree is when the prefills that have been given a slot are computed.
+	prefillFree time.Time
+	streams     map[*attempt]struct{}
+	order       []*attempt
+	stopped     bool
+	onFirst     func(*request)
+}
+
+func newEngine(c *clock, class capacity.Class, onFirst func(*request)) *fakeEngine {
+	return &fakeEngine{clock: c, class: class, streams: make(map[*attempt]struct{}), onFirst: onFirst}
+}
+
+func (e *fakeEngine) submit(r *request, done func()) {
+	a := &attempt{request: r, engine: e, done: done}
+	r.attempt = a
+	e.streams[a] = struct{}{}
+	e.order = append(e.order, a)
+	e.queue = append(e.queue, a)
+	e.admit()
+}
+
+func (e *fakeEngine) admit() {
+	for len(e.queue) > 0 && e.running < e.class.Slots && !e.stopped {
+		a := e.queue[0]
+		e.queue = e.queue[1:]
+		if a.state == stateEnded {
+			continue
+		}
+		e.running++
+		e.prefill(a)
+	}
+}
+
+func (e *fakeEngine) prefill(a *attempt) {
+	a.state = statePrefill
+	tokens := a.request.prompt + a.request.generated
+	if a.request.transferred {
+		tokens = 0
+	}
+	took := time.Duration(float64(tokens) / e.class.PrefillTokensPerSecond * float64(time.Second))
+	if e.prefillFree.Before(e.clock.now) {
+		e.prefillFree = e.clock.now
+	}
+	e.prefillFree = e.prefillFree.Add(took)
+	e.clock.at(e.prefillFree, func() { e.decode(a) })
+}
+
+func (e *fakeEngine) decode(a *attempt) {
+	if a.state != statePrefill {
+		return
+	}
+	a.state = stateDecoding
+	a.request.transferred = false
+	a.decoding = e.clock.now
+	a.interval = e.class.TokenInterval + time.Duration(e.running)*e.class.TokenIntervalPerStream
+	e.onFirst(a.request)
+	left := a.request.output - a.request.generated
+	e.clock.after(time.Duration(left)*a.interval, func() { e.finish(a) })
+}
+
+func (e *fakeEngine) finish(a *attempt) {
+	if a.state != stateDecoding {
+		return
+	}
+	a.request.generated = a.request.output
+	a.leave()
+	a.done()
+}
+
+// leave ends the attempt and returns the tokens that its engine had computed.
+func (a *attempt) leave() int {
+	state, generated := a.state, a.generated(a.engine.clock.now)
+	a.state = stateEnded
+	e := a.engine
+	delete(e.streams, a)
+	e.forget()
+	computed := 0
+	if state == statePrefill || state == stateDecoding || a.request.transferred {
+		a.request.generated = generated
+		computed = a.request.prompt + generated
+	}
+	if state == statePrefill || state == stateDecoding {
+		e.running--
+		e.admit()
+	}
+	return computed
+}
+
+func (a *attempt) generated(now time.Time) int {
+	if a.state != stateDecoding || a.request.generated == a.request.output {
+		return a.request.generated
+	}
+	more := int(now.Sub(a.decoding) / a.interval)
+	return min(a.request.generated+more, a.request.output)
+}
+
+// forget keeps the list in order of arrival short.
+func (e *fakeEngine) forget() {
+	if len(e.order) < 2*len(e.streams)+16 {
+		return
+	}
+	e.order = e.open()
+}
+
+// open lists the streams in order of arrival.
+func (e *fakeEngine) open() []*attempt {
+	var list []*attempt
+	for _, a := range e.order {
+		if a.state != stateEnded {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func (e *fakeEngine) load() engine.Load {
+	tokens := max(e.prefillFree.Sub(e.clock.now).Seconds(), 0) * e.class.PrefillTokensPerSecond
+	for _, a := range e.queue {
+		tokens += float64(a.request.prompt)
+	}
+	return engine.Load{
+		Running: e.running, Queued: len(e.queue), Slots: e.class.Slots,
+		QueuedTokens: int(tokens), TokensPerSecond: e.class.PrefillTokensPerSecond, At: e.clock.now,
+	}
+}
--- /dev/null
+++ b/internal/costbench/measure.go
@@ -0,0 +1,78 @@
+package costbench
+
+import (
+	"slices"
+
+	"github.com/alitto/pond/v2"
+)
+
+// Days are the results of one policy at one site, one for each seed.
+type Days struct {
+	Site    Site
+	Variant Variant
+	Results []*Result
+}
+
+// Measure runs all variants at a site on the seeds 1 to seeds.
+func Measure(pool pond.Pool, s Site, variants []Variant, seeds int) []Days {
+	list := make([]Days, len(variants))
+	group := pool.NewGroup()
+	for i, v := range variants {
+		list[i] = Days{Site: s, Variant: v, Results: make([]*Result, seeds)}
+		for seed := range seeds {
+			group.Submit(func() { list[i].Results[seed] = Run(s, v, uint64(seed+1)) })
+		}
+	}
+	if err := group.Wait(); err != nil {
+		panic(err) // a task panicked: the decisions broke an invariant
+	}
+	return list
+}
+
+// Spread is a median with the lowest and the highest value.
+type Spread struct{ Median, Lowest, Highest float64 }
+
+func spreadOf(values []float64) Spread {
+	slices.Sort(values)
+	return Spread{values[len(values)/2], values[0], values[len(values)-1]}
+}
+
+// Over is the spread of a figure over the seeds.
+func (d *Days) Over(figure func(*Result) float64) Spread {
+	var values []float64
+	for _, r := range d.Results {
+		values = append(values, figure(r))
+	}
+	return spreadOf(values)
+}
+
+// Ratio is the spread of a figure's ratio to another policy's on the same seed.
+func (d *Days) Ratio(other *Days, figure func(*Result) float64) Spread {
+	var values []float64
+	for i, r := range d.Results {
+		values = append(values, figure(r)/max(figure(other.Results[i]), 1))
+	}
+	return spreadOf(values)
+}
+
+// Sum adds a figure up over the seeds.
+func (d *Days) Sum(figure func(*Result) float64) float64 {
+	sum := 0.0
+	for _, r := range d.Results {
+		sum += figure(r)
+	}
+	return sum
+}
+
+// The figures of a day.
+func cost(r *Result) float64       { return r.Cost }
+func overShare(r *Result) float64  { return r.OverShare() * 100 }
+func missed(r *Result) float64     { return float64(r.Missed()) }
+func recomputed(r *Result) float64 { return r.recomputed }
+func starts(r *Result) float64     { return float64(r.starts) }
+func refused(r *Result) float64    { return float64(r.refused) }
+func peakHosts(r *Result) float64  { return float64(r.peakHosts) }
+func shortPlans(r *Result) float64 { return float64(r.shortPlans) }
+func stallSeconds(r *Result) float64 {
+	return r.Stall().Seconds()
+}
--- /dev/null
+++ b/internal/costbench/site.go
@@ -0,0 +1,192 @@
+package costbench
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"rattanchute/internal/capacity"
+	"rattanchute/internal/fleet"
+)
+
+const (
+	region       = "region"
+	organisation = "callers"
+	hostClass    = "gpu-large"
+	entryNodes   = 8
+)
+
+// place is a data centre with its prices in thousandths an hour.
+type place struct {
+	name        string
+	reclaimable int64
+	onDemand    int64
+}
+
+// peak is a rise of the request rate that begins and ends linearly.
+type peak struct {
+	from, to time.Duration
+	ramp     time.Duration
+	rate     float64
+}
+
+// Site is a user's fleet, prices and workload.
+type Site struct {
+	Name   string
+	fleet  string
+	places []place
+	// depth is how many hosts of a kind each data centre has to offer.
+	depth int
+	class capacity.Class
+	// base is the request rate at all times; night and day differ by a sine of swing.
+	base, swing float64
+	peaks       []peak
+	// sharedTokens is the start of each prompt that all engines have cached; the
+	// logarithm of the rest is normal.
+	sharedTokens            int
+	promptTokens, promptSig float64
+	outputTokens, outputSig float64
+	maxTokens               int
+	// busiest is an hour in which each run has a wave.
+	busiest time.Duration
+	day     day
+}
+
+// day is how the cloud behaves.
+type day struct {
+	waves, singles       int
+	minNotice, maxNotice time.Duration
+	// minRefusal and maxRefusal bound the refusal of starts after a wave.
+	minRefusal, maxRefusal time.Duration
+	// transferRate is the KV bandwidth out of one host, in tokens a second.
+	transferRate float64
+}
+
+// The days: an ordinary one, one of many reclaims, and one in which these come on
+// shorter notice over slower links.
+var (
+	ordinaryDay = day{3, 10, 10 * time.Second, 40 * time.Second, time.Hour, 3 * time.Hour, 50000}
+	reclaimDay  = day{12, 40, 10 * time.Second, 40 * time.Second, 10 * time.Minute, 30 * time.Minute, 50000}
+	tightDay    = day{12, 40, 4 * time.Second, 12 * time.Second, 10 * time.Minute, 30 * time.Minute, 5000}
+)
+
+// largeClass is the engine of both users: at 16 streams it just meets 46 ms a token.
+var largeClass = capacity.Class{
+	Name:                   hostClass,
+	Slots:                  16,
+	PrefillTokensPerSecond: 16000,
+	TokenInterval:          18 * time.Millisecond,
+	TokenIntervalPerStream: 1750 * time.Microsecond,
+}
+
+// Sites are the two users' of today. Prices are those of the example configurations;
+// a data centre without an on-demand example gets the ratio of the others, 2.9.
+func Sites() []Site {
+	return []Site{agroprecios(), vazduh()}
+}
+
+// ReclaimSites are both users' on days of many reclaims.
+func ReclaimSites() []Site {
+	var list []Site
+	for _, s := range Sites() {
+		rough, tight := s, s
+		rough.Name += ", 10 to 40 s of notice"
+		rough.day = reclaimDay
+		tight.Name += ", 4 to 12 s, a tenth of the bandwidth"
+		tight.day = tightDay
+		list = append(list, rough, tight)
+	}
+	return list
+}
+
+func agroprecios() Site {
+	return Site{
+		Name: "Agroprecios", fleet: "redaccion-llm", depth: 12, class: largeClass,
+		places: []place{
+			{"quito-norte", 1240, 3596}, {"quito-sur", 1153, 3344},
+			{"cumbaya", 1388, 4025}, {"sangolqui", 1091, 3164},
+		},
+		base: 3, swing: 1,
+		peaks: []peak{
+			{6 * time.Hour, 6*time.Hour + 40*time.Minute, 10 * time.Minute, 5},
+			{12 * time.Hour, 12*time.Hour + 40*time.Minute, 10 * time.Minute, 5},
+			{17 * time.Hour, 17*time.Hour + 40*time.Minute, 10 * time.Minute, 5},
+		},
+		promptTokens: 1500, promptSig: 0.4, outputTokens: 250, outputSig: 0.5, maxTokens: 1000,
+		busiest: 12 * time.Hour, day: ordinaryDay,
+	}
+}
+
+func vazduh() Site {
+	return Site{
+		Name: "Vazduh", fleet: "rattan-llm", depth: 18, class: largeClass,
+		places: []place{
+			{"sofia-a", 1180, 3422}, {"sofia-b", 1062, 3080},
+			{"sofia-c", 1274, 3695}, {"sofia-d", 1121, 3250},
+		},
+		base: 1, swing: 0.4,
+		peaks: []peak{
+			{19 * time.Hour, 23*time.Hour + 30*time.Minute, time.Hour, 3.6},
+		},
+		sharedTokens: 4000, promptTokens: 2500, promptSig: 0.3, outputTokens: 700, outputSig: 0.5, maxTokens: 2800,
+		busiest: 21 * time.Hour, day: ordinaryDay,
+	}
+}
+
+// rate is the request rate at a time of the day.
+func (s *Site) rate(sinceMidnight time.Duration) float64 {
+	hour := sinceMidnight.Hours()
+	rate := s.base - s.swing*math.Cos((hour-2)/24*2*math.Pi)
+	for _, p := range s.peaks {
+		rate += p.at(sinceMidnight)
+	}
+	return rate
+}
+
+func (p peak) at(t time.Duration) float64 {
+	if t < p.from || t > p.to {
+		return 0
+	}
+	edge := min(t-p.from, p.to-t)
+	return p.rate * min(1, float64(edge)/float64(p.ramp))
+}
+
+func (s *Site) maxRate() float64 {
+	highest := s.base + s.swing
+	for _, p := range s.peaks {
+		highest = max(highest, s.base+s.swing+p.rate)
+	}
+	return highest
+}
+
+// hosts is what the cloud has to offer.
+func (s *Site) hosts() []fleet.Host {
+	var list []fleet.Host
+	for _, p := range s.places {
+		for i := range s.depth {
+			list = append(list,
+				fleet.Host{Name: fmt.Sprintf("%s-r%02d", p.name, i), DataCentre: p.name, Class: hostClass, Kind: fleet.HostReclaimable, PricePerHour: p.reclaimable},
+				fleet.Host{Name: fmt.Sprintf("%s-d%02d", p.name, i), DataCentre: p.name, Class: hostClass, Kind: fleet.HostOnDemand, PricePerHour: p.onDemand},
+			)
+		}
+	}
+	return list
+}
+
+// configuration declares the site to the router: one endpoint on each host.
+func (s *Site) configuration() *fleet.Configuration {
+	cfg := &fleet.Configuration{
+		Generation:    1,
+		Hosts:         s.hosts(),
+		Organisations: []fleet.Organisation{{Name: organisation}},
+		Fleets:        []fleet.Fleet{{Name: s.fleet, Kind: fleet.FleetModel, SlotsPerEndpoint: s.class.Slots}},
+		Selectors:     []fleet.Selector{{Name: "all", Priority: 5}},
+	}
+	for _, p := range s.places {
+		cfg.DataCentres = append(cfg.DataCentres, fleet.DataCentre{Name: p.name, Region: region})
+	}
+	for _, h := range cfg.Hosts {
+		cfg.Endpoints = append(cfg.Endpoints, fleet.Endpoint{Name: h.Name, Host: h.Name, Fleet: s.fleet})
+	}
+	return cfg
+}
