--- a/internal/admit/property_test.go
+++ b/internal/admit/share_test.go
@@ -7,34 +7,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
-
-	"rattanchute/internal/fleet"
-)
-
-const (
-	testLimit = 40.0
-	testBurst = 20
 )
 
-var testStart = time.Unix(1_700_000_000, 0)
-
-func testConfiguration() *fleet.Configuration {
-	return &fleet.Configuration{
-		Organisations: []fleet.Organisation{
-			{Name: "large", Weight: 1}, {Name: "small", Weight: 1},
-			{Name: "limited", RequestsPerSecond: testLimit, Burst: testBurst},
-		},
-		Fleets: []fleet.Fleet{{Name: "llm"}},
-	}
-}
-
-func testAdmitter(name string, members int) *Admitter {
-	a := NewAdmitter(name)
-	a.SetMembers(testStart, members)
-	a.SetConfiguration(testStart, testConfiguration())
-	return a
-}
-
 // cluster is several members with a network between them that loses, repeats, delays
 // and reorders messages.
 type cluster struct {
@@ -162,81 +136,3 @@
 	idle.SetMembers(now, 1)
 	is.Equal(lender.rate(now), testLimit)
 }
-
-// TestShedsInOrder: what is admitted at one priority is admitted at any higher one and,
-// at the same one, for an organisation within its share.
-func TestShedsInOrder(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		a := testAdmitter("a", 1)
-		expected := time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
-		ask := func(organisation string, priority int) bool {
-			d := a.Admit(testStart, Ask{Organisation: organisation, Fleet: "llm", Priority: priority, ExpectedFirstToken: expected})
-			if !d.Admitted && d.RetryAfter <= 0 {
-				t.Fatal("refused without a time to come back")
-			}
-			return d.Admitted
-		}
-		for range rapid.IntRange(5, 30).Draw(t, "in flight") {
-			a.Admit(testStart, Ask{Organisation: "large", Fleet: "llm"})
-		}
-		a.Admit(testStart, Ask{Organisation: "small", Fleet: "llm"})
-		for priority := range maxPriority {
-			large, small := ask("large", priority), ask("small", priority)
-			if large && !small {
-				t.Fatalf("priority %d: small was shed before large", priority)
-			}
-			if small && !ask("large", priority+1) {
-				t.Fatalf("priority %d was shed before %d", priority+1, priority)
-			}
-		}
-	})
-}
-
-// TestRetryBudget: retries stay within their share of first attempts and the floor.
-func TestRetryBudget(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		a := testAdmitter("a", 1)
-		now, attempts := testStart, 0
-		retries := make(map[string]int)
-		for range rapid.IntRange(1, 300).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
-			endpoint := rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "endpoint")
-			if rapid.Bool().Draw(t, "first") {
-				a.Attempted(now, "small", endpoint)
-				attempts++
-			} else if a.AllowRetry(now, "small", endpoint) {
-				retries[endpoint]++
-			}
-			bound := retryStart + retryShare*float64(attempts) + retryFloor*now.Sub(testStart).Seconds()
-			if float64(retries["e1"]+retries["e2"]) > bound+1e-6 {
-				t.Fatalf("%v retries of %d attempts", retries, attempts)
-			}
-		}
-	})
-}
-
-func TestGivesUpAtOnce(t *testing.T) {
-	is := is.New(t)
-	a := testAdmitter("a", 1)
-	late := Ask{Organisation: "small", Fleet: "llm", Priority: 9, ExpectedFirstToken: 300 * time.Millisecond, Deadline: testStart.Add(200 * time.Millisecond)}
-	d := a.Admit(testStart, late)
-	is.Equal(d.Code, CodeDeadline)
-	is.True(d.RetryAfter > 0)
-	is.Equal(a.Admit(testStart, Ask{Organisation: "nobody", Fleet: "llm"}).Code, CodeUnknownOrganisation)
-	is.Equal(a.Admit(testStart, Ask{Organisation: "small", Fleet: "none"}).Code, CodeUnknownFleet)
-}
-
-// BenchmarkAdmit has the target of no allocation.
-func BenchmarkAdmit(b *testing.B) {
-	a := testAdmitter("a", 1)
-	now := testStart
-	b.ReportAllocs()
-	for b.Loop() {
-		now = now.Add(50 * time.Millisecond)
-		if !a.Admit(now, Ask{Organisation: "limited", Fleet: "llm", Priority: 5}).Admitted {
-			b.Fatal("not admitted")
-		}
-		a.Attempted(now, "limited", "endpoint")
-		a.Done(now, Ended{Organisation: "limited", Fleet: "llm"})
-	}
-}
--- /dev/null
+++ b/internal/change/threeway.go
@@ -0,0 +1,55 @@
+package change
+
+import (
+	"fmt"
+
+	"rattanchute/internal/fleet"
+)
+
+// ThreeWay is one field of one object that two changes of the same base made different.
+// Values are JSON; an absent object or field has the empty value.
+type ThreeWay struct {
+	Object Object `json:"object"`
+	Field  string `json:"field"`
+	Base   string `json:"base"`
+	Theirs string `json:"theirs"`
+	Yours  string `json:"yours"`
+	// Clash is true when both sides changed the field, to different values.
+	Clash bool `json:"clash"`
+}
+
+// String prints the difference on one line.
+func (t ThreeWay) String() string {
+	mark := ""
+	if t.Clash {
+		mark = " (both changed)"
+	}
+	return fmt.Sprintf("%s %s: base %s, theirs %s, yours %s%s",
+		t.Object, t.Field, orAbsent(t.Base), orAbsent(t.Theirs), orAbsent(t.Yours), mark)
+}
+
+// DiffThreeWay compares two configurations with the one that both came from. It
+// returns each field that either side changed, ordered by object and field.
+func DiffThreeWay(base, theirs, yours *fleet.Configuration) []ThreeWay {
+	b := objectsOf(base)
+	t := objectsOf(theirs)
+	y := objectsOf(yours)
+	var differences []ThreeWay
+	for _, object := range sortedObjects(b, t, y) {
+		for _, field := range sortedFields(b[object], t[object], y[object]) {
+			d := ThreeWay{
+				Object: object,
+				Field:  field,
+				Base:   string(b[object][field]),
+				Theirs: string(t[object][field]),
+				Yours:  string(y[object][field]),
+			}
+			if d.Base == d.Theirs && d.Base == d.Yours {
+				continue
+			}
+			d.Clash = d.Base != d.Theirs && d.Base != d.Yours && d.Theirs != d.Yours
+			differences = append(differences, d)
+		}
+	}
+	return differences
+}
--- a/internal/claim/faults_test.go
+++ b/internal/claim/faults_test.go
@@ -13,11 +13,13 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"rattanchute/internal/outcome"
 )
 
 var (
 	firstSeed = flag.Int64("claim.seed", 1, "first seed of the fault runs")
-	seeds     = flag.Int("claim.seeds", 30, "number of fault runs")
+	seeds     = flag.Int("claim.seeds", 60, "number of fault runs")
 )
 
 // provoked lists the faults that the runs must have seen.
@@ -25,8 +27,9 @@
 	"store read unanswered", "store throttled", "store write lost before", "store answer lost",
 	"store write lands late", "store conflict", "store outage",
 	"forward lost", "forward answer lost", "forward duplicated", "forward delayed", "another owner",
-	"caller gave up", "crash between claim and dispatch", "pause before dispatch",
+	"caller gave up", "crash between claim and dispatch", "pause longer than any lease",
 	"endpoint refused", "crash after dispatch",
+	"segment sealed", "segments merged", "segment removed", "store delete unanswered",
 }
 
 // TestAtMostOnceUnderFaults lets callers retry few keys on several daemons while the
@@ -46,8 +49,8 @@
 
 const (
 	worldDaemons = 3
-	worldCallers = 40
-	worldKeys    = 5
+	worldCallers = 60
+	worldKeys    = 8
 )
 
 // world is one run: daemons over one store, and the endpoint's ledger.
@@ -61,6 +64,7 @@
 	daemons []*daemon
 	runs    map[string][]string // attempts that ran, by key
 	gone    map[string]bool
+	refused map[string]bool // attempts whose callers were told "not run"
 	serial  int
 }
 
@@ -74,27 +78,40 @@
 
 func runWorld(t *testing.T, seed int64, counts map[string]int) {
 	f := &faults{random: rand.New(rand.NewSource(seed)), counts: counts}
-	w := &world{faults: f, t: t, seed: seed, store: newFakeStore(f), runs: map[string][]string{}, gone: map[string]bool{}}
+	w := &world{faults: f, t: t, seed: seed, store: newFakeStore(f),
+		runs: map[string][]string{}, gone: map[string]bool{}, refused: map[string]bool{}}
 	w.store.latency = 5 * time.Millisecond
 	for i := range worldDaemons {
 		w.daemons = append(w.daemons, w.newDaemon(fmt.Sprintf("d%d", i)))
 	}
 	stop := make(chan struct{})
-	go w.outages(stop)
+	var outages sync.WaitGroup
+	outages.Go(func() { w.outages(stop) })
 	var callers sync.WaitGroup
 	for range worldCallers {
 		callers.Go(w.caller)
 	}
 	callers.Wait()
 	close(stop)
+	outages.Wait()
 	w.calm()
 	time.Sleep(time.Minute)
 	for _, d := range w.daemons {
 		if n := d.Backlog(); n > 0 {
 			t.Errorf("seed %d: %d reports left after the faults", seed, n)
 		}
+		for i := range worldKeys {
+			attempt := fmt.Sprintf("last-%s-%d", d.member, i)
+			if r := d.Acquire(context.Background(), testKey(fmt.Sprint("key-", i)), attempt); r.Kind == Refused {
+				t.Errorf("seed %d: key-%d refused after the faults", seed, i)
+			}
+		}
 		d.Close()
-		if n := d.config.Metrics.Violations.Load(); n > 0 {
+		m := d.config.Metrics
+		counts["segment sealed"] += int(m.Seals.Load())
+		counts["segments merged"] += int(m.Merges.Load())
+		counts["segment removed"] += int(m.Removals.Load())
+		if n := m.Violations.Load(); n > 0 {
 			t.Errorf("seed %d: %d invariants broken inside", seed, n)
 		}
 	}
@@ -110,7 +127,7 @@
 		Owner:    w.owner,
 		Forward:  d,
 		Gone:     w.isGone,
-		Settings: Settings{Shards: 2},
+		Settings: Settings{Shards: 2, SealBytes: 200, MergeSegments: 2},
 		Logger:   &log.Logger{Level: log.ErrorLevel},
 	})
 	return d
@@ -188,7 +205,7 @@
 
 // caller sends one key, some time, to some daemon.
 func (w *world) caller() {
-	spread := []time.Duration{time.Second, time.Minute, time.Minute, 20 * time.Minute, 3 * time.Hour}
+	spread := []time.Duration{time.Second, time.Minute, 20 * time.Minute, 20 * time.Minute, 3 * time.Hour}
 	time.Sleep(w.duration(spread[w.pick(len(spread))]))
 	key := testKey(fmt.Sprintf("key-%d", w.pick(worldKeys)))
 	d := w.running(fmt.Sprintf("d%d", w.pick(worldDaemons)))
@@ -204,7 +221,7 @@
 	if ctx.Err() != nil {
 		w.count("caller gave up")
 	}
-	w.check(key, result)
+	w.check(key, attempt, result)
 	if result.Kind == Granted {
 		w.granted(d, key, attempt)
 	}
@@ -216,8 +233,8 @@
 		w.crash(d)
 		return
 	}
-	if w.draw("pause before dispatch", 0.3) {
-		time.Sleep(w.duration(4 * time.Hour))
+	if w.draw("pause longer than any lease", 0.3) {
+		time.Sleep(time.Minute + w.duration(4*time.Hour))
 	}
 	ctx := context.Background()
 	if w.draw("endpoint refused", 0.3) {
@@ -244,6 +261,9 @@
 	}
 	name := key.IdempotencyKey
 	w.runs[name] = append(w.runs[name], attempt)
+	if w.refused[attempt] {
+		w.t.Errorf("seed %d: %s ran after it was told not run", w.seed, attempt)
+	}
 	if len(w.runs[name]) > 1 {
 		w.t.Errorf("seed %d: %s ran more than once: %v", w.seed, name, w.runs[name])
 	}
@@ -251,10 +271,11 @@
 }
 
 // check holds an answer against the ledger.
-func (w *world) check(key Key, result Result) {
+func (w *world) check(key Key, attempt string, result Result) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	runs := w.runs[key.IdempotencyKey]
+	w.refused[attempt] = result.Outcome() == outcome.NotRun
 	if result.Kind != Completed {
 		return
 	}
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -20,6 +20,9 @@
 // ErrIgnored means that a report came too late or from an attempt without a claim.
 var ErrIgnored = errors.New("claim: attempt does not hold the claim")
 
+// ErrClosed means that this member commits nothing more; the sender does it itself.
+var ErrClosed = errors.New("claim: service closed")
+
 // Config is what a Service works with.
 type Config struct {
 	// Member is this daemon's name among the members, as Owner returns it.
@@ -45,11 +48,14 @@
 	pool    pond.Pool
 	breaker breaker
 	backlog *backlog
+	tasks   sync.WaitGroup
 
 	mu         sync.Mutex
 	layout     layout
 	committers map[int]*Committer
-	closed     bool
+	// silent holds until when members that did not answer are passed over.
+	silent map[string]time.Time
+	closed bool
 }
 
 // NewService makes a service; nothing is read or written before the first operation.
@@ -63,8 +69,9 @@
 	}
 	s := &Service{
 		config:     config,
-		pool:       pond.NewPool(config.Settings.Writers),
+		pool:       pond.NewPool(config.Settings.Writers, pond.WithoutPanicRecovery()),
 		committers: map[int]*Committer{},
+		silent:     map[string]time.Time{},
 	}
 	s.backlog = &backlog{limit: config.Settings.MaxBacklog, send: s.settle, metrics: config.Metrics}
 	return s
@@ -143,14 +150,29 @@
 	if err := op.Validate(); err != nil {
 		return Result{}, err
 	}
+	if s.isClosed() {
+		return Result{}, ErrClosed
+	}
 	return s.commit(ctx, op), nil
 }
 
+func (s *Service) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // Backlog returns the number of reports that wait for the store.
 func (s *Service) Backlog() int {
 	return s.backlog.size()
 }
 
+// Flush waits until every report of the backlog is recorded, or the context ends. A
+// graceful stop calls it after the last request and before Close.
+func (s *Service) Flush(ctx context.Context) error {
+	return s.backlog.flush(ctx)
+}
+
 // Close ends the service. What waits is refused; reports in the backlog are lost, which
 // leaves their keys unknown.
 func (s *Service) Close() {
@@ -163,4 +185,5 @@
 	for _, c := range committers {
 		c.close()
 	}
+	s.tasks.Wait()
 }
--- /dev/null
+++ b/internal/ctl/wait.go
@@ -0,0 +1,81 @@
+package ctl
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"rattanchute/internal/ctl/api"
+	"rattanchute/internal/fleet"
+)
+
+const (
+	defaultWait = 30 * time.Second
+	// The time between two polls doubles from the first to the greatest.
+	firstPollInterval = 100 * time.Millisecond
+	maxPollInterval   = 2 * time.Second
+)
+
+// Lagging is a live daemon on which a generation is not seen in force.
+type Lagging struct {
+	Node       string           `json:"node"`
+	Generation fleet.Generation `json:"generation"`
+	// Reason is why the daemon's own word is missing; empty if it gave it.
+	Reason string `json:"reason,omitempty"`
+}
+
+// LaggingError means that a generation is accepted but not yet in force everywhere.
+type LaggingError struct {
+	Generation fleet.Generation
+	Daemons    []Lagging
+}
+
+// Error names the daemons that lag.
+func (e *LaggingError) Error() string {
+	names := make([]string, len(e.Daemons))
+	for i, l := range e.Daemons {
+		names[i] = fmt.Sprintf("%s (generation %d)", l.Node, l.Generation)
+		if l.Reason != "" {
+			names[i] = fmt.Sprintf("%s (%s)", l.Node, l.Reason)
+		}
+	}
+	return fmt.Sprintf("generation %d is accepted but not yet in force on %s", e.Generation, strings.Join(names, ", "))
+}
+
+// waitInForce polls every live daemon until the generation is in force on all.
+func (c *command) waitInForce(g fleet.Generation, deadline time.Time) ([]string, error) {
+	for interval := firstPollInterval; ; interval = min(2*interval, maxPollInterval) {
+		inForce, lagging, err := c.pollInForce(g)
+		if err == nil && len(lagging) == 0 {
+			return inForce, nil
+		}
+		if c.env.Now().Add(interval).After(deadline) {
+			if err != nil {
+				lagging = []Lagging{{Node: "every daemon", Reason: err.Error()}}
+			}
+			return inForce, &LaggingError{Generation: g, Daemons: lagging}
+		}
+		c.env.Sleep(interval)
+	}
+}
+
+// pollInForce asks once. Daemons that are leaving or dead are not waited for.
+func (c *command) pollInForce(g fleet.Generation) (inForce []string, lagging []Lagging, err error) {
+	answer, err := c.client.Members()
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, m := range answer.Members {
+		switch {
+		case m.State != api.MemberLive && m.State != api.MemberSuspect:
+			continue
+		case m.Status == nil:
+			lagging = append(lagging, Lagging{Node: m.Node, Reason: m.Problem})
+		case m.Status.Generation < g:
+			lagging = append(lagging, Lagging{Node: m.Node, Generation: m.Status.Generation})
+		default:
+			inForce = append(inForce, m.Node)
+		}
+	}
+	return inForce, lagging, nil
+}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// FirstTokenTarget is the time to first token within which price decides.
+	// FirstTokenTarget is the time to first token that a request should see.
 	FirstTokenTarget = 470 * time.Millisecond
+	// priceSlack is the difference of expected first tokens within which price decides.
+	priceSlack = FirstTokenTarget / 10
 	// loadFactor bounds the load of an affinity choice to a multiple of the mean.
 	loadFactor = 1.25
 	// affinityFloor is the share of its slots up to which an endpoint always takes
@@ -40,6 +42,8 @@
 	Endpoint           fleet.Endpoint
 	Priority           int
 	ExpectedFirstToken time.Duration
+	// ExpectedPrefill is the part of it that the prompt itself takes, without waiting.
+	ExpectedPrefill time.Duration
 }
 
 // Choose decides which endpoint answers. The random word settles the two choices.
@@ -49,7 +53,9 @@
 		return Choice{}, ErrNoSelector
 	}
 	list.observePrompt(q.PromptTokens)
-	d := decision{now: now, rnd: rnd, q: &q, list: list, cache: r.cache, mean: list.meanLoad(now), off: r.off, records: true}
+	list.popularity.observe(now, q.PrefixHashes)
+	d := r.decision(now, rnd, &q, list)
+	d.records = true
 	best := d.decide()
 	if best.index < 0 {
 		return Choice{}, ErrNoEndpoint
@@ -63,12 +69,14 @@
 
 // decision is one run of the policy; Choose and Explain share it.
 type decision struct {
-	now   time.Time
-	rnd   uint64
-	q     *Query
-	list  *liveList
-	cache *cacheIndex
-	mean  float64
+	now  time.Time
+	rnd  uint64
+	q    *Query
+	list *liveList
+	// The list's parts that are read often.
+	popularity *popularity
+	cache      *cacheIndex
+	mean       float64
 	// records: the choice is real, so that what it looked at is noted.
 	records bool
 	off     Mechanism
@@ -76,13 +84,25 @@
 	trace *trace
 }
 
+func (r *Router) decision(now time.Time, rnd uint64, q *Query, list *liveList) decision {
+	return decision{
+		now: now, rnd: rnd, q: q, list: list, off: r.off,
+		popularity: list.popularity, cache: r.cache, mean: list.meanLoad(now),
+	}
+}
+
 // contender is an endpoint that is weighed; index -1 stands for none.
 type contender struct {
 	index    int
 	expected time.Duration
+	prefill  time.Duration
 	load     float64
 }
 
+// cost is the expected first token and, for the others whose prompts wait meanwhile, the
+// time that the prompt is computed once more.
+func (c contender) cost() time.Duration { return c.expected + c.prefill }
+
 var noContender = contender{index: -1}
 
 func (d *decision) choice(c contender) Choice {
@@ -90,18 +110,19 @@
 		Endpoint:           d.list.targets[c.index].info.endpoint,
 		Priority:           d.list.priority[c.index],
 		ExpectedFirstToken: c.expected,
+		ExpectedPrefill:    c.prefill,
 	}
 }
 
 // decide prefers the affinity choice while its first token is expected in time, and
-// otherwise the sooner of that and the better of two random ones.
+// otherwise that or the better of two random ones, whichever costs less.
 func (d *decision) decide() contender {
 	affine := d.affinity()
 	if affine.index >= 0 && affine.expected <= FirstTokenTarget {
 		return affine
 	}
 	random := d.twoChoices()
-	if affine.index < 0 || (random.index >= 0 && random.expected < affine.expected) {
+	if affine.index < 0 || (random.index >= 0 && random.cost() < affine.cost()) {
 		return random
 	}
 	return affine
@@ -119,9 +140,10 @@
 	}
 	e := t.state.estimate(d.now, d.mean, t.info.slots, d.list.meanPrompt())
 	tokens := float64(d.q.PromptTokens - d.cached(t.info.hash))
-	expected := e.firstToken(t.state.meanDuration(), tokens)
-	expected += t.network + time.Duration(t.state.failures.Load())*failurePenalty
-	c := contender{index: index, expected: expected, load: e.requests}
+	prefill := e.prefill(tokens) + t.network
+	penalty := time.Duration(t.state.failures.Load()) * failurePenalty
+	expected := e.wait(t.state.meanDuration()) + prefill + penalty
+	c := contender{index: index, expected: expected, prefill: prefill, load: e.requests}
 	d.trace.weighed(c)
 	return c
 }
@@ -186,21 +208,27 @@
 	return -1
 }
 
-// better takes the cheaper of two that are both in time, else the sooner.
+// better takes the one of two that costs less time; of two in time that hardly differ,
+// the one with the lower price.
 func (d *decision) better(a, b contender) contender {
-	if !d.off.has(MechanismPrice) && a.expected <= FirstTokenTarget && b.expected <= FirstTokenTarget {
+	if !d.off.has(MechanismPrice) && tied(a, b) {
 		priceA := d.list.targets[a.index].info.host.PricePerHour
 		priceB := d.list.targets[b.index].info.host.PricePerHour
 		if priceA != priceB {
 			return pick(priceA < priceB, a, b)
 		}
 	}
-	if a.expected != b.expected {
-		return pick(a.expected < b.expected, a, b)
+	if a.cost() != b.cost() {
+		return pick(a.cost() < b.cost(), a, b)
 	}
 	return pick(a.load <= b.load, a, b)
 }
 
+func tied(a, b contender) bool {
+	inTime := max(a.expected, b.expected) <= FirstTokenTarget
+	return inTime && (a.expected-b.expected).Abs() <= priceSlack
+}
+
 func pick(first bool, a, b contender) contender {
 	if first {
 		return a
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -39,7 +39,8 @@
 // liveList is a candidate list with the state of its endpoints.
 type liveList struct {
 	*candidates
-	targets []*target
+	targets    []*target
+	popularity *popularity
 	// mean and usable are as of meanAt, in Unix nanoseconds.
 	meanAt     atomic.Int64
 	meanBits   atomic.Uint64
@@ -66,8 +67,7 @@
 		if !t.available(now) {
 			continue
 		}
-		e := t.state.estimate(now, 0, t.info.slots, 0)
-		sum += e.requests
+		sum += t.state.lastRequests(now)
 		known++
 	}
 	return sum / float64(max(known, 1))
