--- a/internal/adapter/callers/server.go
+++ b/internal/adapter/callers/server.go
@@ -123,6 +123,12 @@
 	return s.tables.Table().OrganisationByKeyHash(hex.EncodeToString(sum[:]))
 }
 
+// The codes of requests that are too large.
+const (
+	codeBodyTooLarge    = "body_too_large"
+	codeHeadersTooLarge = "headers_too_large"
+)
+
 // handleBadRequest answers what could not be read as a request.
 func handleBadRequest(ctx *fasthttp.RequestCtx, err error) {
 	status, code := fasthttp.StatusBadRequest, "bad_request"
@@ -130,33 +136,31 @@
 	var timeout net.Error
 	switch {
 	case errors.As(err, &small):
-		status, code = fasthttp.StatusRequestHeaderFieldsTooLarge, "headers_too_large"
+		status, code = fasthttp.StatusRequestHeaderFieldsTooLarge, codeHeadersTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status, code = fasthttp.StatusRequestEntityTooLarge, "body_too_large"
+		status, code = fasthttp.StatusRequestEntityTooLarge, codeBodyTooLarge
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status, code = fasthttp.StatusRequestTimeout, "request_timeout"
 	}
-	discardBody(ctx, err)
+	if code == codeBodyTooLarge || code == codeHeadersTooLarge {
+		discardRest(ctx.Conn())
+	}
 	ctx.Response.Reset()
 	writeRefusal(ctx, serve.NewRefusal(status, serve.NewRequestID(), code, "the request could not be read"))
 	ctx.SetConnectionClose()
 }
 
 const (
-	// maxDiscardBytes bounds what is read of a body that is too large.
+	// maxDiscardBytes bounds what is read of a request that is too large.
 	maxDiscardBytes = 64 << 20
 	// discardTimeout bounds the whole, discardIdle the wait for the next piece.
 	discardTimeout = 2 * time.Second
 	discardIdle    = 200 * time.Millisecond
 )
 
-// discardBody reads what the caller still sends of a body that is too large: closing
+// discardRest reads what the caller still sends of a request that is too large: closing
 // with unread data would reset the connection before the answer is read.
-func discardBody(ctx *fasthttp.RequestCtx, err error) {
-	if !errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		return
-	}
-	conn := ctx.Conn()
+func discardRest(conn net.Conn) {
 	end := time.Now().Add(discardTimeout)
 	buf := make([]byte, 64<<10)
 	for total := 0; total < maxDiscardBytes && time.Now().Before(end); {
