Say what not-run covers for a refused claim

Cause: a refused retry says nothing about an earlier request with its key. Ruled out: telling unknown for every refusal; the request itself was not run. Conclusion: the callers' listener has to word it so.

--- a/internal/claim/message.go
+++ b/internal/claim/message.go
@@ -84,7 +84,8 @@
 	return time.Duration(r.RetryAfterMillis) * time.Millisecond
 }
 
-// Outcome is what a caller may be told about its request, but for a granted claim.
+// Outcome is what a caller may be told about this request, but for a granted claim. For
+// Refused it says nothing of earlier requests with the same key.
 func (r Result) Outcome() outcome.Outcome {
 	switch r.Kind {
 	case Completed:
