Route: many popular prefixes, mean load in small steps, less hashing

Cause: Choose panicked when by chance no endpoint passed the filters of popular prefixes (seen in BenchmarkChoose with 16 prefixes, and possible in production). A preamble of more than three blocks used up the filters. Adding up the mean load of 1,600 endpoints took 20 microseconds, which the benchmark hid by asking 20,000 times a second in virtual time. Change: without any endpoint that passes, the filters are dropped; a prefix that does not narrow is no filter; each choice brings eight loads up to date; the benchmark asks 62 times a second with 16 prefixes. Ruled out: the sum every 100 ms (6.5 to 13 microseconds on the mean); a scan of four scores at a time (no gain).

--- a/internal/policybench/workload.go
+++ b/internal/policybench/workload.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
+// blockTokens is the length after which a prefix is told apart.
+const blockTokens = 500
+
 // preambleTokens is the length of a text that all requests share.
-const preambleTokens = 500
+const preambleTokens = 1500
 
 // request is one caller's order.
 type request struct {
@@ -118,10 +121,12 @@
 	tokens := 0
 	finest := s.finest(random, now)
 	for level, p := range s.Parts {
-		tokens += p.tokens
 		kind := uint64(finest % p.kinds)
-		r.prefixes = append(r.prefixes, hashOf(uint64(level), kind))
-		r.prefixTokens = append(r.prefixTokens, tokens)
+		for end := tokens + p.tokens; tokens < end; {
+			tokens = min(tokens+blockTokens, end)
+			r.prefixes = append(r.prefixes, hashOf(uint64(level)<<32+uint64(tokens), kind))
+			r.prefixTokens = append(r.prefixTokens, tokens)
+		}
 	}
 	r.promptTokens = tokens + s.TailTokens
 	return r
--- a/internal/route/affinity.go
+++ b/internal/route/affinity.go
@@ -20,14 +20,8 @@
 
 // narrow ranks the endpoints and tells how many of the first ones share the requests.
 func (d *decision) narrow() (ranking, int) {
-	var filters filters
 	prefixes := d.q.PrefixHashes
-	level := 0
-	width := d.width(prefixes[0])
-	for width > affinityRanks && level+1 < len(prefixes) && filters.add(prefixes[level], width, len(d.list.hash)) {
-		level++
-		width = d.width(prefixes[level])
-	}
+	filters, level, width := d.filter()
 	ranks := d.list.rank(prefixes[level], &filters)
 	width = min(width, ranks.count)
 	for level+1 < len(prefixes) && width > 1 {
@@ -38,6 +32,22 @@
 	return ranks, width
 }
 
+// filter goes past the prefixes that need more endpoints than are ranked. Each that
+// narrows the candidates becomes a filter for the longer ones.
+func (d *decision) filter() (filters, int, int) {
+	var f filters
+	prefixes, n := d.q.PrefixHashes, len(d.list.hash)
+	level, width := 0, d.width(prefixes[0])
+	for width > affinityRanks && level+1 < len(prefixes) {
+		if part := float64(width) / float64(n); part < maxFilterPart*f.passed() {
+			f.add(prefixes[level], part)
+		}
+		level++
+		width = min(width, d.width(prefixes[level]))
+	}
+	return f, level, width
+}
+
 // width is how many endpoints the requests with the prefix need.
 func (d *decision) width(prefix uint64) int {
 	if d.off.has(MechanismSpread) {
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -7,15 +7,20 @@
 
 const benchRunners, benchSelectors = 1600, 64
 
+// benchInterval is the time between requests at a node that gets 62 a second.
+const benchInterval = 16 * time.Millisecond
+
 // BenchmarkChoose has the target of at most 5 microseconds and no allocation.
 func BenchmarkChoose(b *testing.B) {
 	b.Run("two-choices", func(b *testing.B) { benchmarkChoose(b, 0, 0) })
-	b.Run("affinity", func(b *testing.B) { benchmarkChoose(b, 4, 0) })
-	b.Run("popular-prefix", func(b *testing.B) { benchmarkChoose(b, 4, 1) })
+	b.Run("affinity", func(b *testing.B) { benchmarkChoose(b, 16, 0) })
+	b.Run("popular-prefix", func(b *testing.B) { benchmarkChoose(b, 16, 8) })
 }
 
-// benchmarkChoose makes prompts of some prefixes, of which the first are common to all.
+// benchmarkChoose makes prompts with some prefixes. The first are common to all prompts,
+// the next to a group of them, the last ones to none.
 func benchmarkChoose(b *testing.B, prefixes, common int) {
+	const groups, own = 5000, 4
 	r := NewRouter(dataCentreName(0))
 	r.SetTable(Compile(testConfiguration(benchRunners, 8, benchSelectors)))
 	for _, t := range r.view.Load().targets {
@@ -28,9 +33,12 @@
 	for b.Loop() {
 		word = mix(word + 1)
 		for i := common; i < prefixes; i++ {
-			q.PrefixHashes[i] = word >> (3 * i)
+			q.PrefixHashes[i] = mix(word%groups + uint64(i)<<32)
+			if i >= prefixes-own {
+				q.PrefixHashes[i] = mix(word + uint64(i))
+			}
 		}
-		now = now.Add(50 * time.Microsecond)
+		now = now.Add(benchInterval)
 		if _, err := r.Choose(now, word, q); err != nil {
 			b.Fatal(err)
 		}
--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -16,7 +16,8 @@
 	return &cacheIndex{entries: make([]atomic.Uint64, cacheEntries)}
 }
 
-func pairWord(prefix, endpoint uint64) uint64 { return mix(prefix^mix(endpoint)) | 1 }
+// pairWord stands for a pair; endpoint is the hash of its name.
+func pairWord(prefix, endpoint uint64) uint64 { return mix(prefix^endpoint) | 1 }
 
 func (c *cacheIndex) add(prefix, endpoint uint64) {
 	word := pairWord(prefix, endpoint)
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -87,7 +87,7 @@
 func (r *Router) decision(now time.Time, rnd uint64, q *Query, list *liveList) decision {
 	return decision{
 		now: now, rnd: rnd, q: q, list: list, off: r.off,
-		popularity: list.popularity, cache: r.cache, mean: list.meanLoad(now),
+		popularity: list.popularity, cache: r.cache, mean: list.mean.refresh(now, list.targets),
 	}
 }
 
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -131,13 +131,13 @@
 }
 
 // lastRequests is the last report with this node's requests begun and ended since.
-func (s *endpointState) lastRequests(now time.Time) float64 {
+func (s *endpointState) lastRequests(now time.Time) int32 {
 	own := s.inFlight.Load()
 	last := s.report.Load()
 	if last == nil || now.Sub(last.received) > maxReportAge {
-		return float64(own)
+		return own
 	}
-	return float64(max(int32(last.load.Running+last.load.Queued)+own-last.inFlight, own))
+	return max(int32(last.load.Running+last.load.Queued)+own-last.inFlight, own)
 }
 
 // prefill is how long the endpoint computes prompt tokens.
--- a/internal/route/popularity.go
+++ b/internal/route/popularity.go
@@ -7,7 +7,7 @@
 
 const (
 	sketchRows  = 2
-	sketchWidth = 4096 // a power of two
+	sketchWidth = 8192 // a power of two
 	// halveEvery is how often the counts are halved, so that old requests fade.
 	halveEvery = 10 * time.Second
 	// minCount is how often a prefix must have been seen to count as popular.
@@ -27,22 +27,22 @@
 	p.fade(now)
 	p.total.Add(1)
 	for _, prefix := range prefixes {
-		for row := range p.counts {
-			p.cell(row, prefix).Add(1)
-		}
+		first, second := p.cells(prefix)
+		first.Add(1)
+		second.Add(1)
 	}
 }
 
-func (p *popularity) cell(row int, prefix uint64) *atomic.Uint32 {
-	return &p.counts[row][mix(prefix+uint64(row))%sketchWidth]
+// cells are a prefix's counts, one in each row.
+func (p *popularity) cells(prefix uint64) (first, second *atomic.Uint32) {
+	word := mix(prefix)
+	return &p.counts[0][word%sketchWidth], &p.counts[1][word>>32%sketchWidth]
 }
 
 // share is the part of the requests that have the prefix, zero for a rare one.
 func (p *popularity) share(prefix uint64) float64 {
-	count := p.cell(0, prefix).Load()
-	for row := 1; row < sketchRows; row++ {
-		count = min(count, p.cell(row, prefix).Load())
-	}
+	first, second := p.cells(prefix)
+	count := min(first.Load(), second.Load())
 	if count < minCount {
 		return 0
 	}
--- a/internal/route/property_test.go
+++ b/internal/route/property_test.go
@@ -159,7 +159,7 @@
 		r.SetTable(Compile(testConfiguration(runners, 1, 1)))
 		now, total, loads := testStart, 0, make(map[string]int)
 		for range rapid.IntRange(1, 200).Draw(t, "requests") {
-			now = now.Add(meanInterval)
+			now = now.Add(time.Millisecond)
 			q := testQuery(7)
 			q.PromptTokens = 1
 			choice, err := r.Choose(now, rapid.Uint64().Draw(t, "word"), q)
@@ -244,3 +244,43 @@
 		}
 	})
 }
+
+// TestNestedPopularPrefixes: prompts share a long preamble and parts of a tree below it.
+// However many popular prefixes there are, there is a choice, and prompts with a rare
+// prefix of their own meet at one endpoint.
+func TestNestedPopularPrefixes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRouter(dataCentreName(0))
+		r.SetTable(Compile(testConfiguration(rapid.IntRange(1, 300).Draw(t, "runners"), 1, 1)))
+		preamble := rapid.IntRange(0, 8).Draw(t, "preamble")
+		levels := rapid.IntRange(1, 6).Draw(t, "levels")
+		fanOut := rapid.Uint64Range(2, 6).Draw(t, "fan-out")
+		prompt := func(leaf uint64) Query {
+			q := testQuery()
+			for level := range preamble {
+				q.PrefixHashes = append(q.PrefixHashes, mix(uint64(level)+1))
+			}
+			path := uint64(preamble + 100)
+			for level := range levels {
+				path = mix(path + leaf>>(8*level)%fanOut)
+				q.PrefixHashes = append(q.PrefixHashes, path)
+			}
+			q.PrefixHashes = append(q.PrefixHashes, mix(path+leaf))
+			return q
+		}
+		seed := rapid.Uint64().Draw(t, "seed")
+		for i := range uint64(400) {
+			if _, err := r.Choose(testStart, i, prompt(mix(seed+i))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := range uint64(10) {
+			q := prompt(mix(seed + 1000 + i))
+			first := r.Explain(testStart, q).Choice.Endpoint.Name
+			second := r.Explain(testStart.Add(1), q).Choice.Endpoint.Name
+			if first != second || first == "" {
+				t.Fatalf("one prompt went to %q and %q", first, second)
+			}
+		}
+	})
+}
--- a/internal/route/rank.go
+++ b/internal/route/rank.go
@@ -22,8 +22,12 @@
 	count int
 }
 
-// maxFilters bounds the popular prefixes that narrow the candidates.
-const maxFilters = 3
+const (
+	// maxFilters bounds the popular prefixes that narrow the candidates.
+	maxFilters = 3
+	// maxFilterPart: a filter must leave at most this part of what others leave.
+	maxFilterPart = 0.9
+)
 
 // filters keep the endpoints whose scores for popular prefixes are high.
 type filters struct {
@@ -33,17 +37,16 @@
 	count  int
 }
 
-// add keeps about width of n endpoints; it reports false if there is no room.
-func (f *filters) add(prefix uint64, width, n int) bool {
+// add keeps about a part of all endpoints; without room for one more it changes nothing.
+func (f *filters) add(prefix uint64, part float64) {
 	if f.count == maxFilters {
-		return false
+		return
 	}
-	part := min(float64(width)/float64(n)/f.passed(), 1)
+	part /= f.passed()
 	f.keys[f.count] = newRendezvousKey(prefix)
 	f.lowest[f.count] = uint64((1 - part) * math.MaxUint64)
 	f.parts[f.count] = part
 	f.count++
-	return true
 }
 
 // passed is the part of the endpoints that is expected to pass.
@@ -65,11 +68,14 @@
 }
 
 // rank finds the endpoints with the highest scores for the prefix among those that
-// pass the filters.
+// pass the filters, or among all if by chance none passes.
 func (c *candidates) rank(prefix uint64, f *filters) ranking {
 	r := c.rankAbove(prefix, f, c.threshold(f))
 	if r.count < affinityRanks {
-		return c.rankAbove(prefix, f, 0)
+		r = c.rankAbove(prefix, f, 0)
+	}
+	if r.count == 0 {
+		r = c.rankAbove(prefix, &filters{}, 0)
 	}
 	return r
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -237,6 +237,37 @@
 	is.Equal(testing.AllocsPerRun(100, func() { _, _ = r.Choose(testStart, 1, q) }), 0.0)
 }
 
+// TestRankWithoutAnyThatPasses: filters that by chance no endpoint passes are dropped.
+func TestRankWithoutAnyThatPasses(t *testing.T) {
+	is := is.New(t)
+	list := Compile(testConfiguration(20, 1, 1)).lists[listKey{"org-0", "llm"}]
+	var f filters
+	f.add(1, 1e-15)
+	ranks := list.rank(2, &f)
+	is.Equal(ranks.count, affinityRanks)
+}
+
+// TestMeanLoadFollowsALongList: each endpoint's load is counted after one round, and the
+// load of one that leaves is taken off again.
+func TestMeanLoadFollowsALongList(t *testing.T) {
+	is := is.New(t)
+	const runners = 10 * meanStep
+	cfg := testConfiguration(runners, 1, 1)
+	r := newTestRouter(cfg)
+	list := r.view.Load().lists[listKey{"org-0", "llm"}]
+	is.Equal(list.mean.refresh(testStart, list.targets), 0.0)
+	for i, endpoint := range cfg.Endpoints {
+		r.ObserveLoad(testStart, endpoint.Name, testLoad(testStart, 2+i%2*4))
+		if i%2 == 1 {
+			r.SetHostState(fleet.HostState{Host: endpoint.Host, Instance: "1", Phase: fleet.PhaseLeaving})
+		}
+	}
+	for range runners / meanStep {
+		list.mean.refresh(testStart, list.targets)
+	}
+	is.Equal(list.mean.refresh(testStart, list.targets), 2.0)
+}
+
 // TestConcurrentUse: tables change while requests are routed; none is lost from the counts.
 func TestConcurrentUse(t *testing.T) {
 	is := is.New(t)
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// meanInterval is how long a list's mean load is used before it is added up again.
-	meanInterval = 20 * time.Millisecond
 	// regionDelay and dataCentreDelay are the round trips to another region and to
 	// another data centre of the same region.
 	regionDelay     = 30 * time.Millisecond
@@ -41,38 +39,10 @@
 	*candidates
 	targets    []*target
 	popularity *popularity
-	// mean and usable are as of meanAt, in Unix nanoseconds.
-	meanAt     atomic.Int64
-	meanBits   atomic.Uint64
+	mean       meanLoad
 	promptBits atomic.Uint64
 }
 
-// meanLoad is the mean number of requests over the list's usable endpoints.
-func (l *liveList) meanLoad(now time.Time) float64 {
-	nanos := now.UnixNano()
-	last := l.meanAt.Load()
-	age := nanos - last
-	if last != 0 && age < int64(meanInterval) && age > -int64(meanInterval) {
-		return math.Float64frombits(l.meanBits.Load())
-	}
-	mean := l.sumLoad(now)
-	l.meanBits.Store(math.Float64bits(mean))
-	l.meanAt.Store(nanos)
-	return mean
-}
-
-func (l *liveList) sumLoad(now time.Time) float64 {
-	sum, known := 0.0, 0
-	for _, t := range l.targets {
-		if !t.available(now) {
-			continue
-		}
-		sum += t.state.lastRequests(now)
-		known++
-	}
-	return sum / float64(max(known, 1))
-}
-
 func (l *liveList) observePrompt(tokens int) {
 	old := l.promptBits.Load()
 	mean := float64(tokens)
