--- a/internal/admit/share_test.go
+++ b/internal/admit/share_test.go
@@ -64,6 +64,22 @@
 	}
 }
 
+// exchange makes one member busy and lets it borrow, with a delay on the way.
+func (c *cluster) exchange(t *rapid.T) {
+	asker, lender := c.member(t), c.member(t)
+	for range testBurst {
+		if asker.Admit(c.now, Ask{Organisation: "limited", Fleet: "llm"}).Admitted {
+			c.admitted++
+		}
+	}
+	offers := asker.Offers(c.now)
+	c.advance(t)
+	grants := lender.Answer(c.now, offers)
+	c.grants = append(c.grants, grants...)
+	c.advance(t)
+	asker.Take(c.now, grants)
+}
+
 func (c *cluster) check(t *rapid.T) {
 	rates := 0.0
 	for _, a := range c.members {
@@ -85,7 +101,7 @@
 		c := newCluster(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"": c.check, "advance": c.advance, "ask": c.ask,
-			"offer": c.offer, "answer": c.answer, "take": c.take,
+			"offer": c.offer, "answer": c.answer, "take": c.take, "exchange": c.exchange,
 		})
 	})
 }
@@ -100,6 +116,7 @@
 		bound := testLimit * float64(live) / float64(smallest)
 		t.Repeat(map[string]func(*rapid.T){
 			"advance": c.advance, "ask": c.ask, "offer": c.offer, "answer": c.answer, "take": c.take,
+			"exchange": c.exchange,
 			"members": func(t *rapid.T) {
 				c.member(t).SetMembers(c.now, rapid.IntRange(smallest, live).Draw(t, "count"))
 			},
@@ -136,3 +153,27 @@
 	idle.SetMembers(now, 1)
 	is.Equal(lender.rate(now), testLimit)
 }
+
+// TestNeverLendsWhatItBorrowed: a borrowed share goes back to its lender before the loans
+// that the borrower makes would end, so that only its own base may be lent.
+func TestNeverLendsWhatItBorrowed(t *testing.T) {
+	is := is.New(t)
+	const members = 8
+	middle := testAdmitter("middle", members)
+	o := middle.state.Load().organisations["limited"]
+	now := testStart
+	for range 40 {
+		middle.Admit(now, Ask{Organisation: "limited", Fleet: "llm"})
+	}
+	for i := range members - 1 {
+		lender := testAdmitter(fmt.Sprint(i), members)
+		middle.Take(now, lender.Answer(now, middle.Offers(now)))
+	}
+	is.True(sum(o.held, now) > o.base())
+	now = now.Add(loanTime - time.Second)
+	for range 20 {
+		middle.Answer(now, []ShareOffer{{Number: 1, From: "other", Organisation: "limited", Wanted: testLimit}})
+	}
+	is.True(sum(o.lent, now) > 0)
+	is.True(sum(o.lent, now) <= o.base())
+}
