--- a/internal/servebench/steady.go
+++ b/internal/servebench/steady.go
@@ -100,11 +100,11 @@
 		return err
 	}
 	time.Sleep(time.Until(r.through.end) - usageLead)
+	r.openStreams = int(through.open.Load())
 	after, err := s.usage()
 	if err != nil {
 		return err
 	}
-	r.openStreams = int(through.open.Load())
 	r.cpu = after.cpu - before.cpu
 	r.resident = after.resident
 	return nil
--- a/internal/servebench/usage.go
+++ b/internal/servebench/usage.go
@@ -14,7 +14,7 @@
 )
 
 // usageLead is how long before the window's end the daemon's use is read.
-const usageLead = 50 * time.Millisecond
+const usageLead = 200 * time.Millisecond
 
 // usage is what a process has used of the machine.
 type usage struct {
