--- a/internal/costbench/run.go
+++ b/internal/costbench/run.go
@@ -23,6 +23,10 @@
 
 // Run simulates one day of a site under a policy.
 func Run(s Site, v Variant, seed uint64) *Result {
+	return run(s, v, seed, warmUp, 24*time.Hour)
+}
+
+func run(s Site, v Variant, seed uint64, warmUp, length time.Duration) *Result {
 	c := &clock{now: epoch.Add(-warmUp)}
 	result := &Result{ways: make(map[reclaim.Way]int)}
 	cloud := newCloud(c, rand.New(rand.NewPCG(seed, streamCloud)), &s)
@@ -36,7 +40,7 @@
 	e.arrive()
 	c.every(planInterval, k.plan)
 	c.every(pollInterval, e.pollLoads)
-	c.runUntil(epoch.Add(24 * time.Hour))
+	c.runUntil(epoch.Add(length))
 	const thousandths = 1000
 	result.Cost = cloud.total() / thousandths
 	c.runUntil(c.now.Add(tail))
