Test when hosts are swapped; sharpen the test of replacements

Cause: the rule of the least gain could be taken out of the planner without a failing test. Change: a swap needs the stated gain; a replacement must not start where hosts are being taken back, now also without the spread, and the exact action is compared. Ruled out: nothing.

--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -74,17 +75,28 @@
 
 func TestPlanReplacesNoticedHostsElsewhere(t *testing.T) {
 	is := is.New(t)
-	s := settle(t, testSnapshot(testHosts(4, fleet.HostReclaimable, 100, 110, 120, 130), 2.9))
-	for i := range s.Hosts {
-		if s.Hosts[i].DataCentre == "dc-0" && s.Hosts[i].Phase == PhaseReady {
-			s.Hosts[i].Phase = PhaseLeaving
-			s.Hosts[i].Deadline = s.Now.Add(30 * time.Second)
-		}
-	}
+	s := testSnapshot(testHosts(4, fleet.HostReclaimable, 100, 110), 2.9)
+	s.Settings.Tolerance = ToleranceNone
+	s = settle(t, s)
+	is.Equal(readyCount(s, "dc-0"), 3)
+	i := slices.IndexFunc(s.Hosts, func(h Host) bool { return h.Phase == PhaseReady })
+	s.Hosts[i].Phase = PhaseLeaving
+	s.Hosts[i].Deadline = s.Now.Add(30 * time.Second)
 	r := Plan(s)
-	is.True(kinds(r)[ActionStart] > 0)
-	for _, a := range r.Actions {
-		is.True(a.Host != "reclaimable-0-1") // not where the cloud takes hosts back
+	is.Equal(r.Actions, []Action{{Kind: ActionStart, Host: "reclaimable-1-0"}}) // not where hosts are taken back
+}
+
+func TestPlanSwapsOnlyForAWorthwhileGain(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		price  int64
+		starts int
+	}{{95, 0}, {80, 1}} {
+		hosts := testHosts(1, fleet.HostReclaimable, 100, c.price)
+		s := testSnapshot(hosts, 0.9)
+		s.Settings.Tolerance = ToleranceNone
+		s.Hosts[0].Phase = PhaseReady
+		is.Equal(kinds(Plan(s))[ActionStart], c.starts)
 	}
 }
 
