Draw evenly among the endpoints that run; hash longer prompts; tell admission the prefill

Change: the fallback draws among all eligible; prefixes grow by half and a third up to 128 KiB, with their lengths; ExpectedPrefill is passed. Ruled out: keeping a list of running endpoints in each view (it changes with each ejection).

--- a/internal/chat/chat.go
+++ b/internal/chat/chat.go
@@ -22,10 +22,11 @@
 	MaxMessages = 4096
 	// bytesPerToken is the rate by which prompt tokens are estimated from text.
 	bytesPerToken = 4
-	// prefixBlockBytes is the length of prompt text after which a prefix hash is taken.
-	prefixBlockBytes = 512
-	// maxPrefixHashes bounds the number of prefix hashes of one prompt.
-	maxPrefixHashes = 16
+	// firstPrefixBytes is the length of the shortest prefix that is hashed; the others
+	// grow by half and by a third in turn, so that they double with every second one.
+	firstPrefixBytes = 512
+	// maxPrefixes bounds the prefixes of one prompt: the longest has 128 KiB.
+	maxPrefixes = 17
 )
 
 // Message is one turn of the conversation.
@@ -114,9 +115,16 @@
 	return n/bytesPerToken + 1
 }
 
-// PrefixHashes returns hashes of growing prefixes of the prompt, shortest first; equal
-// prompts up to a length have equal hashes up to it. Model is part of each.
-func (r *Request) PrefixHashes() []uint64 {
+// Prefixes are hashes of growing prefixes of a prompt, shortest first, and the lengths of
+// these prefixes in tokens.
+type Prefixes struct {
+	Hashes []uint64
+	Tokens []int
+}
+
+// Prefixes returns the prompt's prefixes. Prompts that are equal up to a length have equal
+// hashes up to it; the model is part of each.
+func (r *Request) Prefixes() Prefixes {
 	var text strings.Builder
 	for _, m := range r.Messages {
 		text.WriteString(m.Role)
@@ -126,18 +134,30 @@
 	}
 	h := xxhash.New()
 	_, _ = h.WriteString(r.Model)
-	return appendBlockHashes(nil, h, text.String())
+	return hashPrefixes(h, text.String())
 }
 
-func appendBlockHashes(hashes []uint64, h *xxhash.Digest, text string) []uint64 {
-	for len(hashes) < maxPrefixHashes {
-		block := text[:min(prefixBlockBytes, len(text))]
-		_, _ = h.WriteString(block)
-		hashes = append(hashes, h.Sum64())
-		text = text[len(block):]
-		if text == "" {
+func hashPrefixes(h *xxhash.Digest, text string) Prefixes {
+	var p Prefixes
+	from := 0
+	for i, length := 0, firstPrefixBytes; i < maxPrefixes; i++ {
+		to := min(length, len(text))
+		_, _ = h.WriteString(text[from:to])
+		p.Hashes = append(p.Hashes, h.Sum64())
+		p.Tokens = append(p.Tokens, to/bytesPerToken+1)
+		if to == len(text) {
 			break
 		}
+		from = to
+		length += growth(i, length)
+	}
+	return p
+}
+
+// growth makes lengths of 1, 1.5, 2, 3, 4, 6, 8 and so on times the first.
+func growth(i, length int) int {
+	if i%2 == 0 {
+		return length / 2
 	}
-	return hashes
+	return length / 3
 }
--- a/internal/chat/chat_test.go
+++ b/internal/chat/chat_test.go
@@ -35,10 +35,11 @@
 	shared := strings.Repeat("shared text ", 200)
 	a := Request{Model: "m", Messages: []Message{{Role: "user", Content: shared + "a"}}}
 	b := Request{Model: "m", Messages: []Message{{Role: "user", Content: shared + "b"}}}
-	ha, hb := a.PrefixHashes(), b.PrefixHashes()
-	is.Equal(len(ha), len(hb))
-	is.Equal(ha[:4], hb[:4])
-	is.True(ha[len(ha)-1] != hb[len(hb)-1])
+	pa, pb := a.Prefixes(), b.Prefixes()
+	is.Equal(pa.Tokens, []int{129, 193, 257, 385, 513, 602})
+	is.Equal(pb.Tokens, pa.Tokens)
+	is.Equal(pa.Hashes[:5], pb.Hashes[:5])
+	is.True(pa.Hashes[5] != pb.Hashes[5])
 }
 
 func FuzzDecode(f *testing.F) {
@@ -54,8 +55,8 @@
 		if r.Model == "" || len(r.Messages) == 0 || r.OutputTokens() < 1 || r.PromptTokens() < 1 {
 			t.Fatalf("accepted an incomplete request: %+v", r)
 		}
-		if len(r.PrefixHashes()) == 0 {
-			t.Fatal("no prefix hash")
+		if p := r.Prefixes(); len(p.Hashes) == 0 || len(p.Hashes) != len(p.Tokens) || len(p.Hashes) > maxPrefixes {
+			t.Fatalf("prefixes %+v", p)
 		}
 	})
 }
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -191,21 +191,32 @@
 // draw finds a random eligible endpoint other than the given one.
 func (d *decision) draw(word uint64, other int) int {
 	n := len(d.list.targets)
-	start := 0
 	for range maxDraws {
 		word = mix(word + 1)
-		start = below(word, n)
-		if start != other && d.eligible(start) {
-			return start
-		}
-	}
-	for step := range n {
-		index := (start + step) % n
+		index := below(word, n)
 		if index != other && d.eligible(index) {
 			return index
 		}
 	}
-	return -1
+	return d.drawAmongEligible(word, other)
+}
+
+// drawAmongEligible counts the eligible endpoints and takes one of them, each with the
+// same chance. Taking the next one in order instead would load the few that follow a
+// run of stopped ones.
+func (d *decision) drawAmongEligible(word uint64, other int) int {
+	chosen, seen := -1, 0
+	for index := range d.list.targets {
+		if index == other || !d.eligible(index) {
+			continue
+		}
+		seen++
+		word = mix(word + 1)
+		if below(word, seen) == 0 {
+			chosen = index
+		}
+	}
+	return chosen
 }
 
 // better takes the one of two that costs less time; of two in time that hardly differ,
--- a/internal/route/room.go
+++ b/internal/route/room.go
@@ -16,7 +16,7 @@
 	if list == nil {
 		return nil
 	}
-	mean := list.meanLoad(now)
+	mean := list.mean.refresh(now, list.targets)
 	var rooms []Room
 	for _, t := range list.targets {
 		if !t.available(now) {
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -127,6 +127,7 @@
 		Fleet:              c.query.Fleet,
 		Priority:           priority,
 		ExpectedFirstToken: choice.ExpectedFirstToken,
+		ExpectedPrefill:    choice.ExpectedPrefill,
 		Deadline:           deadline,
 	}
 	d := c.service.admitter.Admit(now, c.admission)
--- a/internal/serve/chat.go
+++ b/internal/serve/chat.go
@@ -87,10 +87,12 @@
 }
 
 func newQuery(ask ChatAsk, fleetName string) route.Query {
+	prefixes := ask.Request.Prefixes()
 	return route.Query{
 		Organisation: ask.Organisation,
 		Fleet:        fleetName,
-		PrefixHashes: ask.Request.PrefixHashes(),
+		PrefixHashes: prefixes.Hashes,
+		PrefixTokens: prefixes.Tokens,
 		PromptTokens: ask.Request.PromptTokens(),
 		MaxTokens:    ask.Request.OutputTokens(),
 	}
@@ -144,6 +146,7 @@
 		Fleet:              c.query.Fleet,
 		Priority:           c.priority,
 		ExpectedFirstToken: choice.ExpectedFirstToken,
+		ExpectedPrefill:    choice.ExpectedPrefill,
 		Deadline:           c.deadline,
 	}
 	d := c.service.admitter.Admit(now, c.admission)
