--- a/internal/claim/metrics.go
+++ b/internal/claim/metrics.go
@@ -2,8 +2,7 @@
 
 import "sync/atomic"
 
-// Metrics counts what a Service does. The fields only rise, but for the gauges; an
-// adapter exports them.
+// Metrics counts what a Service does. The fields only rise, but for the gauges.
 type Metrics struct {
 	// Writes are the conditional writes of shards that were tried.
 	Writes atomic.Uint64
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 func testKey(name string) Key {
@@ -67,6 +69,15 @@
 	})
 }
 
+func TestMetricsRegister(t *testing.T) {
+	is := is.New(t)
+	registry := prometheus.NewRegistry()
+	is.NoErr(new(Metrics).Register(registry))
+	families, err := registry.Gather()
+	is.NoErr(err)
+	is.Equal(len(families), reflect.TypeFor[Metrics]().NumField())
+}
+
 func TestStoredShardCountWins(t *testing.T) {
 	is := is.New(t)
 	store := newFakeStore(nil)
--- a/internal/lease/runner.go
+++ b/internal/lease/runner.go
@@ -26,7 +26,7 @@
 // maxSteps limits the store calls of one round.
 const maxSteps = 4
 
-// Metrics counts what a Runner does; an adapter exports it.
+// Metrics counts what a Runner does.
 type Metrics struct {
 	// Acquired and Lost count the changes of what this member holds.
 	Acquired atomic.Uint64
