Push leaving hosts once more with the next tick

Cause: with 688 hosts leaving at once, noticed by as many nodes, the last node knew the last host after 3.66 s at 370 nodes, near the bound of 4 s. Change: a leaving host is pushed at once and again with the tick. Ruled out: a larger number of hosts repeated in every exchange, which costs as much and also for nodes that know them.

--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -119,8 +119,9 @@
 			m.violated("host %s went from phase %d back to %d", merged.Host, before, merged.Phase)
 		}
 		out.Events = append(out.Events, HostStateChanged{merged.HostState})
+		// A host that leaves is pushed at once and, like all news, with the next tick.
+		m.pendingHosts[keyOf(merged)] = struct{}{}
 		if merged.Phase == fleet.PhaseLive {
-			m.pendingHosts[keyOf(merged)] = struct{}{}
 			continue
 		}
 		leaving = append(leaving, merged)
