Bench: try moves whose targets are in other data centres

Cause: transferred caches were lost because targets were taken back in the same wave. Change: two more tries, targets in other data centres, and all tries together. Ruled out: nothing.

--- a/internal/costbench/moves.go
+++ b/internal/costbench/moves.go
@@ -59,6 +59,9 @@
 		s.Rates.TransferLanes = 0
 	}
 	for _, r := range e.router.Rooms(e.clock.now, organisation, e.site.fleet) {
+		if e.variant.otherPlaces && r.DataCentre == m.spec.DataCentre {
+			continue
+		}
 		s.Survivors = append(s.Survivors, reclaim.Survivor(r))
 	}
 	for i, a := range streams {
--- a/internal/costbench/variant.go
+++ b/internal/costbench/variant.go
@@ -19,11 +19,12 @@
 	noMovePacing    bool
 	noLookAhead     bool
 	// Tries at something better: transfers as late as they fit; text moves in the last
-	// second; lanes and bandwidth for the nodes and streams that there are; a router
-	// that is told only of hosts that run.
+	// second; lanes and bandwidth for the nodes and streams that there are; targets in
+	// other data centres only; a router that is told only of hosts that run.
 	lateTransfers  bool
 	lateRecomputes bool
 	fewLanes       bool
+	otherPlaces    bool
 	runningTable   bool
 	adjust         func(*capacity.Settings)
 }
@@ -69,7 +70,9 @@
 		{Name: "without pacing of moves", noMovePacing: true},
 		{Name: "try: transfers as late as they fit", lateTransfers: true},
 		{Name: "try: bandwidth shared by nodes with streams", fewLanes: true},
-		{Name: "try: both, and text moves in the last second", lateTransfers: true, lateRecomputes: true, fewLanes: true},
+		{Name: "try: targets in other data centres", otherPlaces: true},
+		{Name: "try: late transfers, shared bandwidth, and text moves in the last second", lateTransfers: true, lateRecomputes: true, fewLanes: true},
+		{Name: "try: all of these", lateTransfers: true, lateRecomputes: true, fewLanes: true, otherPlaces: true},
 	}
 }
 
