--- a/internal/claim/segmentstore.go
+++ b/internal/claim/segmentstore.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
-	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
 	"rattanchute/internal/platform"
@@ -69,13 +69,14 @@
 }
 
 // compact moves claims into a new segment if that is due, and returns the value to
-// write in place of next. If the segment cannot be stored, that is next itself.
+// write in place of next. If the segment cannot be stored, that is next itself. Names are
+// random; one that is taken already counts as a segment that cannot be stored.
 func (s *shardStore) compact(next *Shard, now time.Time) (*Shard, error) {
 	c, due := next.compact(now)
 	if !due {
 		return next, nil
 	}
-	name := s.name + "-" + uuid.NewString()
+	name := fmt.Sprintf("%s-%016x", s.name, rand.Uint64())
 	compacted := c.with(name)
 	if err := verifyCompaction(next, compacted); err != nil {
 		return nil, err
@@ -103,12 +104,19 @@
 	s.metrics.Writes.Add(1)
 	s.metrics.WrittenBytes.Add(uint64(len(value)))
 	_, err = s.store.Create(ctx, platform.KindClaims, name, value)
-	if err != nil && !errors.Is(err, platform.ErrThrottled) && !errors.Is(err, platform.ErrTooLarge) {
+	if err != nil && !isRefusal(err) {
 		s.orphans = append(s.orphans, orphan{name: name, version: s.version})
 	}
 	return err == nil
 }
 
+// isRefusal reports whether an error says that nothing was written.
+func isRefusal(err error) bool {
+	return errors.Is(err, platform.ErrThrottled) ||
+		errors.Is(err, platform.ErrTooLarge) ||
+		errors.Is(err, platform.ErrConflict)
+}
+
 // collect deletes the segments that are no part of the shard any more, now that its
 // stored value is known: those it has replaced, and orphans of writes that can no longer
 // take effect because the version has moved on. A failed delete leaves an object that
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -14,9 +14,9 @@
 	priceSlack = FirstTokenTarget / 10
 	// loadFactor bounds the load of an affinity choice to a multiple of the mean.
 	loadFactor = 1.25
-	// affinityFloor is the share of its slots up to which an endpoint always takes
-	// requests that share a prefix with what it has.
-	affinityFloor = 0.25
+	// affinityFloor is the share of its slots up to which an endpoint is under its bound
+	// whatever the mean: nothing queues there yet.
+	affinityFloor = 0.75
 	// affinityRanks is how many endpoints are tried in rendezvous order.
 	affinityRanks = 8
 	// maxDraws bounds the random draws for two available endpoints.
@@ -87,7 +87,7 @@
 func (r *Router) decision(now time.Time, rnd uint64, q *Query, list *liveList) decision {
 	return decision{
 		now: now, rnd: rnd, q: q, list: list, off: r.off,
-		popularity: list.popularity, cache: r.cache, mean: list.meanLoad(now),
+		popularity: list.popularity, cache: r.cache, mean: list.mean.refresh(now, list.targets),
 	}
 }
 
@@ -191,21 +191,32 @@
 // draw finds a random eligible endpoint other than the given one.
 func (d *decision) draw(word uint64, other int) int {
 	n := len(d.list.targets)
-	start := 0
 	for range maxDraws {
 		word = mix(word + 1)
-		start = below(word, n)
-		if start != other && d.eligible(start) {
-			return start
-		}
-	}
-	for step := range n {
-		index := (start + step) % n
+		index := below(word, n)
 		if index != other && d.eligible(index) {
 			return index
 		}
 	}
-	return -1
+	return d.drawAmongEligible(word, other)
+}
+
+// drawAmongEligible counts the eligible endpoints and takes one of them, each with the
+// same chance. Taking the next one in order instead would load the few that follow a
+// run of stopped ones.
+func (d *decision) drawAmongEligible(word uint64, other int) int {
+	chosen, seen := -1, 0
+	for index := range d.list.targets {
+		if index == other || !d.eligible(index) {
+			continue
+		}
+		seen++
+		word = mix(word + 1)
+		if below(word, seen) == 0 {
+			chosen = index
+		}
+	}
+	return chosen
 }
 
 // better takes the one of two that costs less time; of two in time that hardly differ,
--- a/internal/route/room.go
+++ b/internal/route/room.go
@@ -16,7 +16,7 @@
 	if list == nil {
 		return nil
 	}
-	mean := list.meanLoad(now)
+	mean := list.mean.refresh(now, list.targets)
 	var rooms []Room
 	for _, t := range list.targets {
 		if !t.available(now) {
@@ -31,3 +31,9 @@
 	}
 	return rooms
 }
+
+// Usable reports whether an endpoint chosen earlier still takes new work.
+func (r *Router) Usable(now time.Time, endpoint string) bool {
+	t := r.view.Load().byName[endpoint]
+	return t != nil && t.available(now)
+}
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -127,6 +127,7 @@
 		Fleet:              c.query.Fleet,
 		Priority:           priority,
 		ExpectedFirstToken: choice.ExpectedFirstToken,
+		ExpectedPrefill:    choice.ExpectedPrefill,
 		Deadline:           deadline,
 	}
 	d := c.service.admitter.Admit(now, c.admission)
@@ -217,19 +218,16 @@
 }
 
 func (c *call) choose() (route.Choice, error) {
-	if c.next != nil {
-		choice := *c.next
-		c.next = nil
-		return choice, nil
-	}
-	return c.service.router.Choose(c.service.now(), randomWord(), c.query)
+	next := c.next
+	c.next = nil
+	return c.service.choose(next, c.query)
 }
 
 func (c *call) retryAllowed(ctx context.Context, choice route.Choice) bool {
 	if ctx.Err() != nil {
 		return false
 	}
-	return c.service.admitter.AllowRetry(c.service.now(), c.ask.Organisation, choice.Endpoint.Name)
+	return c.service.allowRetry(c.ask.Organisation, choice.Endpoint.Name)
 }
 
 // dispatch makes one attempt.
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -181,7 +181,7 @@
 		return false
 	}
 	endpoint, ok := c.service.router.Table().Endpoint(t.Endpoint)
-	if !ok {
+	if !ok || !c.service.router.Usable(c.service.now(), t.Endpoint) {
 		return false
 	}
 	c.next = nil
@@ -200,12 +200,9 @@
 }
 
 func (c *ChatStream) choose() (route.Choice, error) {
-	if c.next != nil {
-		choice := *c.next
-		c.next = nil
-		return choice, nil
-	}
-	return c.service.router.Choose(c.service.now(), randomWord(), c.query)
+	next := c.next
+	c.next = nil
+	return c.service.choose(next, c.query)
 }
 
 // waitForEndpoint pauses an interrupted stream that no endpoint can take now, and
@@ -253,7 +250,7 @@
 // retryAllowed asks the retry budget. Streams that have delivered something are
 // exempt: they were accepted, and their number is bounded by admission.
 func (c *ChatStream) retryAllowed(endpoint string) bool {
-	return c.service.admitter.AllowRetry(c.service.now(), c.ask.Organisation, endpoint)
+	return c.service.allowRetry(c.ask.Organisation, endpoint)
 }
 
 // ResumeToken returns a token for the chunks delivered so far.
