--- a/internal/servebench/steady.go
+++ b/internal/servebench/steady.go
@@ -70,8 +70,9 @@
 type steadyRun struct {
 	through, direct *latencies
 	openStreams     int
-	cpu             time.Duration
-	resident        float64
+	// cpu is for the whole window.
+	cpu      time.Duration
+	resident float64
 }
 
 // steady offers the planned load to both arms at once.
@@ -95,17 +96,20 @@
 // watch reads the daemon's use of the machine at the ends of the window.
 func (r *steadyRun) watch(s *site, through *arm) error {
 	time.Sleep(time.Until(r.through.begin))
+	begin := time.Now()
 	before, err := s.usage()
 	if err != nil {
 		return err
 	}
 	time.Sleep(time.Until(r.through.end) - usageLead)
 	r.openStreams = int(through.open.Load())
+	elapsed := time.Since(begin)
 	after, err := s.usage()
 	if err != nil {
 		return err
 	}
-	r.cpu = after.cpu - before.cpu
+	part := float64(r.through.end.Sub(r.through.begin)) / float64(elapsed)
+	r.cpu = time.Duration(float64(after.cpu-before.cpu) * part)
 	r.resident = after.resident
 	return nil
 }
