Bench: drop the tries with a router of running hosts only

Cause: route now draws evenly among the endpoints that run. Change: the tries that showed what an even draw earns are gone. Ruled out: keeping them: they give what ours gives now. Conclusion: nothing is left to try there.

--- a/internal/costbench/entry.go
+++ b/internal/costbench/entry.go
@@ -148,9 +148,6 @@
 // hostChanged tells the router and deals with the streams of a host that is taken.
 func (e *entry) hostChanged(m *machine, phase fleet.Phase) {
 	e.router.SetHostState(fleet.HostState{Host: m.spec.Name, Instance: instanceName(m), Phase: phase})
-	if e.variant.runningTable {
-		e.router.SetTable(route.Compile(e.runningConfiguration()))
-	}
 	switch phase {
 	case fleet.PhaseLeaving:
 		if !m.deadline.IsZero() {
@@ -164,14 +161,6 @@
 	}
 }
 
-// runningConfiguration leaves out the hosts without an engine.
-func (e *entry) runningConfiguration() *fleet.Configuration {
-	cfg := e.site.configuration()
-	cfg.Hosts = slices.DeleteFunc(cfg.Hosts, func(h fleet.Host) bool { return e.cloud.byName[h.Name].engine == nil })
-	cfg.Endpoints = slices.DeleteFunc(cfg.Endpoints, func(p fleet.Endpoint) bool { return e.cloud.byName[p.Host].engine == nil })
-	return cfg
-}
-
 // cut ends the engine; what still ran there starts again from its prompt.
 func (e *entry) cut(m *machine) {
 	m.engine.stopped = true
--- a/internal/costbench/variant.go
+++ b/internal/costbench/variant.go
@@ -20,12 +20,11 @@
 	noLookAhead     bool
 	// Tries at something better: transfers as late as they fit; text moves in the last
 	// second; lanes and bandwidth for the nodes and streams that there are; targets in
-	// other data centres only; a router that is told only of hosts that run.
+	// other data centres only.
 	lateTransfers  bool
 	lateRecomputes bool
 	fewLanes       bool
 	otherPlaces    bool
-	runningTable   bool
 	adjust         func(*capacity.Settings)
 }
 
@@ -57,8 +56,6 @@
 		{Name: "without look-ahead", noLookAhead: true},
 		{Name: "without refused-start fallback", noRefusalMemory: true},
 		{Name: "without weight-store pace", adjust: func(s *capacity.Settings) { s.ParallelLoads = 0 }},
-		{Name: "try: router told of running hosts only", runningTable: true},
-		{Name: "try: that, without spread", runningTable: true, adjust: noTolerance},
 	}
 }
 
