Move streams off leaving hosts as late as they may

Change: transfers end as late as they may; text moves in the last second; a daemon plans with its part of the endpoint's requests; notices are gathered for 100 ms before a plan; the order by held tokens, which earned nothing, is gone.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -102,7 +102,7 @@
 	}
 	a.counter.hostsLeaving.Inc()
 	a.log.Info().Str("host", s.Host).Time("deadline", s.Deadline).Msg("host leaving")
-	a.service.HostLeaving(s, len(a.spread.Members()))
+	a.service.HostLeaving(s)
 }
 
 func (a *App) membersChanged() {
--- a/internal/reclaim/plan.go
+++ b/internal/reclaim/plan.go
@@ -96,8 +96,8 @@
 	steps    []Step
 }
 
-// finishers leaves streams that end in time where they are, and returns the others,
-// the most saved tokens first.
+// finishers leaves streams that end in time where they are, and returns the others, the
+// highest priorities first.
 func (p *planner) finishers() []Stream {
 	var moving []Stream
 	for _, st := range p.snapshot.Streams {
@@ -109,60 +109,54 @@
 		p.steps = append(p.steps, Step{Stream: st.ID, Way: Finish, Start: p.snapshot.Now})
 	}
 	slices.SortStableFunc(moving, func(a, b Stream) int {
-		return cmp.Or(
-			cmp.Compare(b.HeldTokens, a.HeldTokens),
-			cmp.Compare(b.Priority, a.Priority),
-			cmp.Compare(a.ID, b.ID),
-		)
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.ID, b.ID))
 	})
 	return moving
 }
 
-// transfers fills the lanes with KV moves that end in time and returns what is left.
+// transfers fills the lanes with KV moves that end in time and returns what is left. The
+// moves of a lane follow one another and end as late as they may: most streams end by
+// themselves before their turn comes.
 func (p *planner) transfers(moving []Stream) []Stream {
 	r := p.snapshot.Rates
-	if r.TransferLanes <= 0 || r.TransferTokensPerSecond <= 0 {
+	count := min(r.TransferLanes, len(moving))
+	if count <= 0 || r.TransferTokensPerSecond <= 0 {
 		return moving
 	}
-	perLane := r.TransferTokensPerSecond / float64(r.TransferLanes)
-	lanes := make([]time.Time, r.TransferLanes)
-	for i := range lanes {
-		lanes[i] = p.snapshot.Now
-	}
+	perLane := r.TransferTokensPerSecond / float64(count)
+	// lanes are the starts of the earliest move planned in each lane.
+	lanes := slices.Repeat([]time.Time{p.latest}, count)
 	var rest []Stream
 	for _, st := range moving {
-		lane := earliest(lanes)
+		lane := last(lanes)
 		took := time.Duration(float64(st.HeldTokens) / perLane * float64(time.Second))
-		end := lanes[lane].Add(took)
+		start := lanes[lane].Add(-took)
 		target, ok := p.room.peek()
-		if end.After(p.latest) || !ok {
+		if start.Before(p.snapshot.Now) || !ok {
 			rest = append(rest, st)
 			continue
 		}
 		p.room.take(target)
-		p.steps = append(p.steps, Step{Stream: st.ID, Way: Transfer, Target: target, Start: lanes[lane]})
-		lanes[lane] = end
+		p.steps = append(p.steps, Step{Stream: st.ID, Way: Transfer, Target: target, Start: start})
+		lanes[lane] = start
 	}
 	return rest
 }
 
-// recomputes spreads what cannot be transferred evenly over the time left, higher
-// priorities first, so that the survivors do not get all of it at once.
+// recomputeWindow is the time before the latest one over which streams that cannot be
+// transferred are spread, so that the survivors do not get all of them at once.
+const recomputeWindow = time.Second
+
+// recomputes moves what cannot be transferred in the last moments, higher priorities
+// first.
 func (p *planner) recomputes(rest []Stream) {
-	slices.SortStableFunc(rest, func(a, b Stream) int {
-		return cmp.Or(
-			cmp.Compare(b.Priority, a.Priority),
-			cmp.Compare(a.HeldTokens, b.HeldTokens),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
-	window := p.latest.Sub(p.snapshot.Now)
+	window := min(p.latest.Sub(p.snapshot.Now), recomputeWindow)
 	for i, st := range rest {
 		target, ok := p.room.peek()
 		if ok {
 			p.room.take(target)
 		}
-		start := p.snapshot.Now.Add(window * time.Duration(i) / time.Duration(len(rest)))
+		start := p.latest.Add(-window + window*time.Duration(i)/time.Duration(len(rest)))
 		p.steps = append(p.steps, Step{Stream: st.ID, Way: Recompute, Target: target, Start: start})
 	}
 }
@@ -176,10 +170,11 @@
 	}
 }
 
-func earliest(times []time.Time) int {
+// last returns the index of the latest time.
+func last(times []time.Time) int {
 	best := 0
 	for i, t := range times {
-		if t.Before(times[best]) {
+		if t.After(times[best]) {
 			best = i
 		}
 	}
--- a/internal/reclaim/plan_test.go
+++ b/internal/reclaim/plan_test.go
@@ -50,6 +50,32 @@
 	is.Equal(steps, []Step{{Stream: 7, Way: Recompute, Start: now}})
 }
 
+func TestTransfersEndAsLateAsTheyMay(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	latest := now.Add(58 * time.Second)
+	steps := Plan(Snapshot{
+		Now:      now,
+		Deadline: now.Add(time.Minute),
+		Streams: []Stream{
+			{ID: 0, HeldTokens: 5000, RemainingTokens: 5000},
+			{ID: 1, HeldTokens: 10000, RemainingTokens: 5000},
+			{ID: 2, HeldTokens: 5000, RemainingTokens: 5000},
+			{ID: 3, HeldTokens: 10000000, RemainingTokens: 5000},
+		},
+		Survivors: []Survivor{{Endpoint: "a", FreeSlots: 9}},
+		Rates:     testRates,
+	})
+	starts := map[int]time.Duration{}
+	for _, s := range steps {
+		starts[s.Stream] = latest.Sub(s.Start)
+	}
+	is.Equal(starts[0], time.Second)
+	is.Equal(starts[1], 2*time.Second)
+	is.Equal(starts[2], 2*time.Second) // after stream 0 in its lane
+	is.Equal(starts[3], time.Second)   // by text, in the last second
+}
+
 func TestPlanProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawSnapshot(t)
--- a/internal/route/room.go
+++ b/internal/route/room.go
@@ -37,3 +37,15 @@
 	t := r.view.Load().byName[endpoint]
 	return t != nil && t.available(now)
 }
+
+// Running is the number of requests that an endpoint is believed to hold, and how many
+// of them are this node's.
+func (r *Router) Running(now time.Time, endpoint string) (all, own int) {
+	t := r.view.Load().byName[endpoint]
+	if t == nil {
+		return 0, 0
+	}
+	own = int(t.state.inFlight.Load())
+	e := t.state.estimate(now, 0, t.info.slots, 0)
+	return max(int(e.requests), own), own
+}
--- a/internal/serve/mover.go
+++ b/internal/serve/mover.go
@@ -37,25 +37,50 @@
 // defaultNotice is assumed for a host that leaves without an announced deadline.
 const defaultNotice = 10 * time.Second
 
-// HostLeaving moves this daemon's streams off a host that is taken back. members is
-// the number of daemons that share the host's KV bandwidth. It returns at once; the
-// steps run in the background, each at its planned time.
-func (s *Service) HostLeaving(state fleet.HostState, members int) {
+// noticeBatch is how long a notice waits for others that come with it, so that no stream
+// is planned onto a host whose own notice is a moment behind.
+const noticeBatch = 100 * time.Millisecond
+
+// HostLeaving moves this daemon's streams off a host that is taken back. It returns at
+// once; the steps run in the background, each at its planned time.
+func (s *Service) HostLeaving(state fleet.HostState) {
+	time.AfterFunc(noticeBatch, func() { s.moveOff(state) })
+}
+
+func (s *Service) moveOff(state fleet.HostState) {
 	now := s.now()
 	deadline := state.Deadline
 	if deadline.IsZero() {
 		deadline = now.Add(defaultNotice)
 	}
+	share := 0.0
 	byGroup := make(map[moveGroup][]*ChatStream)
 	for _, e := range s.router.Table().EndpointsOn(state.Host) {
+		share = max(share, s.shareOf(now, e.Name))
 		for _, c := range s.streams.at(e.Name) {
 			g := moveGroup{organisation: c.ask.Organisation, fleet: c.query.Fleet}
 			byGroup[g] = append(byGroup[g], c)
 		}
 	}
 	for g, streams := range byGroup {
-		s.moveGroup(now, deadline, g, streams, members)
+		part := float64(len(streams)) / float64(countStreams(byGroup))
+		s.moveGroup(now, deadline, g, streams, share*part)
+	}
+}
+
+// shareOf is the part of an endpoint's requests, and so of its host's KV bandwidth, that
+// is this daemon's.
+func (s *Service) shareOf(now time.Time, endpoint string) float64 {
+	all, own := s.router.Running(now, endpoint)
+	return float64(own) / float64(max(all, 1))
+}
+
+func countStreams(groups map[moveGroup][]*ChatStream) int {
+	n := 0
+	for _, streams := range groups {
+		n += len(streams)
 	}
+	return n
 }
 
 // moveGroup are streams that may go to the same survivors.
@@ -64,14 +89,14 @@
 	fleet        string
 }
 
-func (s *Service) moveGroup(now, deadline time.Time, g moveGroup, streams []*ChatStream, members int) {
+func (s *Service) moveGroup(now, deadline time.Time, g moveGroup, streams []*ChatStream, share float64) {
 	snapshot := reclaim.Snapshot{
 		Now:       now,
 		Deadline:  deadline,
 		Survivors: s.survivors(now, g),
 		Rates: reclaim.Rates{
 			TokenInterval:           s.moveRates.TokenInterval,
-			TransferTokensPerSecond: s.moveRates.TransferTokensPerSecond / float64(max(members, 1)),
+			TransferTokensPerSecond: s.moveRates.TransferTokensPerSecond * share,
 			TransferLanes:           s.moveRates.Lanes,
 			Margin:                  s.moveRates.Margin,
 		},
--- a/internal/serve/ports.go
+++ b/internal/serve/ports.go
@@ -19,6 +19,8 @@
 	Begin(endpoint string)
 	End(now time.Time, endpoint string, r route.Result)
 	ObserveLoad(now time.Time, endpoint string, l engine.Load)
+	// Running is how many requests an endpoint holds, and how many of them are ours.
+	Running(now time.Time, endpoint string) (all, own int)
 	Rooms(now time.Time, organisation, fleetName string) []route.Room
 }
 
