Enforce the bounds on open streams and buffered chunks

Cause: limits.max_open_streams only sized a pool and refused nothing; limits.stream_buffer_chunks was read and not used. Change: one stream more than the bound is refused 'too_many_streams', not run, with when to come back; the buffer has the set size. Ruled out: dropping the keys (a host with little memory needs them).

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -118,6 +118,7 @@
 	}
 	limits := serve.DefaultSettings()
 	limits.MaxStreams = a.settings.Limits.MaxOpenStreams
+	limits.ChunkBuffer = a.settings.Limits.StreamBufferChunks
 	a.service = serve.New(serve.Parts{
 		Settings:  limits,
 		Router:    a.router,
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -12,10 +12,6 @@
 	"rattanchute/internal/route"
 )
 
-// chunkBuffer bounds the chunks of one stream that wait for a slow caller. When it is
-// full, the stream's reader stops and the engine's connection fills up.
-const chunkBuffer = 64
-
 // attempt is one generation at one endpoint.
 type attempt struct {
 	endpoint   fleet.Endpoint
@@ -39,7 +35,7 @@
 		endpoint: endpoint,
 		stream:   g.Stream,
 		cancel:   cancel,
-		received: make(chan received, chunkBuffer),
+		received: make(chan received, c.service.settings.ChunkBuffer),
 		started:  c.service.now(),
 	}
 	c.current = a
--- a/internal/serve/chat.go
+++ b/internal/serve/chat.go
@@ -41,7 +41,7 @@
 	if !s.enter() {
 		return nil, s.refused(refuseClosing(ask.RequestID))
 	}
-	c, refusal := s.openChat(ctx, ask)
+	c, refusal := s.openWithin(ctx, ask)
 	if refusal != nil {
 		s.leave()
 		return nil, s.refused(refusal)
@@ -54,6 +54,19 @@
 	return r
 }
 
+// openWithin opens a stream unless as many are open as the settings allow.
+func (s *Service) openWithin(ctx context.Context, ask ChatAsk) (*ChatStream, *Refusal) {
+	if s.opened.Add(1) > int64(s.settings.MaxStreams) {
+		s.opened.Add(-1)
+		return nil, refuseStreams(ask.RequestID)
+	}
+	c, refusal := s.openChat(ctx, ask)
+	if refusal != nil {
+		s.opened.Add(-1)
+	}
+	return c, refusal
+}
+
 func (s *Service) openChat(ctx context.Context, ask ChatAsk) (*ChatStream, *Refusal) {
 	target, ok := s.router.Table().FleetForModel(ask.Organisation, ask.Request.Model)
 	if !ok {
--- a/internal/serve/refusal.go
+++ b/internal/serve/refusal.go
@@ -20,6 +20,7 @@
 	retryAfterNoEndpoint = 2 * time.Second
 	retryAfterClosing    = time.Second
 	retryAfterFailure    = time.Second
+	retryAfterStreams    = time.Second
 )
 
 // NewRefusal returns a refusal of a request that was not run.
@@ -52,6 +53,11 @@
 		"this daemon takes no new requests").after(retryAfterClosing)
 }
 
+func refuseStreams(requestID string) *Refusal {
+	return NewRefusal(http.StatusServiceUnavailable, requestID, "too_many_streams",
+		"this daemon has as many open streams as it may").after(retryAfterStreams)
+}
+
 func refuseRoute(requestID string, err error) *Refusal {
 	if errors.Is(err, route.ErrNoSelector) {
 		return NewRefusal(http.StatusForbidden, requestID, "no_selector",
--- a/internal/serve/series.go
+++ b/internal/serve/series.go
@@ -12,7 +12,7 @@
 	resultSeries  = []string{"ok", "failed", "ended"}
 	waySeries     = []reclaim.Way{reclaim.Finish, reclaim.Transfer, reclaim.Recompute}
 	codeSeries    = []string{"no_endpoint", "no_answer", "organisation_limit", "overloaded", "deadline",
-		"shutting_down", "claim_refused", "outcome_unknown"}
+		"shutting_down", "too_many_streams", "claim_refused", "outcome_unknown"}
 )
 
 // begin makes the series exist before their first event.
--- a/internal/serve/service.go
+++ b/internal/serve/service.go
@@ -34,8 +34,11 @@
 	TokenLifetime time.Duration
 	// MaxAttempts bounds the attempts of one request.
 	MaxAttempts int
-	// MaxStreams bounds the open streams of the process.
+	// MaxStreams bounds the open streams of the process; one more is refused.
 	MaxStreams int
+	// ChunkBuffer bounds the chunks of one stream that wait for a slow caller. When it
+	// is full, the stream's reader stops and the engine's connection fills up.
+	ChunkBuffer int
 }
 
 // DefaultSettings returns the settings for the planned load of one entry host.
@@ -50,6 +53,7 @@
 		TokenLifetime:     15 * time.Minute,
 		MaxAttempts:       8,
 		MaxStreams:        4096,
+		ChunkBuffer:       64,
 	}
 }
 
@@ -69,6 +73,8 @@
 	closing   atomic.Bool
 	open      atomic.Int64
 	inflight  sync.WaitGroup
+	// opened counts the streams being opened or open.
+	opened atomic.Int64
 	// ending is done once open streams are to be ended.
 	ending context.Context
 	endAll context.CancelFunc
@@ -87,6 +93,9 @@
 	MoveRates MoveRates
 }
 
+// backgroundWorkers are the workers beside those of open streams.
+const backgroundWorkers = 64
+
 // New returns a service over its parts.
 func New(p Parts) *Service {
 	ending, endAll := context.WithCancel(context.Background())
@@ -103,8 +112,9 @@
 		counters:  p.Counters,
 		streams:   newRegistry(),
 		moveRates: p.MoveRates,
-		// Each open stream keeps a worker that reads from its engine.
-		pool: pond.NewPool(2 * p.Settings.MaxStreams),
+		// Each open stream keeps a worker that reads from its engine; the others move
+		// streams and record outcomes.
+		pool: pond.NewPool(p.Settings.MaxStreams + backgroundWorkers),
 		now:  time.Now,
 	}
 }
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -192,6 +192,7 @@
 		o = outcome.Completed
 	}
 	if c.release(o) {
+		c.service.opened.Add(-1)
 		c.service.leave()
 	}
 }
--- a/internal/testsite/settings.go
+++ b/internal/testsite/settings.go
@@ -26,6 +26,8 @@
 	ShutdownGrace string
 	// ReadHeaderTimeout bounds the arrival of a request.
 	ReadHeaderTimeout string
+	// MaxOpenStreams bounds the open streams of a daemon; zero is the usual bound.
+	MaxOpenStreams int
 	// TLS is the value of the settings' key "tls"; empty leaves it out.
 	TLS string
 }
@@ -37,6 +39,16 @@
 	return c.TLS
 }
 
+// usualStreams is enough for every test but that of the bound.
+const usualStreams = 4096
+
+func (c Common) maxOpenStreams() int {
+	if c.MaxOpenStreams == 0 {
+		return usualStreams
+	}
+	return c.MaxOpenStreams
+}
+
 func (c Common) readHeaderTimeout() string {
 	if c.ReadHeaderTimeout == "" {
 		return "10s"
@@ -97,7 +109,7 @@
   "resume_tokens": {"keys": [{"file": %q}]},
   "operators": [{"name": "tester", "key_sha256": %q}],
   "shutdown_grace": %q,
-  "limits": {"read_header_timeout": %q},
+  "limits": {"read_header_timeout": %q, "max_open_streams": %d},
   "tls": %s,
 }
 `
@@ -120,7 +132,7 @@
 	for _, n := range nodes {
 		text := fmt.Sprintf(settingsText, n.Name, n.DataCentre, n.Callers, n.Peers, n.Operators,
 			c.Platform, filepath.Join(dir, "platform"), list, filepath.Join(dir, "peer"),
-			filepath.Join(dir, "resume"), Digest(OperatorKey), c.ShutdownGrace, c.readHeaderTimeout(), c.tls())
+			filepath.Join(dir, "resume"), Digest(OperatorKey), c.ShutdownGrace, c.readHeaderTimeout(), c.maxOpenStreams(), c.tls())
 		file := filepath.Join(dir, n.Name+".jsonc")
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			return nil, err
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -43,6 +43,8 @@
 	ShutdownGrace string
 	// ReadHeaderTimeout bounds the arrival of a request; empty is the default.
 	ReadHeaderTimeout string
+	// MaxOpenStreams bounds the open streams of a daemon; zero is the usual bound.
+	MaxOpenStreams int
 	// TLS is the value of the daemons' settings key "tls"; empty leaves it out.
 	TLS string
 	// CallerTLS is how callers connect; nil is plainly.
--- a/internal/testsite/start.go
+++ b/internal/testsite/start.go
@@ -63,6 +63,7 @@
 		Platform:          s.Standin.Address(),
 		ShutdownGrace:     s.options.shutdownGrace(),
 		ReadHeaderTimeout: s.options.ReadHeaderTimeout,
+		MaxOpenStreams:    s.options.MaxOpenStreams,
 		TLS:               s.options.TLS,
 	})
 	return err
