Count a stream's attempts anew with each token it delivers

Cause: read-through: a stream had eight attempts in its whole life, moves included, so that a long one could be given up while it advanced; a planned move before the first token was charged to the retry budget. The new test failed before: 'not answered after coming back 39 times ... no attempt delivered the whole answer'. Ruled out: a larger bound (it only moves the length at which streams are lost).

--- a/internal/e2e/answer_test.go
+++ b/internal/e2e/answer_test.go
@@ -87,3 +87,16 @@
 	is.Equal(stolen.Head.Status, http.StatusForbidden)
 	is.Equal(stolen.Head.Outcome, outcome.NotRun)
 }
+
+// TestStreamCutOftenGoesOnWhileItAdvances cuts every attempt after a few tokens, more
+// often than a request that makes no progress is tried.
+func TestStreamCutOftenGoesOnWhileItAdvances(t *testing.T) {
+	s := startSite(t, testsite.Options{Daemons: 1, Engines: 4, Engine: smallEngine})
+	for i := range 4 {
+		s.Standin.Engine(fmt.Sprintf("engine-%d", i)).SetFaults(standin.Faults{CutAfterChunks: 3})
+	}
+	for _, r := range runAll(s, manyJobs(4, 40))() {
+		r.check(t)
+		r.checkUncut(t)
+	}
+}
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -48,8 +48,6 @@
 	replayText []string
 
 	finished bool
-	// recomputed counts chunks that engines made again after they had been delivered.
-	recomputed int
 }
 
 // NewStream starts the life of a request. The session tells apart two daemons that
@@ -74,12 +72,6 @@
 // Finished tells whether the last chunk has been delivered.
 func (s *Stream) Finished() bool { return s.finished }
 
-// Attempts is the number of attempts begun.
-func (s *Stream) Attempts() int { return s.attempt }
-
-// Recomputed is the number of chunks made again for text the caller already had.
-func (s *Stream) Recomputed() int { return s.recomputed }
-
 // Hash returns the hash of all text before Offset; false if it is not known, which
 // is so after a resume until an attempt has repeated the whole text.
 func (s *Stream) Hash() (uint64, bool) {
@@ -149,7 +141,6 @@
 	if known && s.text[s.replay-s.base] != c.Text {
 		return Broken
 	}
-	s.recomputed++
 	s.replay++
 	s.replayText = append(s.replayText, c.Text)
 	_, _ = s.replayHash.WriteString(c.Text)
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -39,6 +39,7 @@
 		started:  c.service.now(),
 	}
 	c.current = a
+	c.tries++
 	c.service.router.Begin(endpoint.Name)
 	c.progress.set(location{endpoint: endpoint, stream: g.Stream}, c.machine.Offset())
 	c.service.streams.add(endpoint.Name, c)
@@ -129,11 +130,15 @@
 
 // resultOf tells the router whether a failure speaks against the endpoint.
 func resultOf(err error) route.Result {
-	blameless := errors.Is(err, context.Canceled) ||
+	return route.Result{Failed: !blameless(err)}
+}
+
+// blameless tells the ends of an attempt that are not the endpoint's failure.
+func blameless(err error) bool {
+	return errors.Is(err, context.Canceled) ||
 		errors.Is(err, context.DeadlineExceeded) ||
 		errors.Is(err, engine.ErrNoStream) ||
 		errors.Is(err, errMoved)
-	return route.Result{Failed: !blameless}
 }
 
 func resultLabel(r route.Result) string {
--- a/internal/serve/recover.go
+++ b/internal/serve/recover.go
@@ -18,7 +18,7 @@
 		if c.stopped != nil {
 			return c.stopped
 		}
-		if c.machine.Attempts() >= c.service.settings.MaxAttempts {
+		if c.tries >= c.service.settings.MaxAttempts {
 			return errAttempts
 		}
 		if c.beginAttach() {
@@ -100,7 +100,7 @@
 	if !errors.Is(err, engine.ErrNoStream) {
 		c.query.Exclude = append(c.query.Exclude, endpoint)
 	}
-	if !c.delivered() && !c.retryAllowed(endpoint) {
+	if !c.delivered() && !blameless(err) && !c.retryAllowed(endpoint) {
 		c.stopped = fmt.Errorf("%w: %w", errBudget, err)
 	}
 }
--- a/internal/serve/service.go
+++ b/internal/serve/service.go
@@ -32,7 +32,8 @@
 	RecordTimeout time.Duration
 	// TokenLifetime is how long a resume token is accepted.
 	TokenLifetime time.Duration
-	// MaxAttempts bounds the attempts of one request.
+	// MaxAttempts bounds the attempts of one request; a stream counts anew with each
+	// token that it delivers.
 	MaxAttempts int
 	// MaxStreams bounds the open streams of the process; one more is refused.
 	MaxStreams int
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -60,6 +60,8 @@
 	attach   *token.Resume
 	next     *route.Choice
 	current  *attempt
+	// tries are the attempts since the last token was delivered.
+	tries int
 	// interrupted is when the last attempt failed; zero while one runs well.
 	interrupted time.Time
 	mayHaveRun  bool
@@ -128,6 +130,7 @@
 	case request.Deliver:
 		c.progress.advance(c.machine.Offset())
 		c.interrupted = time.Time{}
+		c.tries = 0
 		return Event{Offset: chunk.Offset, Text: chunk.Text, Finish: chunk.Finish}, true
 	case request.Skip:
 		c.service.counters.RecomputedTokens.Inc()
