Count requests in flight under a lock instead of a wait group

Cause: the ten-minute soak reported a data race after a minute and a half: requests were added to a wait group while a stop waited on it at zero, which the wait group forbids and may panic on. Change: a counter under its own lock that closes a channel once nothing is left. Ruled out: holding a read lock around enter (the same ordering, with two locks).

--- a/internal/serve/service.go
+++ b/internal/serve/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,9 +70,7 @@
 	streams   *registry
 	moveRates MoveRates
 	pool      pond.Pool
-	closing   atomic.Bool
-	open      atomic.Int64
-	inflight  sync.WaitGroup
+	inflight  *inflight
 	// opened counts the streams being opened or open.
 	opened atomic.Int64
 	// ending is done once open streams are to be ended.
@@ -103,6 +100,7 @@
 	return &Service{
 		ending:    ending,
 		endAll:    endAll,
+		inflight:  newInflight(),
 		settings:  p.Settings,
 		session:   uuid.NewString()[:8],
 		router:    p.Router,
@@ -130,25 +128,13 @@
 }
 
 // Refuse makes the service answer every new request "not run" from now on.
-func (s *Service) Refuse() { s.closing.Store(true) }
-
-// Drain waits until no request is in flight or ctx ends.
-func (s *Service) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.inflight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (s *Service) Refuse() { s.inflight.refuse() }
+
+// Drain waits, after Refuse, until no request is in flight or ctx ends.
+func (s *Service) Drain(ctx context.Context) error { return s.inflight.wait(ctx) }
 
 // Open is the number of requests in flight.
-func (s *Service) Open() int { return int(s.open.Load()) }
+func (s *Service) Open() int { return s.inflight.open() }
 
 // OpenStreams is the number of streams that engines are making now.
 func (s *Service) OpenStreams() int { return s.streams.count() }
@@ -164,20 +150,16 @@
 
 // enter counts a request in; false when the service takes no more.
 func (s *Service) enter() bool {
-	s.inflight.Add(1)
-	if s.closing.Load() {
-		s.inflight.Done()
+	if !s.inflight.enter() {
 		return false
 	}
-	s.open.Add(1)
 	s.counters.InFlight.Inc()
 	return true
 }
 
 func (s *Service) leave() {
-	s.open.Add(-1)
 	s.counters.InFlight.Dec()
-	s.inflight.Done()
+	s.inflight.leave()
 }
 
 // done gives an admitted request back.
