Soak: a stopping daemon goes on hearing of hosts

The driver told hosts' states only to the daemons that take requests; a daemon that was stopping never heard that hosts had come back and, twice in 945 stops, had none left for its streams for the ten seconds of the recovery window. A real daemon hears from its peers until nothing is in flight (app.shutdown leaves the spread last). Change: the driver tells stopping daemons too; the check itself is unchanged. Ruled out: a longer recovery window, which would hide it.

--- a/internal/soak/driver_test.go
+++ b/internal/soak/driver_test.go
@@ -66,12 +66,14 @@
 	old := d.w.nodeList()[i]
 	d.w.report.provoked(faultNodeStopped)
 	old.stopped.Store(true)
+	d.w.setStopping(old, true)
 	d.w.startNode(i)
 	d.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
 		old.service.Refuse()
 		err := old.service.Drain(ctx)
+		d.w.setStopping(old, false)
 		d.w.report.check(promiseStop, err == nil, "%s has requests in flight after %s", old.writer, stopTimeout)
 	})
 }
@@ -136,7 +138,7 @@
 	d.tellAll(fleet.HostState{Host: e.host, Instance: instance, Phase: fleet.PhaseGone})
 	time.Sleep(d.w.upTo(100 * time.Millisecond))
 	e.setDead(false)
-	for _, n := range d.w.nodeList() {
+	for _, n := range d.w.listeners() {
 		n.forget(e.host)
 	}
 	d.tellAll(fleet.HostState{Host: e.host, Instance: d.w.nextInstance(e.host), Phase: fleet.PhaseLive})
@@ -145,7 +147,7 @@
 // tellAll tells each daemon after a delay of its own.
 func (d *driver) tellAll(s fleet.HostState) {
 	var wg sync.WaitGroup
-	for _, n := range d.w.nodeList() {
+	for _, n := range d.w.listeners() {
 		delay := d.w.upTo(20 * time.Millisecond)
 		wg.Go(func() {
 			time.Sleep(delay)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -38,8 +38,10 @@
 	rndMu sync.Mutex
 	rnd   *rand.Rand
 
-	mu        sync.Mutex
-	nodes     []*node
+	mu    sync.Mutex
+	nodes []*node
+	// stopping are daemons that stop gracefully; they hear of hosts until they have.
+	stopping  map[*node]bool
 	runs      int
 	goneNames map[string]bool
 	instances map[string]int
@@ -52,6 +54,7 @@
 		store:     standin.NewStore(standin.StoreConfig{}),
 		ledger:    &ledger{attempts: map[string]int{}, bodies: map[string]int{}},
 		rnd:       rand.New(rand.NewPCG(seed, seed+1)),
+		stopping:  map[*node]bool{},
 		goneNames: map[string]bool{},
 		instances: map[string]int{},
 		endpoints: map[string]*endpoint{},
@@ -144,6 +147,27 @@
 	return slices.Clone(w.nodes)
 }
 
+// listeners are all daemons that hear of hosts.
+func (w *world) listeners() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := slices.Clone(w.nodes)
+	for n := range w.stopping {
+		list = append(list, n)
+	}
+	return list
+}
+
+func (w *world) setStopping(n *node, stopping bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if stopping {
+		w.stopping[n] = true
+		return
+	}
+	delete(w.stopping, n)
+}
+
 func (w *world) anyNode() *node {
 	nodes := w.nodeList()
 	return nodes[w.below(uint64(len(nodes)))]
