--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,7 +22,6 @@
 	KindLease         Kind = "leases"
 	KindMember        Kind = "members"
 	KindHost          Kind = "hosts"
-	KindMove          Kind = "moves"
 )
 
 // MaxValueBytes is the size of the largest value the platform accepts.
