--- a/cmd/rattanchuted/main.go
+++ b/cmd/rattanchuted/main.go
@@ -29,8 +29,15 @@
 	flaggy.SetVersion(app.Version)
 	flaggy.String(&file, "s", "settings", "settings file, JSON with comments")
 	flaggy.Bool(&check, "c", "check", "check the settings and exit")
+	onPlatform := false
+	flaggy.Bool(&onPlatform, "p", "platform", "take settings, configuration and endpoints from the users' platform")
 	flaggy.Parse()
 
+	if onPlatform {
+		exitOn(runOnPlatform(stopContext()))
+		return
+	}
+
 	s, findings := settings.Load(file, settings.OS())
 	if len(findings) > 0 {
 		fmt.Fprintln(os.Stderr, findings.Error())
@@ -39,12 +46,30 @@
 	if check {
 		return
 	}
-	if err := run(s); err != nil {
+	exitOn(run(s))
+}
+
+func exitOn(err error) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "rattanchuted:", err)
 		os.Exit(exitFailed)
 	}
 }
 
+// stopContext ends with the first signal to stop. A second one changes nothing: the
+// graceful stop goes on.
+func stopContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGHUP)
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return ctx
+}
+
 func run(s settings.Settings) error {
 	logger := &log.Logger{
 		Level:      log.ParseLevel(s.LogLevel),
@@ -55,13 +80,5 @@
 	if err != nil {
 		return err
 	}
-	// A second signal changes nothing: the graceful stop goes on.
-	ctx, cancel := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		cancel()
-	}()
-	return daemon.Run(ctx)
+	return daemon.Run(stopContext())
 }
--- /dev/null
+++ b/cmd/rattanchuted/platform.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"rattanchute/internal/eventlog"
+	"rattanchute/internal/node"
+	"rattanchute/internal/objectstore"
+	"rattanchute/platform"
+)
+
+const (
+	// storeTimeout bounds a store call besides a watch's wait; the store answers in
+	// milliseconds.
+	storeTimeout = 700 * time.Millisecond
+	// storeWatchWait is how long a watch waits: each one costs a call.
+	storeWatchWait = 8 * time.Second
+	// dutyTimeout bounds a duty call; it is below the margin of the lease.
+	dutyTimeout = 800 * time.Millisecond
+)
+
+// runOnPlatform serves as an entry host of the users' platform.
+func runOnPlatform(ctx context.Context) error {
+	logger := eventlog.New(os.Stdout, log.InfoLevel)
+	defer func() { _ = logger.Close() }()
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	store := platform.NewStore(platform.StoreOptions{
+		Address:   s.StoreAddress,
+		Timeout:   storeTimeout,
+		WatchWait: storeWatchWait,
+		OnMalformed: func(kind objectstore.Kind, err error) {
+			logger.Warn().Str("kind", string(kind)).Err(err).Msg("store entry skipped")
+		},
+	})
+	n, err := node.New(node.Parts{
+		Settings: s,
+		Store:    store,
+		Duties:   platform.NewDuties(s.DutyAddress, dutyTimeout),
+		Wire:     platform.Wire{},
+		Decode: node.Decoders{
+			ConfigurationName: platform.ConfigurationName,
+			Configuration:     platform.DecodeConfiguration,
+			Endpoint:          platform.DecodeEndpoint,
+		},
+		Log: &logger.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
--- a/internal/adapter/httpexchange/body.go
+++ b/internal/adapter/httpexchange/body.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -29,20 +30,59 @@
 
 // Open sends a request and returns when the response's header has arrived.
 func (c *Client) Open(ctx context.Context, address string, req *fasthttp.Request) (*Body, error) {
-	l, err := c.send(ctx, address, req)
+	return c.OpenAt(ctx, Target{Address: address}, req, nil)
+}
+
+// maxForeignAnswers is how many answers to earlier requests are passed over.
+const maxForeignAnswers = 2
+
+// OpenAt is Open for a target. Answers that own does not accept belong to earlier requests
+// on the connection and are passed over; a nil own accepts all.
+func (c *Client) OpenAt(ctx context.Context, target Target, req *fasthttp.Request, own func(*fasthttp.ResponseHeader) bool) (*Body, error) {
+	l, err := c.send(ctx, target, req)
 	if err != nil {
 		return nil, err
 	}
-	resp := fasthttp.AcquireResponse()
-	resp.StreamBody = true
-	if err := resp.ReadLimitBody(l.reader, 0); err != nil {
-		fasthttp.ReleaseResponse(resp)
-		l.release(false)
-		return nil, answerError(ctx, err)
+	for range maxForeignAnswers + 1 {
+		resp := fasthttp.AcquireResponse()
+		resp.StreamBody = true
+		resp.SkipBody = req.Header.IsHead()
+		if err := resp.ReadLimitBody(l.reader, 0); err != nil {
+			fasthttp.ReleaseResponse(resp)
+			l.release(false)
+			return nil, l.sendError(ctx, err)
+		}
+		b := &Body{Response: resp, ctx: ctx, lease: l}
+		b.ended = resp.BodyStream() == nil
+		if own == nil || own(&resp.Header) {
+			return b, nil
+		}
+		if err := b.passOver(); err != nil {
+			l.release(false)
+			return nil, answerError(ctx, err)
+		}
+	}
+	l.release(false)
+	return nil, ErrForeignAnswer
+}
+
+// ErrForeignAnswer means that the connection carried answers to other requests only.
+var ErrForeignAnswer = errors.New("answer to another request")
+
+// passOver reads an answer that belongs to another request to its end.
+func (b *Body) passOver() error {
+	defer fasthttp.ReleaseResponse(b.Response)
+	if b.ended {
+		return nil
 	}
-	b := &Body{Response: resp, ctx: ctx, lease: l}
-	b.ended = resp.BodyStream() == nil
-	return b, nil
+	_, err := io.Copy(io.Discard, io.LimitReader(b.Response.BodyStream(), MaxAnswerBytes))
+	_ = b.Response.CloseBodyStream()
+	return err
+}
+
+// KeepFor tells how long the peer keeps the connection unused after this answer.
+func (b *Body) KeepFor(d time.Duration) {
+	b.lease.conn.idleUntil = time.Now().Add(d)
 }
 
 // Read reads what has arrived and blocks only if nothing has.
--- a/internal/adapter/httpexchange/client.go
+++ b/internal/adapter/httpexchange/client.go
@@ -32,13 +32,25 @@
 	IdleTimeout time.Duration
 	// MaxConns is the number of connections to one address.
 	MaxConns int
+	// UserTimeout bounds how long sent bytes may stay unacknowledged; zero leaves it to
+	// the system.
+	UserTimeout time.Duration
+}
+
+// Target is where a request goes. Connections are shared by requests with the same target
+// only, so that one made to an earlier owner of an address is not used for the next.
+type Target struct {
+	// Address is "ip:port".
+	Address string
+	// Instance tells apart processes that have the address one after the other.
+	Instance string
 }
 
 // Client keeps a pool of connections for each address.
 type Client struct {
 	options Options
 	mu      sync.RWMutex
-	hosts   map[string]*fasthttp.HostClient
+	hosts   map[Target]*fasthttp.HostClient
 }
 
 // New returns a Client without connections.
@@ -52,7 +64,7 @@
 	if o.MaxConns <= 0 {
 		o.MaxConns = DefaultMaxConns
 	}
-	return &Client{options: o, hosts: map[string]*fasthttp.HostClient{}}
+	return &Client{options: o, hosts: map[Target]*fasthttp.HostClient{}}
 }
 
 // CloseIdle closes the connections that carry no request now.
@@ -66,7 +78,7 @@
 
 // Do sends a request and reads the whole response.
 func (c *Client) Do(ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response) error {
-	l, err := c.send(ctx, address, req)
+	l, err := c.send(ctx, Target{Address: address}, req)
 	if err != nil {
 		return err
 	}
@@ -79,18 +91,18 @@
 	return nil
 }
 
-// host returns the pool of an address and forgets the pools without connections
+// host returns the pool of a target and forgets the pools without connections
 // when it adds one.
-func (c *Client) host(address string) *fasthttp.HostClient {
+func (c *Client) host(target Target) *fasthttp.HostClient {
 	c.mu.RLock()
-	h := c.hosts[address]
+	h := c.hosts[target]
 	c.mu.RUnlock()
 	if h != nil {
 		return h
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if h := c.hosts[address]; h != nil {
+	if h := c.hosts[target]; h != nil {
 		return h
 	}
 	for a, old := range c.hosts {
@@ -99,18 +111,19 @@
 		}
 	}
 	h = &fasthttp.HostClient{
-		Addr:                address,
+		Addr:                target.Address,
 		Dial:                c.dial,
 		MaxConns:            c.options.MaxConns,
 		MaxIdleConnDuration: c.options.IdleTimeout,
 		ConnPoolStrategy:    fasthttp.LIFO,
 	}
-	c.hosts[address] = h
+	c.hosts[target] = h
 	return h
 }
 
 func (c *Client) dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, c.options.DialTimeout)
+	dialer := net.Dialer{Timeout: c.options.DialTimeout, ControlContext: userTimeout(c.options.UserTimeout)}
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -122,24 +135,27 @@
 	conn    *countingConn
 	reader  reader
 	release func(reuse bool)
+	// written is set if the request is written beside the reading.
+	written chan error
 }
 
 // send writes the request to a connection that its peer has not closed.
-func (c *Client) send(ctx context.Context, address string, req *fasthttp.Request) (*lease, error) {
+func (c *Client) send(ctx context.Context, target Target, req *fasthttp.Request) (*lease, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	h := c.host(address)
+	h := c.host(target)
 	l, err := acquire(ctx, h)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if len(req.Body()) > concurrentBody {
+		l.writeBeside(h, req)
+		return l, nil
+	}
 	if err := l.write(h, req); err != nil {
 		l.release(false)
-		if l.conn.sent == 0 {
-			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-		}
-		return nil, answerError(ctx, err)
+		return nil, l.sendError(ctx, err)
 	}
 	return l, nil
 }
@@ -177,6 +193,38 @@
 	}
 }
 
+// concurrentBody is the size from which a body is written beside the reading of the
+// answer, which may come before the peer has read the body.
+const concurrentBody = 16 << 10
+
+// writeBeside writes the request while the answer is waited for. The request must live
+// until release returns.
+func (l *lease) writeBeside(h *fasthttp.HostClient, req *fasthttp.Request) {
+	l.written = make(chan error, 1)
+	go func() { l.written <- l.write(h, req) }()
+	release := l.release
+	l.release = func(reuse bool) {
+		select {
+		case err := <-l.written:
+			release(reuse && err == nil)
+		default:
+			// The peer answered without reading the whole body: what it reads next on
+			// this connection would be the rest of it.
+			_ = l.conn.Close()
+			<-l.written
+			release(false)
+		}
+	}
+}
+
+// sendError tells a request of which nothing was sent from one that may have arrived.
+func (l *lease) sendError(ctx context.Context, err error) error {
+	if l.conn.sent.Load() == 0 {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return answerError(ctx, err)
+}
+
 func (l *lease) write(h *fasthttp.HostClient, req *fasthttp.Request) error {
 	w := h.AcquireWriter(l.conn)
 	defer h.ReleaseWriter(w)
--- a/internal/adapter/operators/handler_test.go
+++ b/internal/adapter/operators/handler_test.go
@@ -18,7 +18,7 @@
 	"rattanchute/internal/ctl/api"
 	"rattanchute/internal/findings"
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/settings"
 )
 
@@ -211,8 +211,8 @@
 		{nil, 200, ""},
 		{findings.List{{Message: "m"}}, 422, api.CodeFindings},
 		{&change.ConflictError{Base: 3, Current: 4}, 409, api.CodeConflict},
-		{&change.UnknownError{ID: "id-1", Err: platform.ErrUnavailable}, 503, api.CodeUnknownEffect},
-		{fmt.Errorf("read: %w", platform.ErrUnavailable), 503, api.CodeUnavailable},
+		{&change.UnknownError{ID: "id-1", Err: objectstore.ErrUnavailable}, 503, api.CodeUnknownEffect},
+		{fmt.Errorf("read: %w", objectstore.ErrUnavailable), 503, api.CodeUnavailable},
 		{errors.New("other"), 503, api.CodeUnavailable},
 	}
 	for _, c := range cases {
--- a/internal/adapter/peerhttp/peerhttp_test.go
+++ b/internal/adapter/peerhttp/peerhttp_test.go
@@ -14,7 +14,7 @@
 
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/member"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/spread"
 	"rattanchute/internal/spread/spreadtest"
 )
@@ -132,7 +132,7 @@
 	client *Client
 }
 
-func startDaemon(t *testing.T, i int, store platform.Store, seeds []string) (daemon, string) {
+func startDaemon(t *testing.T, i int, store objectstore.Store, seeds []string) (daemon, string) {
 	t.Helper()
 	s, c, address := newPair(t, secret)
 	r := spread.NewRunner(spread.RunnerSettings{
@@ -166,7 +166,7 @@
 	put := func(g fleet.Generation, text string) {
 		value, err := json.Marshal(spread.StoredConfiguration{Generation: g, Text: text})
 		is.NoErr(err)
-		_, err = store.Create(context.Background(), platform.KindConfiguration, fmt.Sprint(g), value)
+		_, err = store.Create(context.Background(), objectstore.KindConfiguration, fmt.Sprint(g), value)
 		is.NoErr(err)
 	}
 	put(1, "one")
--- /dev/null
+++ b/internal/adapter/peerudp/socket.go
@@ -0,0 +1,78 @@
+// Package peerudp carries the entry hosts' reports: JSON, one datagram each.
+package peerudp
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"rattanchute/internal/peering"
+)
+
+// maxDatagram is the largest UDP payload over IPv4.
+const maxDatagram = 65507
+
+// Socket sends and receives reports.
+type Socket struct {
+	conn *net.UDPConn
+}
+
+// Listen opens a socket at "ip:port".
+func Listen(address string) (*Socket, error) {
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("peer address: %w", err)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("peer socket: %w", err)
+	}
+	return &Socket{conn: conn}, nil
+}
+
+// Close ends Receive.
+func (s *Socket) Close() error { return s.conn.Close() }
+
+// Encode makes the datagram of a report.
+func Encode(r *peering.Report) ([]byte, error) {
+	text, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("peer report: %w", err)
+	}
+	if len(text) > maxDatagram {
+		return nil, fmt.Errorf("peer report: %d bytes do not fit a datagram", len(text))
+	}
+	return text, nil
+}
+
+// Decode reads a datagram.
+func Decode(datagram []byte) (*peering.Report, error) {
+	r := new(peering.Report)
+	if err := json.Unmarshal(datagram, r); err != nil {
+		return nil, fmt.Errorf("peer report: %w", err)
+	}
+	return r, nil
+}
+
+// Send sends a datagram to "ip:port".
+func (s *Socket) Send(address string, datagram []byte) error {
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("peer address: %w", err)
+	}
+	_, err = s.conn.WriteToUDPAddrPort(datagram, addr)
+	return err
+}
+
+// Receive waits for the next datagram and decodes it.
+func (s *Socket) Receive(buffer []byte) (*peering.Report, error) {
+	n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(buffer[:n])
+}
+
+// BufferBytes is the size of a buffer that holds any datagram.
+const BufferBytes = maxDatagram
--- a/internal/adapter/platformhttp/store.go
+++ b/internal/adapter/platformhttp/store.go
@@ -1,4 +1,4 @@
-// Package platformhttp is the platform.Store over HTTP.
+// Package platformhttp is the objectstore.Store over HTTP.
 package platformhttp
 
 import (
@@ -13,7 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rattanchute/internal/adapter/httpexchange"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // Defaults of a Store.
@@ -41,7 +41,7 @@
 	exchange *httpexchange.Client
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectstore.Store = (*Store)(nil)
 
 // New returns a Store without connections.
 func New(o Options) *Store {
@@ -59,26 +59,26 @@
 
 // listAnswer is the body of a list answer.
 type listAnswer struct {
-	Version uint64            `json:"version"`
-	Objects []platform.Object `json:"objects"`
+	Version uint64               `json:"version"`
+	Objects []objectstore.Object `json:"objects"`
 }
 
 // watchAnswer is the body of a watch answer.
 type watchAnswer struct {
-	Version uint64           `json:"version"`
-	Events  []platform.Event `json:"events"`
+	Version uint64              `json:"version"`
+	Events  []objectstore.Event `json:"events"`
 }
 
 // Get reads one object.
-func (s *Store) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
-	var o platform.Object
+func (s *Store) Get(ctx context.Context, kind objectstore.Kind, name string) (objectstore.Object, error) {
+	var o objectstore.Object
 	c := call{method: fasthttp.MethodGet, path: objectPath(kind, name)}
 	err := s.do(ctx, c, &o)
 	return o, err
 }
 
 // List reads all objects of a kind.
-func (s *Store) List(ctx context.Context, kind platform.Kind) ([]platform.Object, uint64, error) {
+func (s *Store) List(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error) {
 	var a listAnswer
 	c := call{method: fasthttp.MethodGet, path: kindPath(kind)}
 	err := s.do(ctx, c, &a)
@@ -86,10 +86,10 @@
 }
 
 // Create stores a new object.
-func (s *Store) Create(ctx context.Context, kind platform.Kind, name string, value json.RawMessage) (platform.Object, error) {
-	var o platform.Object
-	if len(value) > platform.MaxValueBytes {
-		return o, platform.ErrTooLarge
+func (s *Store) Create(ctx context.Context, kind objectstore.Kind, name string, value json.RawMessage) (objectstore.Object, error) {
+	var o objectstore.Object
+	if len(value) > objectstore.MaxValueBytes {
+		return o, objectstore.ErrTooLarge
 	}
 	c := call{method: fasthttp.MethodPost, path: objectPath(kind, name), value: value}
 	err := s.do(ctx, c, &o)
@@ -97,10 +97,10 @@
 }
 
 // Update replaces an object's value if its version is still o.Version.
-func (s *Store) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
-	var stored platform.Object
-	if len(o.Value) > platform.MaxValueBytes {
-		return stored, platform.ErrTooLarge
+func (s *Store) Update(ctx context.Context, o objectstore.Object) (objectstore.Object, error) {
+	var stored objectstore.Object
+	if len(o.Value) > objectstore.MaxValueBytes {
+		return stored, objectstore.ErrTooLarge
 	}
 	c := call{method: fasthttp.MethodPut, path: objectPath(o.Kind, o.Name), value: o.Value, match: o.Version}
 	err := s.do(ctx, c, &stored)
@@ -108,13 +108,13 @@
 }
 
 // Delete removes an object if its version is still o.Version.
-func (s *Store) Delete(ctx context.Context, o platform.Object) error {
+func (s *Store) Delete(ctx context.Context, o objectstore.Object) error {
 	c := call{method: fasthttp.MethodDelete, path: objectPath(o.Kind, o.Name), match: o.Version}
 	return s.do(ctx, c, nil)
 }
 
 // Watch waits for changes of a kind after a version.
-func (s *Store) Watch(ctx context.Context, kind platform.Kind, after uint64) ([]platform.Event, uint64, error) {
+func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after uint64) ([]objectstore.Event, uint64, error) {
 	wait := s.options.WatchWait
 	if deadline, ok := ctx.Deadline(); ok {
 		// The answer needs some time of its own before the deadline.
@@ -129,11 +129,11 @@
 	return a.Events, a.Version, err
 }
 
-func kindPath(kind platform.Kind) string {
+func kindPath(kind objectstore.Kind) string {
 	return "/objects/" + url.PathEscape(string(kind))
 }
 
-func objectPath(kind platform.Kind, name string) string {
+func objectPath(kind objectstore.Kind, name string) string {
 	return kindPath(kind) + "/" + url.PathEscape(name)
 }
 
@@ -167,7 +167,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(resp.Body(), out); err != nil {
-		return fmt.Errorf("%w: answer: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: answer: %w", objectstore.ErrUnavailable, err)
 	}
 	return nil
 }
@@ -191,9 +191,9 @@
 // sendError tells calls that were never sent from those whose effect is open.
 func sendError(err error) error {
 	if errors.Is(err, httpexchange.ErrNotSent) {
-		return fmt.Errorf("%w: %w", platform.ErrThrottled, err)
+		return fmt.Errorf("%w: %w", objectstore.ErrThrottled, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %w", objectstore.ErrUnavailable, err)
 }
 
 // ErrRejected is wrapped when the service refuses a call as wrong in itself, such as
@@ -206,17 +206,17 @@
 	case fasthttp.StatusOK, fasthttp.StatusCreated, fasthttp.StatusNoContent:
 		return nil
 	case fasthttp.StatusNotFound:
-		return platform.ErrNotFound
+		return objectstore.ErrNotFound
 	case fasthttp.StatusConflict:
-		return platform.ErrConflict
+		return objectstore.ErrConflict
 	case fasthttp.StatusGone:
-		return platform.ErrCompacted
+		return objectstore.ErrCompacted
 	case fasthttp.StatusRequestEntityTooLarge:
-		return platform.ErrTooLarge
+		return objectstore.ErrTooLarge
 	case fasthttp.StatusTooManyRequests:
-		return platform.ErrThrottled
+		return objectstore.ErrThrottled
 	case fasthttp.StatusBadRequest, fasthttp.StatusUnauthorized, fasthttp.StatusForbidden:
 		return fmt.Errorf("%w: status %d", ErrRejected, status)
 	}
-	return fmt.Errorf("%w: status %d", platform.ErrUnavailable, status)
+	return fmt.Errorf("%w: status %d", objectstore.ErrUnavailable, status)
 }
--- a/internal/adapter/platformhttp/store_test.go
+++ b/internal/adapter/platformhttp/store_test.go
@@ -11,13 +11,13 @@
 	"github.com/matryer/is"
 
 	"rattanchute/internal/adapter/platformhttp"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/standin"
 )
 
 // backing is a store under test and the fake behind it.
 type backing struct {
-	store platform.Store
+	store objectstore.Store
 	fake  *standin.Store
 }
 
@@ -43,7 +43,7 @@
 	},
 }
 
-const kind = platform.Kind("things")
+const kind = objectstore.Kind("things")
 
 func value(s string) json.RawMessage { return json.RawMessage(`"` + s + `"`) }
 
@@ -91,10 +91,10 @@
 	list, version, err := b.store.List(ctx, kind)
 	is.NoErr(err)
 	is.Equal(version, updated.Version)
-	is.Equal(list, []platform.Object{updated})
+	is.Equal(list, []objectstore.Object{updated})
 	is.NoErr(b.store.Delete(ctx, updated))
 	_, err = b.store.Get(ctx, kind, name)
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, objectstore.ErrNotFound))
 	is.Equal(b.fake.Counts().Calls[standin.VerbGet], uint64(2))
 }
 
@@ -103,26 +103,26 @@
 	made, err := b.store.Create(ctx, kind, "a", value("1"))
 	is.NoErr(err)
 	_, err = b.store.Create(ctx, kind, "a", value("2"))
-	is.True(errors.Is(err, platform.ErrConflict))
+	is.True(errors.Is(err, objectstore.ErrConflict))
 	old := made
 	old.Version--
 	_, err = b.store.Update(ctx, old)
-	is.True(errors.Is(err, platform.ErrConflict))
-	is.True(errors.Is(b.store.Delete(ctx, old), platform.ErrConflict))
-	missing := platform.Object{Kind: kind, Name: "b", Version: 1, Value: value("1")}
+	is.True(errors.Is(err, objectstore.ErrConflict))
+	is.True(errors.Is(b.store.Delete(ctx, old), objectstore.ErrConflict))
+	missing := objectstore.Object{Kind: kind, Name: "b", Version: 1, Value: value("1")}
 	_, err = b.store.Update(ctx, missing)
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, objectstore.ErrNotFound))
 	read, err := b.store.Get(ctx, kind, "a")
 	is.NoErr(err)
 	is.Equal(read, made)
 }
 
 func checkLarge(is *is.I, b backing) {
-	limit := value(strings.Repeat("x", platform.MaxValueBytes-2))
+	limit := value(strings.Repeat("x", objectstore.MaxValueBytes-2))
 	_, err := b.store.Create(context.Background(), kind, "a", limit)
 	is.NoErr(err)
-	_, err = b.store.Create(context.Background(), kind, "b", value(strings.Repeat("x", platform.MaxValueBytes)))
-	is.True(errors.Is(err, platform.ErrTooLarge))
+	_, err = b.store.Create(context.Background(), kind, "b", value(strings.Repeat("x", objectstore.MaxValueBytes)))
+	is.True(errors.Is(err, objectstore.ErrTooLarge))
 }
 
 func checkWatch(is *is.I, b backing) {
@@ -147,7 +147,7 @@
 
 func checkWakes(is *is.I, b backing) {
 	ctx := context.Background()
-	got := make(chan []platform.Event)
+	got := make(chan []objectstore.Event)
 	go func() {
 		events, _, _ := b.store.Watch(ctx, kind, 0)
 		got <- events
@@ -174,7 +174,7 @@
 	}()
 	waitForWatch(b)
 	b.fake.SetFaults(standin.StoreFaults{Outage: true})
-	is.True(errors.Is(<-got, platform.ErrUnavailable))
+	is.True(errors.Is(<-got, objectstore.ErrUnavailable))
 }
 
 func checkCompacted(is *is.I, b backing) {
@@ -184,7 +184,7 @@
 		is.NoErr(err)
 	}
 	_, _, err := b.store.Watch(ctx, kind, 1)
-	is.True(errors.Is(err, platform.ErrCompacted))
+	is.True(errors.Is(err, objectstore.ErrCompacted))
 	events, _, err := b.store.Watch(ctx, kind, 2)
 	is.NoErr(err)
 	is.Equal(len(events), 2)
@@ -195,7 +195,7 @@
 	_, err := b.store.Create(ctx, kind, "a", value("1"))
 	is.NoErr(err)
 	_, err = b.store.Create(ctx, kind, "b", value("1"))
-	is.True(errors.Is(err, platform.ErrThrottled))
+	is.True(errors.Is(err, objectstore.ErrThrottled))
 	is.Equal(b.fake.Counts().Throttled, uint64(1))
 }
 
@@ -203,13 +203,13 @@
 	ctx := context.Background()
 	b.fake.SetFaults(standin.StoreFaults{Outage: true})
 	_, err := b.store.Create(ctx, kind, "a", value("1"))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, objectstore.ErrUnavailable))
 	b.fake.SetFaults(standin.StoreFaults{Outage: true, CutConnection: true})
 	_, err = b.store.Get(ctx, kind, "a")
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, objectstore.ErrUnavailable))
 	b.fake.SetFaults(standin.StoreFaults{})
 	_, err = b.store.Get(ctx, kind, "a")
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, objectstore.ErrNotFound))
 }
 
 func checkLostAnswers(is *is.I, b backing) {
@@ -218,7 +218,7 @@
 		b.fake.SetFaults(standin.StoreFaults{LoseAnswers: 1, CutConnection: cut})
 		name := map[bool]string{false: "answered 503", true: "cut"}[cut]
 		_, err := b.store.Create(ctx, kind, name, value("1"))
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, objectstore.ErrUnavailable))
 		read, err := b.store.Get(ctx, kind, name)
 		is.NoErr(err)
 		is.Equal(string(read.Value), `"1"`)
@@ -231,7 +231,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
 	_, err := b.store.Get(ctx, kind, "a")
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, objectstore.ErrUnavailable))
 }
 
 func TestClosedServiceProvesNothingWritten(t *testing.T) {
@@ -244,7 +244,7 @@
 	is.NoErr(err)
 	site.Close()
 	_, err = store.Create(context.Background(), kind, "b", value("1"))
-	is.True(errors.Is(err, platform.ErrThrottled))
+	is.True(errors.Is(err, objectstore.ErrThrottled))
 }
 
 func TestWrongTokenIsRejected(t *testing.T) {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -24,7 +24,7 @@
 	"rattanchute/internal/claim"
 	"rattanchute/internal/cloud"
 	"rattanchute/internal/engine"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/route"
 	"rattanchute/internal/serve"
 	"rattanchute/internal/settings"
@@ -38,7 +38,7 @@
 	log      *log.Logger
 	registry *prometheus.Registry
 
-	store platform.Store
+	store objectstore.Store
 	cloud cloud.Client
 	// noticesSeen is the last notice read; only the notices' task uses it.
 	noticesSeen uint64
@@ -91,7 +91,7 @@
 	return a, nil
 }
 
-func newStore(p settings.Platform) platform.Store {
+func newStore(p settings.Platform) objectstore.Store {
 	return platformhttp.New(platformhttp.Options{
 		Address: hostPort(p.URL),
 		Token:   p.Token.Secret.Reveal(),
--- /dev/null
+++ b/internal/capacity/counts.go
@@ -0,0 +1,157 @@
+package capacity
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// CountDemand is what callers ask of a fleet of engines.
+type CountDemand struct {
+	RequestsPerSecond float64
+	// PromptTokens and OutputTokens are means of a request.
+	PromptTokens float64
+	OutputTokens float64
+}
+
+// CountSite is one data centre's part of a fleet that is ordered by numbers.
+type CountSite struct {
+	DataCentre string
+	// Price is that of an on-demand endpoint.
+	Price float64
+	// OnDemand and Reclaimable are the endpoints that are there and stay.
+	OnDemand    int
+	Reclaimable int
+	// ReclaimableRefused tells that there were none to be had of late.
+	ReclaimableRefused bool
+}
+
+// CountSnapshot is what a plan by numbers depends on.
+type CountSnapshot struct {
+	Demand CountDemand
+	Sites  []CountSite
+	// Min and Max bound both kinds of endpoints together in one data centre.
+	Min, Max int
+	// ReclaimablePrice is the part of an on-demand price; zero if there are none.
+	ReclaimablePrice float64
+}
+
+// Count is the wanted number of endpoints in one data centre.
+type Count struct {
+	DataCentre  string
+	OnDemand    int
+	Reclaimable int
+}
+
+const (
+	// prefillTokensPerMilli is how fast an engine reads prompts.
+	prefillTokensPerMilli = 50.0
+	// uncachedShare of prompts has to be read.
+	uncachedShare = 0.65
+	// millisPerOutputToken is an engine's time for a token of one request in a batch.
+	millisPerOutputToken = 0.25
+	// targetUtilisation leaves room for waves and for prompts that come together.
+	targetUtilisation = 0.6
+	// sitesLost is how many data centres may lose their reclaimable endpoints within the
+	// time that replacements take.
+	sitesLost = 2
+	// replaceShare of the reclaimable endpoints must be there before on-demand ones go.
+	replaceShare = 0.75
+)
+
+// EnginesNeeded is the number of engines that carry a demand.
+func EnginesNeeded(d CountDemand) float64 {
+	millis := d.PromptTokens*uncachedShare/prefillTokensPerMilli + d.OutputTokens*millisPerOutputToken
+	return d.RequestsPerSecond * millis / 1000 / targetUtilisation
+}
+
+// PlanCounts decides how many endpoints each data centre should have. Reclaimable ones
+// carry the load, spread so that the rest suffices when some data centres lose theirs;
+// on-demand ones go once the reclaimable are there, and come back for what cannot be had.
+func PlanCounts(s CountSnapshot) []Count {
+	need := EnginesNeeded(s.Demand)
+	if s.ReclaimablePrice <= 0 || s.ReclaimablePrice >= 1 {
+		return planOnDemand(s, need)
+	}
+	perSite := reclaimablePerSite(s, need)
+	counts := make([]Count, len(s.Sites))
+	present, onDemand := 0, 0
+	for i, site := range s.Sites {
+		room := max(s.Max-site.OnDemand, 0)
+		counts[i] = Count{DataCentre: site.DataCentre, Reclaimable: min(perSite, room)}
+		present += min(site.Reclaimable, counts[i].Reclaimable)
+		onDemand += site.OnDemand
+	}
+	wantedOnDemand := int(math.Ceil(need)) - present
+	if float64(present) < replaceShare*float64(perSite*len(s.Sites)) {
+		// Until the others have come, what is there stays.
+		wantedOnDemand = max(wantedOnDemand, min(onDemand, int(math.Ceil(need/targetUtilisation))-present))
+	}
+	spreadOnDemand(s, counts, max(wantedOnDemand, 0))
+	return counts
+}
+
+// reclaimablePerSite is the number in each data centre with which the rest carry the need
+// after the loss of some.
+func reclaimablePerSite(s CountSnapshot, need float64) int {
+	left := max(len(s.Sites)-sitesLost, 1)
+	perSite := int(math.Ceil(need / float64(left)))
+	return min(max(perSite, s.Min, 1), s.Max)
+}
+
+// spreadOnDemand places on-demand endpoints where they stand already, then where they cost
+// least, within the bounds.
+func spreadOnDemand(s CountSnapshot, counts []Count, wanted int) {
+	order := make([]int, len(s.Sites))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(s.Sites[a].Price, s.Sites[b].Price) })
+	for pass := range 2 {
+		for _, i := range order {
+			for wanted > 0 && counts[i].OnDemand < s.Max-counts[i].Reclaimable {
+				if pass == 0 && counts[i].OnDemand >= s.Sites[i].OnDemand {
+					break
+				}
+				counts[i].OnDemand++
+				wanted--
+			}
+		}
+	}
+}
+
+func planOnDemand(s CountSnapshot, need float64) []Count {
+	left := max(len(s.Sites)-1, 1)
+	perSite := min(max(int(math.Ceil(need/float64(left))), s.Min, 1), s.Max)
+	counts := make([]Count, len(s.Sites))
+	for i, site := range s.Sites {
+		counts[i] = Count{DataCentre: site.DataCentre, OnDemand: perSite}
+	}
+	return counts
+}
+
+// DemandHold keeps the highest demand of a while, so that a wave's low does not give back
+// what its next high needs.
+type DemandHold struct {
+	held CountDemand
+	at   time.Time
+}
+
+// holdFade is the time in which a held demand falls by half.
+const holdFade = 20 * time.Second
+
+// Take takes in the demand now and returns the one to plan for.
+func (h *DemandHold) Take(now time.Time, d CountDemand) CountDemand {
+	elapsed := now.Sub(h.at)
+	if h.at.IsZero() || EnginesNeeded(d) >= EnginesNeeded(h.held) {
+		h.held, h.at = d, now
+		return d
+	}
+	h.held.RequestsPerSecond *= math.Exp2(-elapsed.Seconds() / holdFade.Seconds())
+	h.at = now
+	if EnginesNeeded(d) > EnginesNeeded(h.held) {
+		h.held = d
+	}
+	return h.held
+}
--- a/internal/capacitybench/cluster.go
+++ b/internal/capacitybench/cluster.go
@@ -10,7 +10,7 @@
 	"rattanchute/internal/adapter/peerhttp"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/member"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/spread"
 	"rattanchute/internal/spread/spreadtest"
 )
@@ -140,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	c.ownCalls.Add(2)
-	o := platform.Object{Kind: platform.KindConfiguration, Name: "current", Value: storedConfiguration(g, text)}
+	o := objectstore.Object{Kind: objectstore.KindConfiguration, Name: "current", Value: storedConfiguration(g, text)}
 	if old, err := c.store.Get(ctx, o.Kind, o.Name); err == nil {
 		o.Version = old.Version
 	}
--- a/internal/capacitybench/virtual.go
+++ b/internal/capacitybench/virtual.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/spread"
 	"rattanchute/internal/spread/spreadtest"
 )
@@ -111,7 +111,7 @@
 func (s *site) relays() []*spreadtest.Node {
 	var out []*spreadtest.Node
 	for _, n := range s.Nodes {
-		if n.Up && n.Machine.IsRelay(platform.KindConfiguration) {
+		if n.Up && n.Machine.IsRelay(objectstore.KindConfiguration) {
 			out = append(out, n)
 		}
 	}
--- a/internal/change/accept.go
+++ b/internal/change/accept.go
@@ -8,7 +8,7 @@
 
 	"rattanchute/internal/findings"
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // maxWriteAttempts bounds how often one change is written again after lost answers.
@@ -37,7 +37,7 @@
 // Accept validates a change and writes it together with its audit entry. Its errors
 // are findings.List for a text that is not valid, *ConflictError, *UnknownError, and
 // wrapped errors of the platform, after which nothing was written.
-func Accept(ctx context.Context, store platform.Store, c Change, now time.Time) (Accepted, error) {
+func Accept(ctx context.Context, store objectstore.Store, c Change, now time.Time) (Accepted, error) {
 	configuration, list := fleet.ParseConfiguration(c.File, []byte(c.Text))
 	if err := list.Err(); err != nil {
 		return Accepted{}, err
@@ -52,7 +52,7 @@
 
 // acceptance is one change on its way into the platform.
 type acceptance struct {
-	store         platform.Store
+	store         objectstore.Store
 	change        Change
 	configuration *fleet.Configuration
 	now           time.Time
@@ -125,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	if size <= platform.MaxValueBytes {
+	if size <= objectstore.MaxValueBytes {
 		return nil
 	}
 	return findings.List{{
@@ -133,7 +133,7 @@
 		Line:     1,
 		Column:   1,
 		Message:  fmt.Sprintf("the configuration takes %d bytes in the platform", size),
-		Accepted: fmt.Sprintf("accepted are at most %d bytes", platform.MaxValueBytes),
+		Accepted: fmt.Sprintf("accepted are at most %d bytes", objectstore.MaxValueBytes),
 	}}
 }
 
@@ -169,21 +169,21 @@
 // provesNothingWritten tells whether a failed write can be given up for good. A version
 // conflict cannot: an earlier write of the same change may have caused it.
 func provesNothingWritten(err error) bool {
-	return errors.Is(err, platform.ErrThrottled) ||
-		errors.Is(err, platform.ErrTooLarge) ||
-		errors.Is(err, platform.ErrNotFound)
+	return errors.Is(err, objectstore.ErrThrottled) ||
+		errors.Is(err, objectstore.ErrTooLarge) ||
+		errors.Is(err, objectstore.ErrNotFound)
 }
 
-func (a *acceptance) put(ctx context.Context, version uint64, next Stored) (platform.Object, error) {
+func (a *acceptance) put(ctx context.Context, version uint64, next Stored) (objectstore.Object, error) {
 	value, err := encode(next)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	if version == 0 {
-		return a.store.Create(ctx, platform.KindConfiguration, CurrentName, value)
+		return a.store.Create(ctx, objectstore.KindConfiguration, CurrentName, value)
 	}
-	return a.store.Update(ctx, platform.Object{
-		Kind:    platform.KindConfiguration,
+	return a.store.Update(ctx, objectstore.Object{
+		Kind:    objectstore.KindConfiguration,
 		Name:    CurrentName,
 		Version: version,
 		Value:   value,
--- a/internal/change/accept_test.go
+++ b/internal/change/accept_test.go
@@ -11,7 +11,7 @@
 
 	"rattanchute/internal/findings"
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -24,7 +24,7 @@
 	return `{"data_centres": [` + strings.Join(objects, ",") + `]}`
 }
 
-func mustAccept(t *testing.T, store platform.Store, c Change) Accepted {
+func mustAccept(t *testing.T, store objectstore.Store, c Change) Accepted {
 	t.Helper()
 	accepted, err := Accept(t.Context(), store, c, now)
 	if err != nil {
@@ -117,7 +117,7 @@
 	is.NoErr(err)
 	value, err := encode(page{Entries: stored.Audit[:3]})
 	is.NoErr(err)
-	_, err = store.Create(t.Context(), platform.KindAudit, pageName(1), value)
+	_, err = store.Create(t.Context(), objectstore.KindAudit, pageName(1), value)
 	is.NoErr(err)
 	mustAccept(t, store, Change{ID: "next", Base: MaxCurrentEntries, Text: text()})
 	trail, err := AuditTrail(t.Context(), store, 1000)
@@ -134,15 +134,15 @@
 	}
 	value, err := encode(Stored{Generation: MaxCurrentEntries, Text: text(), Audit: entries, AuditPages: MaxAuditPages})
 	is.NoErr(err)
-	_, err = store.Create(t.Context(), platform.KindConfiguration, CurrentName, value)
+	_, err = store.Create(t.Context(), objectstore.KindConfiguration, CurrentName, value)
 	is.NoErr(err)
-	_, err = store.Create(t.Context(), platform.KindAudit, pageName(1), value)
+	_, err = store.Create(t.Context(), objectstore.KindAudit, pageName(1), value)
 	is.NoErr(err)
 	for i := range fleet.Generation(2 * MaxRevisions) {
 		mustAccept(t, store, Change{ID: fmt.Sprint(i), Base: MaxCurrentEntries + i, Text: text()})
 	}
-	_, err = store.Get(t.Context(), platform.KindAudit, pageName(1))
-	is.True(errors.Is(err, platform.ErrNotFound))
+	_, err = store.Get(t.Context(), objectstore.KindAudit, pageName(1))
+	is.True(errors.Is(err, objectstore.ErrNotFound))
 	revisions, _, err := store.List(t.Context(), KindRevision)
 	is.NoErr(err)
 	is.Equal(len(revisions), MaxRevisions)
--- a/internal/change/audit.go
+++ b/internal/change/audit.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 const (
@@ -36,7 +36,7 @@
 // moveOldEntries writes the oldest entries to a page and returns the value without
 // them, if there are too many entries or the value is too large. Only entries of
 // earlier generations move, so that a page holds nothing that was not accepted.
-func moveOldEntries(ctx context.Context, store platform.Store, s Stored) (Stored, error) {
+func moveOldEntries(ctx context.Context, store objectstore.Store, s Stored) (Stored, error) {
 	for {
 		count, err := entriesToMove(s)
 		if err != nil || count == 0 {
@@ -59,7 +59,7 @@
 		return entriesPerPage, nil
 	}
 	size, err := encodedSize(s)
-	if err != nil || size <= platform.MaxValueBytes {
+	if err != nil || size <= objectstore.MaxValueBytes {
 		return 0, err
 	}
 	return min(old, entriesPerPage), nil
@@ -68,16 +68,16 @@
 // writePage creates a page and returns the generation of its last entry. A page that
 // is there already was written by a change that did not get further; what it holds
 // counts.
-func writePage(ctx context.Context, store platform.Store, number int, entries []Entry) (fleet.Generation, error) {
+func writePage(ctx context.Context, store objectstore.Store, number int, entries []Entry) (fleet.Generation, error) {
 	value, err := encode(page{Entries: entries})
 	if err != nil {
 		return 0, err
 	}
-	_, err = store.Create(ctx, platform.KindAudit, pageName(number), value)
+	_, err = store.Create(ctx, objectstore.KindAudit, pageName(number), value)
 	if err == nil {
 		return entries[len(entries)-1].To, nil
 	}
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, objectstore.ErrConflict) && !errors.Is(err, objectstore.ErrUnavailable) {
 		return 0, fmt.Errorf("write audit page %d: %w", number, err)
 	}
 	written, err := readPage(ctx, store, number)
@@ -90,8 +90,8 @@
 	return written.Entries[len(written.Entries)-1].To, nil
 }
 
-func readPage(ctx context.Context, store platform.Store, number int) (page, error) {
-	object, err := store.Get(ctx, platform.KindAudit, pageName(number))
+func readPage(ctx context.Context, store objectstore.Store, number int) (page, error) {
+	object, err := store.Get(ctx, objectstore.KindAudit, pageName(number))
 	if err != nil {
 		return page{}, fmt.Errorf("read audit page %d: %w", number, err)
 	}
@@ -108,15 +108,15 @@
 }
 
 // deleteOldPages removes the pages that fell out of retention.
-func deleteOldPages(ctx context.Context, store platform.Store, newest int) {
+func deleteOldPages(ctx context.Context, store objectstore.Store, newest int) {
 	for number := newest - MaxAuditPages; number > newest-MaxAuditPages-deletionTries && number > 0; number-- {
-		deleteObject(ctx, store, platform.KindAudit, pageName(number))
+		deleteObject(ctx, store, objectstore.KindAudit, pageName(number))
 	}
 }
 
 // deleteObject removes an object that is no longer needed. A failure only leaves it
 // there until the next try.
-func deleteObject(ctx context.Context, store platform.Store, kind platform.Kind, name string) {
+func deleteObject(ctx context.Context, store objectstore.Store, kind objectstore.Kind, name string) {
 	object, err := store.Get(ctx, kind, name)
 	if err == nil {
 		_ = store.Delete(ctx, object)
@@ -124,7 +124,7 @@
 }
 
 // AuditTrail returns up to limit entries, newest first.
-func AuditTrail(ctx context.Context, store platform.Store, limit int) ([]Entry, error) {
+func AuditTrail(ctx context.Context, store objectstore.Store, limit int) ([]Entry, error) {
 	current, err := Read(ctx, store)
 	if err != nil {
 		return nil, err
@@ -133,7 +133,7 @@
 	slices.Reverse(trail)
 	for number := current.AuditPages; number > 0 && len(trail) < limit; number-- {
 		p, err := readPage(ctx, store, number)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, objectstore.ErrNotFound) {
 			break
 		}
 		if err != nil {
--- a/internal/change/fake_store_test.go
+++ b/internal/change/fake_store_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // fault is what happens to one call of the fake store.
@@ -24,24 +24,24 @@
 
 // fakeStore keeps objects in memory and injects the fault that pick returns.
 type fakeStore struct {
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	version uint64
 	delayed []func()
 	// pick chooses the fault of a write, or of a read when write is false.
 	pick func(write bool) fault
 	// observe sees each stored object.
-	observe func(platform.Object)
+	observe func(objectstore.Object)
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{
-		objects: map[string]platform.Object{},
+		objects: map[string]objectstore.Object{},
 		pick:    func(bool) fault { return faultNone },
-		observe: func(platform.Object) {},
+		observe: func(objectstore.Object) {},
 	}
 }
 
-func key(kind platform.Kind, name string) string {
+func key(kind objectstore.Kind, name string) string {
 	return string(kind) + "/" + name
 }
 
@@ -54,25 +54,25 @@
 	}
 }
 
-func (s *fakeStore) write(apply func() (platform.Object, error)) (platform.Object, error) {
+func (s *fakeStore) write(apply func() (objectstore.Object, error)) (objectstore.Object, error) {
 	switch s.pick(true) {
 	case faultThrottled:
-		return platform.Object{}, platform.ErrThrottled
+		return objectstore.Object{}, objectstore.ErrThrottled
 	case faultRefused, faultLostBefore:
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	case faultLostAfter:
 		_, _ = apply()
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	case faultDelayed:
 		s.delayed = append(s.delayed, func() { _, _ = apply() })
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	return apply()
 }
 
-func (s *fakeStore) put(o platform.Object) (platform.Object, error) {
-	if len(o.Value) > platform.MaxValueBytes {
-		return platform.Object{}, platform.ErrTooLarge
+func (s *fakeStore) put(o objectstore.Object) (objectstore.Object, error) {
+	if len(o.Value) > objectstore.MaxValueBytes {
+		return objectstore.Object{}, objectstore.ErrTooLarge
 	}
 	s.version++
 	o.Version = s.version
@@ -81,42 +81,42 @@
 	return o, nil
 }
 
-func (s *fakeStore) Get(_ context.Context, kind platform.Kind, name string) (platform.Object, error) {
+func (s *fakeStore) Get(_ context.Context, kind objectstore.Kind, name string) (objectstore.Object, error) {
 	if s.pick(false) != faultNone {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	o, found := s.objects[key(kind, name)]
 	if !found {
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
 	return o, nil
 }
 
-func (s *fakeStore) Create(_ context.Context, kind platform.Kind, name string, value json.RawMessage) (platform.Object, error) {
-	return s.write(func() (platform.Object, error) {
+func (s *fakeStore) Create(_ context.Context, kind objectstore.Kind, name string, value json.RawMessage) (objectstore.Object, error) {
+	return s.write(func() (objectstore.Object, error) {
 		if _, found := s.objects[key(kind, name)]; found {
-			return platform.Object{}, platform.ErrConflict
+			return objectstore.Object{}, objectstore.ErrConflict
 		}
-		return s.put(platform.Object{Kind: kind, Name: name, Value: slices.Clone(value)})
+		return s.put(objectstore.Object{Kind: kind, Name: name, Value: slices.Clone(value)})
 	})
 }
 
-func (s *fakeStore) Update(_ context.Context, o platform.Object) (platform.Object, error) {
-	return s.write(func() (platform.Object, error) {
+func (s *fakeStore) Update(_ context.Context, o objectstore.Object) (objectstore.Object, error) {
+	return s.write(func() (objectstore.Object, error) {
 		if s.objects[key(o.Kind, o.Name)].Version != o.Version {
-			return platform.Object{}, platform.ErrConflict
+			return objectstore.Object{}, objectstore.ErrConflict
 		}
 		return s.put(o)
 	})
 }
 
-func (s *fakeStore) Delete(_ context.Context, o platform.Object) error {
+func (s *fakeStore) Delete(_ context.Context, o objectstore.Object) error {
 	delete(s.objects, key(o.Kind, o.Name))
 	return nil
 }
 
-func (s *fakeStore) List(_ context.Context, kind platform.Kind) ([]platform.Object, uint64, error) {
-	var all []platform.Object
+func (s *fakeStore) List(_ context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error) {
+	var all []objectstore.Object
 	for k, o := range s.objects {
 		if strings.HasPrefix(k, string(kind)+"/") {
 			all = append(all, o)
@@ -125,6 +125,6 @@
 	return all, s.version, nil
 }
 
-func (s *fakeStore) Watch(context.Context, platform.Kind, uint64) ([]platform.Event, uint64, error) {
-	return nil, s.version, platform.ErrUnavailable
+func (s *fakeStore) Watch(context.Context, objectstore.Kind, uint64) ([]objectstore.Event, uint64, error) {
+	return nil, s.version, objectstore.ErrUnavailable
 }
--- a/internal/change/property_test.go
+++ b/internal/change/property_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // run is one randomised history of racing operators.
@@ -86,7 +86,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	_, _ = r.store.put(platform.Object{Kind: platform.KindConfiguration, Name: CurrentName, Value: value})
+	_, _ = r.store.put(objectstore.Object{Kind: objectstore.KindConfiguration, Name: CurrentName, Value: value})
 }
 
 func (r *run) accept() {
@@ -112,8 +112,8 @@
 }
 
 // observe asserts what holds for each value written as the configuration.
-func (r *run) observe(o platform.Object) {
-	if o.Kind != platform.KindConfiguration {
+func (r *run) observe(o objectstore.Object) {
+	if o.Kind != objectstore.KindConfiguration {
 		return
 	}
 	stored, err := Decode(o)
--- a/internal/change/revision.go
+++ b/internal/change/revision.go
@@ -7,12 +7,12 @@
 	"fmt"
 
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // KindRevision holds the texts of replaced generations. It is a kind of its own, so
 // that watches of the configuration do not carry them.
-const KindRevision platform.Kind = "configuration-revisions"
+const KindRevision objectstore.Kind = "configuration-revisions"
 
 // MaxRevisions is how many replaced generations are kept.
 const MaxRevisions = 20
@@ -29,7 +29,7 @@
 
 // keepRevision stores the text that is about to be replaced. A revision never changes,
 // so that one that is there already is as good.
-func keepRevision(ctx context.Context, store platform.Store, s Stored) error {
+func keepRevision(ctx context.Context, store objectstore.Store, s Stored) error {
 	if s.Generation == 0 {
 		return nil
 	}
@@ -38,7 +38,7 @@
 		return err
 	}
 	_, err = store.Create(ctx, KindRevision, revisionName(s.Generation), value)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, objectstore.ErrConflict) {
 		return fmt.Errorf("keep generation %d: %w", s.Generation, err)
 	}
 	deleteOldRevisions(ctx, store, s.Generation)
@@ -46,14 +46,14 @@
 }
 
 // deleteOldRevisions removes the revisions that fell out of retention.
-func deleteOldRevisions(ctx context.Context, store platform.Store, newest fleet.Generation) {
+func deleteOldRevisions(ctx context.Context, store objectstore.Store, newest fleet.Generation) {
 	for i := fleet.Generation(0); i < deletionTries && newest > MaxRevisions+i; i++ {
 		deleteObject(ctx, store, KindRevision, revisionName(newest-MaxRevisions-i))
 	}
 }
 
 // readRevision returns a replaced generation if it is still kept and readable.
-func readRevision(ctx context.Context, store platform.Store, g fleet.Generation) (*fleet.Configuration, bool) {
+func readRevision(ctx context.Context, store objectstore.Store, g fleet.Generation) (*fleet.Configuration, bool) {
 	if g == 0 {
 		return &fleet.Configuration{}, true
 	}
--- a/internal/change/stored.go
+++ b/internal/change/stored.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // CurrentName is the name of the platform object that holds the configuration in force.
@@ -45,9 +45,9 @@
 var ErrCorrupt = errors.New("change: stored configuration is corrupt")
 
 // Read returns the configuration in force; the zero Stored if none was accepted yet.
-func Read(ctx context.Context, store platform.Store) (Stored, error) {
-	object, err := store.Get(ctx, platform.KindConfiguration, CurrentName)
-	if errors.Is(err, platform.ErrNotFound) {
+func Read(ctx context.Context, store objectstore.Store) (Stored, error) {
+	object, err := store.Get(ctx, objectstore.KindConfiguration, CurrentName)
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return Stored{}, nil
 	}
 	if err != nil {
@@ -56,8 +56,8 @@
 	return Decode(object)
 }
 
-// Decode reads the object that Read and watches of platform.KindConfiguration return.
-func Decode(object platform.Object) (Stored, error) {
+// Decode reads the object that Read and watches of objectstore.KindConfiguration return.
+func Decode(object objectstore.Object) (Stored, error) {
 	var s Stored
 	if err := json.Unmarshal(object.Value, &s); err != nil {
 		return Stored{}, fmt.Errorf("%w: %w", ErrCorrupt, err)
--- a/internal/claim/fakestore_test.go
+++ b/internal/claim/fakestore_test.go
@@ -7,79 +7,79 @@
 	"sync"
 	"time"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // fakeStore keeps objects in memory and fails as its random source says.
 type fakeStore struct {
-	platform.Store // the calls that are not used
-	latency        time.Duration
-	faults         *faults // nil: none
+	objectstore.Store // the calls that are not used
+	latency           time.Duration
+	faults            *faults // nil: none
 	// lostThenDown makes the next write take effect unanswered and begins an outage.
 	lostThenDown bool
 
 	mu      sync.Mutex
 	version uint64
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 }
 
 func newFakeStore(f *faults) *fakeStore {
-	return &fakeStore{faults: f, objects: map[string]platform.Object{}}
+	return &fakeStore{faults: f, objects: map[string]objectstore.Object{}}
 }
 
-func (f *fakeStore) Get(ctx context.Context, _ platform.Kind, name string) (platform.Object, error) {
+func (f *fakeStore) Get(ctx context.Context, _ objectstore.Kind, name string) (objectstore.Object, error) {
 	if f.faults.draw("store read unanswered", 0.05) || f.faults.isDown() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	time.Sleep(f.latency)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	object, found := f.objects[name]
 	if !found {
-		return object, platform.ErrNotFound
+		return object, objectstore.ErrNotFound
 	}
 	return object, nil
 }
 
-func (f *fakeStore) Create(ctx context.Context, kind platform.Kind, name string, v json.RawMessage) (platform.Object, error) {
-	return f.Update(ctx, platform.Object{Kind: kind, Name: name, Value: v})
+func (f *fakeStore) Create(ctx context.Context, kind objectstore.Kind, name string, v json.RawMessage) (objectstore.Object, error) {
+	return f.Update(ctx, objectstore.Object{Kind: kind, Name: name, Value: v})
 }
 
-func (f *fakeStore) Update(_ context.Context, o platform.Object) (platform.Object, error) {
+func (f *fakeStore) Update(_ context.Context, o objectstore.Object) (objectstore.Object, error) {
 	switch {
 	case f.lostThenDown:
 		f.lostThenDown = false
 		f.apply(o)
 		f.faults.setDown(true)
-		return o, platform.ErrUnavailable
+		return o, objectstore.ErrUnavailable
 	case f.faults.isDown():
-		return o, platform.ErrUnavailable
+		return o, objectstore.ErrUnavailable
 	case f.faults.draw("store throttled", 0.03):
-		return o, platform.ErrThrottled
+		return o, objectstore.ErrThrottled
 	case f.faults.draw("store write lost before", 0.05):
-		return o, platform.ErrUnavailable
+		return o, objectstore.ErrUnavailable
 	case f.faults.draw("store answer lost", 0.08):
 		f.apply(o)
-		return o, platform.ErrUnavailable
+		return o, objectstore.ErrUnavailable
 	case f.faults.draw("store write lands late", 0.08):
 		late := f.faults.duration(time.Minute)
 		time.AfterFunc(late, func() { f.apply(o) })
-		return o, platform.ErrUnavailable
+		return o, objectstore.ErrUnavailable
 	}
 	time.Sleep(f.latency)
 	return f.apply(o)
 }
 
 // apply is the conditional write itself.
-func (f *fakeStore) apply(o platform.Object) (platform.Object, error) {
+func (f *fakeStore) apply(o objectstore.Object) (objectstore.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(o.Value) > platform.MaxValueBytes {
-		return o, platform.ErrTooLarge
+	if len(o.Value) > objectstore.MaxValueBytes {
+		return o, objectstore.ErrTooLarge
 	}
 	if f.objects[o.Name].Version != o.Version {
 		f.faults.count("store conflict")
-		return o, platform.ErrConflict
+		return o, objectstore.ErrConflict
 	}
 	f.version++
 	o.Version = f.version
@@ -87,14 +87,14 @@
 	return o, nil
 }
 
-func (f *fakeStore) Delete(_ context.Context, o platform.Object) error {
+func (f *fakeStore) Delete(_ context.Context, o objectstore.Object) error {
 	if f.faults.draw("store delete unanswered", 0.1) || f.faults.isDown() {
-		return platform.ErrUnavailable
+		return objectstore.ErrUnavailable
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.objects[o.Name].Version != o.Version {
-		return platform.ErrConflict
+		return objectstore.ErrConflict
 	}
 	delete(f.objects, o.Name)
 	return nil
--- a/internal/claim/layout.go
+++ b/internal/claim/layout.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // layoutName is the object that fixes the number of shards for a site.
@@ -27,24 +27,24 @@
 }
 
 // loadLayout reads the site's layout, or stores the wanted one if there is none.
-func loadLayout(ctx context.Context, store platform.Store, wanted layout) (layout, error) {
+func loadLayout(ctx context.Context, store objectstore.Store, wanted layout) (layout, error) {
 	stored, err := readLayout(ctx, store)
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, objectstore.ErrNotFound) {
 		return stored, err
 	}
 	value, err := json.Marshal(wanted)
 	if err != nil {
 		return layout{}, fmt.Errorf("claim layout: %w", err)
 	}
-	_, err = store.Create(ctx, platform.KindClaims, layoutName, value)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	_, err = store.Create(ctx, objectstore.KindClaims, layoutName, value)
+	if err != nil && !errors.Is(err, objectstore.ErrConflict) {
 		return layout{}, fmt.Errorf("claim layout: %w", err)
 	}
 	return readLayout(ctx, store)
 }
 
-func readLayout(ctx context.Context, store platform.Store) (layout, error) {
-	object, err := store.Get(ctx, platform.KindClaims, layoutName)
+func readLayout(ctx context.Context, store objectstore.Store) (layout, error) {
+	object, err := store.Get(ctx, objectstore.KindClaims, layoutName)
 	if err != nil {
 		return layout{}, fmt.Errorf("claim layout: %w", err)
 	}
--- a/internal/claim/segmentstore.go
+++ b/internal/claim/segmentstore.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // segmentReaders limits the segments that are read at the same time.
@@ -58,8 +58,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
 	defer cancel()
 	s.metrics.Reads.Add(1)
-	object, err := s.store.Get(ctx, platform.KindClaims, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	object, err := s.store.Get(ctx, objectstore.KindClaims, name)
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil, fmt.Errorf("%w: %s", errSegmentGone, name)
 	}
 	if err != nil {
@@ -103,7 +103,7 @@
 	defer cancel()
 	s.metrics.Writes.Add(1)
 	s.metrics.WrittenBytes.Add(uint64(len(value)))
-	_, err = s.store.Create(ctx, platform.KindClaims, name, value)
+	_, err = s.store.Create(ctx, objectstore.KindClaims, name, value)
 	if err != nil && !isRefusal(err) {
 		s.orphans = append(s.orphans, orphan{name: name, version: s.version})
 	}
@@ -112,9 +112,9 @@
 
 // isRefusal reports whether an error says that nothing was written.
 func isRefusal(err error) bool {
-	return errors.Is(err, platform.ErrThrottled) ||
-		errors.Is(err, platform.ErrTooLarge) ||
-		errors.Is(err, platform.ErrConflict)
+	return errors.Is(err, objectstore.ErrThrottled) ||
+		errors.Is(err, objectstore.ErrTooLarge) ||
+		errors.Is(err, objectstore.ErrConflict)
 }
 
 // collect deletes the segments that are no part of the shard any more, now that its
@@ -154,13 +154,13 @@
 func (s *shardStore) remove(names []string) {
 	for _, name := range names {
 		ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
-		object, err := s.store.Get(ctx, platform.KindClaims, name)
+		object, err := s.store.Get(ctx, objectstore.KindClaims, name)
 		if err == nil {
 			err = s.store.Delete(ctx, object)
 		}
 		cancel()
 		s.metrics.Removals.Add(1)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 			s.metrics.Leftovers.Add(1)
 		}
 	}
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -11,7 +11,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/phuslu/log"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // ErrDeferred means that a report is not recorded yet; it is sent again in the background.
@@ -29,7 +29,7 @@
 	Member string
 	// Writer names this run of the daemon, different after each start.
 	Writer string
-	Store  platform.Store
+	Store  objectstore.Store
 	// Owner returns the member that owns a shard; nil means this one owns all.
 	Owner func(shard int) string
 	// Forward reaches other owners; nil commits everything here.
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -5,12 +5,12 @@
 	"slices"
 	"time"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // limitBytes is the largest encoded shard that is written; the rest of the platform's
 // limit is left for the frame around records and fingerprints.
-const limitBytes = platform.MaxValueBytes - 4<<10
+const limitBytes = objectstore.MaxValueBytes - 4<<10
 
 // Shard is the value of one shard. It is not changed once made; Apply returns a new one.
 type Shard struct {
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -8,7 +8,7 @@
 
 	"github.com/phuslu/log"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // maxTries limits the writes and reads for one group.
@@ -17,7 +17,7 @@
 // shardStore commits groups to one shard's object. It is used by one goroutine at a time.
 type shardStore struct {
 	name    string
-	store   platform.Store
+	store   objectstore.Store
 	breaker *breaker
 	timeout time.Duration
 	gone    func(writer string) bool
@@ -103,8 +103,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
 	defer cancel()
 	s.metrics.Reads.Add(1)
-	object, err := s.store.Get(ctx, platform.KindClaims, s.name)
-	if errors.Is(err, platform.ErrNotFound) {
+	object, err := s.store.Get(ctx, objectstore.KindClaims, s.name)
+	if errors.Is(err, objectstore.ErrNotFound) {
 		s.setBase(NewShard(), 0)
 		return nil
 	}
@@ -150,11 +150,11 @@
 		s.collect(replaced)
 		s.metrics.ShardBytes.Store(int64(len(value)))
 		return applied.Results, nil
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrConflict), errors.Is(err, objectstore.ErrNotFound):
 		s.metrics.Conflicts.Add(1)
 		s.base = nil
 		return nil, nil
-	case errors.Is(err, platform.ErrThrottled), errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrThrottled), errors.Is(err, objectstore.ErrTooLarge):
 		return nil, err
 	}
 	// The write may have taken effect, or may do so later. Either the value read back
@@ -166,15 +166,15 @@
 }
 
 // put is the conditional write.
-func (s *shardStore) put(value json.RawMessage) (platform.Object, error) {
+func (s *shardStore) put(value json.RawMessage) (objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
 	defer cancel()
 	s.metrics.Writes.Add(1)
 	s.metrics.WrittenBytes.Add(uint64(len(value)))
 	if s.version == 0 {
-		return s.store.Create(ctx, platform.KindClaims, s.name, value)
+		return s.store.Create(ctx, objectstore.KindClaims, s.name, value)
 	}
-	object := platform.Object{Kind: platform.KindClaims, Name: s.name, Version: s.version, Value: value}
+	object := objectstore.Object{Kind: objectstore.KindClaims, Name: s.name, Version: s.version, Value: value}
 	return s.store.Update(ctx, object)
 }
 
@@ -188,7 +188,7 @@
 	case errors.As(err, &broken):
 		s.metrics.Violations.Add(1)
 		s.report(err)
-	case errors.Is(err, ErrCorrupt), errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, ErrCorrupt), errors.Is(err, objectstore.ErrTooLarge):
 		s.report(err)
 	default:
 		return refuseOps(ops, s.breaker.failed(time.Now()), state.uncertain)
--- /dev/null
+++ b/internal/duty/orders.go
@@ -0,0 +1,123 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"rattanchute/internal/objectstore"
+)
+
+const ordersName = "orders"
+
+// storedOrders are the orders that were or will be sent.
+type storedOrders struct {
+	Orders []Order `json:"orders"`
+}
+
+// orders keeps what was ordered: in the store, so that a new holder goes on from it, and
+// here, so that an order is sent once.
+type orders struct {
+	store   objectstore.Store
+	known   bool
+	version uint64
+	stored  map[orderKey]int
+	// answered are the orders that the platform has taken under this lease.
+	answered map[orderKey]int
+}
+
+// orderKey is what a later order replaces.
+type orderKey struct {
+	fleet       string
+	dataCentre  string
+	reclaimable bool
+}
+
+func (o Order) key() orderKey { return orderKey{o.Fleet, o.DataCentre, o.Reclaimable} }
+
+func newOrders(store objectstore.Store) *orders {
+	return &orders{store: store, answered: map[orderKey]int{}}
+}
+
+// forget drops what was read and sent under an earlier lease.
+func (o *orders) forget() {
+	o.known = false
+	o.answered = map[orderKey]int{}
+}
+
+// next lists the orders to send, after they are stored.
+func (o *orders) next(ctx context.Context, wanted []Order) ([]Order, error) {
+	var out []Order
+	changed := false
+	for _, w := range wanted {
+		if count, ok := o.answered[w.key()]; !ok || count != w.Count {
+			out = append(out, w)
+			changed = true
+		}
+	}
+	if !changed {
+		return nil, nil
+	}
+	return out, o.keep(ctx, wanted)
+}
+
+// keep stores the wanted orders unless they are there.
+func (o *orders) keep(ctx context.Context, wanted []Order) error {
+	if err := o.read(ctx); err != nil {
+		return err
+	}
+	same := true
+	for _, w := range wanted {
+		count, ok := o.stored[w.key()]
+		same = same && ok && count == w.Count
+	}
+	if same {
+		return nil
+	}
+	value, err := json.Marshal(storedOrders{Orders: wanted})
+	if err != nil {
+		return fmt.Errorf("orders: %w", err)
+	}
+	object, err := put(ctx, o.store, objectstore.Object{
+		Kind: objectstore.KindDesired, Name: ordersName, Version: o.version, Value: value,
+	})
+	if err != nil {
+		o.known = false
+		return fmt.Errorf("orders: %w", err)
+	}
+	o.version = object.Version
+	o.set(wanted)
+	return nil
+}
+
+func (o *orders) set(list []Order) {
+	o.stored = make(map[orderKey]int, len(list))
+	for _, w := range list {
+		o.stored[w.key()] = w.Count
+	}
+}
+
+func (o *orders) read(ctx context.Context) error {
+	if o.known {
+		return nil
+	}
+	object, err := o.store.Get(ctx, objectstore.KindDesired, ordersName)
+	if errors.Is(err, objectstore.ErrNotFound) {
+		o.known, o.version = true, 0
+		o.set(nil)
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("orders: %w", err)
+	}
+	var stored storedOrders
+	if err := json.Unmarshal(object.Value, &stored); err != nil {
+		return fmt.Errorf("orders: %w", err)
+	}
+	o.known, o.version = true, object.Version
+	o.set(stored.Orders)
+	return nil
+}
+
+func (o *orders) sent(order Order) { o.answered[order.key()] = order.Count }
--- /dev/null
+++ b/internal/duty/planner.go
@@ -0,0 +1,135 @@
+package duty
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"rattanchute/internal/capacity"
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/peering"
+	"rattanchute/internal/registry"
+)
+
+const (
+	// planEvery is the time between two plans.
+	planEvery = time.Second
+	// refusalMemory is how long after a refusal reclaimable endpoints count as not to be had.
+	refusalMemory = 4 * time.Second
+	// minimumRate is planned for while callers ask for less, such as before the first.
+	minimumRate = 20.0
+	// typicalPrompt and typicalOutput are assumed of the requests until some were seen.
+	typicalPrompt = 4000.0
+	typicalOutput = 200.0
+)
+
+// Sources give what a plan depends on.
+type Sources struct {
+	// Configuration is nil until one is in force.
+	Configuration func() *fleet.Configuration
+	Endpoints     func() []registry.Known
+	// Demand is that of all hosts by fleet.
+	Demand      func(now time.Time) map[string]peering.FleetDemand
+	DataCentres []string
+}
+
+// Planner works out the wanted numbers of endpoints. It is used by one goroutine.
+type Planner struct {
+	sources   Sources
+	holds     map[string]*capacity.DemandHold
+	refusedAt map[orderKey]time.Time
+	plannedAt time.Time
+	last      []Order
+}
+
+// NewPlanner returns a planner.
+func NewPlanner(s Sources) *Planner {
+	slices.Sort(s.DataCentres)
+	return &Planner{sources: s, holds: map[string]*capacity.DemandHold{}, refusedAt: map[orderKey]time.Time{}}
+}
+
+// Plan returns the orders that should be in force now.
+func (p *Planner) Plan(now time.Time) []Order {
+	if now.Sub(p.plannedAt) < planEvery {
+		return p.last
+	}
+	c := p.sources.Configuration()
+	if c == nil {
+		return nil
+	}
+	p.plannedAt = now
+	var out []Order
+	demand := p.sources.Demand(now)
+	known := p.sources.Endpoints()
+	for i := range c.Fleets {
+		if f := &c.Fleets[i]; f.Scaling != nil {
+			out = append(out, p.planFleet(now, f, demand[f.Name], known)...)
+		}
+	}
+	p.last = out
+	return out
+}
+
+func (p *Planner) planFleet(now time.Time, f *fleet.Fleet, d peering.FleetDemand, known []registry.Known) []Order {
+	snapshot := capacity.CountSnapshot{
+		Demand:           p.hold(now, f.Name, d),
+		Min:              f.Scaling.Min,
+		Max:              f.Scaling.Max,
+		ReclaimablePrice: f.Scaling.ReclaimablePrice,
+	}
+	for _, dc := range p.sources.DataCentres {
+		price, offered := f.Scaling.Prices[dc]
+		if !offered {
+			continue
+		}
+		site := capacity.CountSite{DataCentre: dc, Price: price}
+		refused, ok := p.refusedAt[orderKey{f.Name, dc, true}]
+		site.ReclaimableRefused = ok && now.Sub(refused) < refusalMemory
+		for _, k := range known {
+			if k.Fleet != f.Name || k.DataCentre != dc || k.Leaving {
+				continue
+			}
+			if k.Reclaimable {
+				site.Reclaimable++
+			} else {
+				site.OnDemand++
+			}
+		}
+		snapshot.Sites = append(snapshot.Sites, site)
+	}
+	return orderList(f.Name, capacity.PlanCounts(snapshot))
+}
+
+func orderList(fleetName string, counts []capacity.Count) []Order {
+	var out []Order
+	for _, c := range counts {
+		out = append(out,
+			Order{Fleet: fleetName, DataCentre: c.DataCentre, Reclaimable: true, Count: c.Reclaimable},
+			Order{Fleet: fleetName, DataCentre: c.DataCentre, Count: c.OnDemand})
+	}
+	return out
+}
+
+func (p *Planner) hold(now time.Time, name string, d peering.FleetDemand) capacity.CountDemand {
+	h := p.holds[name]
+	if h == nil {
+		h = &capacity.DemandHold{}
+		p.holds[name] = h
+	}
+	demand := capacity.CountDemand{
+		RequestsPerSecond: max(d.RequestsPerSecond, minimumRate),
+		PromptTokens:      d.PromptTokens,
+		OutputTokens:      d.OutputTokens,
+	}
+	if d.RequestsPerSecond == 0 {
+		demand.PromptTokens, demand.OutputTokens = typicalPrompt, typicalOutput
+	}
+	return h.Take(now, demand)
+}
+
+// Answered takes in how the platform answered an order.
+func (p *Planner) Answered(now time.Time, o Order, err error) {
+	if errors.Is(err, ErrNoneAvailable) {
+		p.refusedAt[o.key()] = now
+	}
+}
--- /dev/null
+++ b/internal/duty/runner.go
@@ -0,0 +1,175 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"rattanchute/internal/clock"
+	"rattanchute/internal/objectstore"
+	"rattanchute/internal/usage"
+)
+
+// tick is the time between two looks at what is due.
+const tick = 250 * time.Millisecond
+
+// Lease tells whether this host holds the duties now.
+type Lease interface {
+	Valid(now time.Time) (fencing uint64, ok bool)
+}
+
+// Parts are what a Runner works with.
+type Parts struct {
+	// Name is this host's.
+	Name     string
+	Lease    Lease
+	Platform Platform
+	Store    objectstore.Store
+	Usage    *usage.Ledger
+	TrueTime *clock.TrueTime
+	Planner  *Planner
+	Log      *log.Logger
+	// ReportUsage and Scale say which duties there are.
+	ReportUsage bool
+	Scale       bool
+	// Quarantine is how long a new holder waits before its first call, so that holders do
+	// not take turns faster than the platform allows.
+	Quarantine time.Duration
+	// CallTimeout bounds the store calls of one step.
+	CallTimeout time.Duration
+}
+
+// Runner does the duties while this host holds the lease.
+type Runner struct {
+	Parts
+	reporter *reporter
+	orders   *orders
+	// fencing and heldSince are the lease as it was last seen.
+	fencing   uint64
+	heldSince time.Time
+}
+
+// NewRunner returns a runner that does nothing until Run.
+func NewRunner(p Parts) *Runner {
+	r := &Runner{Parts: p, reporter: newReporter(p.Store, p.Usage), orders: newOrders(p.Store)}
+	r.reporter.first = p.Usage.Window(p.TrueTime.At(clock.Now()))
+	return r
+}
+
+// Run works until the context ends.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.step(ctx)
+		}
+	}
+}
+
+// holder returns this host as the holder if it may act now.
+func (r *Runner) holder() (Holder, bool) {
+	now := clock.Now()
+	fencing, held := r.Lease.Valid(now)
+	if !held {
+		r.fencing = 0
+		return Holder{}, false
+	}
+	if fencing != r.fencing {
+		r.fencing, r.heldSince = fencing, now
+		r.reporter.forget()
+		r.orders.forget()
+	}
+	if now.Sub(r.heldSince) < r.Quarantine {
+		return Holder{}, false
+	}
+	return Holder{Name: r.Name, Fencing: fencing}, true
+}
+
+func (r *Runner) step(ctx context.Context) {
+	if _, ok := r.holder(); !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.CallTimeout)
+	defer cancel()
+	if r.ReportUsage {
+		r.report(ctx)
+	}
+	if r.Scale {
+		r.scale(ctx)
+	}
+}
+
+func (r *Runner) report(ctx context.Context) {
+	due := r.reporter.due(r.TrueTime.At(clock.Now()))
+	if len(due) == 0 {
+		return
+	}
+	if err := r.reporter.prepare(ctx, due); err != nil {
+		r.Log.Warn().Err(err).Int("windows", len(due)).Msg("usage not stored")
+		return
+	}
+	for _, window := range due {
+		if !r.reportWindow(ctx, window) {
+			return
+		}
+	}
+}
+
+func (r *Runner) reportWindow(ctx context.Context, window int64) bool {
+	by, ok := r.holder()
+	counts, stored := r.reporter.stored.Windows[window]
+	if !ok || !stored {
+		return false
+	}
+	err := r.Platform.ReportUsage(ctx, by, window, counts)
+	line := r.Log.Info()
+	if err != nil {
+		line = r.Log.Warn().Err(err)
+	}
+	line.Int64("window", window).Uint64("fencing", by.Fencing).Any("counts", counts).Msg("usage reported")
+	if err != nil {
+		return false
+	}
+	r.reporter.done[window] = true
+	return true
+}
+
+func (r *Runner) scale(ctx context.Context) {
+	wanted := r.Planner.Plan(clock.Now())
+	next, err := r.orders.next(ctx, wanted)
+	if err != nil {
+		r.Log.Warn().Err(err).Msg("orders not stored")
+		return
+	}
+	for _, o := range next {
+		if !r.order(ctx, o) {
+			return
+		}
+	}
+}
+
+func (r *Runner) order(ctx context.Context, o Order) bool {
+	by, ok := r.holder()
+	if !ok {
+		return false
+	}
+	err := r.Platform.Order(ctx, by, o)
+	line := r.Log.Info()
+	if err != nil {
+		line = r.Log.Warn().Err(err)
+	}
+	line.Str("fleet", o.Fleet).Str("data_centre", o.DataCentre).Bool("reclaimable", o.Reclaimable).
+		Int("count", o.Count).Uint64("fencing", by.Fencing).Msg("endpoints ordered")
+	r.Planner.Answered(clock.Now(), o, err)
+	if err == nil || errors.Is(err, ErrNoneAvailable) {
+		r.orders.sent(o)
+		return true
+	}
+	return false
+}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -19,6 +19,10 @@
 	Fleets        []Fleet        `json:"fleets"`
 	Endpoints     []Endpoint     `json:"endpoints"`
 	Selectors     []Selector     `json:"selectors"`
+	// Routes map callers' hosts and paths to fleets; only a platform adapter sets them.
+	Routes []Route `json:"-"`
+	// CallerLimits bound what callers may send; only a platform adapter sets them.
+	CallerLimits CallerLimits `json:"-"`
 }
 
 // DataCentre is a zone: hosts in it can be reclaimed or lost together.
@@ -59,6 +63,10 @@
 	Burst int `json:"burst"`
 	// Weight is the organisation's share of a fleet under overload; zero counts as one.
 	Weight float64 `json:"weight"`
+	// Quota limits the organisation in tokens; only a platform adapter sets it.
+	Quota TokenQuota `json:"-"`
+	// Priority, if set, replaces that of the routes; 0 is served first.
+	Priority *int `json:"-"`
 }
 
 // FleetKind tells what protocol the endpoints of a fleet speak.
@@ -82,6 +90,12 @@
 	Calls []Call `json:"calls"`
 	// SlotsPerEndpoint is the number of requests an endpoint runs at once.
 	SlotsPerEndpoint int `json:"slots_per_endpoint"`
+	// MaxConnections is what one endpoint accepts from all callers; zero is unknown.
+	MaxConnections int `json:"-"`
+	// Engine describes the model engines of the fleet; nil for a plain service.
+	Engine *Engine `json:"-"`
+	// Scaling tells how many endpoints may be ordered; nil if none may.
+	Scaling *Scaling `json:"-"`
 }
 
 // Call declares one method and path of a service. Path is relative to nothing: it is
--- /dev/null
+++ b/internal/gateway/demand.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"rattanchute/internal/peering"
+	"rattanchute/internal/placement"
+)
+
+// demandWindow is the time over which the callers' demand is averaged.
+const demandWindow = 4 * time.Second
+
+// demandMeter averages what callers ask of each fleet, refused requests included.
+type demandMeter struct {
+	mu     sync.Mutex
+	fleets map[string]*demand
+}
+
+// demand holds two halves of the window; the older one is complete.
+type demand struct {
+	since          time.Time
+	older, current demandSum
+}
+
+type demandSum struct {
+	requests float64
+	prompt   float64
+	output   float64
+}
+
+func newDemandMeter() *demandMeter { return &demandMeter{fleets: map[string]*demand{}} }
+
+func (m *demandMeter) asked(now time.Time, fleet string, promptTokens, outputTokens int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := m.fleets[fleet]
+	if d == nil {
+		d = &demand{since: now}
+		m.fleets[fleet] = d
+	}
+	d.turn(now)
+	d.current.requests++
+	d.current.prompt += float64(promptTokens)
+	d.current.output += float64(outputTokens)
+}
+
+func (d *demand) turn(now time.Time) {
+	const half = demandWindow / 2
+	switch elapsed := now.Sub(d.since); {
+	case elapsed >= 2*half:
+		*d = demand{since: now}
+	case elapsed >= half:
+		d.older, d.current = d.current, demandSum{}
+		d.since = d.since.Add(half)
+	}
+}
+
+// Demand is what callers have lately asked of each fleet through this host.
+func (g *Gateway) Demand(now time.Time) map[string]peering.FleetDemand {
+	m := g.demand
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]peering.FleetDemand, len(m.fleets))
+	for name, d := range m.fleets {
+		d.turn(now)
+		requests := d.older.requests + d.current.requests
+		if requests == 0 {
+			continue
+		}
+		span := demandWindow/2 + now.Sub(d.since)
+		out[name] = peering.FleetDemand{
+			RequestsPerSecond: requests / span.Seconds(),
+			PromptTokens:      (d.older.prompt + d.current.prompt) / requests,
+			OutputTokens:      (d.older.output + d.current.output) / requests,
+		}
+	}
+	return out
+}
+
+// readsKept is how long a prompt that was sent is told to the peers: some of their reports
+// are lost.
+const readsKept = 700 * time.Millisecond
+
+// recentReads are the prompts that this host lately had read.
+type recentReads struct {
+	mu  sync.Mutex
+	all []recentRead
+}
+
+type recentRead struct {
+	read placement.Read
+	at   time.Time
+}
+
+func newRecentReads() *recentReads { return &recentReads{} }
+
+func (r *recentReads) add(now time.Time, read placement.Read) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, recentRead{read, now})
+}
+
+// Reads lists the prompts that this host lately had read, without their own parts.
+func (g *Gateway) Reads(now time.Time) []placement.Read {
+	r := g.reads
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := 0
+	for kept < len(r.all) && now.Sub(r.all[kept].at) > readsKept {
+		kept++
+	}
+	r.all = append(r.all[:0], r.all[kept:]...)
+	out := make([]placement.Read, 0, len(r.all))
+	for _, read := range r.all {
+		out = append(out, read.read)
+	}
+	return out
+}
+
+// Statistics are what the gateway has counted since its start, for tests and metrics.
+func (e *Events) Statistics() map[string]uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.counts)
+}
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rattanchute/internal/clock"
+	"rattanchute/internal/placement"
+)
+
+// Events logs and counts what is decided about requests. Each decision has one method.
+type Events struct {
+	log     *log.Logger
+	metrics *metrics
+	mu      sync.Mutex
+	counts  map[string]uint64
+	// quiet drops the lines of requests that went as they should, beyond a rate.
+	quiet *lineBudget
+}
+
+// NewEvents logs to the logger and registers the metrics.
+func NewEvents(logger *log.Logger, registry prometheus.Registerer) *Events {
+	return &Events{
+		log:     logger,
+		metrics: newMetrics(registry),
+		counts:  map[string]uint64{},
+		quiet:   &lineBudget{perSecond: maxOrdinaryLines},
+	}
+}
+
+// maxOrdinaryLines bounds the lines a second for requests that went as they should;
+// refusals, failures and repeats are all logged.
+const maxOrdinaryLines = 100
+
+func (e *Events) count(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts[name]++
+}
+
+// entry begins the line of a request.
+func (e *Events) entry(level log.Level, x *exchange) *log.Entry {
+	line := e.log.WithLevel(level)
+	line = line.Str("request", x.ask.ID)
+	if x.route != nil {
+		line = line.Str("route", x.route.Name).Str("fleet", x.fleet)
+	}
+	if x.organisation != nil {
+		line = line.Str("organisation", x.organisation.Name)
+	}
+	if x.table != nil {
+		line = line.Uint64("generation", uint64(x.table.Generation()))
+	}
+	return line
+}
+
+// Sent tells that an endpoint was chosen and why. First sendings are logged within the
+// rate of ordinary lines, repeats always.
+func (e *Events) Sent(x *exchange, c *placement.Choice) {
+	if x.sends == 0 && !e.quiet.take(clock.Now()) {
+		return
+	}
+	e.entry(log.InfoLevel, x).
+		Str("endpoint", c.Endpoint.ID).
+		Int("sends", x.sends).
+		Int("in_flight", c.InFlight).
+		Int("uncached_tokens", c.Uncached).
+		Int64("expected_ms", c.FirstEvent.Milliseconds()).
+		Int64("left_ms", x.deadline.Sub(clock.Now()).Milliseconds()).
+		Msg("request sent")
+}
+
+// Attempted tells how an attempt ended that did not answer the caller.
+func (e *Events) Attempted(x *exchange, a *attempt, out outcome, result placement.Result) {
+	e.metrics.attempts.WithLabelValues(out.String()).Inc()
+	if out == outcomeDone && result != placement.ResultAbandoned {
+		return
+	}
+	e.entry(log.WarnLevel, x).
+		Str("endpoint", a.choice.Endpoint.ID).
+		Str("outcome", out.String()).
+		Int("status", a.status).
+		Err(a.err).
+		Str("after_event", x.ask.AfterEvent).
+		Int64("took_ms", clock.Now().Sub(a.sentAt).Milliseconds()).
+		Msg("attempt ended without an answer")
+}
+
+// Answered tells that the caller has a complete answer of an endpoint.
+func (e *Events) Answered(x *exchange, a *attempt, now time.Time) {
+	total := now.Sub(x.arrived)
+	first := total
+	if !a.firstEventAt.IsZero() {
+		first = a.firstEventAt.Sub(x.arrived)
+	}
+	e.count("answered")
+	e.metrics.answered(x, a.status, first, total)
+	if !e.quiet.take(now) {
+		return
+	}
+	e.entry(log.InfoLevel, x).
+		Str("endpoint", a.choice.Endpoint.ID).
+		Int("status", a.status).
+		Int64("first_ms", first.Milliseconds()).
+		Int64("total_ms", total.Milliseconds()).
+		Msg("request answered")
+}
+
+// Refused tells that the gateway answered on its own.
+func (e *Events) Refused(x *exchange, v *verdict) {
+	e.count(string(v.reason))
+	e.metrics.verdicts.WithLabelValues(string(v.reason)).Inc()
+	e.entry(log.WarnLevel, x).
+		Str("reason", string(v.reason)).
+		Int("status", v.status).
+		Int("sends", x.sends).
+		Bool("may_have_run", x.began).
+		Int64("retry_after_ms", v.retryAfter.Milliseconds()).
+		Int64("configuration_age_ms", x.gateway.Age(clock.Now()).Milliseconds()).
+		Int64("took_ms", clock.Now().Sub(x.arrived).Milliseconds()).
+		Msg("request refused")
+}
+
+// Broken tells that a stream was cut after a part of it was relayed.
+func (e *Events) Broken(x *exchange, v *verdict) {
+	e.count("broken")
+	e.metrics.verdicts.WithLabelValues("stream_broken").Inc()
+	e.entry(log.WarnLevel, x).
+		Str("reason", string(v.reason)).
+		Str("after_event", x.ask.AfterEvent).
+		Int("sends", x.sends).
+		Int64("took_ms", clock.Now().Sub(x.arrived).Milliseconds()).
+		Msg("stream broken")
+}
+
+// CallerLeft tells that the caller went away before its answer was complete.
+func (e *Events) CallerLeft(x *exchange) {
+	e.count("caller_left")
+	e.metrics.verdicts.WithLabelValues("caller_left").Inc()
+	e.entry(log.InfoLevel, x).
+		Int("sends", x.sends).
+		Bool("may_have_run", x.began).
+		Int64("took_ms", clock.Now().Sub(x.arrived).Milliseconds()).
+		Msg("caller left")
+}
+
+// AcceptFailed tells that a connection could not be accepted.
+func (e *Events) AcceptFailed(err error) {
+	e.count("accept_failed")
+	if e.quiet.take(clock.Now()) {
+		e.log.Error().Err(err).Msg("accept failed")
+	}
+}
+
+// String names the outcome in logs and metrics.
+func (o outcome) String() string {
+	switch o {
+	case outcomeDone:
+		return "done"
+	case outcomeNotSent:
+		return "not_sent"
+	case outcomeNotExecuted:
+		return "not_executed"
+	default:
+		return "failed"
+	}
+}
+
+// lineBudget bounds log lines by rate.
+type lineBudget struct {
+	perSecond int
+	mu        sync.Mutex
+	second    int64
+	used      int
+}
+
+func (b *lineBudget) take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if second := now.Unix(); second != b.second {
+		b.second = second
+		b.used = 0
+	}
+	b.used++
+	return b.used <= b.perSecond
+}
--- /dev/null
+++ b/internal/gateway/eventstream.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// errEventTooLarge means that an endpoint sent an event without an end.
+var errEventTooLarge = errors.New("event too large")
+
+// event is one complete event of a stream, with its closing blank line.
+type event struct {
+	text []byte
+	// id is the event's id as sent; empty if it has none.
+	id string
+	// number is id as a number; zero if it is none.
+	number int64
+}
+
+// eventReader splits a stream into events. A part of an event at the end of an answer that
+// broke off is never handed out.
+type eventReader struct {
+	buffer []byte
+}
+
+// add takes in what has arrived.
+func (r *eventReader) add(p []byte) error {
+	r.buffer = append(r.buffer, p...)
+	if len(r.buffer) > maxEventBytes {
+		return errEventTooLarge
+	}
+	return nil
+}
+
+// next returns the next complete event. Its text is valid until the next add.
+func (r *eventReader) next() (event, bool) {
+	end := eventEnd(r.buffer)
+	if end < 0 {
+		return event{}, false
+	}
+	e := parseEvent(r.buffer[:end])
+	r.buffer = r.buffer[end:]
+	return e, true
+}
+
+// rest is what follows the last complete event.
+func (r *eventReader) rest() []byte { return r.buffer }
+
+// eventEnd is the index after the first blank line; -1 if there is none yet.
+func eventEnd(b []byte) int {
+	for at := 0; at < len(b); {
+		newline := bytes.IndexByte(b[at:], '\n')
+		if newline < 0 {
+			return -1
+		}
+		at += newline + 1
+		switch {
+		case at < len(b) && b[at] == '\n':
+			return at + 1
+		case at+1 < len(b) && b[at] == '\r' && b[at+1] == '\n':
+			return at + 2
+		}
+	}
+	return -1
+}
+
+var idField = []byte("id:")
+
+func parseEvent(text []byte) event {
+	e := event{text: text}
+	for line := range bytes.Lines(text) {
+		value, found := bytes.CutPrefix(line, idField)
+		if !found {
+			continue
+		}
+		e.id = string(bytes.TrimSpace(value))
+		number, err := strconv.ParseInt(e.id, 10, 64)
+		if err == nil {
+			e.number = number
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type metrics struct {
+	answers  *prometheus.CounterVec
+	verdicts *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	total    *prometheus.HistogramVec
+}
+
+// secondsBuckets reach from a plain answer to the longest stream.
+var secondsBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 1.5, 2.5, 5, 10, 20}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_answers_total", Help: "Endpoints' answers passed on, by route and status.",
+		}, []string{"route", "status"}),
+		verdicts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_refusals_total", Help: "Answers of the gateway's own, by reason.",
+		}, []string{"reason"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_attempts_total", Help: "Sendings to endpoints, by outcome.",
+		}, []string{"outcome"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "rattanchute_gateway_first_event_seconds", Help: "Time to the first event or the whole plain answer.",
+			Buckets: secondsBuckets,
+		}, []string{"route"}),
+		total: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "rattanchute_gateway_answer_seconds", Help: "Time to the end of the answer.",
+			Buckets: secondsBuckets,
+		}, []string{"route"}),
+	}
+	registry.MustRegister(m.answers, m.verdicts, m.attempts, m.first, m.total)
+	return m
+}
+
+func (m *metrics) answered(x *exchange, status int, first, total time.Duration) {
+	m.answers.WithLabelValues(x.route.Name, strconv.Itoa(status)).Inc()
+	m.first.WithLabelValues(x.route.Name).Observe(first.Seconds())
+	m.total.WithLabelValues(x.route.Name).Observe(total.Seconds())
+}
--- /dev/null
+++ b/internal/gateway/refusal.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Reason says why the gateway answered on its own. It is stable, in answers, logs and
+// metrics.
+type Reason string
+
+// The reasons of refusals: the request has not run and never will.
+const (
+	ReasonStarting      Reason = "starting"
+	ReasonStale         Reason = "configuration_unconfirmed"
+	ReasonQuota         Reason = "quota"
+	ReasonNoEndpoint    Reason = "no_endpoint"
+	ReasonOverloaded    Reason = "overloaded"
+	ReasonNotExecuted   Reason = "endpoints_refused"
+	ReasonUnreachable   Reason = "endpoints_unreachable"
+	ReasonTooManyBodies Reason = "out_of_memory"
+	ReasonUnsentInTime  Reason = "not_sent_in_time"
+)
+
+// The reasons of other answers.
+const (
+	ReasonMalformed  Reason = "malformed"
+	ReasonNoRoute    Reason = "no_route"
+	ReasonUnknownKey Reason = "unknown_key"
+	ReasonTooLarge   Reason = "body_too_large"
+	ReasonHeader     Reason = "header_too_large"
+	ReasonSlow       Reason = "request_too_slow"
+	ReasonFailed     Reason = "endpoint_failed"
+	ReasonTimeout    Reason = "timeout"
+)
+
+// verdict is an answer of the gateway's own.
+type verdict struct {
+	status int
+	reason Reason
+	// retryAfter is when to come back; zero if it would not help.
+	retryAfter time.Duration
+}
+
+func refuse(status int, reason Reason, retryAfter time.Duration) *verdict {
+	return &verdict{status: status, reason: reason, retryAfter: retryAfter}
+}
+
+// setVerdict makes the answer that tells the verdict.
+func setVerdict(resp *fasthttp.Response, v *verdict) {
+	resp.SetStatusCode(v.status)
+	resp.Header.SetContentType("application/json")
+	if v.retryAfter > 0 {
+		// Callers read fractions of a second.
+		seconds := math.Ceil(v.retryAfter.Seconds()*100) / 100
+		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	resp.SetBodyString(`{"error":"` + string(v.reason) + `"}`)
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// callerUserTimeout bounds how long bytes sent to a caller may stay unacknowledged.
+const callerUserTimeout = 8 * time.Second
+
+// acceptPause is the pause after a failed accept, such as one out of descriptors.
+const acceptPause = 20 * time.Millisecond
+
+// Server accepts callers' connections.
+type Server struct {
+	gateway  *Gateway
+	listener net.Listener
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// stopping is closed when answers begin to close their connections.
+	stopping chan struct{}
+	wg       sync.WaitGroup
+}
+
+// Listen opens the callers' address.
+func (g *Gateway) Listen(address string) (*Server, error) {
+	config := net.ListenConfig{Control: setUserTimeout}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("callers' listener: %w", err)
+	}
+	s := &Server{gateway: g, listener: listener, conns: map[*conn]struct{}{}, stopping: make(chan struct{})}
+	return s, nil
+}
+
+// setUserTimeout is inherited by accepted connections.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(callerUserTimeout.Milliseconds()))
+	})
+	return errors.Join(err, setErr)
+}
+
+// Serve accepts connections until Close.
+func (s *Server) Serve() {
+	for {
+		accepted, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.gateway.events.AcceptFailed(err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.start(accepted)
+	}
+}
+
+func (s *Server) start(accepted net.Conn) {
+	c := newConn(s, accepted)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		c.serve()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+}
+
+// isStopping reports whether answers close their connections.
+func (s *Server) isStopping() bool {
+	select {
+	case <-s.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// Drain makes each answer from now on the last of its connection.
+func (s *Server) Drain() { close(s.stopping) }
+
+// Close stops accepting and closes the connections without a request; it returns when the
+// open requests have ended or the context has.
+func (s *Server) Close(ctx context.Context) {
+	_ = s.listener.Close()
+	s.closeIdle()
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIfIdle()
+	}
+}
--- a/internal/lease/runner.go
+++ b/internal/lease/runner.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // Defaults of the timing.
@@ -42,10 +42,15 @@
 	Name string
 	// Self names this run of the daemon, different after each start.
 	Self    string
-	Store   platform.Store
+	Store   objectstore.Store
 	Timing  Timing
 	Metrics *Metrics
 	Logger  *log.Logger
+	// Now is the clock; it defaults to time.Now.
+	Now func() time.Time
+	// HeldElsewhere, if set, saves store calls: while it reports that another member says
+	// it holds the lease, this one does not look.
+	HeldElsewhere func() bool
 }
 
 // Runner keeps one lease for as long as it runs. Valid may be called from anywhere.
@@ -68,6 +73,12 @@
 	if config.Logger == nil {
 		config.Logger = &log.DefaultLogger
 	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.HeldElsewhere == nil {
+		config.HeldElsewhere = func() bool { return false }
+	}
 	machine := NewMachine(config.Self, config.Timing, uuid.NewString)
 	return &Runner{config: config, machine: machine}
 }
@@ -83,7 +94,9 @@
 // Run takes and renews the lease until the context ends, and then gives it up.
 func (r *Runner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		r.round(ctx)
+		if _, held := r.Valid(r.config.Now()); held || !r.config.HeldElsewhere() {
+			r.round(ctx)
+		}
 		r.sleep(ctx)
 	}
 	r.mu.Lock()
@@ -124,61 +137,61 @@
 func (r *Runner) next() Action {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.machine.Next(time.Now())
+	return r.machine.Next(r.config.Now())
 }
 
 // perform makes one store call and reports whether more may be done in this round.
 func (r *Runner) perform(ctx context.Context, action Action) bool {
 	r.config.Metrics.Calls.Add(1)
 	if action.Kind == ActionRead {
-		object, err := r.config.Store.Get(ctx, platform.KindLease, r.config.Name)
+		object, err := r.config.Store.Get(ctx, objectstore.KindLease, r.config.Name)
 		return r.takeRead(object, err)
 	}
 	object, err := r.put(ctx, action)
 	return r.takeWrite(action, object, err)
 }
 
-func (r *Runner) put(ctx context.Context, action Action) (platform.Object, error) {
+func (r *Runner) put(ctx context.Context, action Action) (objectstore.Object, error) {
 	value, err := action.Record.encode()
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	if action.Version == 0 {
-		return r.config.Store.Create(ctx, platform.KindLease, r.config.Name, value)
+		return r.config.Store.Create(ctx, objectstore.KindLease, r.config.Name, value)
 	}
-	return r.config.Store.Update(ctx, platform.Object{
-		Kind:    platform.KindLease,
+	return r.config.Store.Update(ctx, objectstore.Object{
+		Kind:    objectstore.KindLease,
 		Name:    r.config.Name,
 		Version: action.Version,
 		Value:   value,
 	})
 }
 
-func (r *Runner) takeRead(object platform.Object, err error) bool {
+func (r *Runner) takeRead(object objectstore.Object, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		r.machine.Missing(time.Now())
+	case errors.Is(err, objectstore.ErrNotFound):
+		r.machine.Missing(r.config.Now())
 		return true
 	case err != nil:
 		r.config.Metrics.Unanswered.Add(1)
 		return false
 	}
-	return r.machine.Read(object.Version, object.Value, time.Now()) == nil
+	return r.machine.Read(object.Version, object.Value, r.config.Now()) == nil
 }
 
-func (r *Runner) takeWrite(action Action, object platform.Object, err error) bool {
+func (r *Runner) takeWrite(action Action, object objectstore.Object, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case err == nil:
-		r.machine.Wrote(action, object.Version, time.Now())
+		r.machine.Wrote(action, object.Version, r.config.Now())
 		return false
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrConflict), errors.Is(err, objectstore.ErrNotFound):
 		r.machine.Conflict()
 		return true
-	case errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, objectstore.ErrThrottled):
 		return false
 	}
 	r.config.Metrics.Unanswered.Add(1)
@@ -189,7 +202,7 @@
 // noteChange counts and logs when the lease was won or lost.
 func (r *Runner) noteChange() {
 	r.mu.Lock()
-	fencing, held := r.machine.Valid(time.Now())
+	fencing, held := r.machine.Valid(r.config.Now())
 	changed := held != r.held
 	r.held = held
 	r.mu.Unlock()
--- a/internal/lease/runner_test.go
+++ b/internal/lease/runner_test.go
@@ -12,49 +12,49 @@
 
 	"github.com/matryer/is"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // fakeStore keeps one object; only the calls that a lease uses work.
 type fakeStore struct {
-	platform.Store
+	objectstore.Store
 	mu     sync.Mutex
 	random *rand.Rand
 	down   bool
 	lost   int
-	object platform.Object
+	object objectstore.Object
 }
 
-func (f *fakeStore) Get(context.Context, platform.Kind, string) (platform.Object, error) {
+func (f *fakeStore) Get(context.Context, objectstore.Kind, string) (objectstore.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case f.down:
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	case f.object.Version == 0:
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
 	return f.object, nil
 }
 
-func (f *fakeStore) Create(ctx context.Context, kind platform.Kind, name string, v json.RawMessage) (platform.Object, error) {
-	return f.Update(ctx, platform.Object{Kind: kind, Name: name, Value: v})
+func (f *fakeStore) Create(ctx context.Context, kind objectstore.Kind, name string, v json.RawMessage) (objectstore.Object, error) {
+	return f.Update(ctx, objectstore.Object{Kind: kind, Name: name, Value: v})
 }
 
-func (f *fakeStore) Update(_ context.Context, o platform.Object) (platform.Object, error) {
+func (f *fakeStore) Update(_ context.Context, o objectstore.Object) (objectstore.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case f.down:
-		return o, platform.ErrUnavailable
+		return o, objectstore.ErrUnavailable
 	case o.Version != f.object.Version:
-		return o, platform.ErrConflict
+		return o, objectstore.ErrConflict
 	}
 	o.Version++
 	f.object = o
 	if f.random.Intn(4) == 0 {
 		f.lost++
-		return o, platform.ErrUnavailable
+		return o, objectstore.ErrUnavailable
 	}
 	return o, nil
 }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,194 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"rattanchute/internal/adapter/httpexchange"
+	"rattanchute/internal/adapter/peerudp"
+	"rattanchute/internal/clock"
+	"rattanchute/internal/duty"
+	"rattanchute/internal/gateway"
+	"rattanchute/internal/lease"
+	"rattanchute/internal/objectstore"
+	"rattanchute/internal/peering"
+	"rattanchute/internal/placement"
+	"rattanchute/internal/quota"
+	"rattanchute/internal/registry"
+	"rattanchute/internal/repeat"
+	"rattanchute/internal/usage"
+)
+
+// Parts are what the platform's adapter provides.
+type Parts struct {
+	Settings Settings
+	Store    objectstore.Store
+	Duties   duty.Platform
+	Wire     gateway.Wire
+	Decode   Decoders
+	Log      *log.Logger
+}
+
+const (
+	// endpointDialTimeout is long for a connection within a region.
+	endpointDialTimeout = 400 * time.Millisecond
+	// endpointUserTimeout ends connections to endpoints that fell silent.
+	endpointUserTimeout = 2 * time.Second
+	// endpointIdle is how long an unused connection is kept if the endpoint says nothing.
+	endpointIdle = 4 * time.Second
+	// memoryShare of the process's limit is where the runtime begins to collect hard.
+	memoryShare = 0.7
+	// bodyShare of the limit may be taken by callers' bodies.
+	bodyShare = 0.15
+	// keyMargin is taken off the time within which removed keys may be used.
+	keyMargin = 300 * time.Millisecond
+	// denyMaxAge is how old a configuration may be for saying that something is unknown.
+	denyMaxAge = 2500 * time.Millisecond
+	// leaseExtra is how much longer a lease lasts than holders must not take turns.
+	leaseExtra = time.Second
+	// leaseMargin is how much earlier its holder stops acting.
+	leaseMargin = 1200 * time.Millisecond
+	// dutyCallTimeout bounds one step of the duties; it is below leaseMargin.
+	dutyCallTimeout = time.Second
+)
+
+// Node is one entry host.
+type Node struct {
+	Parts
+	incarnation int64
+	registry    *prometheus.Registry
+
+	gateway   *gateway.Gateway
+	server    *gateway.Server
+	placement *placement.Table
+	quota     *quota.Ledger
+	repeats   *repeat.Budget
+	usage     *usage.Ledger
+	trueTime  *clock.TrueTime
+	endpoints *registry.View
+	peers     *peering.Table
+	socket    *peerudp.Socket
+	lease     *lease.Runner
+	duties    *duty.Runner
+
+	// ready is what the balancer is told.
+	ready   atomic.Bool
+	leaving atomic.Bool
+	reports atomic.Uint64
+	health  storeHealth
+	// applyMu orders the application of configurations; appliedVersion is the store's.
+	applyMu        sync.Mutex
+	appliedVersion uint64
+	malformed      malformedNotes
+	tasks          sync.WaitGroup
+}
+
+// New builds a node that does nothing until Run.
+func New(p Parts) (*Node, error) {
+	now, wall := clock.Now(), time.Now()
+	s := &p.Settings
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	n := &Node{
+		Parts:       p,
+		incarnation: wall.UnixMilli(),
+		registry:    prometheus.NewRegistry(),
+		placement:   placement.NewTable(s.DataCentre),
+		quota:       quota.NewLedger(),
+		usage:       usage.NewLedger(max(s.Bounds.UsageWindow, time.Second)),
+		trueTime:    clock.NewTrueTime(now, wall),
+		endpoints:   registry.NewView(),
+	}
+	n.registry.MustRegister(collectors.NewGoCollector())
+	n.repeats = repeat.NewBudget(repeat.Limits{
+		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
+	})
+	self := peering.Peer{Name: s.Name, Incarnation: n.incarnation, Address: n.peerAddress()}
+	n.peers = peering.NewTable(self)
+	n.buildGateway()
+	n.buildDuties()
+	return n, nil
+}
+
+func (n *Node) peerAddress() string {
+	return fmt.Sprintf("%s:%d", n.Settings.IP, n.Settings.PeerPort)
+}
+
+func (n *Node) buildGateway() {
+	s := &n.Settings
+	parts := gateway.Parts{
+		Wire: n.Wire,
+		Upstream: httpexchange.New(httpexchange.Options{
+			DialTimeout: endpointDialTimeout,
+			IdleTimeout: endpointIdle,
+			UserTimeout: endpointUserTimeout,
+		}),
+		Placement:    n.placement,
+		Quota:        n.quota,
+		Repeats:      n.repeats,
+		Events:       gateway.NewEvents(n.Log, n.registry),
+		Began:        n.began,
+		DenyMaxAge:   denyMaxAge,
+		MaxBodyBytes: int64(bodyShare * float64(max(s.MemoryBytes, 64<<20))),
+	}
+	if s.Bounds.FailClosed {
+		parts.KeyMaxAge = max(s.Bounds.Revoke-keyMargin, keyMargin)
+	}
+	n.gateway = gateway.New(parts)
+}
+
+// began counts a request towards the usage of its organisation.
+func (n *Node) began(at time.Time, organisation string) {
+	n.usage.Began(n.trueTime.At(at), organisation)
+}
+
+func (n *Node) buildDuties() {
+	s := &n.Settings
+	if s.DutyAddress == "" || !s.ReportUsage && !s.Scale {
+		return
+	}
+	duration := s.Bounds.Lease + leaseExtra
+	n.lease = lease.NewRunner(lease.Config{
+		Name:   "duties",
+		Self:   fmt.Sprintf("%s/%d", s.Name, n.incarnation),
+		Store:  n.Store,
+		Timing: lease.Timing{Duration: duration, Margin: leaseMargin},
+		Logger: n.Log,
+		Now:    clock.Now,
+		HeldElsewhere: func() bool {
+			return n.peers.HolderHeard(clock.Now())
+		},
+	})
+	n.duties = duty.NewRunner(duty.Parts{
+		Name:        s.Name,
+		Lease:       n.lease,
+		Platform:    n.Duties,
+		Store:       n.Store,
+		Usage:       n.usage,
+		TrueTime:    n.trueTime,
+		Planner:     duty.NewPlanner(n.planSources()),
+		Log:         n.Log,
+		ReportUsage: s.ReportUsage,
+		Scale:       s.Scale,
+		Quarantine:  s.Bounds.Lease,
+		CallTimeout: dutyCallTimeout,
+	})
+}
+
+// start runs a task until the context ends.
+func (n *Node) start(ctx context.Context, task func(context.Context)) {
+	n.tasks.Add(1)
+	go func() {
+		defer n.tasks.Done()
+		task(ctx)
+	}()
+}
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/adapter/peerudp"
+	"rattanchute/internal/clock"
+)
+
+const (
+	// readyAfter is how long after the first configuration a host says that it is ready: it
+	// has heard its peers by then.
+	readyAfter = 300 * time.Millisecond
+	// drainAfter is how long after a stop was asked for new connections still come: the
+	// balancer asks once a second and takes two misses.
+	drainAfter = 2500 * time.Millisecond
+	// exitMargin is the part of the grace kept for leaving in order.
+	exitMargin = 700 * time.Millisecond
+)
+
+// Run serves until the context ends, and then stops in order.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.Log.Info().Str("node", n.Settings.Name).Str("data_centre", n.Settings.DataCentre).
+		Int64("incarnation", n.incarnation).Bool("first_start", n.Settings.FirstStart).Msg("started")
+	work, endWork := context.WithCancel(context.Background())
+	defer endWork()
+	go n.server.Serve()
+	n.startTasks(work)
+	<-ctx.Done()
+	n.stop(endWork)
+	return nil
+}
+
+func (n *Node) listen() error {
+	server, err := n.gateway.Listen(n.Settings.FrontAddress)
+	if err != nil {
+		return err
+	}
+	n.server = server
+	if err := n.serveReady(); err != nil {
+		return err
+	}
+	if err := n.serveMetrics(); err != nil {
+		return err
+	}
+	n.socket, err = peerudp.Listen(n.peerAddress())
+	return err
+}
+
+// serveReady answers the balancer.
+func (n *Node) serveReady() error {
+	listener, err := listenTCP(n.Settings.ReadyAddress)
+	if err != nil {
+		return fmt.Errorf("readiness listener: %w", err)
+	}
+	server := &fasthttp.Server{Handler: n.answerReady, NoDefaultServerHeader: true, IdleTimeout: 10 * time.Second}
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			n.Log.Error().Err(err).Msg("readiness listener ended")
+		}
+	}()
+	return nil
+}
+
+func (n *Node) answerReady(ctx *fasthttp.RequestCtx) {
+	if !n.ready.Load() || n.leaving.Load() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusOK)
+}
+
+func (n *Node) serveMetrics() error {
+	if n.Settings.MetricsPort == 0 {
+		return nil
+	}
+	listener, err := listenTCP(fmt.Sprintf("%s:%d", n.Settings.IP, n.Settings.MetricsPort))
+	if err != nil {
+		return fmt.Errorf("metrics listener: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.Log.Error().Err(err).Msg("metrics listener ended")
+		}
+	}()
+	return nil
+}
+
+func (n *Node) startTasks(ctx context.Context) {
+	n.start(ctx, n.pollConfiguration)
+	n.start(ctx, n.watchConfiguration)
+	n.start(ctx, n.pollEndpoints)
+	n.start(ctx, n.watchEndpoints)
+	n.start(ctx, n.keepMembership)
+	n.start(ctx, n.sendReports)
+	n.start(ctx, n.becomeReady)
+	go n.receiveReports()
+	if n.lease != nil {
+		n.start(ctx, n.lease.Run)
+		n.start(ctx, n.duties.Run)
+	}
+}
+
+// becomeReady waits for the first configuration and endpoints.
+func (n *Node) becomeReady(ctx context.Context) {
+	for n.gateway.Table() == nil || len(n.endpoints.Known()) == 0 {
+		if !pause(ctx, 20*time.Millisecond) {
+			return
+		}
+	}
+	if !pause(ctx, readyAfter) {
+		return
+	}
+	n.ready.Store(true)
+	n.Log.Info().Uint64("generation", uint64(n.gateway.Table().Generation())).
+		Int("endpoints", len(n.endpoints.Known())).Msg("ready")
+}
+
+// stop takes no new callers, answers the open requests and gives up the duties.
+func (n *Node) stop(endWork context.CancelFunc) {
+	began := clock.Now()
+	n.leaving.Store(true)
+	n.Log.Info().Msg("stopping")
+	grace := max(n.Settings.Bounds.StopGrace-exitMargin, exitMargin)
+	n.server.Drain()
+	time.Sleep(min(drainAfter, grace/2))
+	ctx, cancel := context.WithTimeout(context.Background(), grace-clock.Now().Sub(began))
+	defer cancel()
+	n.server.Close(ctx)
+	endWork()
+	n.sendReport(clock.Now())
+	n.leaveMembership()
+	_ = n.socket.Close()
+	n.Log.Info().Int64("took_ms", clock.Now().Sub(began).Milliseconds()).Msg("stopped")
+}
+
+// pause waits and reports whether the context goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/node/sync.go
@@ -0,0 +1,258 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"rattanchute/internal/clock"
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/objectstore"
+	"rattanchute/internal/registry"
+	"rattanchute/internal/route"
+)
+
+// Decoders translate what the store holds.
+type Decoders struct {
+	// ConfigurationName is the name of the operator's configuration object.
+	ConfigurationName string
+	Configuration     func(text []byte) (*fleet.Configuration, error)
+	Endpoint          func(id string, entry json.RawMessage) (registry.Endpoint, error)
+}
+
+const (
+	// pollEvery is the time between two confirmations of what the watches show: a watch
+	// that says nothing proves nothing.
+	pollEvery = time.Second
+	// retryEvery is the pause after a failed store call.
+	retryEvery = 200 * time.Millisecond
+	// jitter spreads the hosts' calls.
+	jitter = 0.2
+)
+
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - jitter/2 + jitter*rand.Float64()))
+}
+
+// storeHealth logs when the store is lost and regained.
+type storeHealth struct {
+	mu   sync.Mutex
+	lost bool
+}
+
+// called notes how a store call went.
+func (n *Node) called(what string, err error) {
+	n.health.mu.Lock()
+	defer n.health.mu.Unlock()
+	bad := err != nil && !errors.Is(err, objectstore.ErrNotFound) && !errors.Is(err, objectstore.ErrCompacted)
+	if bad {
+		n.endpoints.Failed(clock.Now())
+	}
+	if bad == n.health.lost {
+		return
+	}
+	n.health.lost = bad
+	if bad {
+		n.Log.Warn().Str("call", what).Err(err).Msg("store lost")
+		return
+	}
+	n.Log.Info().Str("call", what).Msg("store regained")
+}
+
+// pollConfiguration confirms the newest configuration again and again.
+func (n *Node) pollConfiguration(ctx context.Context) {
+	for {
+		wait := pollEvery
+		if err := n.readConfiguration(ctx); err != nil {
+			wait = retryEvery
+		}
+		if !pause(ctx, jittered(wait)) {
+			return
+		}
+	}
+}
+
+func (n *Node) readConfiguration(ctx context.Context) error {
+	asked := clock.Now()
+	object, err := n.Store.Get(ctx, objectstore.KindConfiguration, n.Decode.ConfigurationName)
+	n.called("configuration", err)
+	if err != nil {
+		return err
+	}
+	if err := n.applyConfiguration(object); err != nil {
+		return err
+	}
+	// What was read was the newest at some time after the question was asked.
+	n.gateway.Confirm(asked)
+	return nil
+}
+
+var errOldConfiguration = errors.New("older than the one in force")
+
+// applyConfiguration puts a configuration in force unless it is not newer.
+func (n *Node) applyConfiguration(object objectstore.Object) error {
+	n.applyMu.Lock()
+	defer n.applyMu.Unlock()
+	if object.Version <= n.appliedVersion {
+		if object.Version == n.appliedVersion {
+			return nil
+		}
+		return errOldConfiguration
+	}
+	c, err := n.Decode.Configuration(object.Value)
+	if err != nil {
+		n.Log.Error().Uint64("version", object.Version).Err(err).Msg("configuration not understood")
+		return err
+	}
+	now := clock.Now()
+	n.placement.Configure(c)
+	n.quota.Configure(now, c.Organisations)
+	n.gateway.SetTable(route.Compile(c))
+	n.appliedVersion = object.Version
+	n.Log.Info().Uint64("generation", uint64(c.Generation)).Uint64("version", object.Version).
+		Int("routes", len(c.Routes)).Int("organisations", len(c.Organisations)).Msg("configuration in force")
+	return nil
+}
+
+// watchConfiguration applies changes as they are made.
+func (n *Node) watchConfiguration(ctx context.Context) {
+	for {
+		n.applyMu.Lock()
+		from := n.appliedVersion
+		n.applyMu.Unlock()
+		if from == 0 {
+			if !pause(ctx, retryEvery) {
+				return
+			}
+			continue
+		}
+		n.followConfiguration(ctx, from)
+		if !pause(ctx, jittered(retryEvery)) {
+			return
+		}
+	}
+}
+
+func (n *Node) followConfiguration(ctx context.Context, from uint64) {
+	for {
+		events, asOf, err := n.Store.Watch(ctx, objectstore.KindConfiguration, from)
+		if err != nil {
+			if ctx.Err() == nil {
+				n.called("configuration watch", err)
+			}
+			return
+		}
+		for _, e := range events {
+			if e.Deleted || e.Object.Name != n.Decode.ConfigurationName {
+				continue
+			}
+			if err := n.applyConfiguration(e.Object); err != nil && !errors.Is(err, errOldConfiguration) {
+				return
+			}
+		}
+		from = max(from, asOf)
+	}
+}
+
+// pollEndpoints confirms the list of endpoints again and again.
+func (n *Node) pollEndpoints(ctx context.Context) {
+	for {
+		wait := pollEvery
+		if _, err := n.listEndpoints(ctx); err != nil {
+			wait = retryEvery
+		}
+		if !pause(ctx, jittered(wait)) {
+			return
+		}
+	}
+}
+
+func (n *Node) listEndpoints(ctx context.Context) (uint64, error) {
+	objects, asOf, err := n.Store.List(ctx, objectstore.KindEndpoint)
+	n.called("endpoints", err)
+	if err != nil {
+		return 0, err
+	}
+	entries := make([]registry.Entry, 0, len(objects))
+	for _, o := range objects {
+		if e, ok := n.decodeEndpoint(o); ok {
+			entries = append(entries, e)
+		}
+	}
+	now := clock.Now()
+	changes := n.endpoints.Replace(now, entries, asOf)
+	changes = append(changes, n.endpoints.Advance(now)...)
+	n.endpointsChanged(changes)
+	return asOf, nil
+}
+
+func (n *Node) decodeEndpoint(o objectstore.Object) (registry.Entry, bool) {
+	e, err := n.Decode.Endpoint(o.Name, o.Value)
+	if err != nil {
+		n.malformed.note(n.Log, o.Name, o.Version, err)
+		return registry.Entry{}, false
+	}
+	return registry.Entry{Endpoint: e, Version: o.Version}, true
+}
+
+// watchEndpoints takes in changes as they are made.
+func (n *Node) watchEndpoints(ctx context.Context) {
+	for {
+		from, err := n.listEndpoints(ctx)
+		if err == nil {
+			n.followEndpoints(ctx, from)
+		}
+		if !pause(ctx, jittered(retryEvery)) {
+			return
+		}
+	}
+}
+
+func (n *Node) followEndpoints(ctx context.Context, from uint64) {
+	for {
+		events, asOf, err := n.Store.Watch(ctx, objectstore.KindEndpoint, from)
+		if err != nil {
+			if ctx.Err() == nil {
+				n.called("endpoint watch", err)
+			}
+			return
+		}
+		for _, e := range events {
+			n.endpointsChanged(n.takeEndpoint(e, asOf))
+		}
+		from = max(from, asOf)
+	}
+}
+
+func (n *Node) takeEndpoint(e objectstore.Event, asOf uint64) []registry.Change {
+	now := clock.Now()
+	if e.Deleted {
+		return n.endpoints.Delete(now, e.Object.Name, max(asOf, e.Object.Version))
+	}
+	entry, ok := n.decodeEndpoint(e.Object)
+	if !ok {
+		return nil
+	}
+	return n.endpoints.Put(now, entry)
+}
+
+// endpointsChanged logs the changes and has requests placed accordingly.
+func (n *Node) endpointsChanged(changes []registry.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		n.Log.Info().Str("endpoint", c.Endpoint.ID).Str("fleet", c.Endpoint.Fleet).
+			Str("change", string(c.Kind)).Str("address", c.Endpoint.Address).
+			Str("data_centre", c.Endpoint.DataCentre).Bool("reclaimable", c.Endpoint.Reclaimable).
+			Int64("leaves_in_ms", c.Endpoint.LeavesIn.Milliseconds()).
+			Uint64("version", c.Version).Msg("endpoint changed")
+	}
+	n.placement.SetEndpoints(n.endpoints.Known())
+}
+
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
--- a/internal/platform/platform.go
+++ b/internal/objectstore/objectstore.go
@@ -1,9 +1,9 @@
-// Package platform is the port to the platform's object service: named objects with
+// Package objectstore is the port to the platform's object service: named objects with
 // versions, conditional updates and watches. What must outlast a process is kept
 // there and nowhere else. The service can be slow or down, and an answer can be lost
 // after the write has taken effect; callers tell that case by ErrUnavailable and read
 // back.
-package platform
+package objectstore
 
 import (
 	"context"
@@ -22,6 +22,12 @@
 	KindLease         Kind = "leases"
 	KindMember        Kind = "members"
 	KindHost          Kind = "hosts"
+	// KindEndpoint objects are written by the endpoints themselves.
+	KindEndpoint Kind = "endpoints"
+	// KindUsage objects are the usage counts of closed windows.
+	KindUsage Kind = "usage"
+	// KindDesired objects are the numbers of endpoints that were ordered.
+	KindDesired Kind = "desired"
 )
 
 // MaxValueBytes is the size of the largest value the platform accepts.
@@ -45,13 +51,13 @@
 
 // The errors of a Store. Only ErrUnavailable leaves it open whether a write took effect.
 var (
-	ErrNotFound    = errors.New("platform: object not found")
-	ErrConflict    = errors.New("platform: version conflict")
-	ErrTooLarge    = errors.New("platform: value too large")
-	ErrThrottled   = errors.New("platform: call rate exceeded, nothing written")
-	ErrUnavailable = errors.New("platform: no answer, effect unknown")
+	ErrNotFound    = errors.New("object store: object not found")
+	ErrConflict    = errors.New("object store: version conflict")
+	ErrTooLarge    = errors.New("object store: value too large")
+	ErrThrottled   = errors.New("object store: call rate exceeded, nothing written")
+	ErrUnavailable = errors.New("object store: no answer, effect unknown")
 	// ErrCompacted means that a watch's start version is too old: list again.
-	ErrCompacted = errors.New("platform: watch version no longer kept")
+	ErrCompacted = errors.New("object store: watch version no longer kept")
 )
 
 // Store is the object service.
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,175 @@
+// Package quota limits the tokens that each organisation spends over all entry hosts. Each
+// host keeps a token bucket for the whole fleet and takes off it what it spends itself and
+// what its peers say they have spent. It does no I/O.
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"rattanchute/internal/fleet"
+)
+
+// maxWait bounds the time that a refused caller is told to wait.
+const maxWait = 30 * time.Second
+
+// Ledger holds the buckets of all organisations. It may be used by several goroutines.
+type Ledger struct {
+	mu       sync.Mutex
+	accounts map[string]*account
+	// spenders are what was heard of each run of a peer.
+	spenders map[Spender]map[string]float64
+	// part is the share of the refill that this host may count on: peers that it does
+	// not hear may be spending theirs.
+	part float64
+}
+
+// Spender is one run of a peer.
+type Spender struct {
+	Name        string
+	Incarnation int64
+}
+
+type account struct {
+	quota fleet.TokenQuota
+	level float64
+	at    time.Time
+	// spent counts what this host has spent since its start.
+	spent float64
+	// fresh accounts have not heard of what was spent before this host started.
+	fresh bool
+}
+
+// NewLedger returns a ledger without limits.
+func NewLedger() *Ledger {
+	return &Ledger{accounts: map[string]*account{}, spenders: map[Spender]map[string]float64{}, part: 1}
+}
+
+// Configure puts the organisations' quotas in force; what was spent stays spent.
+func (l *Ledger) Configure(now time.Time, organisations []fleet.Organisation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := make(map[string]*account, len(organisations))
+	for i := range organisations {
+		o := &organisations[i]
+		a := l.accounts[o.Name]
+		if a == nil {
+			a = &account{quota: o.Quota, level: o.Quota.Burst, at: now, fresh: true}
+		}
+		a.refill(now, l.part)
+		a.quota = o.Quota
+		a.level = min(a.level, o.Quota.Burst)
+		next[o.Name] = a
+	}
+	l.accounts = next
+}
+
+// SetPart tells which share of the hosts this one hears, itself included: 0 to 1.
+func (l *Ledger) SetPart(now time.Time, part float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.accounts {
+		a.refill(now, l.part)
+	}
+	l.part = part
+}
+
+func (a *account) refill(now time.Time, part float64) {
+	if elapsed := now.Sub(a.at); elapsed > 0 {
+		a.level = min(a.level+elapsed.Seconds()*a.quota.PerSecond*part, a.quota.Burst)
+		a.at = now
+	}
+}
+
+// Take spends tokens if the organisation has any left; else it says when to come back.
+// A request may be larger than what is left, so that none is too large for ever.
+func (l *Ledger) Take(now time.Time, organisation string, tokens float64) (wait time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[organisation]
+	if a == nil || a.quota.PerSecond <= 0 {
+		return 0, true
+	}
+	a.refill(now, l.part)
+	if need := min(tokens, a.quota.Burst); a.level < need {
+		rate := a.quota.PerSecond * max(l.part, minPart)
+		seconds := (need - a.level) / rate
+		return min(time.Duration(seconds*float64(time.Second)), maxWait), false
+	}
+	a.level -= tokens
+	a.spent += tokens
+	return 0, true
+}
+
+// minPart keeps the wait of a refused caller finite.
+const minPart = 0.05
+
+// GiveBack returns tokens that were taken for a request that did not run.
+func (l *Ledger) GiveBack(organisation string, tokens float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[organisation]
+	if a == nil || a.quota.PerSecond <= 0 {
+		return
+	}
+	a.level = min(a.level+tokens, a.quota.Burst)
+	a.spent -= tokens
+}
+
+// Statement is what one host tells the others.
+type Statement struct {
+	// Spent is what the host has spent since its start, by organisation.
+	Spent map[string]float64 `json:"spent,omitempty"`
+	// Level is what it believes is left.
+	Level map[string]float64 `json:"level,omitempty"`
+}
+
+// Statement returns this host's.
+func (l *Ledger) Statement(now time.Time) Statement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Statement{Spent: make(map[string]float64, len(l.accounts)), Level: make(map[string]float64, len(l.accounts))}
+	for name, a := range l.accounts {
+		if a.quota.PerSecond <= 0 {
+			continue
+		}
+		a.refill(now, l.part)
+		s.Spent[name] = a.spent
+		s.Level[name] = a.level
+	}
+	return s
+}
+
+// Heard takes off what a peer has spent since it was last heard. Of a run of a peer that
+// was not heard before, an account that is not fresh takes off everything.
+func (l *Ledger) Heard(now time.Time, from Spender, s Statement) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before, known := l.spenders[from]
+	for name, spent := range s.Spent {
+		a := l.accounts[name]
+		if a == nil {
+			continue
+		}
+		a.refill(now, l.part)
+		if a.fresh {
+			a.level = min(a.level, s.Level[name])
+			a.fresh = false
+			continue
+		}
+		if !known {
+			// The level of a peer that has long been running holds what it spent.
+			a.level = min(a.level, max(s.Level[name], a.level-spent))
+			continue
+		}
+		a.level = min(a.level-(spent-before[name]), a.quota.Burst)
+	}
+	l.spenders[from] = s.Spent
+}
+
+// Forget drops what was heard of a run of a peer.
+func (l *Ledger) Forget(s Spender) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.spenders, s)
+}
--- /dev/null
+++ b/internal/registry/view.go
@@ -0,0 +1,216 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// returnGrace is how long after the store's return an entry that lapsed meanwhile may be
+// missing; the platform says about two seconds.
+const returnGrace = 2200 * time.Millisecond
+
+// ChangeKind tells what became of an endpoint.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	ChangeAdded   ChangeKind = "added"
+	ChangeLeaving ChangeKind = "leaving"
+	// ChangeMissing: no longer listed, but the store was away and it may come back.
+	ChangeMissing  ChangeKind = "missing"
+	ChangeReturned ChangeKind = "returned"
+	ChangeRemoved  ChangeKind = "removed"
+)
+
+// Change is one change of what is believed of an endpoint.
+type Change struct {
+	Kind     ChangeKind
+	Endpoint Endpoint
+	// Version is the store version that showed it.
+	Version uint64
+}
+
+// Entry is an endpoint at a version of the store.
+type Entry struct {
+	Endpoint Endpoint
+	Version  uint64
+}
+
+// View is what the store has shown of the endpoints. It may be used by several goroutines.
+type View struct {
+	mu      sync.Mutex
+	entries map[string]*held
+	// asOf is the newest store version taken in.
+	asOf uint64
+	// disturbedAt is when a store call last failed; zero if none ever did.
+	disturbedAt time.Time
+	// returnedAt is when the first call after that succeeded.
+	returnedAt time.Time
+	disturbed  bool
+}
+
+type held struct {
+	endpoint Endpoint
+	version  uint64
+	// missingSince is set while the entry is not listed.
+	missingSince time.Time
+	// leavesAt is when a leaving endpoint ends; zero if unknown.
+	leavesAt time.Time
+}
+
+// NewView returns a view without endpoints.
+func NewView() *View { return &View{entries: map[string]*held{}} }
+
+// Failed notes that a call to the store failed: what is missing after its return may only
+// have lapsed.
+func (v *View) Failed(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.disturbed = true
+	v.disturbedAt = now
+}
+
+// succeeded notes that the store answers.
+func (v *View) succeeded(now time.Time) {
+	if v.disturbed {
+		v.disturbed = false
+		v.returnedAt = now
+	}
+}
+
+// settling reports whether entries that lapsed while the store was away may still return.
+func (v *View) settling(now time.Time) bool {
+	return v.disturbed || !v.returnedAt.IsZero() && now.Sub(v.returnedAt) < returnGrace
+}
+
+// Replace takes in a whole list read at a store version. A list older than what is known
+// changes nothing.
+func (v *View) Replace(now time.Time, list []Entry, asOf uint64) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.succeeded(now)
+	if asOf < v.asOf {
+		return nil
+	}
+	v.asOf = asOf
+	var changes []Change
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		listed[e.Endpoint.ID] = true
+		changes = v.put(now, e, changes)
+	}
+	for id := range v.entries {
+		if !listed[id] {
+			changes = v.missing(now, id, asOf, changes)
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+	return changes
+}
+
+// Put takes in one entry that a watch has shown.
+func (v *View) Put(now time.Time, e Entry) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.succeeded(now)
+	v.asOf = max(v.asOf, e.Version)
+	return v.put(now, e, nil)
+}
+
+// Delete takes in that a watch has shown an entry's removal at a version.
+func (v *View) Delete(now time.Time, id string, asOf uint64) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.succeeded(now)
+	v.asOf = max(v.asOf, asOf)
+	if h := v.entries[id]; h == nil || h.version > asOf {
+		return nil
+	}
+	return v.missing(now, id, asOf, nil)
+}
+
+func (v *View) put(now time.Time, e Entry, changes []Change) []Change {
+	old := v.entries[e.Endpoint.ID]
+	if old != nil && e.Version < old.version {
+		return changes
+	}
+	next := &held{endpoint: e.Endpoint, version: e.Version}
+	if old != nil && sameRun(old.endpoint, e.Endpoint) {
+		// Leaving is final for one run of an endpoint.
+		next.endpoint.Leaving = next.endpoint.Leaving || old.endpoint.Leaving
+		next.leavesAt = old.leavesAt
+	}
+	if next.endpoint.LeavesIn > 0 && next.leavesAt.IsZero() {
+		next.leavesAt = now.Add(next.endpoint.LeavesIn)
+	}
+	v.entries[e.Endpoint.ID] = next
+	return appendChange(changes, old, next)
+}
+
+func sameRun(a, b Endpoint) bool { return a.Born == b.Born && a.Address == b.Address }
+
+func appendChange(changes []Change, old, next *held) []Change {
+	change := Change{Endpoint: next.endpoint, Version: next.version}
+	switch {
+	case old == nil || !sameRun(old.endpoint, next.endpoint):
+		change.Kind = ChangeAdded
+	case !old.missingSince.IsZero():
+		change.Kind = ChangeReturned
+	case next.endpoint.Leaving && !old.endpoint.Leaving:
+		change.Kind = ChangeLeaving
+	default:
+		return changes
+	}
+	return append(changes, change)
+}
+
+// missing removes an entry that is not listed, or marks it while it may only have lapsed.
+func (v *View) missing(now time.Time, id string, asOf uint64, changes []Change) []Change {
+	h := v.entries[id]
+	if v.settling(now) && !h.endpoint.Leaving {
+		if h.missingSince.IsZero() {
+			h.missingSince = now
+			changes = append(changes, Change{Kind: ChangeMissing, Endpoint: h.endpoint, Version: asOf})
+		}
+		return changes
+	}
+	delete(v.entries, id)
+	return append(changes, Change{Kind: ChangeRemoved, Endpoint: h.endpoint, Version: asOf})
+}
+
+// Advance lets time pass: what is still missing after the store's return is removed.
+func (v *View) Advance(now time.Time) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.settling(now) {
+		return nil
+	}
+	var changes []Change
+	for id, h := range v.entries {
+		if !h.missingSince.IsZero() {
+			changes = v.missing(now, id, v.asOf, changes)
+		}
+	}
+	return changes
+}
+
+// Known is an endpoint as it is believed to be.
+type Known struct {
+	Endpoint
+	// LeavesAt is when a leaving endpoint ends; zero if unknown.
+	LeavesAt time.Time
+}
+
+// Known lists the endpoints in order of their ids, the leaving ones included.
+func (v *View) Known() []Known {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]Known, 0, len(v.entries))
+	for _, h := range v.entries {
+		out = append(out, Known{h.endpoint, h.leavesAt})
+	}
+	slices.SortFunc(out, func(a, b Known) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/internal/route/ingress.go
@@ -0,0 +1,41 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"rattanchute/internal/fleet"
+)
+
+// compileRoutes lists the routes of each host, the longest path prefix first.
+func compileRoutes(routes []fleet.Route) map[string][]*fleet.Route {
+	byHost := make(map[string][]*fleet.Route)
+	for i := range routes {
+		r := &routes[i]
+		byHost[r.Host] = append(byHost[r.Host], r)
+	}
+	for _, list := range byHost {
+		slices.SortStableFunc(list, func(a, b *fleet.Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	return byHost
+}
+
+// MatchRoute finds the route of a host with the longest prefix of the path; nil if none.
+// The host is in lower case and without a port.
+func (t *Table) MatchRoute(host, path string) *fleet.Route {
+	for _, r := range t.routes[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// HasOrganisations reports whether any organisation is declared.
+func (t *Table) HasOrganisations() bool { return len(t.configuration.Organisations) > 0 }
+
+// Configuration is what the table was compiled from; it must not be changed.
+func (t *Table) Configuration() *fleet.Configuration { return t.configuration }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -22,6 +22,7 @@
 	fleets        map[string]fleet.Fleet
 	byKeyHash     map[string]fleet.Organisation
 	calls         callTable
+	routes        map[string][]*fleet.Route
 }
 
 type endpointInfo struct {
@@ -46,6 +47,7 @@
 		fleets:        make(map[string]fleet.Fleet, len(cfg.Fleets)),
 		byKeyHash:     make(map[string]fleet.Organisation),
 		calls:         compileCalls(cfg.Fleets),
+		routes:        compileRoutes(cfg.Routes),
 	}
 	t.indexFleets(cfg.Fleets)
 	t.indexOrganisations(cfg.Organisations)
--- a/internal/servebench/site.go
+++ b/internal/servebench/site.go
@@ -14,7 +14,7 @@
 
 	"rattanchute/internal/adapter/platformhttp"
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/spread"
 	"rattanchute/internal/standin"
 	"rattanchute/internal/testsite"
@@ -136,7 +136,7 @@
 		return err
 	}
 	store := platformhttp.New(platformhttp.Options{Address: s.listen.Platform, Token: testsite.PlatformToken})
-	_, err = store.Create(context.Background(), platform.KindConfiguration, "current", value)
+	_, err = store.Create(context.Background(), objectstore.KindConfiguration, "current", value)
 	return err
 }
 
--- a/internal/soak/node_test.go
+++ b/internal/soak/node_test.go
@@ -15,7 +15,7 @@
 	"rattanchute/internal/claim"
 	"rattanchute/internal/engine"
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/route"
 	"rattanchute/internal/serve"
 	"rattanchute/internal/token"
@@ -167,24 +167,24 @@
 // gatedStore is the platform as the node reaches it.
 type gatedStore struct{ n *node }
 
-func (s gatedStore) reach() (platform.Store, error) {
+func (s gatedStore) reach() (objectstore.Store, error) {
 	if err := s.n.gate(); err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", objectstore.ErrUnavailable, err)
 	}
 	return s.n.w.store, nil
 }
 
-// Get implements platform.Store.
-func (s gatedStore) Get(ctx context.Context, k platform.Kind, name string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (s gatedStore) Get(ctx context.Context, k objectstore.Kind, name string) (objectstore.Object, error) {
 	store, err := s.reach()
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return store.Get(ctx, k, name)
 }
 
-// List implements platform.Store.
-func (s gatedStore) List(ctx context.Context, k platform.Kind) ([]platform.Object, uint64, error) {
+// List implements objectstore.Store.
+func (s gatedStore) List(ctx context.Context, k objectstore.Kind) ([]objectstore.Object, uint64, error) {
 	store, err := s.reach()
 	if err != nil {
 		return nil, 0, err
@@ -192,26 +192,26 @@
 	return store.List(ctx, k)
 }
 
-// Create implements platform.Store.
-func (s gatedStore) Create(ctx context.Context, k platform.Kind, name string, v json.RawMessage) (platform.Object, error) {
+// Create implements objectstore.Store.
+func (s gatedStore) Create(ctx context.Context, k objectstore.Kind, name string, v json.RawMessage) (objectstore.Object, error) {
 	store, err := s.reach()
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return store.Create(ctx, k, name, v)
 }
 
-// Update implements platform.Store.
-func (s gatedStore) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+// Update implements objectstore.Store.
+func (s gatedStore) Update(ctx context.Context, o objectstore.Object) (objectstore.Object, error) {
 	store, err := s.reach()
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return store.Update(ctx, o)
 }
 
-// Delete implements platform.Store.
-func (s gatedStore) Delete(ctx context.Context, o platform.Object) error {
+// Delete implements objectstore.Store.
+func (s gatedStore) Delete(ctx context.Context, o objectstore.Object) error {
 	store, err := s.reach()
 	if err != nil {
 		return err
@@ -219,8 +219,8 @@
 	return store.Delete(ctx, o)
 }
 
-// Watch implements platform.Store.
-func (s gatedStore) Watch(ctx context.Context, k platform.Kind, after uint64) ([]platform.Event, uint64, error) {
+// Watch implements objectstore.Store.
+func (s gatedStore) Watch(ctx context.Context, k objectstore.Kind, after uint64) ([]objectstore.Event, uint64, error) {
 	store, err := s.reach()
 	if err != nil {
 		return nil, 0, err
--- a/internal/spread/announce.go
+++ b/internal/spread/announce.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"rattanchute/internal/member"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 const (
@@ -49,39 +49,39 @@
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, platformTimeout)
 	defer cancel()
-	_, err = r.settings.Store.Create(ctx, platform.KindMember, self.Name, value)
-	r.countCall(platform.KindMember, err)
-	if !errors.Is(err, platform.ErrConflict) {
+	_, err = r.settings.Store.Create(ctx, objectstore.KindMember, self.Name, value)
+	r.countCall(objectstore.KindMember, err)
+	if !errors.Is(err, objectstore.ErrConflict) {
 		return err
 	}
-	o, err := r.settings.Store.Get(ctx, platform.KindMember, self.Name)
-	r.countCall(platform.KindMember, err)
+	o, err := r.settings.Store.Get(ctx, objectstore.KindMember, self.Name)
+	r.countCall(objectstore.KindMember, err)
 	if err != nil {
 		return err
 	}
 	o.Value = value
 	_, err = r.settings.Store.Update(ctx, o)
-	r.countCall(platform.KindMember, err)
+	r.countCall(objectstore.KindMember, err)
 	return err
 }
 
 func (r *Runner) removeMember(ctx context.Context) error {
 	name := r.settings.Machine.Self.Name
-	o, err := r.settings.Store.Get(ctx, platform.KindMember, name)
-	r.countCall(platform.KindMember, err)
-	if errors.Is(err, platform.ErrNotFound) {
+	o, err := r.settings.Store.Get(ctx, objectstore.KindMember, name)
+	r.countCall(objectstore.KindMember, err)
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	err = r.settings.Store.Delete(ctx, o)
-	r.countCall(platform.KindMember, err)
+	r.countCall(objectstore.KindMember, err)
 	return err
 }
 
 func (r *Runner) readMembers() error {
-	_, err := r.list(platform.KindMember, func(e platform.Event) {
+	_, err := r.list(objectstore.KindMember, func(e objectstore.Event) {
 		var m member.Member
 		if json.Unmarshal(e.Object.Value, &m) != nil {
 			return
@@ -104,9 +104,9 @@
 	return known && !live && r.settings.Now().Sub(since) > memberClearAfter
 }
 
-func (r *Runner) clearMember(o platform.Object) {
+func (r *Runner) clearMember(o objectstore.Object) {
 	ctx, cancel := context.WithTimeout(r.ctx, platformTimeout)
 	defer cancel()
 	err := r.settings.Store.Delete(ctx, o)
-	r.countCall(platform.KindMember, err)
+	r.countCall(objectstore.KindMember, err)
 }
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -12,7 +12,7 @@
 
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/member"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // Timing and fan-out of the machine.
@@ -161,7 +161,7 @@
 
 // IsRelay says whether this node watches a kind of object for the others: the first
 // few of each data centre by rendezvous hash do.
-func (m *Machine) IsRelay(kind platform.Kind) bool {
+func (m *Machine) IsRelay(kind objectstore.Kind) bool {
 	self := m.members.Self()
 	near := member.InDataCentre(m.members.Live(), self.DataCentre)
 	ranked := member.Rank(member.Duty("relay/"+string(kind)), near)
--- a/internal/spread/promise_test.go
+++ b/internal/spread/promise_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/spread/spreadtest"
 )
 
@@ -179,7 +179,7 @@
 func relays(w *world) []*spreadtest.Node {
 	var out []*spreadtest.Node
 	for _, n := range w.Nodes[8:] {
-		if n.Machine.IsRelay(platform.KindConfiguration) {
+		if n.Machine.IsRelay(objectstore.KindConfiguration) {
 			out = append(out, n)
 		}
 	}
--- a/internal/spread/relay.go
+++ b/internal/spread/relay.go
@@ -11,7 +11,7 @@
 	"github.com/phuslu/log"
 
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // Timing of the calls to the platform.
@@ -26,14 +26,14 @@
 	watchTimeout = 60 * time.Second
 )
 
-// StoredConfiguration is the value of an object of platform.KindConfiguration.
+// StoredConfiguration is the value of an object of objectstore.KindConfiguration.
 type StoredConfiguration struct {
 	Generation fleet.Generation `json:"generation"`
 	Text       string           `json:"text"`
 }
 
 // DecodeConfiguration reads a StoredConfiguration.
-func DecodeConfiguration(o platform.Object) (fleet.Generation, []byte, error) {
+func DecodeConfiguration(o objectstore.Object) (fleet.Generation, []byte, error) {
 	var c StoredConfiguration
 	if err := json.Unmarshal(o.Value, &c); err != nil {
 		return 0, nil, fmt.Errorf("configuration object %s: %w", o.Name, err)
@@ -42,14 +42,14 @@
 }
 
 // IsRelay says whether this node watches a kind of object for the others.
-func (r *Runner) IsRelay(kind platform.Kind) bool {
+func (r *Runner) IsRelay(kind objectstore.Kind) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.machine.IsRelay(kind)
 }
 
 // relayLoop lists and watches a kind while this node is a relay for it.
-func (r *Runner) relayLoop(kind platform.Kind, take func(platform.Event)) {
+func (r *Runner) relayLoop(kind objectstore.Kind, take func(objectstore.Event)) {
 	wait := backoff{}
 	for r.ctx.Err() == nil {
 		if !r.IsRelay(kind) {
@@ -66,7 +66,7 @@
 	}
 }
 
-func (r *Runner) list(kind platform.Kind, take func(platform.Event)) (uint64, error) {
+func (r *Runner) list(kind objectstore.Kind, take func(objectstore.Event)) (uint64, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, platformTimeout)
 	defer cancel()
 	objects, version, err := r.settings.Store.List(ctx, kind)
@@ -76,17 +76,17 @@
 	}
 	r.with(func(now time.Time) Output { return r.machine.LocalPlatform(now) })
 	for _, o := range objects {
-		take(platform.Event{Object: o})
+		take(objectstore.Event{Object: o})
 	}
 	return version, nil
 }
 
 // watch follows a kind until this node is no longer a relay or must list again.
-func (r *Runner) watch(kind platform.Kind, version uint64, take func(platform.Event)) {
+func (r *Runner) watch(kind objectstore.Kind, version uint64, take func(objectstore.Event)) {
 	wait := backoff{}
 	for r.ctx.Err() == nil && r.IsRelay(kind) {
 		events, next, err := r.watchOnce(kind, version)
-		if errors.Is(err, platform.ErrCompacted) {
+		if errors.Is(err, objectstore.ErrCompacted) {
 			return
 		}
 		if err != nil {
@@ -101,7 +101,7 @@
 	}
 }
 
-func (r *Runner) watchOnce(kind platform.Kind, version uint64) ([]platform.Event, uint64, error) {
+func (r *Runner) watchOnce(kind objectstore.Kind, version uint64) ([]objectstore.Event, uint64, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, watchTimeout)
 	defer cancel()
 	events, next, err := r.settings.Store.Watch(ctx, kind, version)
@@ -114,7 +114,7 @@
 func (r *Runner) readConfigurationAtStart() {
 	wait := backoff{}
 	for r.ctx.Err() == nil {
-		if _, err := r.list(platform.KindConfiguration, r.takeConfiguration); err == nil {
+		if _, err := r.list(objectstore.KindConfiguration, r.takeConfiguration); err == nil {
 			return
 		}
 		select {
@@ -126,7 +126,7 @@
 	}
 }
 
-func (r *Runner) takeConfiguration(e platform.Event) {
+func (r *Runner) takeConfiguration(e objectstore.Event) {
 	if e.Deleted {
 		return
 	}
@@ -140,7 +140,7 @@
 
 // takeHost takes in a host's state. A deleted object names a run that is gone; a host
 // that is merely absent from a list is not taken for gone.
-func (r *Runner) takeHost(e platform.Event) {
+func (r *Runner) takeHost(e objectstore.Event) {
 	var s fleet.HostState
 	if err := json.Unmarshal(e.Object.Value, &s); err != nil {
 		if !e.Deleted {
@@ -154,7 +154,7 @@
 	r.LocalHostState(s)
 }
 
-func (r *Runner) countCall(kind platform.Kind, err error) {
+func (r *Runner) countCall(kind objectstore.Kind, err error) {
 	r.metrics.platform.WithLabelValues(string(kind), resultOf(err)).Inc()
 }
 
--- a/internal/spread/runner.go
+++ b/internal/spread/runner.go
@@ -13,7 +13,7 @@
 
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/member"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // Transport sends a message to a peer and returns the peer's answer.
@@ -25,9 +25,9 @@
 type RunnerSettings struct {
 	Machine   Settings
 	Transport Transport
-	Store     platform.Store
+	Store     objectstore.Store
 	// DecodeConfiguration reads a stored configuration; nil means DecodeConfiguration.
-	DecodeConfiguration func(platform.Object) (fleet.Generation, []byte, error)
+	DecodeConfiguration func(objectstore.Object) (fleet.Generation, []byte, error)
 	// OnEvent is called from one goroutine, in the order of the events.
 	OnEvent func(Event)
 	// Now is the clock; nil means time.Now.
@@ -97,8 +97,8 @@
 	r.loop(r.dispatchLoop)
 	r.loop(r.tickLoop)
 	r.loop(r.readConfigurationAtStart)
-	r.loop(func() { r.relayLoop(platform.KindConfiguration, r.takeConfiguration) })
-	r.loop(func() { r.relayLoop(platform.KindHost, r.takeHost) })
+	r.loop(func() { r.relayLoop(objectstore.KindConfiguration, r.takeConfiguration) })
+	r.loop(func() { r.relayLoop(objectstore.KindHost, r.takeHost) })
 	r.loop(r.memberLoop)
 }
 
--- a/internal/spread/spreadtest/store.go
+++ b/internal/spread/spreadtest/store.go
@@ -8,26 +8,26 @@
 	"sync"
 	"sync/atomic"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
-// Store is a platform.Store in memory that counts calls and can be switched off.
+// Store is a objectstore.Store in memory that counts calls and can be switched off.
 type Store struct {
 	Calls atomic.Int64
 	down  atomic.Bool
 
 	mu      sync.Mutex
 	version uint64
-	objects map[platform.Kind]map[string]platform.Object
-	events  map[platform.Kind][]platform.Event
+	objects map[objectstore.Kind]map[string]objectstore.Object
+	events  map[objectstore.Kind][]objectstore.Event
 	changed chan struct{}
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
-		objects: map[platform.Kind]map[string]platform.Object{},
-		events:  map[platform.Kind][]platform.Event{},
+		objects: map[objectstore.Kind]map[string]objectstore.Object{},
+		events:  map[objectstore.Kind][]objectstore.Event{},
 		changed: make(chan struct{}),
 	}
 }
@@ -40,52 +40,52 @@
 	s.wake()
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, kind platform.Kind, name string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (s *Store) Get(_ context.Context, kind objectstore.Kind, name string) (objectstore.Object, error) {
 	if err := s.call(); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[kind][name]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
 	return o, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, kind platform.Kind) ([]platform.Object, uint64, error) {
+// List implements objectstore.Store.
+func (s *Store) List(_ context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error) {
 	if err := s.call(); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.Object
+	var out []objectstore.Object
 	for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
 		out = append(out, s.objects[kind][name])
 	}
 	return out, s.version, nil
 }
 
-// Create implements platform.Store.
-func (s *Store) Create(_ context.Context, kind platform.Kind, name string, value json.RawMessage) (platform.Object, error) {
-	return s.write(platform.Object{Kind: kind, Name: name, Value: value}, false)
+// Create implements objectstore.Store.
+func (s *Store) Create(_ context.Context, kind objectstore.Kind, name string, value json.RawMessage) (objectstore.Object, error) {
+	return s.write(objectstore.Object{Kind: kind, Name: name, Value: value}, false)
 }
 
-// Update implements platform.Store.
-func (s *Store) Update(_ context.Context, o platform.Object) (platform.Object, error) {
+// Update implements objectstore.Store.
+func (s *Store) Update(_ context.Context, o objectstore.Object) (objectstore.Object, error) {
 	return s.write(o, false)
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(_ context.Context, o platform.Object) error {
+// Delete implements objectstore.Store.
+func (s *Store) Delete(_ context.Context, o objectstore.Object) error {
 	_, err := s.write(o, true)
 	return err
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, kind platform.Kind, after uint64) ([]platform.Event, uint64, error) {
+// Watch implements objectstore.Store.
+func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after uint64) ([]objectstore.Event, uint64, error) {
 	if err := s.call(); err != nil {
 		return nil, 0, err
 	}
@@ -94,7 +94,7 @@
 		events, version, changed := s.since(kind, after), s.version, s.changed
 		s.mu.Unlock()
 		if s.down.Load() {
-			return nil, 0, platform.ErrUnavailable
+			return nil, 0, objectstore.ErrUnavailable
 		}
 		if len(events) > 0 {
 			return events, version, nil
@@ -107,8 +107,8 @@
 	}
 }
 
-func (s *Store) since(kind platform.Kind, after uint64) []platform.Event {
-	var out []platform.Event
+func (s *Store) since(kind objectstore.Kind, after uint64) []objectstore.Event {
+	var out []objectstore.Event
 	for _, e := range s.events[kind] {
 		if e.Object.Version > after {
 			out = append(out, e)
@@ -120,22 +120,22 @@
 func (s *Store) call() error {
 	s.Calls.Add(1)
 	if s.down.Load() {
-		return platform.ErrUnavailable
+		return objectstore.ErrUnavailable
 	}
 	return nil
 }
 
-func (s *Store) write(o platform.Object, deleted bool) (platform.Object, error) {
+func (s *Store) write(o objectstore.Object, deleted bool) (objectstore.Object, error) {
 	if err := s.call(); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.objects[o.Kind][o.Name].Version != o.Version {
-		return platform.Object{}, platform.ErrConflict
+		return objectstore.Object{}, objectstore.ErrConflict
 	}
 	if s.objects[o.Kind] == nil {
-		s.objects[o.Kind] = map[string]platform.Object{}
+		s.objects[o.Kind] = map[string]objectstore.Object{}
 	}
 	s.version++
 	o.Version = s.version
@@ -143,7 +143,7 @@
 	if deleted {
 		delete(s.objects[o.Kind], o.Name)
 	}
-	s.events[o.Kind] = append(s.events[o.Kind], platform.Event{Object: o, Deleted: deleted})
+	s.events[o.Kind] = append(s.events[o.Kind], objectstore.Event{Object: o, Deleted: deleted})
 	s.wake()
 	return o, nil
 }
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/spread"
 	"rattanchute/internal/spread/spreadtest"
 )
@@ -149,7 +149,7 @@
 
 // tick is a node's reading of the platform: relays follow it, starting nodes read once.
 func (w *world) tick(n *spreadtest.Node) {
-	if !w.storeUp || n.Machine.Ready() && !n.Machine.IsRelay(platform.KindConfiguration) {
+	if !w.storeUp || n.Machine.Ready() && !n.Machine.IsRelay(objectstore.KindConfiguration) {
 		return
 	}
 	g := w.accepted
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // Cloud starts, stops and reclaims hosts.
@@ -97,7 +97,7 @@
 	if err != nil {
 		return
 	}
-	c.store.Put(platform.KindHost, h.spec.Name, value)
+	c.store.Put(objectstore.KindHost, h.spec.Name, value)
 }
 
 // List returns the hosts as the lagging list shows them.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -9,22 +9,22 @@
 
 	"golang.org/x/time/rate"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // objectKey names an object in the whole store.
 type objectKey struct {
-	kind platform.Kind
+	kind objectstore.Kind
 	name string
 }
 
-// Store is an object store in memory. It implements platform.Store without HTTP.
+// Store is an object store in memory. It implements objectstore.Store without HTTP.
 type Store struct {
 	config  StoreConfig
 	limiter *rate.Limiter
 
 	mu      sync.Mutex
-	objects map[objectKey]platform.Object
+	objects map[objectKey]objectstore.Object
 	version uint64
 	// history holds the latest changes in the order of their versions.
 	history   []change
@@ -39,10 +39,10 @@
 // change is an event and the store version it made.
 type change struct {
 	version uint64
-	event   platform.Event
+	event   objectstore.Event
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectstore.Store = (*Store)(nil)
 
 // NewStore returns an empty store.
 func NewStore(c StoreConfig) *Store {
@@ -57,7 +57,7 @@
 	}
 	s := &Store{
 		config:  c,
-		objects: map[objectKey]platform.Object{},
+		objects: map[objectKey]objectstore.Object{},
 		changed: make(chan struct{}),
 		calls:   map[Verb]uint64{},
 	}
@@ -68,27 +68,27 @@
 }
 
 // Get reads one object.
-func (s *Store) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+func (s *Store) Get(ctx context.Context, kind objectstore.Kind, name string) (objectstore.Object, error) {
 	if err := s.begin(ctx, VerbGet); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[objectKey{kind, name}]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
 	return o, nil
 }
 
 // List reads all objects of a kind, by name.
-func (s *Store) List(ctx context.Context, kind platform.Kind) ([]platform.Object, uint64, error) {
+func (s *Store) List(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error) {
 	if err := s.begin(ctx, VerbList); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := []platform.Object{}
+	list := []objectstore.Object{}
 	for k, o := range s.objects {
 		if k.kind == kind {
 			list = append(list, o)
@@ -99,39 +99,39 @@
 }
 
 // Create stores a new object.
-func (s *Store) Create(ctx context.Context, kind platform.Kind, name string, value json.RawMessage) (platform.Object, error) {
+func (s *Store) Create(ctx context.Context, kind objectstore.Kind, name string, value json.RawMessage) (objectstore.Object, error) {
 	if err := s.begin(ctx, VerbCreate); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
-	if len(value) > platform.MaxValueBytes {
-		return platform.Object{}, platform.ErrTooLarge
+	if len(value) > objectstore.MaxValueBytes {
+		return objectstore.Object{}, objectstore.ErrTooLarge
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.objects[objectKey{kind, name}]; ok {
-		return platform.Object{}, platform.ErrConflict
+		return objectstore.Object{}, objectstore.ErrConflict
 	}
-	return s.write(platform.Object{Kind: kind, Name: name, Value: value}, false)
+	return s.write(objectstore.Object{Kind: kind, Name: name, Value: value}, false)
 }
 
 // Update replaces the value if the stored version equals o.Version.
-func (s *Store) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (s *Store) Update(ctx context.Context, o objectstore.Object) (objectstore.Object, error) {
 	if err := s.begin(ctx, VerbUpdate); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
-	if len(o.Value) > platform.MaxValueBytes {
-		return platform.Object{}, platform.ErrTooLarge
+	if len(o.Value) > objectstore.MaxValueBytes {
+		return objectstore.Object{}, objectstore.ErrTooLarge
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.match(o); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return s.write(o, false)
 }
 
 // Delete removes the object if the stored version equals o.Version.
-func (s *Store) Delete(ctx context.Context, o platform.Object) error {
+func (s *Store) Delete(ctx context.Context, o objectstore.Object) error {
 	if err := s.begin(ctx, VerbDelete); err != nil {
 		return err
 	}
@@ -144,28 +144,28 @@
 	return err
 }
 
-func (s *Store) match(o platform.Object) error {
+func (s *Store) match(o objectstore.Object) error {
 	stored, ok := s.objects[objectKey{o.Kind, o.Name}]
 	if !ok {
-		return platform.ErrNotFound
+		return objectstore.ErrNotFound
 	}
 	if stored.Version != o.Version {
-		return platform.ErrConflict
+		return objectstore.ErrConflict
 	}
 	return nil
 }
 
 // write applies a change and then loses the answer if it is told to.
-func (s *Store) write(o platform.Object, deleted bool) (platform.Object, error) {
+func (s *Store) write(o objectstore.Object, deleted bool) (objectstore.Object, error) {
 	o = s.apply(o, deleted)
 	if s.loseAnswer() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	return o, nil
 }
 
 // apply changes an object and wakes the watches.
-func (s *Store) apply(o platform.Object, deleted bool) platform.Object {
+func (s *Store) apply(o objectstore.Object, deleted bool) objectstore.Object {
 	s.version++
 	o.Version = s.version
 	o.Value = append(json.RawMessage(nil), o.Value...)
@@ -175,7 +175,7 @@
 	} else {
 		s.objects[key] = o
 	}
-	s.history = append(s.history, change{s.version, platform.Event{Object: o, Deleted: deleted}})
+	s.history = append(s.history, change{s.version, objectstore.Event{Object: o, Deleted: deleted}})
 	if extra := len(s.history) - s.config.History; extra > 0 {
 		s.compacted = s.history[extra-1].version
 		s.history = append([]change(nil), s.history[extra:]...)
@@ -192,8 +192,8 @@
 
 // Put writes an object as the platform itself does: unconditionally, outside the
 // budget and in spite of faults.
-func (s *Store) Put(kind platform.Kind, name string, value json.RawMessage) {
+func (s *Store) Put(kind objectstore.Kind, name string, value json.RawMessage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(platform.Object{Kind: kind, Name: name, Value: value}, false)
+	s.apply(objectstore.Object{Kind: kind, Name: name, Value: value}, false)
 }
--- a/internal/standin/store_faults.go
+++ b/internal/standin/store_faults.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // defaultHistory is the number of changes kept for watches.
@@ -89,13 +89,13 @@
 	}
 	s.mu.Unlock()
 	if limited {
-		return platform.ErrThrottled
+		return objectstore.ErrThrottled
 	}
 	if faults.DelayMillis > 0 && !sleep(ctx, millis(faults.DelayMillis)) {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+		return fmt.Errorf("%w: %w", objectstore.ErrUnavailable, ctx.Err())
 	}
 	if faults.Outage {
-		return platform.ErrUnavailable
+		return objectstore.ErrUnavailable
 	}
 	return nil
 }
--- a/internal/standin/store_http.go
+++ b/internal/standin/store_http.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // maxWatchWait bounds how long a watch may wait over HTTP.
@@ -19,19 +19,19 @@
 
 // listAnswer is the body of a list answer.
 type listAnswer struct {
-	Version uint64            `json:"version"`
-	Objects []platform.Object `json:"objects"`
+	Version uint64               `json:"version"`
+	Objects []objectstore.Object `json:"objects"`
 }
 
 // watchAnswer is the body of a watch answer.
 type watchAnswer struct {
-	Version uint64           `json:"version"`
-	Events  []platform.Event `json:"events"`
+	Version uint64              `json:"version"`
+	Events  []objectstore.Event `json:"events"`
 }
 
 // objectRequest is one call of the platform protocol.
 type objectRequest struct {
-	kind  platform.Kind
+	kind  objectstore.Kind
 	name  string
 	match uint64
 }
@@ -52,8 +52,8 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "bad_json")
 		return
 	}
-	target := platform.Object{Kind: r.kind, Name: r.name, Version: r.match, Value: value}
-	var o platform.Object
+	target := objectstore.Object{Kind: r.kind, Name: r.name, Version: r.match, Value: value}
+	var o objectstore.Object
 	var err error
 	status := fasthttp.StatusOK
 	switch string(ctx.Method()) {
@@ -91,7 +91,7 @@
 	rawKind, rawName, _ := strings.Cut(path, "/")
 	kind, kindErr := url.PathUnescape(rawKind)
 	name, nameErr := url.PathUnescape(rawName)
-	r.kind, r.name = platform.Kind(kind), name
+	r.kind, r.name = objectstore.Kind(kind), name
 	if match := string(ctx.Request.Header.Peek(fasthttp.HeaderIfMatch)); match != "" {
 		v, err := strconv.ParseUint(match, 10, 64)
 		if err != nil {
@@ -130,22 +130,22 @@
 		return
 	}
 	if events == nil {
-		events = []platform.Event{}
+		events = []objectstore.Event{}
 	}
 	writeJSON(ctx, fasthttp.StatusOK, watchAnswer{Version: version, Events: events})
 }
 
 func (s *Store) writeStoreError(ctx *fasthttp.RequestCtx, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		writeError(ctx, fasthttp.StatusNotFound, "not_found")
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		writeError(ctx, fasthttp.StatusConflict, "conflict")
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrTooLarge):
 		writeError(ctx, fasthttp.StatusRequestEntityTooLarge, "too_large")
-	case errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, objectstore.ErrThrottled):
 		writeError(ctx, fasthttp.StatusTooManyRequests, "throttled")
-	case errors.Is(err, platform.ErrCompacted):
+	case errors.Is(err, objectstore.ErrCompacted):
 		writeError(ctx, fasthttp.StatusGone, "compacted")
 	default:
 		s.writeUnavailable(ctx)
--- a/internal/standin/store_watch.go
+++ b/internal/standin/store_watch.go
@@ -6,16 +6,16 @@
 	"sort"
 	"time"
 
-	"rattanchute/internal/platform"
+	"rattanchute/internal/objectstore"
 )
 
 // Watch waits for changes of a kind for as long as the configuration says.
-func (s *Store) Watch(ctx context.Context, kind platform.Kind, after uint64) ([]platform.Event, uint64, error) {
+func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after uint64) ([]objectstore.Event, uint64, error) {
 	return s.WatchFor(ctx, kind, after, millis(s.config.WatchWaitMillis))
 }
 
 // WatchFor is Watch with a longest wait.
-func (s *Store) WatchFor(ctx context.Context, kind platform.Kind, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+func (s *Store) WatchFor(ctx context.Context, kind objectstore.Kind, after uint64, wait time.Duration) ([]objectstore.Event, uint64, error) {
 	if err := s.begin(ctx, VerbWatch); err != nil {
 		return nil, after, err
 	}
@@ -28,9 +28,9 @@
 		s.mu.Unlock()
 		switch {
 		case outage:
-			return nil, after, platform.ErrUnavailable
+			return nil, after, objectstore.ErrUnavailable
 		case compacted:
-			return nil, after, platform.ErrCompacted
+			return nil, after, objectstore.ErrCompacted
 		case len(events) > 0 || wait <= 0:
 			return events, max(version, after), nil
 		}
@@ -39,15 +39,15 @@
 		case <-timer.C:
 			return nil, max(version, after), nil
 		case <-ctx.Done():
-			return nil, after, fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+			return nil, after, fmt.Errorf("%w: %w", objectstore.ErrUnavailable, ctx.Err())
 		}
 	}
 }
 
 // since returns the kept changes of a kind after a version.
-func (s *Store) since(kind platform.Kind, after uint64) []platform.Event {
+func (s *Store) since(kind objectstore.Kind, after uint64) []objectstore.Event {
 	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].version > after })
-	var events []platform.Event
+	var events []objectstore.Event
 	for _, c := range s.history[first:] {
 		if c.event.Object.Kind == kind {
 			events = append(events, c.event)
