Meet peers at the start, repeat refused orders, keep what stands until demand is known

An order answered with 'none available' was taken as sent: from 8.9 s to 61 s nothing was ordered. Before traffic the plan went down to 8 endpoints. Kept connections failed the check for an idle one, as a deadline had expired.

--- a/internal/adapter/httpexchange/body.go
+++ b/internal/adapter/httpexchange/body.go
@@ -113,15 +113,26 @@
 		_ = b.lease.conn.SetReadDeadline(time.Now().Add(drainTime))
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		if !b.ended {
-			var rest [64]byte
-			n, err := b.Response.BodyStream().Read(rest[:])
-			b.ended = n == 0 && err == io.EOF
-		}
+		b.drain()
 		b.free()
 	})
 }
 
+// drainBytes is the most that is read of a body of which nothing more is wanted.
+const drainBytes = 4 << 10
+
+func (b *Body) drain() {
+	var rest [512]byte
+	for read := 0; !b.ended && read < drainBytes; {
+		n, err := b.Response.BodyStream().Read(rest[:])
+		read += n
+		b.ended = err == io.EOF
+		if err != nil {
+			return
+		}
+	}
+}
+
 // Close ends the connection unless the body has ended.
 func (b *Body) Close() {
 	b.once.Do(func() {
--- a/internal/adapter/httpexchange/client.go
+++ b/internal/adapter/httpexchange/client.go
@@ -182,6 +182,8 @@
 		l := &lease{conn: conn, reader: r}
 		l.release = func(reuse bool) {
 			reuse = stop() && reuse && r.Buffered() == 0
+			// An expired deadline would make the unused connection look broken.
+			reuse = reuse && conn.SetDeadline(time.Time{}) == nil
 			h.ReleaseReader(r)
 			if reuse {
 				h.ReleaseConn(pooled)
--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -33,6 +33,8 @@
 	Sites  []CountSite
 	// Min and Max bound both kinds of endpoints together in one data centre.
 	Min, Max int
+	// DemandUnknown keeps what is there: nobody has asked for long enough.
+	DemandUnknown bool
 	// ReclaimablePrice is the part of an on-demand price; zero if there are none.
 	ReclaimablePrice float64
 }
@@ -88,6 +90,9 @@
 		// Until the others have come, what is there stays.
 		wantedOnDemand = max(wantedOnDemand, min(onDemand, int(math.Ceil(need/targetUtilisation))-present))
 	}
+	if s.DemandUnknown {
+		wantedOnDemand = onDemand
+	}
 	spreadOnDemand(s, counts, max(wantedOnDemand, 0))
 	return counts
 }
--- /dev/null
+++ b/internal/capacity/counts_test.go
@@ -0,0 +1,72 @@
+package capacity
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func fourSites(onDemand, reclaimable int) []CountSite {
+	var sites []CountSite
+	for _, dc := range []string{"a", "b", "c", "d"} {
+		sites = append(sites, CountSite{DataCentre: dc, Price: 1, OnDemand: onDemand, Reclaimable: reclaimable})
+	}
+	return sites
+}
+
+var calm = CountDemand{RequestsPerSecond: 40, PromptTokens: 4000, OutputTokens: 200}
+
+// TestNothingIsGivenBackBeforeDemandIsKnown: the endpoints that stand at the start stay.
+func TestNothingIsGivenBackBeforeDemandIsKnown(t *testing.T) {
+	is := is.New(t)
+	s := CountSnapshot{Sites: fourSites(3, 3), Min: 1, Max: 6, ReclaimablePrice: 0.2, DemandUnknown: true}
+	total := 0
+	for _, c := range PlanCounts(s) {
+		total += c.OnDemand
+	}
+	is.Equal(total, 12)
+}
+
+// TestReclaimableEndpointsReplaceOnDemandOnes: once they are there, and only then.
+func TestReclaimableEndpointsReplaceOnDemandOnes(t *testing.T) {
+	is := is.New(t)
+	s := CountSnapshot{Demand: calm, Sites: fourSites(3, 0), Min: 1, Max: 6, ReclaimablePrice: 0.2}
+	before := 0
+	for _, c := range PlanCounts(s) {
+		before += c.OnDemand
+		is.True(c.Reclaimable > 0)
+	}
+	is.True(float64(before) >= EnginesNeeded(calm))
+	s.Sites = fourSites(3, 6)
+	for _, c := range PlanCounts(s) {
+		is.Equal(c.OnDemand, 0)
+	}
+}
+
+func TestCountsStayWithinTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := CountSnapshot{
+			Min: 1, Max: rapid.IntRange(1, 8).Draw(t, "max"),
+			ReclaimablePrice: rapid.Float64Range(0, 1).Draw(t, "price"),
+			DemandUnknown:    rapid.Bool().Draw(t, "unknown"),
+			Demand: CountDemand{
+				RequestsPerSecond: rapid.Float64Range(0, 500).Draw(t, "rate"),
+				PromptTokens:      rapid.Float64Range(0, 20000).Draw(t, "prompt"),
+				OutputTokens:      rapid.Float64Range(0, 1000).Draw(t, "output"),
+			},
+		}
+		for i := range rapid.IntRange(1, 5).Draw(t, "sites") {
+			s.Sites = append(s.Sites, CountSite{
+				DataCentre: string(rune('a' + i)), Price: rapid.Float64Range(0.5, 2).Draw(t, "site price"),
+				OnDemand:    rapid.IntRange(0, s.Max).Draw(t, "on demand"),
+				Reclaimable: rapid.IntRange(0, s.Max).Draw(t, "reclaimable"),
+			})
+		}
+		for _, c := range PlanCounts(s) {
+			if c.OnDemand < 0 || c.Reclaimable < 0 || c.OnDemand+c.Reclaimable > s.Max || c.OnDemand+c.Reclaimable < s.Min {
+				t.Fatalf("%+v is out of bounds", c)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/duty/fake_test.go
@@ -0,0 +1,73 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"rattanchute/internal/objectstore"
+)
+
+// fakeStore is an object store in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	version uint64
+	objects map[string]objectstore.Object
+	// err, if set, is returned by every call; lateEffect has writes take effect all the same.
+	err        error
+	lateEffect bool
+	writes     int
+}
+
+var _ objectstore.Store = (*fakeStore)(nil)
+
+func newFakeStore() *fakeStore { return &fakeStore{objects: map[string]objectstore.Object{}} }
+
+func key(kind objectstore.Kind, name string) string { return string(kind) + "/" + name }
+
+func (s *fakeStore) Get(_ context.Context, kind objectstore.Kind, name string) (objectstore.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return objectstore.Object{}, s.err
+	}
+	o, ok := s.objects[key(kind, name)]
+	if !ok {
+		return o, objectstore.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *fakeStore) List(context.Context, objectstore.Kind) ([]objectstore.Object, uint64, error) {
+	return nil, s.version, s.err
+}
+
+func (s *fakeStore) Create(_ context.Context, kind objectstore.Kind, name string, value json.RawMessage) (objectstore.Object, error) {
+	return s.put(objectstore.Object{Kind: kind, Name: name, Value: value})
+}
+
+func (s *fakeStore) Update(_ context.Context, o objectstore.Object) (objectstore.Object, error) {
+	return s.put(o)
+}
+
+func (s *fakeStore) put(o objectstore.Object) (objectstore.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil && !s.lateEffect {
+		return objectstore.Object{}, s.err
+	}
+	if s.objects[key(o.Kind, o.Name)].Version != o.Version {
+		return objectstore.Object{}, objectstore.ErrConflict
+	}
+	s.version++
+	s.writes++
+	o.Version = s.version
+	s.objects[key(o.Kind, o.Name)] = o
+	return o, s.err
+}
+
+func (s *fakeStore) Delete(context.Context, objectstore.Object) error { return s.err }
+
+func (s *fakeStore) Watch(context.Context, objectstore.Kind, uint64) ([]objectstore.Event, uint64, error) {
+	return nil, s.version, s.err
+}
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"rattanchute/internal/objectstore"
 )
@@ -25,8 +26,13 @@
 	stored  map[orderKey]int
 	// answered are the orders that the platform has taken under this lease.
 	answered map[orderKey]int
+	// notBefore is when an order that could not be filled may be sent again.
+	notBefore map[orderKey]time.Time
 }
 
+// refusedPause is the time before an order that could not be filled is sent again.
+const refusedPause = 1500 * time.Millisecond
+
 // orderKey is what a later order replaces.
 type orderKey struct {
 	fleet       string
@@ -37,26 +43,26 @@
 func (o Order) key() orderKey { return orderKey{o.Fleet, o.DataCentre, o.Reclaimable} }
 
 func newOrders(store objectstore.Store) *orders {
-	return &orders{store: store, answered: map[orderKey]int{}}
+	return &orders{store: store, answered: map[orderKey]int{}, notBefore: map[orderKey]time.Time{}}
 }
 
 // forget drops what was read and sent under an earlier lease.
 func (o *orders) forget() {
 	o.known = false
 	o.answered = map[orderKey]int{}
+	o.notBefore = map[orderKey]time.Time{}
 }
 
 // next lists the orders to send, after they are stored.
-func (o *orders) next(ctx context.Context, wanted []Order) ([]Order, error) {
+func (o *orders) next(ctx context.Context, now time.Time, wanted []Order) ([]Order, error) {
 	var out []Order
-	changed := false
 	for _, w := range wanted {
-		if count, ok := o.answered[w.key()]; !ok || count != w.Count {
+		count, ok := o.answered[w.key()]
+		if (!ok || count != w.Count) && !now.Before(o.notBefore[w.key()]) {
 			out = append(out, w)
-			changed = true
 		}
 	}
-	if !changed {
+	if len(out) == 0 {
 		return nil, nil
 	}
 	return out, o.keep(ctx, wanted)
@@ -120,4 +126,11 @@
 	return nil
 }
 
+// sent notes that the platform has taken an order.
 func (o *orders) sent(order Order) { o.answered[order.key()] = order.Count }
+
+// refused notes that there were no such endpoints to be had.
+func (o *orders) refused(now time.Time, order Order) {
+	delete(o.answered, order.key())
+	o.notBefore[order.key()] = now.Add(refusedPause)
+}
--- /dev/null
+++ b/internal/duty/orders_test.go
@@ -0,0 +1,47 @@
+package duty
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// TestOrderThatCouldNotBeFilledIsSentAgain: endpoints that were not to be had are asked for
+// again after a pause, for as long as they are wanted.
+func TestOrderThatCouldNotBeFilledIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	o := newOrders(newFakeStore())
+	wanted := []Order{{Fleet: "f", DataCentre: "a", Reclaimable: true, Count: 3}}
+
+	next, err := o.next(ctx, epoch, wanted)
+	is.NoErr(err)
+	is.Equal(next, wanted)
+	o.refused(epoch, wanted[0])
+
+	next, err = o.next(ctx, epoch.Add(refusedPause/2), wanted)
+	is.NoErr(err)
+	is.Equal(len(next), 0) // not at once
+	next, err = o.next(ctx, epoch.Add(refusedPause), wanted)
+	is.NoErr(err)
+	is.Equal(next, wanted)
+	o.sent(wanted[0])
+
+	next, err = o.next(ctx, epoch.Add(time.Hour), wanted)
+	is.NoErr(err)
+	is.Equal(len(next), 0) // what was taken is sent once
+}
+
+// TestOrdersAreStoredBeforeTheyAreSent: nothing is sent that a next holder would not find.
+func TestOrdersAreStoredBeforeTheyAreSent(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore()
+	store.err = errStoreAway
+	o := newOrders(store)
+	_, err := o.next(context.Background(), epoch, []Order{{Fleet: "f", DataCentre: "a", Count: 1}})
+	is.True(err != nil)
+}
--- a/internal/duty/planner.go
+++ b/internal/duty/planner.go
@@ -16,6 +16,9 @@
 	planEvery = time.Second
 	// refusalMemory is how long after a refusal reclaimable endpoints count as not to be had.
 	refusalMemory = 4 * time.Second
+	// demandKnownAfter is how long callers must have asked before endpoints that stood there
+	// at the start are given back.
+	demandKnownAfter = 6 * time.Second
 	// minimumRate is planned for while callers ask for less, such as before the first.
 	minimumRate = 20.0
 	// typicalPrompt and typicalOutput are assumed of the requests until some were seen.
@@ -40,12 +43,14 @@
 	refusedAt map[orderKey]time.Time
 	plannedAt time.Time
 	last      []Order
+	// askedSince is when callers were first seen to ask for a fleet.
+	askedSince map[string]time.Time
 }
 
 // NewPlanner returns a planner.
 func NewPlanner(s Sources) *Planner {
 	slices.Sort(s.DataCentres)
-	return &Planner{sources: s, holds: map[string]*capacity.DemandHold{}, refusedAt: map[orderKey]time.Time{}}
+	return &Planner{sources: s, holds: map[string]*capacity.DemandHold{}, refusedAt: map[orderKey]time.Time{}, askedSince: map[string]time.Time{}}
 }
 
 // Plan returns the orders that should be in force now.
@@ -73,6 +78,7 @@
 func (p *Planner) planFleet(now time.Time, f *fleet.Fleet, d peering.FleetDemand, known []registry.Known) []Order {
 	snapshot := capacity.CountSnapshot{
 		Demand:           p.hold(now, f.Name, d),
+		DemandUnknown:    p.demandUnknown(now, f.Name, d),
 		Min:              f.Scaling.Min,
 		Max:              f.Scaling.Max,
 		ReclaimablePrice: f.Scaling.ReclaimablePrice,
@@ -100,6 +106,14 @@
 	return orderList(f.Name, capacity.PlanCounts(snapshot))
 }
 
+func (p *Planner) demandUnknown(now time.Time, name string, d peering.FleetDemand) bool {
+	since, asked := p.askedSince[name]
+	if !asked && d.RequestsPerSecond > 0 {
+		p.askedSince[name] = now
+	}
+	return !asked || now.Sub(since) < demandKnownAfter
+}
+
 func orderList(fleetName string, counts []capacity.Count) []Order {
 	var out []Order
 	for _, c := range counts {
--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -141,8 +141,8 @@
 }
 
 func (r *Runner) scale(ctx context.Context) {
-	wanted := r.Planner.Plan(clock.Now())
-	next, err := r.orders.next(ctx, wanted)
+	now := clock.Now()
+	next, err := r.orders.next(ctx, now, r.Planner.Plan(now))
 	if err != nil {
 		r.Log.Warn().Err(err).Msg("orders not stored")
 		return
@@ -167,9 +167,13 @@
 	line.Str("fleet", o.Fleet).Str("data_centre", o.DataCentre).Bool("reclaimable", o.Reclaimable).
 		Int("count", o.Count).Uint64("fencing", by.Fencing).Msg("endpoints ordered")
 	r.Planner.Answered(clock.Now(), o, err)
-	if err == nil || errors.Is(err, ErrNoneAvailable) {
+	switch {
+	case err == nil:
 		r.orders.sent(o)
-		return true
+	case errors.Is(err, ErrNoneAvailable):
+		r.orders.refused(clock.Now(), o)
+	default:
+		return false
 	}
-	return false
+	return true
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -66,6 +66,7 @@
 	e.entry(log.InfoLevel, x).
 		Str("endpoint", c.Endpoint.ID).
 		Int("sends", x.sends).
+		Float64("quota_tokens", x.cost).
 		Int("in_flight", c.InFlight).
 		Int("uncached_tokens", c.Uncached).
 		Int64("expected_ms", c.FirstEvent.Milliseconds()).
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -39,15 +39,29 @@
 	}
 }
 
-// joinMembers writes this host's entry if it is not there and reads the others.
+// joinMembers reads the others' entries. A host that is not listed yet writes its own entry
+// first, so that of two that start together at least one sees the other.
 func (n *Node) joinMembers(ctx context.Context) error {
+	own, listed, err := n.readMembers(ctx)
+	if err != nil || listed {
+		return err
+	}
+	if err := n.writeMember(ctx, own); err != nil {
+		return err
+	}
+	_, _, err = n.readMembers(ctx)
+	return err
+}
+
+// readMembers takes in the others' entries and returns this host's own, and whether it is
+// that of this run.
+func (n *Node) readMembers(ctx context.Context) (own objectstore.Object, listed bool, err error) {
+	own = objectstore.Object{Kind: objectstore.KindMember, Name: n.Settings.Name}
 	objects, _, err := n.Store.List(ctx, objectstore.KindMember)
 	if err != nil {
-		return err
+		return own, false, err
 	}
 	now := clock.Now()
-	own := objectstore.Object{Kind: objectstore.KindMember, Name: n.Settings.Name}
-	listed := false
 	for _, o := range objects {
 		var p peering.Peer
 		if err := json.Unmarshal(o.Value, &p); err != nil {
@@ -62,10 +76,7 @@
 		n.peers.Add(now, p)
 	}
 	n.countPeers(now)
-	if listed {
-		return nil
-	}
-	return n.writeMember(ctx, own)
+	return own, listed, nil
 }
 
 func (n *Node) writeMember(ctx context.Context, own objectstore.Object) error {
