--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -33,8 +33,8 @@
 	Sites  []CountSite
 	// Min and Max bound both kinds of endpoints together in one data centre.
 	Min, Max int
-	// DemandUnknown keeps what is there: nobody has asked for long enough.
-	DemandUnknown bool
+	// NeedAtLeast is the number of engines to plan for whatever the demand.
+	NeedAtLeast float64
 	// ReclaimablePrice is the part of an on-demand price; zero if there are none.
 	ReclaimablePrice float64
 }
@@ -72,28 +72,27 @@
 // carry the load, spread so that the rest suffices when some data centres lose theirs;
 // on-demand ones go once the reclaimable are there, and come back for what cannot be had.
 func PlanCounts(s CountSnapshot) []Count {
-	need := EnginesNeeded(s.Demand)
+	need := max(EnginesNeeded(s.Demand), s.NeedAtLeast)
 	if s.ReclaimablePrice <= 0 || s.ReclaimablePrice >= 1 {
 		return planOnDemand(s, need)
 	}
 	perSite := reclaimablePerSite(s, need)
 	counts := make([]Count, len(s.Sites))
-	present, onDemand := 0, 0
+	present, ordered, onDemand := 0, 0, 0
 	for i, site := range s.Sites {
 		room := max(s.Max-site.OnDemand, 0)
 		counts[i] = Count{DataCentre: site.DataCentre, Reclaimable: min(perSite, room)}
 		present += min(site.Reclaimable, counts[i].Reclaimable)
+		ordered += counts[i].Reclaimable
 		onDemand += site.OnDemand
 	}
 	wantedOnDemand := int(math.Ceil(need)) - present
-	if float64(present) < replaceShare*float64(perSite*len(s.Sites)) {
+	if float64(present) < replaceShare*float64(ordered) {
 		// Until the others have come, what is there stays.
 		wantedOnDemand = max(wantedOnDemand, min(onDemand, int(math.Ceil(need/targetUtilisation))-present))
 	}
-	if s.DemandUnknown {
-		wantedOnDemand = onDemand
-	}
 	spreadOnDemand(s, counts, max(wantedOnDemand, 0))
+	keepMinimum(s, counts)
 	return counts
 }
 
@@ -126,6 +125,15 @@
 	}
 }
 
+// keepMinimum has an on-demand endpoint where others are given back before it can be
+// replaced.
+func keepMinimum(s CountSnapshot, counts []Count) {
+	for i := range counts {
+		lack := s.Min - counts[i].OnDemand - counts[i].Reclaimable
+		counts[i].OnDemand += max(lack, 0)
+	}
+}
+
 func planOnDemand(s CountSnapshot, need float64) []Count {
 	left := max(len(s.Sites)-1, 1)
 	perSite := min(max(int(math.Ceil(need/float64(left))), s.Min, 1), s.Max)
--- a/internal/duty/planner.go
+++ b/internal/duty/planner.go
@@ -19,6 +19,8 @@
 	// demandKnownAfter is how long callers must have asked before endpoints that stood there
 	// at the start are given back.
 	demandKnownAfter = 6 * time.Second
+	// startNeedShare of the endpoints that stand at the start are planned for until then.
+	startNeedShare = 0.65
 	// minimumRate is planned for while callers ask for less, such as before the first.
 	minimumRate = 20.0
 	// typicalPrompt and typicalOutput are assumed of the requests until some were seen.
@@ -45,12 +47,14 @@
 	last      []Order
 	// askedSince is when callers were first seen to ask for a fleet.
 	askedSince map[string]time.Time
+	// standing is the most on-demand endpoints of a fleet seen before that.
+	standing map[string]int
 }
 
 // NewPlanner returns a planner.
 func NewPlanner(s Sources) *Planner {
 	slices.Sort(s.DataCentres)
-	return &Planner{sources: s, holds: map[string]*capacity.DemandHold{}, refusedAt: map[orderKey]time.Time{}, askedSince: map[string]time.Time{}}
+	return &Planner{sources: s, holds: map[string]*capacity.DemandHold{}, refusedAt: map[orderKey]time.Time{}, askedSince: map[string]time.Time{}, standing: map[string]int{}}
 }
 
 // Plan returns the orders that should be in force now.
@@ -78,7 +82,6 @@
 func (p *Planner) planFleet(now time.Time, f *fleet.Fleet, d peering.FleetDemand, known []registry.Known) []Order {
 	snapshot := capacity.CountSnapshot{
 		Demand:           p.hold(now, f.Name, d),
-		DemandUnknown:    p.demandUnknown(now, f.Name, d),
 		Min:              f.Scaling.Min,
 		Max:              f.Scaling.Max,
 		ReclaimablePrice: f.Scaling.ReclaimablePrice,
@@ -103,15 +106,26 @@
 		}
 		snapshot.Sites = append(snapshot.Sites, site)
 	}
+	snapshot.NeedAtLeast = p.needAtStart(now, f.Name, d, snapshot.Sites)
 	return orderList(f.Name, capacity.PlanCounts(snapshot))
 }
 
-func (p *Planner) demandUnknown(now time.Time, name string, d peering.FleetDemand) bool {
+// needAtStart is what to plan for until callers have asked for a while: somebody chose the
+// number of endpoints that stood there first.
+func (p *Planner) needAtStart(now time.Time, name string, d peering.FleetDemand, sites []capacity.CountSite) float64 {
 	since, asked := p.askedSince[name]
 	if !asked && d.RequestsPerSecond > 0 {
 		p.askedSince[name] = now
 	}
-	return !asked || now.Sub(since) < demandKnownAfter
+	if asked && now.Sub(since) >= demandKnownAfter {
+		return 0
+	}
+	standing := 0
+	for _, s := range sites {
+		standing += s.OnDemand
+	}
+	p.standing[name] = max(p.standing[name], standing)
+	return startNeedShare * float64(p.standing[name])
 }
 
 func orderList(fleetName string, counts []capacity.Count) []Order {
--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -15,6 +15,9 @@
 // tick is the time between two looks at what is due.
 const tick = 250 * time.Millisecond
 
+// firstFencing is the number of the first holder ever: nobody has acted before it.
+const firstFencing = 1
+
 // Lease tells whether this host holds the duties now.
 type Lease interface {
 	Valid(now time.Time) (fencing uint64, ok bool)
@@ -85,7 +88,7 @@
 		r.reporter.forget()
 		r.orders.forget()
 	}
-	if now.Sub(r.heldSince) < r.Quarantine {
+	if fencing > firstFencing && now.Sub(r.heldSince) < r.Quarantine {
 		return Holder{}, false
 	}
 	return Holder{Name: r.Name, Fencing: fencing}, true
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -119,9 +119,6 @@
 	watch := c.watchCaller(cancel)
 	x.serve(ctx)
 	stillThere := watch.stop()
-	if c.server.isStopping() {
-		x.close = true
-	}
 	return stillThere && !x.close && !x.broken
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -41,6 +41,9 @@
 	return s, nil
 }
 
+// Address is where the server listens, "ip:port".
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
 // setUserTimeout is inherited by accepted connections.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var setErr error
