Copy cached prompt parts, order lost endpoints again, cover refused ones on demand

Change: a request placed where its document is not cached names the endpoint to copy it from; orders whose endpoints are missing longer than a boot are repeated; while reclaimable endpoints are refused on-demand ones cover four fifths of the need; nothing is given back in the first three seconds.

--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -33,6 +33,9 @@
 	Sites  []CountSite
 	// Min and Max bound both kinds of endpoints together in one data centre.
 	Min, Max int
+	// KeepOnDemand gives no on-demand endpoints back, such as while it is not yet known which
+	// there are.
+	KeepOnDemand bool
 	// NeedAtLeast is the number of engines to plan for whatever the demand.
 	NeedAtLeast float64
 	// ReclaimablePrice is the part of an on-demand price; zero if there are none.
@@ -58,8 +61,9 @@
 	// sitesLost is how many data centres may lose their reclaimable endpoints within the
 	// time that replacements take.
 	sitesLost = 2
-	// replaceShare of the reclaimable endpoints must be there before on-demand ones go.
-	replaceShare = 0.75
+	// coverShare of the need is covered by on-demand endpoints while reclaimable ones cannot
+	// be had: they cost several times as much, and the loss is short.
+	coverShare = 0.8
 )
 
 // EnginesNeeded is the number of engines that carry a demand.
@@ -78,24 +82,39 @@
 	}
 	perSite := reclaimablePerSite(s, need)
 	counts := make([]Count, len(s.Sites))
-	present, ordered, onDemand := 0, 0, 0
 	for i, site := range s.Sites {
-		room := max(s.Max-site.OnDemand, 0)
-		counts[i] = Count{DataCentre: site.DataCentre, Reclaimable: min(perSite, room)}
-		present += min(site.Reclaimable, counts[i].Reclaimable)
-		ordered += counts[i].Reclaimable
-		onDemand += site.OnDemand
+		counts[i] = Count{DataCentre: site.DataCentre, Reclaimable: min(perSite, s.Max)}
+		if site.ReclaimableRefused {
+			counts[i].Reclaimable = min(site.Reclaimable, perSite)
+		}
 	}
-	wantedOnDemand := int(math.Ceil(need)) - present
-	if float64(present) < replaceShare*float64(ordered) {
-		// Until the others have come, what is there stays.
-		wantedOnDemand = max(wantedOnDemand, min(onDemand, int(math.Ceil(need/targetUtilisation))-present))
+	spreadOnDemand(s, counts, onDemandWanted(s, counts, need))
+	for i, site := range s.Sites {
+		// What is refused now is asked for again, as far as there is room.
+		if site.ReclaimableRefused {
+			counts[i].Reclaimable = min(perSite, s.Max-counts[i].OnDemand)
+		}
 	}
-	spreadOnDemand(s, counts, max(wantedOnDemand, 0))
 	keepMinimum(s, counts)
 	return counts
 }
 
+// onDemandWanted covers what reclaimable endpoints cannot, and keeps on-demand ones until
+// those that are to replace them are there.
+func onDemandWanted(s CountSnapshot, counts []Count, need float64) int {
+	present, expected, standing := 0, 0, 0
+	for i, site := range s.Sites {
+		present += min(site.Reclaimable, counts[i].Reclaimable)
+		expected += counts[i].Reclaimable
+		standing += site.OnDemand
+	}
+	cover := int(math.Ceil(need * coverShare))
+	if s.KeepOnDemand {
+		return standing
+	}
+	return max(cover-expected, min(standing, int(math.Ceil(need))-present), 0)
+}
+
 // reclaimablePerSite is the number in each data centre with which the rest carry the need
 // after the loss of some.
 func reclaimablePerSite(s CountSnapshot, need float64) int {
--- a/internal/capacity/counts_test.go
+++ b/internal/capacity/counts_test.go
@@ -44,6 +44,28 @@
 	}
 }
 
+// TestOnDemandEndpointsCoverWhatCannotBeHad: reclaimable ones are gone and refused.
+func TestOnDemandEndpointsCoverWhatCannotBeHad(t *testing.T) {
+	is := is.New(t)
+	sites := fourSites(0, 6)
+	for i := range 3 {
+		sites[i].Reclaimable, sites[i].ReclaimableRefused = 0, true
+	}
+	busy := CountDemand{RequestsPerSecond: 90, PromptTokens: 4000, OutputTokens: 200}
+	s := CountSnapshot{Demand: busy, Sites: sites, Min: 1, Max: 6, ReclaimablePrice: 0.2}
+	onDemand := 0
+	for _, c := range PlanCounts(s) {
+		onDemand += c.OnDemand
+	}
+	is.True(float64(onDemand+6) >= EnginesNeeded(busy)*coverShare)
+	for i := range sites {
+		sites[i].ReclaimableRefused = false
+	}
+	for _, c := range PlanCounts(s) {
+		is.Equal(c.OnDemand, 0) // the others come as soon
+	}
+}
+
 func TestCountsStayWithinTheBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := CountSnapshot{
@@ -61,6 +83,8 @@
 				DataCentre: string(rune('a' + i)), Price: rapid.Float64Range(0.5, 2).Draw(t, "site price"),
 				OnDemand:    rapid.IntRange(0, s.Max).Draw(t, "on demand"),
 				Reclaimable: rapid.IntRange(0, s.Max).Draw(t, "reclaimable"),
+
+				ReclaimableRefused: rapid.Bool().Draw(t, "refused"),
 			})
 		}
 		for _, c := range PlanCounts(s) {
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -25,7 +25,7 @@
 	version uint64
 	stored  map[orderKey]int
 	// answered are the orders that the platform has taken under this lease.
-	answered map[orderKey]int
+	answered map[orderKey]sentOrder
 	// notBefore is when an order that could not be filled may be sent again.
 	notBefore map[orderKey]time.Time
 }
@@ -33,6 +33,16 @@
 // refusedPause is the time before an order that could not be filled is sent again.
 const refusedPause = 1500 * time.Millisecond
 
+// repeatPause is how much longer than a boot an order's endpoints may be missing before it
+// is sent again.
+const repeatPause = 1500 * time.Millisecond
+
+// sentOrder is an order that the platform has taken.
+type sentOrder struct {
+	count int
+	at    time.Time
+}
+
 // orderKey is what a later order replaces.
 type orderKey struct {
 	fleet       string
@@ -43,29 +53,43 @@
 func (o Order) key() orderKey { return orderKey{o.Fleet, o.DataCentre, o.Reclaimable} }
 
 func newOrders(store objectstore.Store) *orders {
-	return &orders{store: store, answered: map[orderKey]int{}, notBefore: map[orderKey]time.Time{}}
+	return &orders{store: store, answered: map[orderKey]sentOrder{}, notBefore: map[orderKey]time.Time{}}
 }
 
 // forget drops what was read and sent under an earlier lease.
 func (o *orders) forget() {
 	o.known = false
-	o.answered = map[orderKey]int{}
+	o.answered = map[orderKey]sentOrder{}
 	o.notBefore = map[orderKey]time.Time{}
 }
 
 // next lists the orders to send, after they are stored.
-func (o *orders) next(ctx context.Context, now time.Time, wanted []Order) ([]Order, error) {
-	var out []Order
+func (o *orders) next(ctx context.Context, now time.Time, wanted []Wanted) ([]Order, error) {
+	var out, all []Order
 	for _, w := range wanted {
-		count, ok := o.answered[w.key()]
-		if (!ok || count != w.Count) && !now.Before(o.notBefore[w.key()]) {
-			out = append(out, w)
+		all = append(all, w.Order)
+		if o.due(now, &w) {
+			out = append(out, w.Order)
 		}
 	}
 	if len(out) == 0 {
 		return nil, nil
 	}
-	return out, o.keep(ctx, wanted)
+	return out, o.keep(ctx, all)
+}
+
+// due reports whether an order is to be sent: a new one, one that could not be filled, or
+// one whose endpoints have been lost since.
+func (o *orders) due(now time.Time, w *Wanted) bool {
+	key := w.key()
+	if now.Before(o.notBefore[key]) {
+		return false
+	}
+	sent, ok := o.answered[key]
+	if !ok || sent.count != w.Count {
+		return true
+	}
+	return w.Present < w.Count && now.Sub(sent.at) > w.BootTime+repeatPause
 }
 
 // keep stores the wanted orders unless they are there.
@@ -127,7 +151,9 @@
 }
 
 // sent notes that the platform has taken an order.
-func (o *orders) sent(order Order) { o.answered[order.key()] = order.Count }
+func (o *orders) sent(now time.Time, order Order) {
+	o.answered[order.key()] = sentOrder{order.Count, now}
+}
 
 // refused notes that there were no such endpoints to be had.
 func (o *orders) refused(now time.Time, order Order) {
--- a/internal/duty/orders_test.go
+++ b/internal/duty/orders_test.go
@@ -16,20 +16,21 @@
 	is := is.New(t)
 	ctx := context.Background()
 	o := newOrders(newFakeStore())
-	wanted := []Order{{Fleet: "f", DataCentre: "a", Reclaimable: true, Count: 3}}
+	order := Order{Fleet: "f", DataCentre: "a", Reclaimable: true, Count: 3}
+	wanted := []Wanted{{Order: order, Present: 3}}
 
 	next, err := o.next(ctx, epoch, wanted)
 	is.NoErr(err)
-	is.Equal(next, wanted)
-	o.refused(epoch, wanted[0])
+	is.Equal(next, []Order{order})
+	o.refused(epoch, order)
 
 	next, err = o.next(ctx, epoch.Add(refusedPause/2), wanted)
 	is.NoErr(err)
 	is.Equal(len(next), 0) // not at once
 	next, err = o.next(ctx, epoch.Add(refusedPause), wanted)
 	is.NoErr(err)
-	is.Equal(next, wanted)
-	o.sent(wanted[0])
+	is.Equal(next, []Order{order})
+	o.sent(epoch, order)
 
 	next, err = o.next(ctx, epoch.Add(time.Hour), wanted)
 	is.NoErr(err)
@@ -42,6 +43,26 @@
 	store := newFakeStore()
 	store.err = errStoreAway
 	o := newOrders(store)
-	_, err := o.next(context.Background(), epoch, []Order{{Fleet: "f", DataCentre: "a", Count: 1}})
+	_, err := o.next(context.Background(), epoch, []Wanted{{Order: Order{Fleet: "f", DataCentre: "a", Count: 1}}})
 	is.True(err != nil)
 }
+
+// TestLostEndpointsAreOrderedAgain: the platform does not replace by itself what it took
+// back.
+func TestLostEndpointsAreOrderedAgain(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	o := newOrders(newFakeStore())
+	wanted := []Wanted{{Order: Order{Fleet: "f", DataCentre: "a", Count: 3}, Present: 3, BootTime: 4 * time.Second}}
+	o.sent(epoch, wanted[0].Order)
+	next, err := o.next(ctx, epoch.Add(time.Minute), wanted)
+	is.NoErr(err)
+	is.Equal(len(next), 0)
+	wanted[0].Present = 1
+	next, err = o.next(ctx, epoch.Add(4*time.Second), wanted)
+	is.NoErr(err)
+	is.Equal(len(next), 0) // they may be booting
+	next, err = o.next(ctx, epoch.Add(time.Minute), wanted)
+	is.NoErr(err)
+	is.Equal(len(next), 1)
+}
--- a/internal/duty/planner.go
+++ b/internal/duty/planner.go
@@ -19,6 +19,9 @@
 	// demandKnownAfter is how long callers must have asked before endpoints that stood there
 	// at the start are given back.
 	demandKnownAfter = 6 * time.Second
+	// settlingTime is how long after the first endpoint was seen the others may take to
+	// register.
+	settlingTime = 3 * time.Second
 	// startNeedShare of the endpoints that stand at the start are planned for until then.
 	startNeedShare = 0.65
 	// minimumRate is planned for while callers ask for less, such as before the first.
@@ -44,21 +47,32 @@
 	holds     map[string]*capacity.DemandHold
 	refusedAt map[orderKey]time.Time
 	plannedAt time.Time
-	last      []Order
+	last      []Wanted
 	// askedSince is when callers were first seen to ask for a fleet.
 	askedSince map[string]time.Time
 	// standing is the most on-demand endpoints of a fleet seen before that.
 	standing map[string]int
+	// seenSince is when endpoints of a fleet were first seen.
+	seenSince map[string]time.Time
+}
+
+// Wanted is an order that should be in force, and what is there of it.
+type Wanted struct {
+	Order
+	// Present are the endpoints that serve and stay.
+	Present int
+	// BootTime is how long an ordered endpoint takes to serve.
+	BootTime time.Duration
 }
 
 // NewPlanner returns a planner.
 func NewPlanner(s Sources) *Planner {
 	slices.Sort(s.DataCentres)
-	return &Planner{sources: s, holds: map[string]*capacity.DemandHold{}, refusedAt: map[orderKey]time.Time{}, askedSince: map[string]time.Time{}, standing: map[string]int{}}
+	return &Planner{sources: s, holds: map[string]*capacity.DemandHold{}, refusedAt: map[orderKey]time.Time{}, askedSince: map[string]time.Time{}, standing: map[string]int{}, seenSince: map[string]time.Time{}}
 }
 
 // Plan returns the orders that should be in force now.
-func (p *Planner) Plan(now time.Time) []Order {
+func (p *Planner) Plan(now time.Time) []Wanted {
 	if now.Sub(p.plannedAt) < planEvery {
 		return p.last
 	}
@@ -67,7 +81,7 @@
 		return nil
 	}
 	p.plannedAt = now
-	var out []Order
+	var out []Wanted
 	demand := p.sources.Demand(now)
 	known := p.sources.Endpoints()
 	for i := range c.Fleets {
@@ -79,7 +93,7 @@
 	return out
 }
 
-func (p *Planner) planFleet(now time.Time, f *fleet.Fleet, d peering.FleetDemand, known []registry.Known) []Order {
+func (p *Planner) planFleet(now time.Time, f *fleet.Fleet, d peering.FleetDemand, known []registry.Known) []Wanted {
 	snapshot := capacity.CountSnapshot{
 		Demand:           p.hold(now, f.Name, d),
 		Min:              f.Scaling.Min,
@@ -107,7 +121,22 @@
 		snapshot.Sites = append(snapshot.Sites, site)
 	}
 	snapshot.NeedAtLeast = p.needAtStart(now, f.Name, d, snapshot.Sites)
-	return orderList(f.Name, capacity.PlanCounts(snapshot))
+	snapshot.KeepOnDemand = p.settling(now, f.Name, snapshot.Sites)
+	return wantedList(f, snapshot)
+}
+
+// settling reports whether endpoints may still be registering after the start.
+func (p *Planner) settling(now time.Time, name string, sites []capacity.CountSite) bool {
+	since, seen := p.seenSince[name]
+	if seen {
+		return now.Sub(since) < settlingTime
+	}
+	for _, s := range sites {
+		if s.OnDemand+s.Reclaimable > 0 {
+			p.seenSince[name] = now
+		}
+	}
+	return true
 }
 
 // needAtStart is what to plan for until callers have asked for a while: somebody chose the
@@ -128,12 +157,18 @@
 	return startNeedShare * float64(p.standing[name])
 }
 
-func orderList(fleetName string, counts []capacity.Count) []Order {
-	var out []Order
-	for _, c := range counts {
-		out = append(out,
-			Order{Fleet: fleetName, DataCentre: c.DataCentre, Reclaimable: true, Count: c.Reclaimable},
-			Order{Fleet: fleetName, DataCentre: c.DataCentre, Count: c.OnDemand})
+func wantedList(f *fleet.Fleet, s capacity.CountSnapshot) []Wanted {
+	var out []Wanted
+	for i, c := range capacity.PlanCounts(s) {
+		out = append(out, Wanted{
+			Order:    Order{Fleet: f.Name, DataCentre: c.DataCentre, Reclaimable: true, Count: c.Reclaimable},
+			Present:  s.Sites[i].Reclaimable,
+			BootTime: f.Scaling.BootTime,
+		}, Wanted{
+			Order:    Order{Fleet: f.Name, DataCentre: c.DataCentre, Count: c.OnDemand},
+			Present:  s.Sites[i].OnDemand,
+			BootTime: f.Scaling.BootTime,
+		})
 	}
 	return out
 }
--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -172,7 +172,7 @@
 	r.Planner.Answered(clock.Now(), o, err)
 	switch {
 	case err == nil:
-		r.orders.sent(o)
+		r.orders.sent(clock.Now(), o)
 	case errors.Is(err, ErrNoneAvailable):
 		r.orders.refused(clock.Now(), o)
 	default:
--- a/internal/fleet/ingress.go
+++ b/internal/fleet/ingress.go
@@ -84,6 +84,13 @@
 	CacheTokens int
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
+	// TokenBytes is the memory of one cached token.
+	TokenBytes int
+	// LinkMbps is the rate at which engines copy cached tokens from each other, in megabits
+	// a second; zero if they cannot.
+	LinkMbps float64
+	// Moves tells whether a run can be moved to another engine while it goes on.
+	Moves bool
 }
 
 // Scaling bounds the endpoints of a fleet in one data centre.
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -45,6 +45,9 @@
 	Left time.Duration
 	// Priority is the request's rank at the engine, 0 first; negative for none.
 	Priority int
+	// FetchFrom is the address of an endpoint that has cached more of the prompt, which is
+	// copied from there; empty for none.
+	FetchFrom string
 	// AfterEvent is the event after which a stream goes on; empty for the whole.
 	AfterEvent string
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,6 +58,7 @@
 		Endpoint:   a.choice.Endpoint.ID,
 		Left:       x.deadline.Sub(clock.Now()),
 		Priority:   -1,
+		FetchFrom:  a.choice.FetchFrom,
 		AfterEvent: x.ask.AfterEvent,
 	}
 	if x.organisation != nil {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -69,6 +69,7 @@
 		Float64("quota_tokens", x.cost).
 		Int("in_flight", c.InFlight).
 		Int("uncached_tokens", c.Uncached).
+		Int("fetched_tokens", c.Fetched).
 		Int64("expected_ms", c.FirstEvent.Milliseconds()).
 		Int64("left_ms", x.deadline.Sub(clock.Now()).Milliseconds()).
 		Msg("request sent")
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -36,6 +36,9 @@
 	cache *prefixCache
 	// cacheTokens is the engine's memory.
 	cacheTokens int
+	// fetchRate is how fast cached tokens are copied from another engine, in tokens a
+	// millisecond; zero if they cannot be.
+	fetchRate float64
 
 	inFlight int
 	// pending is the number of tokens of prompts that were sent and not answered yet.
@@ -69,7 +72,7 @@
 }
 
 // estimate says how the endpoint would answer.
-func (e *endpoint) estimate(now time.Time, r *Request, meanDuration time.Duration) Choice {
+func (e *endpoint) estimate(now time.Time, r *Request, meanDuration time.Duration, d *donor) Choice {
 	l := e.load(now)
 	factor := e.factor(now)
 	c := Choice{Endpoint: e.known, InFlight: l.inFlight, Queued: l.inFlight >= e.known.Slots}
@@ -82,12 +85,19 @@
 		c.Total = c.FirstEvent
 		return c
 	}
-	c.Uncached = max(r.PromptTokens-e.cache.length(r.Prefixes), 1)
+	here := e.cache.length(r.Prefixes)
+	fetching := time.Duration(0)
+	if gain := d.tokens - here; e.fetchRate > 0 && gain >= minFetch {
+		c.FetchFrom, c.Fetched = d.address, gain
+		here = d.tokens
+		fetching = time.Duration(float64(gain) / e.fetchRate * float64(time.Millisecond))
+	}
+	c.Uncached = max(r.PromptTokens-here, 1)
 	if need := l.memory + r.PromptTokens + r.OutputTokens; e.cacheTokens > 0 && need > e.cacheTokens {
 		c.Queued = true
 		queue += time.Duration(float64(need-e.cacheTokens) / float64(e.cacheTokens) * float64(meanDuration))
 	}
-	c.FirstEvent = queue + scale(firstEventBase+readTime(l.pending+c.Uncached), factor)
+	c.FirstEvent = queue + fetching + scale(firstEventBase+readTime(l.pending+c.Uncached), factor)
 	perToken := tokenTime + time.Duration(l.inFlight)*tokenTimePerRequest
 	c.Total = c.FirstEvent + scale(time.Duration(r.OutputTokens)*perToken, factor)
 	return c
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -47,6 +47,10 @@
 	Total time.Duration
 	// Uncached is the part of the prompt that has to be read, in tokens.
 	Uncached int
+	// FetchFrom is the address of the endpoint that has cached Fetched tokens more of the
+	// prompt; empty if copying them is not worth it.
+	FetchFrom string
+	Fetched   int
 	// Queued tells that the endpoint has no free slot now.
 	Queued bool
 	// InFlight is the number of requests believed to be at the endpoint.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -54,12 +54,22 @@
 	if engine == nil {
 		return
 	}
+	e.fetchRate = 0
+	if engine.TokenBytes > 0 {
+		e.fetchRate = engine.LinkMbps * bitsPerMegabit / millisPerSecond / bitsPerByte / float64(engine.TokenBytes)
+	}
 	e.cacheTokens = engine.CacheTokens
 	if e.cache == nil || e.cache.limit == 0 {
 		e.cache = newPrefixCache(engine.CacheTokens)
 	}
 }
 
+const (
+	bitsPerMegabit  = 1e6
+	bitsPerByte     = 8
+	millisPerSecond = 1e3
+)
+
 // SetEndpoints replaces the endpoints; the state of those that stay is kept.
 func (t *Table) SetEndpoints(known []registry.Known) {
 	byFleet := map[string][]registry.Known{}
@@ -140,11 +150,12 @@
 func (g *group) best(now time.Time, rnd uint64, r *Request, dataCentre string, evenAvoided bool) *candidate {
 	var best *candidate
 	home := homeKey(r.Prefixes)
+	d := g.donor(now, r)
 	for i, e := range g.ordered {
 		if e.known.Leaving || slices.Contains(r.Exclude, e.known.ID) || e.avoided(now) && !evenAvoided {
 			continue
 		}
-		c := candidate{endpoint: e, choice: e.estimate(now, r, g.meanDuration)}
+		c := candidate{endpoint: e, choice: e.estimate(now, r, g.meanDuration, &d)}
 		c.cost = c.choice.FirstEvent + g.penalty(now, e, &c.choice, dataCentre) + tieBreak(rnd, i, home, e.known.ID)
 		if best == nil || c.cost < best.cost {
 			best = &c
@@ -153,12 +164,40 @@
 	return best
 }
 
+// donor is the endpoint that has cached most of a prompt.
+type donor struct {
+	address string
+	tokens  int
+}
+
+const (
+	// minFetch is the least number of tokens that are worth a copy.
+	minFetch = 256
+	// fetchCost ranks an endpoint that has to copy a token behind one that has it: copies
+	// are priced.
+	fetchCost = 10 * time.Microsecond
+)
+
+// donor finds where the prompt's beginning can be copied from.
+func (g *group) donor(now time.Time, r *Request) donor {
+	var best donor
+	for _, e := range g.ordered {
+		if !e.model || e.known.Leaving || e.avoided(now) {
+			continue
+		}
+		if n := e.cache.length(r.Prefixes); n > best.tokens {
+			best = donor{e.known.Address, n}
+		}
+	}
+	return best
+}
+
 // penalty ranks endpoints by what a choice costs others.
 func (g *group) penalty(now time.Time, e *endpoint, c *Choice, dataCentre string) time.Duration {
 	p := time.Duration(c.InFlight) * runningCost
 	if e.model {
 		// Reading the prompt delays the streams that run there as well.
-		p += readTime(c.Uncached)
+		p += readTime(c.Uncached) + time.Duration(c.Fetched)*fetchCost
 	}
 	if e.known.DataCentre != dataCentre {
 		p += otherDataCentreCost
--- /dev/null
+++ b/internal/placement/table_test.go
@@ -0,0 +1,161 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/registry"
+)
+
+var epoch = time.Unix(1000, 0)
+
+const modelFleet, plainFleet = "model", "plain"
+
+func newTestTable(endpoints int) *Table {
+	t := NewTable("dc")
+	t.Configure(&fleet.Configuration{Fleets: []fleet.Fleet{
+		{Name: modelFleet, Engine: &fleet.Engine{Slots: 8, CacheTokens: 500_000, TokenBytes: 18_432, LinkMbps: 130_000}},
+		{Name: plainFleet},
+	}})
+	t.SetEndpoints(testEndpoints(endpoints))
+	return t
+}
+
+func testEndpoints(n int) []registry.Known {
+	var out []registry.Known
+	for i := range n {
+		for _, f := range []string{modelFleet, plainFleet} {
+			out = append(out, registry.Known{Endpoint: registry.Endpoint{
+				ID: fmt.Sprint(f, i), Fleet: f, Slots: 8, DataCentre: "dc", Address: fmt.Sprintf("10.0.0.%d:1", i),
+			}})
+		}
+	}
+	return out
+}
+
+// prompt is one that shares a document of the given size and has a part of its own.
+func prompt(document string, shared, own int, id int) Request {
+	p := AppendPrefix(Prefix{}, document, shared)
+	return Request{Fleet: modelFleet, PromptTokens: shared + own, OutputTokens: 100,
+		Prefixes: []Prefix{p, AppendPrefix(p, fmt.Sprint(document, "own", id), own)}}
+}
+
+// TestDocumentStaysAtItsEndpoint plays prompts of few documents, calm: each document is
+// read once.
+func TestDocumentStaysAtItsEndpoint(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(6)
+	homes := map[string]map[string]bool{}
+	for i := range 100 {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		document := fmt.Sprint("doc", i%10)
+		r := prompt(document, 5000, 1000, i)
+		c, ok := table.Choose(now, uint64(i), r)
+		is.True(ok)
+		a := table.Begin(now, r, c)
+		a.FirstEvent(now.Add(c.FirstEvent))
+		a.End(now.Add(c.Total), ResultOK)
+		if homes[document] == nil {
+			homes[document] = map[string]bool{}
+		}
+		homes[document][c.Endpoint.ID] = true
+	}
+	for _, at := range homes {
+		is.Equal(len(at), 1)
+	}
+}
+
+// TestBusyDocumentIsCopiedNotReadAgain: when its endpoint is behind, another takes the
+// request and copies what is cached.
+func TestBusyDocumentIsCopiedNotReadAgain(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(4)
+	first := prompt("doc", 5000, 100, 0)
+	c, _ := table.Choose(epoch, 1, first)
+	a := table.Begin(epoch, first, c)
+	a.FirstEvent(epoch)
+	for i := range 20 {
+		busy := prompt(fmt.Sprint("other", i), 100, 3000, i)
+		table.Begin(epoch, busy, c)
+	}
+	next, ok := table.Choose(epoch, 2, prompt("doc", 5000, 100, 2))
+	is.True(ok)
+	is.True(next.Endpoint.ID != c.Endpoint.ID)
+	is.Equal(next.FetchFrom, c.Endpoint.Address)
+	is.Equal(next.Fetched, 5000)
+	is.Equal(next.Uncached, 100)
+}
+
+func TestLeavingAndExcludedEndpointsAreNotChosen(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(2)
+	known := testEndpoints(2)
+	for i := range known {
+		known[i].Leaving = known[i].ID == "plain0"
+	}
+	table.SetEndpoints(known)
+	c, ok := table.Choose(epoch, 1, Request{Fleet: plainFleet})
+	is.True(ok)
+	is.Equal(c.Endpoint.ID, "plain1")
+	_, ok = table.Choose(epoch, 1, Request{Fleet: plainFleet, Exclude: []string{"plain1"}})
+	is.True(!ok)
+}
+
+// TestFailingEndpointsAreSetAsideButNeverMost: some of a fleet that fails as a whole stays
+// in use.
+func TestFailingEndpointsAreSetAsideButNeverMost(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(4)
+	fail := func(id string) {
+		for range 10 {
+			r := Request{Fleet: plainFleet}
+			a := table.Begin(epoch, r, Choice{Endpoint: registry.Known{Endpoint: registry.Endpoint{ID: id}}})
+			a.End(epoch, ResultFailed)
+		}
+	}
+	fail("plain2")
+	for i := range 50 {
+		c, _ := table.Choose(epoch, uint64(i), Request{Fleet: plainFleet})
+		is.True(c.Endpoint.ID != "plain2")
+	}
+	for i := range 4 {
+		fail(fmt.Sprint("plain", i))
+	}
+	g := table.group(plainFleet)
+	avoided := 0
+	for _, e := range g.ordered {
+		if e.avoided(epoch) {
+			avoided++
+		}
+	}
+	is.True(avoided <= 2)
+	later := epoch.Add(maxAvoid)
+	seen := map[string]bool{}
+	for i := range 200 {
+		c, _ := table.Choose(later, uint64(i), Request{Fleet: plainFleet})
+		seen[c.Endpoint.ID] = true
+	}
+	is.Equal(len(seen), 4) // tried again
+}
+
+// TestPeersLoadCounts: what others have sent is seen, until their report is old.
+func TestPeersLoadCounts(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(2)
+	table.SetRemote(epoch, "peer", []Load{{Fleet: plainFleet, Endpoint: "plain0", InFlight: 8}})
+	for i := range 20 {
+		c, _ := table.Choose(epoch, uint64(i), Request{Fleet: plainFleet})
+		is.Equal(c.Endpoint.ID, "plain1")
+	}
+	old := epoch.Add(remoteMaxAge + time.Millisecond)
+	seen := map[string]bool{}
+	for i := range 50 {
+		c, _ := table.Choose(old, uint64(i), Request{Fleet: plainFleet})
+		seen[c.Endpoint.ID] = true
+	}
+	is.Equal(len(seen), 2)
+}
