Take removals after the store's return at once; hand the duties over without a wait

Change: an entry may only be waited for if the store has not shown it since its return, and only after a silence in which heartbeats are missed. A holder waits only if it has itself acted, or started, within the time in which holders must not take turns. Orders go out although the numbers cannot be stored; the lease says who may order. Every host plans all the time. While reclaimable endpoints are refused, on-demand ones cover the loss of one more data centre.

--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -108,13 +108,27 @@
 		expected += counts[i].Reclaimable
 		standing += site.OnDemand
 	}
-	cover := int(math.Ceil(need * coverShare))
 	if s.KeepOnDemand {
 		return standing
 	}
+	// While replacements are refused the next data centre may go as well.
+	if refused, largest := lossAhead(s, counts); refused {
+		expected -= largest
+	}
+	cover := int(math.Ceil(need * coverShare))
 	return max(cover-expected, min(standing, int(math.Ceil(need))-present), 0)
 }
 
+// lossAhead reports whether reclaimable endpoints are refused anywhere, and the most that one
+// data centre still has.
+func lossAhead(s CountSnapshot, counts []Count) (refused bool, largest int) {
+	for i, site := range s.Sites {
+		refused = refused || site.ReclaimableRefused
+		largest = max(largest, min(site.Reclaimable, counts[i].Reclaimable))
+	}
+	return refused, largest
+}
+
 // reclaimablePerSite is the number in each data centre with which the rest carry the need
 // after the loss of some.
 func reclaimablePerSite(s CountSnapshot, need float64) int {
--- a/internal/duty/planner.go
+++ b/internal/duty/planner.go
@@ -121,8 +121,14 @@
 		snapshot.Sites = append(snapshot.Sites, site)
 	}
 	snapshot.NeedAtLeast = p.needAtStart(now, f.Name, d, snapshot.Sites)
-	snapshot.KeepOnDemand = p.settling(now, f.Name, snapshot.Sites)
-	return wantedList(f, snapshot)
+	settling := p.settling(now, f.Name, snapshot.Sites)
+	snapshot.KeepOnDemand = settling
+	wanted := wantedList(f, snapshot)
+	if settling {
+		// Nobody knows yet how many there are, so that no number can be told to keep them.
+		wanted = slices.DeleteFunc(wanted, func(w Wanted) bool { return !w.Reclaimable })
+	}
+	return wanted
 }
 
 // settling reports whether endpoints may still be registering after the start.
--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -37,9 +37,9 @@
 	// ReportUsage and Scale say which duties there are.
 	ReportUsage bool
 	Scale       bool
-	// Quarantine is how long a new holder waits before its first call, so that holders do
-	// not take turns faster than the platform allows.
-	Quarantine time.Duration
+	// TurnTime is the time in which hosts must not take turns: a host that has made a call
+	// makes none for so long after another has held the lease.
+	TurnTime time.Duration
 	// CallTimeout bounds the store calls of one step.
 	CallTimeout time.Duration
 }
@@ -50,13 +50,16 @@
 	reporter *reporter
 	orders   *orders
 	// fencing and heldSince are the lease as it was last seen.
-	fencing   uint64
-	heldSince time.Time
+	fencing uint64
+	// actedAt is when this host may last have made a call, in this run or the one before.
+	actedAt time.Time
+	// waitUntil is when it may begin under the lease it holds.
+	waitUntil time.Time
 }
 
 // NewRunner returns a runner that does nothing until Run.
 func NewRunner(p Parts) *Runner {
-	r := &Runner{Parts: p, reporter: newReporter(p.Store, p.Usage), orders: newOrders(p.Store)}
+	r := &Runner{Parts: p, reporter: newReporter(p.Store, p.Usage), orders: newOrders(p.Store), actedAt: clock.Now()}
 	r.reporter.first = p.Usage.Window(p.TrueTime.At(clock.Now()))
 	return r
 }
@@ -84,17 +87,30 @@
 		return Holder{}, false
 	}
 	if fencing != r.fencing {
-		r.fencing, r.heldSince = fencing, now
-		r.reporter.forget()
-		r.orders.forget()
+		r.takeOver(fencing)
 	}
-	if fencing > firstFencing && now.Sub(r.heldSince) < r.Quarantine {
+	if now.Before(r.waitUntil) {
 		return Holder{}, false
 	}
+	r.actedAt = now
 	return Holder{Name: r.Name, Fencing: fencing}, true
 }
 
+// takeOver begins a time of holding the lease. Another host may have made calls since this
+// one last did, so that this one waits until its own are old enough.
+func (r *Runner) takeOver(fencing uint64) {
+	r.fencing = fencing
+	r.waitUntil = time.Time{}
+	if fencing > firstFencing {
+		r.waitUntil = r.actedAt.Add(r.TurnTime)
+	}
+	r.reporter.forget()
+	r.orders.forget()
+}
+
 func (r *Runner) step(ctx context.Context) {
+	// Every host plans, so that the next holder knows what was asked of late.
+	wanted := r.Planner.Plan(clock.Now())
 	if _, ok := r.holder(); !ok {
 		return
 	}
@@ -104,7 +120,7 @@
 		r.report(ctx)
 	}
 	if r.Scale {
-		r.scale(ctx)
+		r.scale(ctx, wanted)
 	}
 }
 
@@ -143,12 +159,11 @@
 	return true
 }
 
-func (r *Runner) scale(ctx context.Context) {
-	now := clock.Now()
-	next, err := r.orders.next(ctx, now, r.Planner.Plan(now))
+func (r *Runner) scale(ctx context.Context, wanted []Wanted) {
+	next, err := r.orders.next(ctx, clock.Now(), wanted)
 	if err != nil {
-		r.Log.Warn().Err(err).Msg("orders not stored")
-		return
+		// The next holder then goes on from older numbers and the list of endpoints.
+		r.Log.Warn().Err(err).Int("orders", len(next)).Msg("orders not stored")
 	}
 	for _, o := range next {
 		if !r.order(ctx, o) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -179,7 +179,7 @@
 		Log:         n.Log,
 		ReportUsage: s.ReportUsage,
 		Scale:       s.Scale,
-		Quarantine:  s.Bounds.Lease,
+		TurnTime:    s.Bounds.Lease,
 		CallTimeout: dutyCallTimeout,
 	})
 }
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -49,9 +49,6 @@
 	n.health.mu.Lock()
 	defer n.health.mu.Unlock()
 	bad := err != nil && !errors.Is(err, objectstore.ErrNotFound) && !errors.Is(err, objectstore.ErrCompacted)
-	if bad {
-		n.endpoints.Failed(clock.Now())
-	}
 	if bad == n.health.lost {
 		return
 	}
@@ -221,6 +218,7 @@
 			}
 			return
 		}
+		n.endpoints.Quiet(clock.Now())
 		for _, e := range events {
 			n.endpointsChanged(n.takeEndpoint(e, asOf))
 		}
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -44,16 +44,21 @@
 	entries map[string]*held
 	// asOf is the newest store version taken in.
 	asOf uint64
-	// disturbedAt is when a store call last failed; zero if none ever did.
-	disturbedAt time.Time
-	// returnedAt is when the first call after that succeeded.
+	// answeredAt is when the store last answered.
+	answeredAt time.Time
+	// returnedAt is when it answered again after it was away; zero if it never was.
 	returnedAt time.Time
-	disturbed  bool
 }
 
+// awayAfter is the silence of the store after which entries may have lapsed: endpoints
+// miss two heartbeats in that time.
+const awayAfter = 2 * time.Second
+
 type held struct {
 	endpoint Endpoint
 	version  uint64
+	// seenAt is when the store last showed the entry.
+	seenAt time.Time
 	// missingSince is set while the entry is not listed.
 	missingSince time.Time
 	// leavesAt is when a leaving endpoint ends; zero if unknown.
@@ -63,26 +68,21 @@
 // NewView returns a view without endpoints.
 func NewView() *View { return &View{entries: map[string]*held{}} }
 
-// Failed notes that a call to the store failed: what is missing after its return may only
-// have lapsed.
-func (v *View) Failed(now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.disturbed = true
-	v.disturbedAt = now
-}
-
-// succeeded notes that the store answers.
-func (v *View) succeeded(now time.Time) {
-	if v.disturbed {
-		v.disturbed = false
+// answered notes that the store answers.
+func (v *View) answered(now time.Time) {
+	if !v.answeredAt.IsZero() && now.Sub(v.answeredAt) >= awayAfter {
 		v.returnedAt = now
 	}
+	v.answeredAt = now
 }
 
-// settling reports whether entries that lapsed while the store was away may still return.
-func (v *View) settling(now time.Time) bool {
-	return v.disturbed || !v.returnedAt.IsZero() && now.Sub(v.returnedAt) < returnGrace
+// mayReturn reports whether an entry that is not listed may only have lapsed while the
+// store was away: it has not been shown since.
+func (v *View) mayReturn(now time.Time, h *held) bool {
+	if h.endpoint.Leaving || v.returnedAt.IsZero() {
+		return false
+	}
+	return h.seenAt.Before(v.returnedAt) && now.Sub(v.returnedAt) < returnGrace
 }
 
 // Replace takes in a whole list read at a store version. A list older than what is known
@@ -90,7 +90,7 @@
 func (v *View) Replace(now time.Time, list []Entry, asOf uint64) []Change {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.succeeded(now)
+	v.answered(now)
 	if asOf < v.asOf {
 		return nil
 	}
@@ -110,11 +110,18 @@
 	return changes
 }
 
+// Quiet takes in that a watch answered without a change.
+func (v *View) Quiet(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.answered(now)
+}
+
 // Put takes in one entry that a watch has shown.
 func (v *View) Put(now time.Time, e Entry) []Change {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.succeeded(now)
+	v.answered(now)
 	v.asOf = max(v.asOf, e.Version)
 	return v.put(now, e, nil)
 }
@@ -123,7 +130,7 @@
 func (v *View) Delete(now time.Time, id string, asOf uint64) []Change {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.succeeded(now)
+	v.answered(now)
 	v.asOf = max(v.asOf, asOf)
 	if h := v.entries[id]; h == nil || h.version > asOf {
 		return nil
@@ -136,7 +143,7 @@
 	if old != nil && e.Version < old.version {
 		return changes
 	}
-	next := &held{endpoint: e.Endpoint, version: e.Version}
+	next := &held{endpoint: e.Endpoint, version: e.Version, seenAt: now}
 	if old != nil && sameRun(old.endpoint, e.Endpoint) {
 		// Leaving is final for one run of an endpoint.
 		next.endpoint.Leaving = next.endpoint.Leaving || old.endpoint.Leaving
@@ -169,7 +176,7 @@
 // missing removes an entry that is not listed, or marks it while it may only have lapsed.
 func (v *View) missing(now time.Time, id string, asOf uint64, changes []Change) []Change {
 	h := v.entries[id]
-	if v.settling(now) && !h.endpoint.Leaving {
+	if v.mayReturn(now, h) {
 		if h.missingSince.IsZero() {
 			h.missingSince = now
 			changes = append(changes, Change{Kind: ChangeMissing, Endpoint: h.endpoint, Version: asOf})
@@ -184,12 +191,9 @@
 func (v *View) Advance(now time.Time) []Change {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.settling(now) {
-		return nil
-	}
 	var changes []Change
 	for id, h := range v.entries {
-		if !h.missingSince.IsZero() {
+		if !h.missingSince.IsZero() && !v.mayReturn(now, h) {
 			changes = v.missing(now, id, v.asOf, changes)
 		}
 	}
