--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -23,8 +23,6 @@
 	// OnDemand and Reclaimable are the endpoints that are there and stay.
 	OnDemand    int
 	Reclaimable int
-	// ReclaimableRefused tells that there were none to be had of late.
-	ReclaimableRefused bool
 }
 
 // CountSnapshot is what a plan by numbers depends on.
@@ -33,6 +31,8 @@
 	Sites  []CountSite
 	// Min and Max bound both kinds of endpoints together in one data centre.
 	Min, Max int
+	// ReclaimableRefused tells that there were none to be had of late.
+	ReclaimableRefused bool
 	// KeepOnDemand gives no on-demand endpoints back, such as while it is not yet known which
 	// there are.
 	KeepOnDemand bool
@@ -53,17 +53,19 @@
 	// prefillTokensPerMilli is how fast an engine reads prompts.
 	prefillTokensPerMilli = 50.0
 	// uncachedShare of prompts has to be read.
-	uncachedShare = 0.65
+	uncachedShare = 0.55
 	// millisPerOutputToken is an engine's time for a token of one request in a batch.
 	millisPerOutputToken = 0.25
 	// targetUtilisation leaves room for waves and for prompts that come together.
-	targetUtilisation = 0.6
+	targetUtilisation = 0.75
 	// sitesLost is how many data centres may lose their reclaimable endpoints within the
 	// time that replacements take.
 	sitesLost = 2
 	// coverShare of the need is covered by on-demand endpoints while reclaimable ones cannot
 	// be had: they cost several times as much, and the loss is short.
 	coverShare = 0.8
+	// coverAheadShare is covered beyond the loss of one more data centre.
+	coverAheadShare = 0.5
 )
 
 // EnginesNeeded is the number of engines that carry a demand.
@@ -83,17 +85,15 @@
 	perSite := reclaimablePerSite(s, need)
 	counts := make([]Count, len(s.Sites))
 	for i, site := range s.Sites {
-		counts[i] = Count{DataCentre: site.DataCentre, Reclaimable: min(perSite, s.Max)}
-		if site.ReclaimableRefused {
+		counts[i] = Count{DataCentre: site.DataCentre, Reclaimable: perSite}
+		if s.ReclaimableRefused {
 			counts[i].Reclaimable = min(site.Reclaimable, perSite)
 		}
 	}
 	spreadOnDemand(s, counts, onDemandWanted(s, counts, need))
-	for i, site := range s.Sites {
+	for i := range counts {
 		// What is refused now is asked for again, as far as there is room.
-		if site.ReclaimableRefused {
-			counts[i].Reclaimable = min(perSite, s.Max-counts[i].OnDemand)
-		}
+		counts[i].Reclaimable = min(perSite, s.Max-counts[i].OnDemand)
 	}
 	keepMinimum(s, counts)
 	return counts
@@ -102,31 +102,24 @@
 // onDemandWanted covers what reclaimable endpoints cannot, and keeps on-demand ones until
 // those that are to replace them are there.
 func onDemandWanted(s CountSnapshot, counts []Count, need float64) int {
-	present, expected, standing := 0, 0, 0
+	present, expected, largest, standing := 0, 0, 0, 0
 	for i, site := range s.Sites {
 		present += min(site.Reclaimable, counts[i].Reclaimable)
 		expected += counts[i].Reclaimable
+		largest = max(largest, min(site.Reclaimable, counts[i].Reclaimable))
 		standing += site.OnDemand
 	}
 	if s.KeepOnDemand {
 		return standing
 	}
-	// While replacements are refused the next data centre may go as well.
-	if refused, largest := lossAhead(s, counts); refused {
-		expected -= largest
-	}
-	cover := int(math.Ceil(need * coverShare))
-	return max(cover-expected, min(standing, int(math.Ceil(need))-present), 0)
-}
-
-// lossAhead reports whether reclaimable endpoints are refused anywhere, and the most that one
-// data centre still has.
-func lossAhead(s CountSnapshot, counts []Count) (refused bool, largest int) {
-	for i, site := range s.Sites {
-		refused = refused || site.ReclaimableRefused
-		largest = max(largest, min(site.Reclaimable, counts[i].Reclaimable))
+	kept := min(standing, int(math.Ceil(need))-present)
+	cover := int(math.Ceil(need*coverShare)) - expected
+	if s.ReclaimableRefused {
+		// The next data centre may go as well, and nothing comes back for a while.
+		kept = min(standing, int(math.Ceil(need)))
+		cover = max(cover, int(math.Ceil(need*coverAheadShare))-(expected-largest))
 	}
-	return refused, largest
+	return max(cover, kept, 0)
 }
 
 // reclaimablePerSite is the number in each data centre with which the rest carry the need
--- a/internal/capacity/counts_test.go
+++ b/internal/capacity/counts_test.go
@@ -49,29 +49,38 @@
 	is := is.New(t)
 	sites := fourSites(0, 6)
 	for i := range 3 {
-		sites[i].Reclaimable, sites[i].ReclaimableRefused = 0, true
+		sites[i].Reclaimable = 0
 	}
 	busy := CountDemand{RequestsPerSecond: 90, PromptTokens: 4000, OutputTokens: 200}
-	s := CountSnapshot{Demand: busy, Sites: sites, Min: 1, Max: 6, ReclaimablePrice: 0.2}
+	s := CountSnapshot{Demand: busy, Sites: sites, Min: 1, Max: 6, ReclaimablePrice: 0.2, ReclaimableRefused: true}
 	onDemand := 0
 	for _, c := range PlanCounts(s) {
 		onDemand += c.OnDemand
 	}
 	is.True(float64(onDemand+6) >= EnginesNeeded(busy)*coverShare)
-	for i := range sites {
-		sites[i].ReclaimableRefused = false
-	}
+	s.ReclaimableRefused = false
 	for _, c := range PlanCounts(s) {
 		is.Equal(c.OnDemand, 0) // the others come as soon
 	}
 }
 
+// TestOnDemandEndpointsStayWhileOthersAreRefused: numbers that swing would pay for boots.
+func TestOnDemandEndpointsStayWhileOthersAreRefused(t *testing.T) {
+	is := is.New(t)
+	s := CountSnapshot{Demand: calm, Sites: fourSites(1, 2), Min: 1, Max: 6, ReclaimablePrice: 0.2, ReclaimableRefused: true}
+	for _, c := range PlanCounts(s) {
+		is.Equal(c.OnDemand, 1)
+	}
+}
+
 func TestCountsStayWithinTheBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := CountSnapshot{
 			Min: 1, Max: rapid.IntRange(1, 8).Draw(t, "max"),
 			ReclaimablePrice: rapid.Float64Range(0, 1).Draw(t, "price"),
 			NeedAtLeast:      rapid.Float64Range(0, 20).Draw(t, "need"),
+
+			ReclaimableRefused: rapid.Bool().Draw(t, "refused"),
 			Demand: CountDemand{
 				RequestsPerSecond: rapid.Float64Range(0, 500).Draw(t, "rate"),
 				PromptTokens:      rapid.Float64Range(0, 20000).Draw(t, "prompt"),
@@ -83,8 +92,6 @@
 				DataCentre: string(rune('a' + i)), Price: rapid.Float64Range(0.5, 2).Draw(t, "site price"),
 				OnDemand:    rapid.IntRange(0, s.Max).Draw(t, "on demand"),
 				Reclaimable: rapid.IntRange(0, s.Max).Draw(t, "reclaimable"),
-
-				ReclaimableRefused: rapid.Bool().Draw(t, "refused"),
 			})
 		}
 		for _, c := range PlanCounts(s) {
--- a/internal/duty/planner.go
+++ b/internal/duty/planner.go
@@ -43,9 +43,10 @@
 
 // Planner works out the wanted numbers of endpoints. It is used by one goroutine.
 type Planner struct {
-	sources   Sources
-	holds     map[string]*capacity.DemandHold
-	refusedAt map[orderKey]time.Time
+	sources Sources
+	holds   map[string]*capacity.DemandHold
+	// refusedAt is when reclaimable endpoints of a fleet could last not be had anywhere.
+	refusedAt map[string]time.Time
 	plannedAt time.Time
 	last      []Wanted
 	// askedSince is when callers were first seen to ask for a fleet.
@@ -68,7 +69,7 @@
 // NewPlanner returns a planner.
 func NewPlanner(s Sources) *Planner {
 	slices.Sort(s.DataCentres)
-	return &Planner{sources: s, holds: map[string]*capacity.DemandHold{}, refusedAt: map[orderKey]time.Time{}, askedSince: map[string]time.Time{}, standing: map[string]int{}, seenSince: map[string]time.Time{}}
+	return &Planner{sources: s, holds: map[string]*capacity.DemandHold{}, refusedAt: map[string]time.Time{}, askedSince: map[string]time.Time{}, standing: map[string]int{}, seenSince: map[string]time.Time{}}
 }
 
 // Plan returns the orders that should be in force now.
@@ -106,8 +107,6 @@
 			continue
 		}
 		site := capacity.CountSite{DataCentre: dc, Price: price}
-		refused, ok := p.refusedAt[orderKey{f.Name, dc, true}]
-		site.ReclaimableRefused = ok && now.Sub(refused) < refusalMemory
 		for _, k := range known {
 			if k.Fleet != f.Name || k.DataCentre != dc || k.Leaving {
 				continue
@@ -121,6 +120,8 @@
 		snapshot.Sites = append(snapshot.Sites, site)
 	}
 	snapshot.NeedAtLeast = p.needAtStart(now, f.Name, d, snapshot.Sites)
+	refused, ok := p.refusedAt[f.Name]
+	snapshot.ReclaimableRefused = ok && now.Sub(refused) < refusalMemory
 	settling := p.settling(now, f.Name, snapshot.Sites)
 	snapshot.KeepOnDemand = settling
 	wanted := wantedList(f, snapshot)
@@ -198,7 +199,7 @@
 
 // Answered takes in how the platform answered an order.
 func (p *Planner) Answered(now time.Time, o Order, err error) {
-	if errors.Is(err, ErrNoneAvailable) {
-		p.refusedAt[o.key()] = now
+	if errors.Is(err, ErrNoneAvailable) && o.Reclaimable {
+		p.refusedAt[o.Fleet] = now
 	}
 }
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -10,7 +10,7 @@
 )
 
 // demandWindow is the time over which the callers' demand is averaged.
-const demandWindow = 4 * time.Second
+const demandWindow = 8 * time.Second
 
 // demandMeter averages what callers ask of each fleet, refused requests included.
 type demandMeter struct {
