--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -58,9 +58,6 @@
 	millisPerOutputToken = 0.25
 	// targetUtilisation leaves room for waves and for prompts that come together.
 	targetUtilisation = 0.75
-	// sitesLost is how many data centres may lose their reclaimable endpoints within the
-	// time that replacements take.
-	sitesLost = 2
 	// coverShare of the need is covered by on-demand endpoints while reclaimable ones cannot
 	// be had: they cost several times as much, and the loss is short.
 	coverShare = 0.8
@@ -123,10 +120,11 @@
 }
 
 // reclaimablePerSite is the number in each data centre with which the rest carry the need
-// after the loss of some.
+// after the loss of one, and just carry it, without room, after the loss of two.
 func reclaimablePerSite(s CountSnapshot, need float64) int {
-	left := max(len(s.Sites)-sitesLost, 1)
-	perSite := int(math.Ceil(need / float64(left)))
+	afterOne := math.Ceil(need / float64(max(len(s.Sites)-1, 1)))
+	afterTwo := math.Ceil(need * targetUtilisation / float64(max(len(s.Sites)-2, 1)))
+	perSite := int(max(afterOne, afterTwo))
 	return min(max(perSite, s.Min, 1), s.Max)
 }
 
