--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,7 +92,12 @@
 	applyMu        sync.Mutex
 	appliedVersion uint64
 	malformed      malformedNotes
-	tasks          sync.WaitGroup
+	// newConfiguration and newEndpoints wake the reads after news of peers; reportNow has
+	// news sent at once.
+	newConfiguration chan struct{}
+	newEndpoints     chan struct{}
+	reportNow        chan struct{}
+	tasks            sync.WaitGroup
 }
 
 // New builds a node that does nothing until Run.
@@ -111,6 +116,10 @@
 		usage:       usage.NewLedger(max(s.Bounds.UsageWindow, time.Second)),
 		trueTime:    clock.NewTrueTime(now, wall),
 		endpoints:   registry.NewView(),
+
+		newConfiguration: make(chan struct{}, 1),
+		newEndpoints:     make(chan struct{}, 1),
+		reportNow:        make(chan struct{}, 1),
 	}
 	n.registry.MustRegister(collectors.NewGoCollector())
 	n.repeats = repeat.NewBudget(repeat.Limits{
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -112,7 +112,7 @@
 
 // sendReports tells the peers of this host some times a second.
 func (n *Node) sendReports(ctx context.Context) {
-	for pause(ctx, jittered(peering.Interval)) {
+	for awaitNews(ctx, jittered(n.peers.Interval()), n.reportNow) {
 		now := clock.Now()
 		n.countPeers(now)
 		n.sendReport(now)
@@ -160,6 +160,10 @@
 		Reads:      n.gateway.Reads(now),
 		Demand:     n.gateway.Demand(now),
 	}
+	n.applyMu.Lock()
+	r.ConfigurationVersion = n.appliedVersion
+	n.applyMu.Unlock()
+	_, r.EndpointsVersion = n.endpoints.Versions()
 	if n.lease != nil {
 		_, r.HoldsLease = n.lease.Valid(now)
 	}
@@ -192,6 +196,7 @@
 		n.Log.Info().Str("peer", r.Name).Int64("incarnation", r.Incarnation).Msg("peer heard")
 		n.countPeers(now)
 	}
+	n.takeVersions(r)
 	n.quota.Heard(now, quota.Spender{Name: r.Name, Incarnation: r.Incarnation}, r.Quota)
 	n.usage.Heard(usage.Source{Name: r.Name, Incarnation: r.Incarnation}, r.Usage)
 	n.trueTime.Heard(now, time.Now(), r.Name, time.UnixMilli(r.WallMillis))
@@ -201,6 +206,19 @@
 	}
 }
 
+// takeVersions has the store read if a peer has seen something newer.
+func (n *Node) takeVersions(r *peering.Report) {
+	n.applyMu.Lock()
+	behind := r.ConfigurationVersion > n.appliedVersion
+	n.applyMu.Unlock()
+	if behind {
+		tell(n.newConfiguration)
+	}
+	if asOf, _ := n.endpoints.Versions(); r.EndpointsVersion > asOf {
+		tell(n.newEndpoints)
+	}
+}
+
 func (n *Node) planSources() duty.Sources {
 	names := make([]string, 0, len(n.Settings.DataCentres))
 	for name := range n.Settings.DataCentres {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -28,6 +28,12 @@
 	// pollEvery is the time between two confirmations of what the watches show: a watch
 	// that says nothing proves nothing.
 	pollEvery = time.Second
+	// pollPerHost makes each of many hosts confirm less often, up to maxPoll: calls are priced,
+	// and hosts hear of changes from each other.
+	pollPerHost = 60 * time.Millisecond
+	maxPoll     = 2200 * time.Millisecond
+	// minReadGap is the least time between two reads that news of peers ask for.
+	minReadGap = 200 * time.Millisecond
 	// retryEvery is the pause after a failed store call.
 	retryEvery = 200 * time.Millisecond
 	// jitter spreads the hosts' calls.
@@ -60,14 +66,42 @@
 	n.Log.Info().Str("call", what).Msg("store regained")
 }
 
+// pollInterval is the time between two confirmations.
+func (n *Node) pollInterval() time.Duration {
+	_, known := n.peers.Counts(clock.Now())
+	return min(max(pollEvery, time.Duration(known)*pollPerHost), maxPoll)
+}
+
+// awaitNews waits for the next confirmation or for news of a peer.
+func awaitNews(ctx context.Context, wait time.Duration, news <-chan struct{}) bool {
+	if !pause(ctx, min(wait, minReadGap)) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-news:
+	case <-time.After(wait - min(wait, minReadGap)):
+	}
+	return true
+}
+
+// tell wakes whoever waits for news.
+func tell(news chan<- struct{}) {
+	select {
+	case news <- struct{}{}:
+	default:
+	}
+}
+
 // pollConfiguration confirms the newest configuration again and again.
 func (n *Node) pollConfiguration(ctx context.Context) {
 	for {
-		wait := pollEvery
+		wait := n.pollInterval()
 		if err := n.readConfiguration(ctx); err != nil {
 			wait = retryEvery
 		}
-		if !pause(ctx, jittered(wait)) {
+		if !awaitNews(ctx, jittered(wait), n.newConfiguration) {
 			return
 		}
 	}
@@ -110,6 +144,7 @@
 	n.quota.Configure(now, c.Organisations)
 	n.gateway.SetTable(route.Compile(c))
 	n.appliedVersion = object.Version
+	tell(n.reportNow)
 	n.Log.Info().Uint64("generation", uint64(c.Generation)).Uint64("version", object.Version).
 		Int("routes", len(c.Routes)).Int("organisations", len(c.Organisations)).Msg("configuration in force")
 	return nil
@@ -121,7 +156,7 @@
 		n.applyMu.Lock()
 		from := n.appliedVersion
 		n.applyMu.Unlock()
-		if from == 0 {
+		if from == 0 || !n.peers.Watches(clock.Now()) {
 			if !pause(ctx, retryEvery) {
 				return
 			}
@@ -158,11 +193,11 @@
 // pollEndpoints confirms the list of endpoints again and again.
 func (n *Node) pollEndpoints(ctx context.Context) {
 	for {
-		wait := pollEvery
+		wait := n.pollInterval()
 		if _, err := n.listEndpoints(ctx); err != nil {
 			wait = retryEvery
 		}
-		if !pause(ctx, jittered(wait)) {
+		if !awaitNews(ctx, jittered(wait), n.newEndpoints) {
 			return
 		}
 	}
@@ -199,9 +234,11 @@
 // watchEndpoints takes in changes as they are made.
 func (n *Node) watchEndpoints(ctx context.Context) {
 	for {
-		from, err := n.listEndpoints(ctx)
-		if err == nil {
-			n.followEndpoints(ctx, from)
+		if n.peers.Watches(clock.Now()) {
+			from, err := n.listEndpoints(ctx)
+			if err == nil {
+				n.followEndpoints(ctx, from)
+			}
 		}
 		if !pause(ctx, jittered(retryEvery)) {
 			return
@@ -251,6 +288,7 @@
 			Uint64("version", c.Version).Msg("endpoint changed")
 	}
 	n.placement.SetEndpoints(n.endpoints.Known())
+	tell(n.reportNow)
 }
 
 func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -9,16 +9,26 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rattanchute/internal/placement"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/usage"
 )
 
 const (
-	// Interval is the time between two reports of a host.
-	Interval = 250 * time.Millisecond
-	// HeardFor is how long after its last report a peer counts as heard.
-	HeardFor = 1200 * time.Millisecond
+	// minInterval is the least time between two reports of a host.
+	minInterval = 250 * time.Millisecond
+	// intervalPerPeer keeps what a host sends, and receives, to some eighty datagrams a second
+	// whatever the number of peers.
+	intervalPerPeer = 12 * time.Millisecond
+	// heardIntervals is how many intervals after its last report a peer counts as heard: three
+	// reports may be lost.
+	heardIntervals = 5
+	// maxAllWatching is the number of hosts up to which all of them watch the store.
+	maxAllWatching = 12
+	// watchers is how many hosts watch for the others where there are more.
+	watchers = 6
 	// knownFor is how long after its last report a peer may still be spending its part.
 	knownFor = 10 * time.Second
 )
@@ -42,12 +52,17 @@
 	// Leaving hosts are stopping and send no more.
 	Leaving bool `json:"leaving,omitempty"`
 	// HoldsLease tells that the sender holds the duties' lease.
-	HoldsLease bool                   `json:"holds_lease,omitempty"`
-	Quota      quota.Statement        `json:"quota"`
-	Usage      map[int64]usage.Counts `json:"usage,omitempty"`
-	Loads      []placement.Load       `json:"loads,omitempty"`
-	Reads      []placement.Read       `json:"reads,omitempty"`
-	Demand     map[string]FleetDemand `json:"demand,omitempty"`
+	HoldsLease bool `json:"holds_lease,omitempty"`
+	// ConfigurationVersion and EndpointsVersion are store versions: of the configuration in
+	// force and of the newest change of endpoints.
+	ConfigurationVersion uint64 `json:"configuration_version,omitempty"`
+	EndpointsVersion     uint64 `json:"endpoints_version,omitempty"`
+
+	Quota  quota.Statement        `json:"quota"`
+	Usage  map[int64]usage.Counts `json:"usage,omitempty"`
+	Loads  []placement.Load       `json:"loads,omitempty"`
+	Reads  []placement.Read       `json:"reads,omitempty"`
+	Demand map[string]FleetDemand `json:"demand,omitempty"`
 }
 
 // FleetDemand is what callers have lately asked of a fleet through one host.
@@ -59,6 +74,11 @@
 	OutputTokens float64 `json:"output_tokens"`
 }
 
+// Interval is the time between two reports of a host with a number of peers.
+func Interval(peers int) time.Duration {
+	return max(minInterval, time.Duration(peers)*intervalPerPeer)
+}
+
 // Table is what this host knows of its peers. It may be used by several goroutines.
 type Table struct {
 	self  Peer
@@ -122,10 +142,39 @@
 	return true, joined
 }
 
-func (k *known) heard(now time.Time) bool {
-	return !k.leaving && !k.heardAt.IsZero() && now.Sub(k.heardAt) < HeardFor
+// heardLocked reports whether a peer has sent a report of late.
+func (t *Table) heardLocked(k *known, now time.Time) bool {
+	return !k.leaving && !k.heardAt.IsZero() && now.Sub(k.heardAt) < heardIntervals*Interval(len(t.peers))
 }
 
+// Interval is the time between two reports of this host.
+func (t *Table) Interval() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Interval(len(t.peers))
+}
+
+// Watches reports whether this host watches the store. Of many hosts only some do: a waiting
+// watch costs a call with each change. The others hear of changes from them and read.
+func (t *Table) Watches(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.peers) < maxAllWatching {
+		return true
+	}
+	before := 0
+	own := watchRank(t.self.Name)
+	for _, k := range t.peers {
+		if t.heardLocked(k, now) && watchRank(k.Name) < own {
+			before++
+		}
+	}
+	return before < watchers
+}
+
+// watchRank orders hosts for watching, the same on all.
+func watchRank(name string) uint64 { return xxhash.Sum64String("watch\x00" + name) }
+
 // last is when the peer was last known to live.
 func (k *known) last() time.Time {
 	if k.heardAt.After(k.addedAt) {
@@ -140,7 +189,7 @@
 	defer t.mu.Unlock()
 	heard, known = 1, 1
 	for _, k := range t.peers {
-		if k.heard(now) {
+		if t.heardLocked(k, now) {
 			heard++
 		}
 		if !k.leaving && now.Sub(k.last()) < knownFor {
@@ -173,7 +222,7 @@
 	defer t.mu.Unlock()
 	var out []Peer
 	for _, k := range t.peers {
-		if k.heard(now) {
+		if t.heardLocked(k, now) {
 			out = append(out, k.Peer)
 		}
 	}
@@ -187,7 +236,7 @@
 	defer t.mu.Unlock()
 	lost := map[string]time.Duration{}
 	for _, k := range t.peers {
-		if k.heardAt.IsZero() || k.toldLost || k.heard(now) {
+		if k.heardAt.IsZero() || k.toldLost || t.heardLocked(k, now) {
 			continue
 		}
 		k.toldLost = true
@@ -201,7 +250,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, k := range t.peers {
-		if k.holder && k.heard(now) {
+		if k.holder && t.heardLocked(k, now) {
 			return true
 		}
 	}
@@ -214,7 +263,7 @@
 	defer t.mu.Unlock()
 	sum := map[string]FleetDemand{}
 	for _, k := range t.peers {
-		if !k.heard(now) {
+		if !t.heardLocked(k, now) {
 			continue
 		}
 		for name, d := range k.demand {
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -25,7 +25,7 @@
 	// defaultDuration is a plain request's until one was seen.
 	defaultDuration = 20 * time.Millisecond
 	// remoteMaxAge is how long a peer's report of its load counts.
-	remoteMaxAge = 1500 * time.Millisecond
+	remoteMaxAge = 2500 * time.Millisecond
 )
 
 // endpoint is what is known of one run of an endpoint.
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -33,9 +33,9 @@
 	avoidFor    time.Duration
 	avoidUntil  time.Time
 	// setAside is set from being set aside to the next good answer.
-	setAside    bool
-	slowness    float64
-	slownessAt  time.Time
+	setAside   bool
+	slowness   float64
+	slownessAt time.Time
 }
 
 func (h *health) avoided(now time.Time) bool { return now.Before(h.avoidUntil) }
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -44,6 +44,8 @@
 	entries map[string]*held
 	// asOf is the newest store version taken in.
 	asOf uint64
+	// changedAt is the version of the newest change.
+	changedAt uint64
 	// answeredAt is when the store last answered.
 	answeredAt time.Time
 	// returnedAt is when it answered again after it was away; zero if it never was.
@@ -106,6 +108,9 @@
 			changes = v.missing(now, id, asOf, changes)
 		}
 	}
+	if len(changes) > 0 {
+		v.changedAt = asOf
+	}
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
 	return changes
 }
@@ -123,7 +128,11 @@
 	defer v.mu.Unlock()
 	v.answered(now)
 	v.asOf = max(v.asOf, e.Version)
-	return v.put(now, e, nil)
+	changes := v.put(now, e, nil)
+	if len(changes) > 0 {
+		v.changedAt = max(v.changedAt, e.Version)
+	}
+	return changes
 }
 
 // Delete takes in that a watch has shown an entry's removal at a version.
@@ -135,6 +144,7 @@
 	if h := v.entries[id]; h == nil || h.version > asOf {
 		return nil
 	}
+	v.changedAt = max(v.changedAt, asOf)
 	return v.missing(now, id, asOf, nil)
 }
 
@@ -187,6 +197,13 @@
 	return append(changes, Change{Kind: ChangeRemoved, Endpoint: h.endpoint, Version: asOf})
 }
 
+// Versions are the newest store version taken in and that of the newest change.
+func (v *View) Versions() (asOf, changedAt uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.asOf, v.changedAt
+}
+
 // Advance lets time pass: what is still missing after the store's return is removed.
 func (v *View) Advance(now time.Time) []Change {
 	v.mu.Lock()
