Hand the duties over at the start of a stop; a stopping host still counts

Change: duties end when the stop begins; a host says that it leaves in its last report only. Test: two hosts, the holder stopping while both serve; fails on the code before (usage never complete).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,9 +83,11 @@
 	lease     *lease.Runner
 	duties    *duty.Runner
 
-	// ready is what the balancer is told.
+	// ready is what the balancer is told, unless the host is leaving; gone is set when its
+	// last request has ended.
 	ready   atomic.Bool
 	leaving atomic.Bool
+	gone    atomic.Bool
 	reports atomic.Uint64
 	health  storeHealth
 	// applyMu orders the application of configurations; appliedVersion is the store's.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -153,7 +153,7 @@
 		Peer:       peering.Peer{Name: n.Settings.Name, Incarnation: n.incarnation, Address: n.peerAddress()},
 		Number:     n.reports.Add(1),
 		WallMillis: time.Now().UnixMilli(),
-		Leaving:    n.leaving.Load(),
+		Leaving:    n.gone.Load(),
 		Quota:      n.quota.Statement(now),
 		Usage:      n.usage.Own(reportedUsageWindows),
 		Loads:      n.placement.Loads(),
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -37,13 +37,18 @@
 		Int64("incarnation", n.incarnation).Bool("first_start", n.Settings.FirstStart).Msg("started")
 	work, endWork := context.WithCancel(context.Background())
 	defer endWork()
+	duties, endDuties := context.WithCancel(work)
+	defer endDuties()
 	go n.server.Serve()
 	n.startTasks(work)
+	n.startDuties(duties)
 	for {
 		select {
 		case <-reloads:
 			n.reload()
 		case <-ctx.Done():
+			// Another host takes the duties over while this one answers its open requests.
+			endDuties()
 			n.stop(endWork)
 			return nil
 		}
@@ -129,6 +134,9 @@
 	n.start(ctx, n.sendReports)
 	n.start(ctx, n.becomeReady)
 	go n.receiveReports()
+}
+
+func (n *Node) startDuties(ctx context.Context) {
 	if n.lease != nil {
 		n.start(ctx, n.lease.Run)
 		n.start(ctx, n.duties.Run)
@@ -162,6 +170,8 @@
 	defer cancel()
 	n.server.Close(ctx)
 	endWork()
+	// Until now it spent and counted like the others, who heard it.
+	n.gone.Store(true)
 	n.sendReport(clock.Now())
 	n.leaveMembership()
 	_ = n.socket.Close()
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -49,7 +49,7 @@
 	Number uint64 `json:"number"`
 	// WallMillis is the sender's date in Unix milliseconds.
 	WallMillis int64 `json:"wall_ms"`
-	// Leaving hosts are stopping and send no more.
+	// Leaving hosts have ended their last request and send no more.
 	Leaving bool `json:"leaving,omitempty"`
 	// HoldsLease tells that the sender holds the duties' lease.
 	HoldsLease bool `json:"holds_lease,omitempty"`
