Plan engines by their batch; watches answered in groups and by watchers only

Each host had made 170 store calls in ten seconds: all watched until they knew their peers, and went on. Change: the time of a token follows from the batch; room of 0.62; most of the need is carried after the loss of two data centres; a host watches from 1.5 s after its start, only while it is one of those that watch, and pauses 0.1 s after a change.

--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -13,6 +13,8 @@
 	// PromptTokens and OutputTokens are means of a request.
 	PromptTokens float64
 	OutputTokens float64
+	// Slots is the size of an engine's batch.
+	Slots int
 }
 
 // CountSite is one data centre's part of a fleet that is ordered by numbers.
@@ -54,10 +56,17 @@
 	prefillTokensPerMilli = 50.0
 	// uncachedShare of prompts has to be read.
 	uncachedShare = 0.55
-	// millisPerOutputToken is an engine's time for a token of one request in a batch.
-	millisPerOutputToken = 0.25
+	// stepMillis and stepMillisPerRequest are an engine's time for one token of each request
+	// of its batch.
+	stepMillis           = 3.0
+	stepMillisPerRequest = 0.1
+	// batchShare of an engine's slots is filled when it is well used.
+	batchShare = 0.75
 	// targetUtilisation leaves room for waves and for prompts that come together.
-	targetUtilisation = 0.75
+	targetUtilisation = 0.62
+	// afterTwoShare of the need is carried by what is left when two data centres have lost
+	// their reclaimable endpoints; more does not pay.
+	afterTwoShare = 0.85
 	// coverShare of the need is covered by on-demand endpoints while reclaimable ones cannot
 	// be had: they cost several times as much, and the loss is short.
 	coverShare = 0.8
@@ -67,7 +76,9 @@
 
 // EnginesNeeded is the number of engines that carry a demand.
 func EnginesNeeded(d CountDemand) float64 {
-	millis := d.PromptTokens*uncachedShare/prefillTokensPerMilli + d.OutputTokens*millisPerOutputToken
+	batch := max(float64(d.Slots)*batchShare, 1)
+	perToken := (stepMillis + stepMillisPerRequest*batch) / batch
+	millis := d.PromptTokens*uncachedShare/prefillTokensPerMilli + d.OutputTokens*perToken
 	return d.RequestsPerSecond * millis / 1000 / targetUtilisation
 }
 
@@ -120,10 +131,10 @@
 }
 
 // reclaimablePerSite is the number in each data centre with which the rest carry the need
-// after the loss of one, and just carry it, without room, after the loss of two.
+// after the loss of one, and most of it after the loss of two.
 func reclaimablePerSite(s CountSnapshot, need float64) int {
 	afterOne := math.Ceil(need / float64(max(len(s.Sites)-1, 1)))
-	afterTwo := math.Ceil(need * targetUtilisation / float64(max(len(s.Sites)-2, 1)))
+	afterTwo := math.Ceil(need * afterTwoShare / float64(max(len(s.Sites)-2, 1)))
 	perSite := int(max(afterOne, afterTwo))
 	return min(max(perSite, s.Min, 1), s.Max)
 }
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -64,12 +64,13 @@
 }
 
 // next lists the orders to send, after they are stored.
-func (o *orders) next(ctx context.Context, now time.Time, wanted []Wanted) ([]Order, error) {
-	var out, all []Order
+func (o *orders) next(ctx context.Context, now time.Time, wanted []Wanted) ([]Wanted, error) {
+	var out []Wanted
+	var all []Order
 	for _, w := range wanted {
 		all = append(all, w.Order)
 		if o.due(now, &w) {
-			out = append(out, w.Order)
+			out = append(out, w)
 		}
 	}
 	if len(out) == 0 {
--- a/internal/duty/planner.go
+++ b/internal/duty/planner.go
@@ -26,6 +26,8 @@
 	startNeedShare = 0.65
 	// minimumRate is planned for while callers ask for less, such as before the first.
 	minimumRate = 20.0
+	// defaultSlots is taken for a fleet whose engines are not described.
+	defaultSlots = 64
 	// typicalPrompt and typicalOutput are assumed of the requests until some were seen.
 	typicalPrompt = 4000.0
 	typicalOutput = 200.0
@@ -64,6 +66,10 @@
 	Present int
 	// BootTime is how long an ordered endpoint takes to serve.
 	BootTime time.Duration
+	// Need is the number of engines that the plan counts on, and Rate the requests a second
+	// that it is for.
+	Need float64
+	Rate float64
 }
 
 // NewPlanner returns a planner.
@@ -96,7 +102,7 @@
 
 func (p *Planner) planFleet(now time.Time, f *fleet.Fleet, d peering.FleetDemand, known []registry.Known) []Wanted {
 	snapshot := capacity.CountSnapshot{
-		Demand:           p.hold(now, f.Name, d),
+		Demand:           p.hold(now, f, d),
 		Min:              f.Scaling.Min,
 		Max:              f.Scaling.Max,
 		ReclaimablePrice: f.Scaling.ReclaimablePrice,
@@ -129,6 +135,10 @@
 		// Nobody knows yet how many there are, so that no number can be told to keep them.
 		wanted = slices.DeleteFunc(wanted, func(w Wanted) bool { return !w.Reclaimable })
 	}
+	for i := range wanted {
+		wanted[i].Need = max(capacity.EnginesNeeded(snapshot.Demand), snapshot.NeedAtLeast)
+		wanted[i].Rate = snapshot.Demand.RequestsPerSecond
+	}
 	return wanted
 }
 
@@ -180,16 +190,20 @@
 	return out
 }
 
-func (p *Planner) hold(now time.Time, name string, d peering.FleetDemand) capacity.CountDemand {
-	h := p.holds[name]
+func (p *Planner) hold(now time.Time, f *fleet.Fleet, d peering.FleetDemand) capacity.CountDemand {
+	h := p.holds[f.Name]
 	if h == nil {
 		h = &capacity.DemandHold{}
-		p.holds[name] = h
+		p.holds[f.Name] = h
 	}
 	demand := capacity.CountDemand{
 		RequestsPerSecond: max(d.RequestsPerSecond, minimumRate),
 		PromptTokens:      d.PromptTokens,
 		OutputTokens:      d.OutputTokens,
+		Slots:             defaultSlots,
+	}
+	if f.Engine != nil {
+		demand.Slots = f.Engine.Slots
 	}
 	if d.RequestsPerSecond == 0 {
 		demand.PromptTokens, demand.OutputTokens = typicalPrompt, typicalOutput
--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -172,7 +172,8 @@
 	}
 }
 
-func (r *Runner) order(ctx context.Context, o Order) bool {
+func (r *Runner) order(ctx context.Context, w Wanted) bool {
+	o := w.Order
 	by, ok := r.holder()
 	if !ok {
 		return false
@@ -183,7 +184,7 @@
 		line = r.Log.Warn().Err(err)
 	}
 	line.Str("fleet", o.Fleet).Str("data_centre", o.DataCentre).Bool("reclaimable", o.Reclaimable).
-		Int("count", o.Count).Uint64("fencing", by.Fencing).Msg("endpoints ordered")
+		Int("count", o.Count).Int("present", w.Present).Float64("need", w.Need).Float64("rate", w.Rate).Uint64("fencing", by.Fencing).Msg("endpoints ordered")
 	r.Planner.Answered(clock.Now(), o, err)
 	switch {
 	case err == nil:
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -36,6 +36,12 @@
 	// hosts each reads less often.
 	minReadGap     = 200 * time.Millisecond
 	manyHostsGap   = 700 * time.Millisecond
+	// watchGap is the pause after a watch has shown a change: changes come in groups, and each
+	// answer of a watch costs a call.
+	watchGap = 100 * time.Millisecond
+	// watchDelay is how long after its start a host begins to watch: it knows its peers by
+	// then, and whether it is one of those that watch.
+	watchDelay = 1500 * time.Millisecond
 	manyHostsCount = 24
 	// retryEvery is the pause after a failed store call.
 	retryEvery = 200 * time.Millisecond
@@ -171,6 +177,9 @@
 
 // watchConfiguration applies changes as they are made.
 func (n *Node) watchConfiguration(ctx context.Context) {
+	if !pause(ctx, watchDelay) {
+		return
+	}
 	for {
 		n.applyMu.Lock()
 		from := n.appliedVersion
@@ -189,7 +198,7 @@
 }
 
 func (n *Node) followConfiguration(ctx context.Context, from uint64) {
-	for {
+	for n.peers.Watches(clock.Now()) {
 		events, asOf, err := n.Store.Watch(ctx, objectstore.KindConfiguration, from)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -252,6 +261,9 @@
 
 // watchEndpoints takes in changes as they are made.
 func (n *Node) watchEndpoints(ctx context.Context) {
+	if !pause(ctx, watchDelay) {
+		return
+	}
 	for {
 		if n.peers.Watches(clock.Now()) {
 			from, err := n.listEndpoints(ctx)
@@ -266,7 +278,7 @@
 }
 
 func (n *Node) followEndpoints(ctx context.Context, from uint64) {
-	for {
+	for n.peers.Watches(clock.Now()) {
 		events, asOf, err := n.Store.Watch(ctx, objectstore.KindEndpoint, from)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -279,6 +291,9 @@
 			n.endpointsChanged(n.takeEndpoint(e, asOf))
 		}
 		from = max(from, asOf)
+		if len(events) > 0 && !pause(ctx, watchGap) {
+			return
+		}
 	}
 }
 
