--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -12,6 +12,9 @@
 // demandWindow is the time over which the callers' demand is averaged.
 const demandWindow = 8 * time.Second
 
+// minDemandSpan is the least time over which the first requests are averaged.
+const minDemandSpan = time.Second
+
 // demandMeter averages what callers ask of each fleet, refused requests included.
 type demandMeter struct {
 	mu     sync.Mutex
@@ -22,6 +25,8 @@
 type demand struct {
 	since          time.Time
 	older, current demandSum
+	// whole is set once a half of the window has passed: until then there is no older half.
+	whole bool
 }
 
 type demandSum struct {
@@ -54,6 +59,7 @@
 	case elapsed >= half:
 		d.older, d.current = d.current, demandSum{}
 		d.since = d.since.Add(half)
+		d.whole = true
 	}
 }
 
@@ -69,7 +75,11 @@
 		if requests == 0 {
 			continue
 		}
-		span := demandWindow/2 + now.Sub(d.since)
+		span := now.Sub(d.since)
+		if d.whole {
+			span += demandWindow / 2
+		}
+		span = max(span, minDemandSpan)
 		out[name] = peering.FleetDemand{
 			RequestsPerSecond: requests / span.Seconds(),
 			PromptTokens:      (d.older.prompt + d.current.prompt) / requests,
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -75,7 +75,7 @@
 	requests []*received
 }
 
-func newTestEndpoint(t *testing.T, s script) *testEndpoint {
+func newTestEndpoint(t testing.TB, s script) *testEndpoint {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -170,7 +170,7 @@
 const testFleet = "f"
 
 // newTestSite starts a gateway before endpoints; requests prefer them in the given order.
-func newTestSite(t *testing.T, r fleet.Route, endpoints ...*testEndpoint) *testSite {
+func newTestSite(t testing.TB, r fleet.Route, endpoints ...*testEndpoint) *testSite {
 	t.Helper()
 	r.Host, r.PathPrefix = "site", "/"
 	if len(r.Split) == 0 {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -34,14 +34,14 @@
 	maxPoll     = 2200 * time.Millisecond
 	// minReadGap is the least time between two reads that news of peers ask for; of many
 	// hosts each reads less often.
-	minReadGap     = 200 * time.Millisecond
-	manyHostsGap   = 700 * time.Millisecond
+	minReadGap   = 200 * time.Millisecond
+	manyHostsGap = 1200 * time.Millisecond
 	// watchGap is the pause after a watch has shown a change: changes come in groups, and each
 	// answer of a watch costs a call.
 	watchGap = 100 * time.Millisecond
 	// watchDelay is how long after its start a host begins to watch: it knows its peers by
 	// then, and whether it is one of those that watch.
-	watchDelay = 1500 * time.Millisecond
+	watchDelay     = 1500 * time.Millisecond
 	manyHostsCount = 24
 	// retryEvery is the pause after a failed store call.
 	retryEvery = 200 * time.Millisecond
