--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,11 +15,19 @@
 // storeCalls counts the calls to the store by kind, verb and outcome.
 type storeCalls struct {
 	vector *prometheus.CounterVec
-	total  atomic.Uint64
+	mu     sync.Mutex
+	counts map[string]uint64
+}
+
+// snapshot returns the calls so far by kind and verb.
+func (c *storeCalls) snapshot() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.counts)
 }
 
 func (n *Node) newStoreCalls() *storeCalls {
-	c := &storeCalls{vector: prometheus.NewCounterVec(prometheus.CounterOpts{
+	c := &storeCalls{counts: map[string]uint64{}, vector: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rattanchute_store_calls_total", Help: "Calls to the platform's store, by kind, verb and outcome.",
 	}, []string{"kind", "verb", "outcome"})}
 	n.registry.MustRegister(c.vector)
@@ -31,7 +40,9 @@
 		outcome = "failed"
 	}
 	c.vector.WithLabelValues(string(kind), verb, outcome).Inc()
-	c.total.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[string(kind)+" "+verb]++
 }
 
 // stateEvery is the time between two lines of a host's state.
@@ -46,7 +57,7 @@
 			Bool("watches", n.peers.Watches(now)).
 			Int("endpoints", len(n.endpoints.Known())).
 			Int64("configuration_age_ms", n.gateway.Age(now).Milliseconds()).
-			Uint64("store_calls", n.storeCalls.total.Load()).
+			Any("store_calls", n.storeCalls.snapshot()).
 			Uint64("reports_sent", n.reports.Load()).
 			Uint64("lines_dropped", n.LogDropped()).Msg("state")
 	}
