--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,9 +35,6 @@
 	firstEventAt time.Time
 }
 
-// errNoEcho means that an answer does not name the attempt it belongs to.
-var errNoEcho = errors.New("answer without the attempt's id")
-
 func (a *attempt) run() (outcome, placement.Result) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
