--- /dev/null
+++ b/internal/adapter/objectcall/call.go
@@ -0,0 +1,62 @@
+// Package objectcall makes one call to an object service over HTTP, whatever its paths and
+// formats: it bounds the call, tells refused calls from those whose effect is open, and decodes
+// the answer.
+package objectcall
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/adapter/httpexchange"
+	"rattanchute/internal/objectstore"
+)
+
+// Caller makes calls to one service.
+type Caller struct {
+	Exchange *httpexchange.Client
+	// Address is "ip:port".
+	Address string
+	// StatusError maps a status to the errors of objectstore; nil for success.
+	StatusError func(status int) error
+}
+
+// Do makes a call that takes no longer than timeout. The request is set by set; a successful
+// answer is decoded into out unless that is nil.
+func (c *Caller) Do(ctx context.Context, timeout time.Duration, set func(*fasthttp.Request) error, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetHost(c.Address)
+	if err := set(req); err != nil {
+		return err
+	}
+	if err := c.Exchange.Do(ctx, c.Address, req, resp); err != nil {
+		return sendError(err)
+	}
+	if err := c.StatusError(resp.StatusCode()); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return fmt.Errorf("%w: answer: %w", objectstore.ErrUnavailable, err)
+	}
+	return nil
+}
+
+// sendError tells calls that were never sent from those whose effect is open.
+func sendError(err error) error {
+	if errors.Is(err, httpexchange.ErrNotSent) {
+		return fmt.Errorf("%w: %w", objectstore.ErrThrottled, err)
+	}
+	return fmt.Errorf("%w: %w", objectstore.ErrUnavailable, err)
+}
--- a/internal/adapter/platformhttp/store.go
+++ b/internal/adapter/platformhttp/store.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rattanchute/internal/adapter/httpexchange"
+	"rattanchute/internal/adapter/objectcall"
 	"rattanchute/internal/objectstore"
 )
 
@@ -39,6 +40,7 @@
 type Store struct {
 	options  Options
 	exchange *httpexchange.Client
+	caller   objectcall.Caller
 }
 
 var _ objectstore.Store = (*Store)(nil)
@@ -51,7 +53,9 @@
 	if o.WatchWait <= 0 {
 		o.WatchWait = DefaultWatchWait
 	}
-	return &Store{options: o, exchange: httpexchange.New(o.Connections)}
+	exchange := httpexchange.New(o.Connections)
+	caller := objectcall.Caller{Exchange: exchange, Address: o.Address, StatusError: statusError}
+	return &Store{options: o, exchange: exchange, caller: caller}
 }
 
 // CloseIdle closes the connections that carry no call now.
@@ -150,31 +154,15 @@
 
 // do sends a call and decodes a successful answer into out.
 func (s *Store) do(ctx context.Context, c call, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout+c.wait)
-	defer cancel()
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	s.setRequest(req, c)
-	if err := s.exchange.Do(ctx, s.options.Address, req, resp); err != nil {
-		return sendError(err)
-	}
-	if err := statusError(resp.StatusCode()); err != nil {
-		return err
-	}
-	if out == nil {
+	set := func(req *fasthttp.Request) error {
+		s.setRequest(req, c)
 		return nil
 	}
-	if err := json.Unmarshal(resp.Body(), out); err != nil {
-		return fmt.Errorf("%w: answer: %w", objectstore.ErrUnavailable, err)
-	}
-	return nil
+	return s.caller.Do(ctx, s.options.Timeout+c.wait, set, out)
 }
 
 func (s *Store) setRequest(req *fasthttp.Request, c call) {
 	req.Header.SetMethod(c.method)
-	req.Header.SetHost(s.options.Address)
 	req.Header.SetRequestURI(c.path)
 	if s.options.Token != "" {
 		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+s.options.Token)
@@ -188,14 +176,6 @@
 	}
 }
 
-// sendError tells calls that were never sent from those whose effect is open.
-func sendError(err error) error {
-	if errors.Is(err, httpexchange.ErrNotSent) {
-		return fmt.Errorf("%w: %w", objectstore.ErrThrottled, err)
-	}
-	return fmt.Errorf("%w: %w", objectstore.ErrUnavailable, err)
-}
-
 // ErrRejected is wrapped when the service refuses a call as wrong in itself, such as
 // one with a bad token; nothing was written.
 var ErrRejected = errors.New("platformhttp: call rejected")
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -128,10 +127,3 @@
 	}
 	return out
 }
-
-// Statistics are what the gateway has counted since its start, for tests and metrics.
-func (e *Events) Statistics() map[string]uint64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return maps.Clone(e.counts)
-}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -16,8 +16,6 @@
 type Events struct {
 	log     *log.Logger
 	metrics *metrics
-	mu      sync.Mutex
-	counts  map[string]uint64
 	// quiet drops the lines of requests that went as they should, beyond a rate.
 	quiet *lineBudget
 }
@@ -27,7 +25,6 @@
 	return &Events{
 		log:     logger,
 		metrics: newMetrics(registry),
-		counts:  map[string]uint64{},
 		quiet:   &lineBudget{perSecond: maxOrdinaryLines},
 	}
 }
@@ -36,12 +33,6 @@
 // refusals, failures and repeats are all logged.
 const maxOrdinaryLines = 100
 
-func (e *Events) count(name string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.counts[name]++
-}
-
 // entry begins the line of a request.
 func (e *Events) entry(level log.Level, x *exchange) *log.Entry {
 	line := e.log.WithLevel(level)
@@ -111,7 +102,6 @@
 	if !a.firstEventAt.IsZero() {
 		first = a.firstEventAt.Sub(x.arrived)
 	}
-	e.count("answered")
 	e.metrics.answered(x, a.status, first, total)
 	if !e.quiet.take(now) {
 		return
@@ -131,7 +121,6 @@
 	if v.status >= fasthttp.StatusInternalServerError && v.status != fasthttp.StatusServiceUnavailable {
 		message = "request failed"
 	}
-	e.count(string(v.reason))
 	e.metrics.verdicts.WithLabelValues(string(v.reason)).Inc()
 	e.entry(log.WarnLevel, x).
 		Str("reason", string(v.reason)).
@@ -146,7 +135,6 @@
 
 // Broken tells that a stream was cut after a part of it was relayed.
 func (e *Events) Broken(x *exchange, v *verdict) {
-	e.count("broken")
 	e.metrics.verdicts.WithLabelValues("stream_broken").Inc()
 	e.entry(log.WarnLevel, x).
 		Str("reason", string(v.reason)).
@@ -158,7 +146,6 @@
 
 // CallerLeft tells that the caller went away before its answer was complete.
 func (e *Events) CallerLeft(x *exchange) {
-	e.count("caller_left")
 	e.metrics.verdicts.WithLabelValues("caller_left").Inc()
 	e.entry(log.InfoLevel, x).
 		Int("sends", x.sends).
@@ -169,7 +156,6 @@
 
 // AcceptFailed tells that a connection could not be accepted.
 func (e *Events) AcceptFailed(err error) {
-	e.count("accept_failed")
 	if e.quiet.take(clock.Now()) {
 		e.log.Error().Err(err).Msg("accept failed")
 	}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -4,7 +4,6 @@
 package peering
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -216,20 +215,6 @@
 // forgetAfter is how long a silent peer is sent reports.
 const forgetAfter = time.Minute
 
-// HeardPeers lists the peers that are heard, by name.
-func (t *Table) HeardPeers(now time.Time) []Peer {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Peer
-	for _, k := range t.peers {
-		if t.heardLocked(k, now) {
-			out = append(out, k.Peer)
-		}
-	}
-	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
-	return out
-}
-
 // NewlyLost lists the peers that are no longer heard, each once, with how long ago they were.
 func (t *Table) NewlyLost(now time.Time) map[string]time.Duration {
 	t.mu.Lock()
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -165,11 +165,14 @@
 		a.level = min(a.level-(spent-before[name]), a.quota.Burst)
 	}
 	l.spenders[from] = s.Spent
+	l.forgetEarlier(from)
 }
 
-// Forget drops what was heard of a run of a peer.
-func (l *Ledger) Forget(s Spender) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.spenders, s)
+// forgetEarlier drops what was heard of earlier runs of a peer: they spend no more.
+func (l *Ledger) forgetEarlier(from Spender) {
+	for other := range l.spenders {
+		if other.Name == from.Name && other.Incarnation < from.Incarnation {
+			delete(l.spenders, other)
+		}
+	}
 }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -59,6 +59,7 @@
 	counts[organisation]++
 }
 
+// prune drops the windows that nobody asks for any more.
 func prune(windows map[int64]Counts, newest int64) {
 	for w := range windows {
 		if w <= newest-keptWindows {
@@ -107,7 +108,7 @@
 	for w, counts := range windows {
 		if known[w] == nil {
 			known[w] = Counts{}
-			prune(known, w)
+			l.pruneOthers(w)
 		}
 		for name, n := range counts {
 			known[w][name] = max(known[w][name], n)
@@ -115,18 +116,26 @@
 	}
 }
 
+// pruneOthers drops old windows of all hosts, and hosts of which none are left: earlier runs
+// count until then.
+func (l *Ledger) pruneOthers(newest int64) {
+	for from, windows := range l.others {
+		prune(windows, newest)
+		if len(windows) == 0 {
+			delete(l.others, from)
+		}
+	}
+}
+
 // Sum is what all hosts counted in a window, as far as is known here.
 func (l *Ledger) Sum(window int64) Counts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	sum := clone(l.own[window])
-	for from, windows := range l.others {
+	for _, windows := range l.others {
 		for name, n := range windows[window] {
 			sum[name] += n
 		}
-		if len(windows) == 0 {
-			delete(l.others, from)
-		}
 	}
 	return sum
 }
