--- a/internal/duty/runner_test.go
+++ b/internal/duty/runner_test.go
@@ -7,11 +7,10 @@
 	"github.com/matryer/is"
 
 	"rattanchute/internal/clock"
+	"rattanchute/internal/fleet"
 	"rattanchute/internal/peering"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/usage"
-
-	"rattanchute/internal/fleet"
 )
 
 // fakeLease is held under a number while it is not zero.
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -163,8 +163,6 @@
 	server    *Server
 	placement *placement.Table
 	quota     *quota.Ledger
-	// order has requests placed at the endpoints one after the other.
-	fleet string
 }
 
 const testFleet = "f"
@@ -177,7 +175,7 @@
 		r.Split = []fleet.WeightedFleet{{Fleet: testFleet, Weight: 1}}
 	}
 	r.MaxAttempts = max(r.MaxAttempts, 1)
-	s := &testSite{placement: placement.NewTable("dc0"), quota: quota.NewLedger(), fleet: testFleet}
+	s := &testSite{placement: placement.NewTable("dc0"), quota: quota.NewLedger()}
 	logger := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 	s.gateway = New(Parts{
 		Wire:         testWire{},
