capacity: the plan keeps its previous choice

The search for the cheapest hosts is a heuristic that may find a cheaper set among fewer hosts, and each plan compared only the running hosts and a set from scratch, not what it chose before. Change: State.Chosen carries the chosen hosts over; another set replaces them only with a smaller shortfall or a saving of MinReplacementSaving, so at constant demand each change lowers one of the two. Ruled out: an exact search (exponential in classes and kinds), a longer hold time (only slows the cycle).

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -8,7 +8,7 @@
 )
 
 // Plan decides what to do now. It is deterministic. At constant demand, carrying out one plan
-// after another should come to an empty one; KNOWN-RED.txt lists a case in which it does not.
+// after another comes to an empty one.
 func Plan(s Snapshot) Result {
 	p := newPlanner(s)
 	p.result.State.Refusals = p.recentRefusals()
@@ -16,6 +16,7 @@
 	for _, d := range s.Demands {
 		p.planFleet(d)
 	}
+	slices.Sort(p.result.State.Chosen)
 	p.load()
 	p.check()
 	return p.result
@@ -123,23 +124,56 @@
 	return !p.snapshot.State.InBackoff(p.snapshot.Now, place) && !slices.Contains(p.reclaiming, place)
 }
 
-// choose extends or trims the set of running hosts. It selects a set composed from scratch only if
-// that has a smaller shortfall or, at an equal one, saves more than MinReplacementSaving.
+// choose keeps the previous choice unless another set of hosts is better. It records its result for
+// the next plan.
 func (p *planner) choose(n need, running, startable []candidate) *selection {
-	grown := cheapest(n, running, startable)
+	chosen := p.previousChoice(n, running, startable)
+	for _, other := range p.alternatives(n, running, startable) {
+		if p.replaces(other, chosen) {
+			chosen = other
+		}
+	}
+	for _, c := range chosen.candidates {
+		p.result.State.Chosen = append(p.result.State.Chosen, c.host.Name)
+	}
+	return chosen
+}
+
+// previousChoice returns what is needed of the last plan's choice. Without it the plan could
+// alternate between two sets: the search is a heuristic, which may find a cheaper set among fewer
+// hosts.
+func (p *planner) previousChoice(n need, running, startable []candidate) *selection {
+	s := newSelection(n)
+	for _, c := range slices.Concat(running, startable) {
+		if slices.Contains(p.snapshot.State.Chosen, c.host.Name) {
+			s.add(c)
+		}
+	}
+	s.trim()
+	return s
+}
+
+// alternatives returns the set of running hosts, extended or trimmed, and a set composed from
+// scratch.
+func (p *planner) alternatives(n need, running, startable []candidate) []*selection {
 	usable := slices.DeleteFunc(slices.Clone(running), func(c candidate) bool { return c.rate <= 0 })
-	fresh := cheapest(n, nil, slices.Concat(usable, startable))
-	missingGrown, missingFresh := grown.shortfall(), fresh.shortfall()
-	if missingFresh < missingGrown-rateEpsilon {
-		return fresh
+	return []*selection{
+		cheapest(n, running, startable),
+		cheapest(n, nil, slices.Concat(usable, startable)),
 	}
-	if missingGrown < missingFresh-rateEpsilon {
-		return grown
+}
+
+// replaces reports whether other has a smaller shortfall than chosen or, at an equal one, saves more
+// than MinReplacementSaving.
+func (p *planner) replaces(other, chosen *selection) bool {
+	missing, missingOther := chosen.shortfall(), other.shortfall()
+	if missingOther < missing-rateEpsilon {
+		return true
 	}
-	if float64(fresh.cost) < float64(grown.cost)*(1-p.snapshot.Settings.MinReplacementSaving) {
-		return fresh
+	if missing < missingOther-rateEpsilon {
+		return false
 	}
-	return grown
+	return float64(other.cost) < float64(chosen.cost)*(1-p.snapshot.Settings.MinReplacementSaving)
 }
 
 // start starts the chosen hosts that do not run yet, limited to as many as can load weights
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -8,7 +8,9 @@
 // State is what a plan carries over to the next one.
 type State struct {
 	SurplusHosts []SurplusHost `json:"holds"`
-	Refusals     []Refusal     `json:"refusals"`
+	// Chosen are the names of the hosts that the last plan chose to run, in order.
+	Chosen   []string  `json:"chosen"`
+	Refusals []Refusal `json:"refusals"`
 }
 
 // SurplusHost records since when a running host has not been needed.
