proxy: a refusal is counted before it is sent; test proxies do not age

TestServerSurvivesFailedAccepts: its proxy confirms the configuration once and refuses after a second. TestOperationsPageNamesTheHostsMetrics: a refusal is counted after the response, so a reader of the metrics may be faster. Change: Refused is called before the response is written; test proxies take an hour, and the test of the refusal itself sets its second explicitly, as strict as before. Ruled out: retrying in the tests (hides the order that callers see as well).

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -231,8 +231,9 @@
 	defer fasthttp.ReleaseResponse(resp)
 	fillErrorResponse(resp, e)
 	x.proxy.HeaderCodec.EncodeRefusal(&resp.Header, x.info.ID)
-	x.sendResponse(resp)
+	// Counted first, so that whoever has the response finds it in the metrics.
 	x.proxy.telemetry.Refused(x, e)
+	x.sendResponse(resp)
 }
 
 // sendResponse sends a complete response.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -206,7 +206,7 @@
 func TestUnconfirmedConfigurationRefusesRequests(t *testing.T) {
 	is := is.New(t)
 	e := newTestEndpoint(t, respondOK)
-	p := newTestProxy(t, nonIdempotentRoute, e)
+	p := newTestProxyWithMaxAge(t, time.Second, nonIdempotentRoute, e)
 	p.proxy.confirmedAt.Store(1)
 	a := p.send(t, "1")
 	is.Equal(a.status, 503)
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -169,8 +169,18 @@
 
 const testFleet = "f"
 
+// testConfirmationMaxAge is longer than any test takes, because a test proxy's configuration is
+// confirmed only once.
+const testConfirmationMaxAge = time.Hour
+
 // newTestProxy starts a proxy in front of endpoints. Requests prefer the first endpoint.
 func newTestProxy(t testing.TB, r fleet.Route, endpoints ...*testEndpoint) *testProxy {
+	t.Helper()
+	return newTestProxyWithMaxAge(t, testConfirmationMaxAge, r, endpoints...)
+}
+
+// newTestProxyWithMaxAge is newTestProxy with a maximum age of the confirmation of the configuration.
+func newTestProxyWithMaxAge(t testing.TB, maxAge time.Duration, r fleet.Route, endpoints ...*testEndpoint) *testProxy {
 	t.Helper()
 	r.Host, r.PathPrefix = "site", "/"
 	if len(r.Split) == 0 {
@@ -187,8 +197,8 @@
 		RetryBudget:  retrybudget.NewBudget(retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}),
 		Telemetry:    NewTelemetry(logger, prometheus.NewRegistry()),
 		OnStarted:    func(time.Time, string) {},
-		KeyMaxAge:    time.Second,
-		DenyMaxAge:   time.Second,
+		KeyMaxAge:    maxAge,
+		DenyMaxAge:   maxAge,
 		MaxBodyBytes: 1 << 24,
 	})
 	p.proxy.SetTable(route.Compile(&fleet.Configuration{
