asynclog: logging after Close is dropped; a closed output does not end the process

Cause: on the large site a host ends with 'send on closed channel': the task that receives messages logs after the log is closed. The race detector shows besides that log.AsyncWriter reads an entry after it handed it on. Change: a line writer of our own with a closed state; Close waits for a blocked output at most 0.5 s; a stop waits for the tasks; SIGPIPE on standard output is ignored. Ruled out: only waiting for the task (any later task would bring the panic back).

--- a/cmd/rattanchuted/platform.go
+++ b/cmd/rattanchuted/platform.go
@@ -34,8 +34,13 @@
 	return signals
 }
 
+// ignoreClosedOutput keeps the process alive if the reader of its standard output goes away. By
+// default the Go runtime ends a process that writes to a broken pipe there.
+func ignoreClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 // runOnPlatform runs the daemon as an entry host of the users' platform.
 func runOnPlatform(ctx context.Context) error {
+	ignoreClosedOutput()
 	logger := asynclog.New(os.Stdout, log.InfoLevel)
 	defer func() { _ = logger.Close() }()
 	s, err := platform.ReadSettings()
--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -2,9 +2,7 @@
 package asynclog
 
 import (
-	"errors"
 	"io"
-	"sync/atomic"
 
 	"github.com/phuslu/log"
 )
@@ -15,40 +13,21 @@
 // Log is a logger that drops and counts lines if the output does not keep up.
 type Log struct {
 	log.Logger
-	writer *countingWriter
+	lines *lineWriter
 }
 
 // New returns a logger that writes JSON lines at the given level and above.
 func New(out io.Writer, level log.Level) *Log {
-	w := &countingWriter{async: &log.AsyncWriter{
-		Writer:        &log.IOWriter{Writer: out},
-		ChannelSize:   bufferedLines,
-		DiscardOnFull: true,
-	}}
-	l := &Log{writer: w}
+	l := &Log{lines: newLineWriter(out, bufferedLines)}
 	l.Level = level
 	l.TimeFormat = "2006-01-02T15:04:05.000Z07:00"
-	l.Writer = w
+	l.Writer = &log.IOWriter{Writer: l.lines}
 	return l
 }
 
 // Dropped returns the number of dropped lines.
-func (l *Log) Dropped() uint64 { return l.writer.dropped.Load() }
+func (l *Log) Dropped() uint64 { return l.lines.dropped.Load() }
 
-// Close writes the buffered lines. Logging after it panics, because the buffer is closed.
-func (l *Log) Close() error { return l.writer.async.Close() }
-
-type countingWriter struct {
-	async   *log.AsyncWriter
-	dropped atomic.Uint64
-}
-
-// WriteEntry implements log.Writer.
-func (w *countingWriter) WriteEntry(e *log.Entry) (int, error) {
-	n, err := w.async.WriteEntry(e)
-	if errors.Is(err, log.ErrAsyncWriterFull) {
-		w.dropped.Add(1)
-		return n, nil
-	}
-	return n, err
-}
+// Close writes the buffered lines, but waits for the output only briefly, and returns the output's last
+// error. Lines that are logged after it are dropped and counted.
+func (l *Log) Close() error { return l.lines.Close() }
--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 		t.Fatal("logging blocks on the output")
 	}
 	is.True(l.Dropped() >= bufferedLines)
+	is.Equal(l.Close(), errOutputBlocked) // a process can end although nobody reads its log
 }
 
 func TestLinesAreWritten(t *testing.T) {
@@ -42,3 +44,29 @@
 	is.True(strings.Contains(out.String(), `"request":"1"`))
 	is.Equal(l.Dropped(), uint64(0))
 }
+
+// TestLoggingAfterCloseIsDropped checks that tasks that outlive the log neither panic nor block while
+// it is closed, and that their lines are counted.
+func TestLoggingAfterCloseIsDropped(t *testing.T) {
+	is := is.New(t)
+	l := New(io.Discard, log.InfoLevel)
+	const writers, lines = 8, 200
+	var started, done sync.WaitGroup
+	for range writers {
+		started.Add(1)
+		done.Go(func() {
+			l.Info().Msg("before")
+			started.Done()
+			for range lines {
+				l.Info().Msg("line")
+			}
+		})
+	}
+	started.Wait()
+	is.NoErr(l.Close())
+	done.Wait()
+	dropped := l.Dropped()
+	l.Info().Msg("after")
+	is.Equal(l.Dropped(), dropped+1)
+	is.NoErr(l.Close())
+}
--- /dev/null
+++ b/internal/asynclog/linewriter.go
@@ -0,0 +1,92 @@
+package asynclog
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// closeTimeout bounds how long Close waits for the output, whose reader may have stopped reading.
+const closeTimeout = 500 * time.Millisecond
+
+// errOutputBlocked means that the output did not accept all lines in time.
+var errOutputBlocked = errors.New("log output is blocked, lines are lost")
+
+// lineWriter is an io.Writer that hands each write to a goroutine, which writes it to the output. It
+// drops and counts what does not fit into its buffer and what is written after Close. It is used in
+// place of log.AsyncWriter, which panics if a line is logged after its Close.
+type lineWriter struct {
+	out     io.Writer
+	lines   chan *bytes.Buffer
+	pool    sync.Pool
+	dropped atomic.Uint64
+	// finished is closed once all lines are written; err, the last error of the output, is set by
+	// then.
+	finished chan struct{}
+	err      error
+
+	// mu is held for reading while a line is added, so that lines is not closed meanwhile.
+	mu     sync.RWMutex
+	closed bool
+}
+
+func newLineWriter(out io.Writer, capacity int) *lineWriter {
+	w := &lineWriter{
+		out:      out,
+		lines:    make(chan *bytes.Buffer, capacity),
+		pool:     sync.Pool{New: func() any { return new(bytes.Buffer) }},
+		finished: make(chan struct{}),
+	}
+	go w.run()
+	return w
+}
+
+func (w *lineWriter) run() {
+	defer close(w.finished)
+	for line := range w.lines {
+		if _, err := w.out.Write(line.Bytes()); err != nil {
+			w.err = err
+		}
+		w.pool.Put(line)
+	}
+}
+
+// Write implements io.Writer. It never blocks on the output and never fails.
+func (w *lineWriter) Write(p []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(p), nil
+	}
+	line := w.pool.Get().(*bytes.Buffer)
+	line.Reset()
+	line.Write(p)
+	select {
+	case w.lines <- line:
+	default:
+		w.dropped.Add(1)
+		w.pool.Put(line)
+	}
+	return len(p), nil
+}
+
+// Close waits until the lines that were added are written, but at most for closeTimeout. Further
+// calls do the same.
+func (w *lineWriter) Close() error {
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
+	select {
+	case <-w.finished:
+		return w.err
+	case <-time.After(closeTimeout):
+		return errOutputBlocked
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -248,9 +248,21 @@
 
 // start starts a task that runs until the context ends.
 func (n *Node) start(ctx context.Context, task func(context.Context)) {
-	n.tasks.Add(1)
+	n.tasks.Go(func() { task(ctx) })
+}
+
+// waitForTasks waits until all tasks have ended, but at most for the timeout, and reports whether they
+// have.
+func (n *Node) waitForTasks(timeout time.Duration) bool {
+	ended := make(chan struct{})
 	go func() {
-		defer n.tasks.Done()
-		task(ctx)
+		n.tasks.Wait()
+		close(ended)
 	}()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -25,6 +25,8 @@
 	drainDelay = 2500 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for leaving gracefully.
 	exitMargin = 700 * time.Millisecond
+	// taskEndTimeout bounds the wait for the tasks at the end of a stop. It is part of exitMargin.
+	taskEndTimeout = 200 * time.Millisecond
 )
 
 // Run serves requests until the context ends, and then stops gracefully and returns nil. It returns
@@ -135,7 +137,7 @@
 	n.start(ctx, n.sendReports)
 	n.start(ctx, n.becomeReady)
 	n.start(ctx, n.logState)
-	go n.receiveMessages()
+	n.tasks.Go(n.receiveMessages)
 }
 
 func (n *Node) startDuties(ctx context.Context) {
@@ -181,6 +183,9 @@
 	n.sendLeaving(clock.Now())
 	n.removeMember()
 	_ = n.socket.Close()
+	if !n.waitForTasks(taskEndTimeout) {
+		n.Log.Warn().Int64("waited_ms", taskEndTimeout.Milliseconds()).Msg("tasks still running at the stop")
+	}
 	n.Log.Info().Int64("took_ms", clock.Now().Sub(began).Milliseconds()).Msg("stopped")
 }
 
