--- a/cmd/rattanchuted/platform.go
+++ b/cmd/rattanchuted/platform.go
@@ -48,8 +48,10 @@
 		return err
 	}
 	logger.Context = log.NewContext(nil).Str("node", s.Name).Value()
+	eras := &objectstore.EraTracker{}
 	store := platform.NewStore(platform.StoreOptions{
 		Address:   s.StoreAddress,
+		Eras:      eras,
 		Timeout:   storeTimeout,
 		WatchWait: storeWatchWait,
 		OnMalformed: func(kind objectstore.Kind, err error) {
@@ -59,6 +61,7 @@
 	n, err := node.New(node.Dependencies{
 		Settings:    s,
 		Store:       store,
+		StoreEras:   eras,
 		Duties:      platform.NewDutyClient(s.DutyAddress, dutyTimeout),
 		HeaderCodec: platform.HeaderCodec{},
 		Decode: node.Decoders{
--- a/internal/adapter/objecthttp/call.go
+++ b/internal/adapter/objecthttp/call.go
@@ -45,31 +45,46 @@
 	StatusError func(status int) error
 }
 
-// Do sends a call that takes no longer than timeout. setRequest fills in the request. The
-// response to a successful call is decoded into out unless out is nil.
-func (c *Requester) Do(
-	ctx context.Context, timeout time.Duration, setRequest func(*fasthttp.Request) error, out any,
-) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// Call is one request to an object service.
+type Call struct {
+	// Timeout is the longest time that the call may take.
+	Timeout time.Duration
+	// SetRequest fills in the request.
+	SetRequest func(*fasthttp.Request) error
+	// CheckHeader is called with the header of each response, whatever its status. If it returns an
+	// error, the response is discarded and the error returned. It may be nil.
+	CheckHeader func(*fasthttp.ResponseHeader) error
+	// Out is what the response to a successful call is decoded into; nil if it is not needed.
+	Out any
+}
+
+// Do sends a call.
+func (c *Requester) Do(ctx context.Context, call Call) error {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetHost(c.Address)
-	if err := setRequest(req); err != nil {
+	if err := call.SetRequest(req); err != nil {
 		return err
 	}
 	if err := c.HTTP.Do(ctx, c.Address, req, resp); err != nil {
 		return sendError(err)
 	}
+	if call.CheckHeader != nil {
+		if err := call.CheckHeader(&resp.Header); err != nil {
+			return err
+		}
+	}
 	if err := c.StatusError(resp.StatusCode()); err != nil {
 		return err
 	}
-	if out == nil {
+	if call.Out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(resp.Body(), out); err != nil {
+	if err := json.Unmarshal(resp.Body(), call.Out); err != nil {
 		return fmt.Errorf("%w: answer: %w", objectstore.ErrUnavailable, err)
 	}
 	return nil
--- a/internal/adapter/peerudp/socket_test.go
+++ b/internal/adapter/peerudp/socket_test.go
@@ -81,7 +81,7 @@
 			DataCentre: "zone", MemoryBytes: 536 << 20,
 		},
 		Number: 1000, IntervalMillis: 252, TrueMillis: 1_790_000_000_000,
-		Reachable: 87, Known: 87, ConfigurationVersion: 1000,
+		Reachable: 87, Known: 87, Generation: 1000,
 		Endpoints: registry.Delta{Since: 1000, AsOf: 1010, SkippedVersions: []registry.VersionRange{{From: 1000, To: 1010}}},
 		Acks:      map[string]heartbeat.Ack{}, Levels: map[string]float64{},
 	}
--- a/internal/adapter/platformhttp/store.go
+++ b/internal/adapter/platformhttp/store.go
@@ -64,13 +64,13 @@
 
 // listResponse is the response body of List.
 type listResponse struct {
-	Version uint64               `json:"version"`
+	Version objectstore.Version  `json:"version"`
 	Objects []objectstore.Object `json:"objects"`
 }
 
 // watchResponse is the response body of Watch.
 type watchResponse struct {
-	Version uint64              `json:"version"`
+	Version objectstore.Version `json:"version"`
 	Events  []objectstore.Event `json:"events"`
 }
 
@@ -83,7 +83,7 @@
 }
 
 // List implements objectstore.Store.
-func (s *Store) List(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error) {
+func (s *Store) List(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, objectstore.Version, error) {
 	var response listResponse
 	c := call{method: fasthttp.MethodGet, path: kindPath(kind)}
 	err := s.do(ctx, c, &response)
@@ -123,14 +123,14 @@
 // Watch implements objectstore.Store. It waits for changes after the given version, for at most
 // Options.WatchWait or three quarters of the time to the deadline of ctx. Without a change by then,
 // the service responds without events.
-func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after uint64) ([]objectstore.Event, uint64, error) {
+func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after objectstore.Version) ([]objectstore.Event, objectstore.Version, error) {
 	watchWait := s.options.WatchWait
 	if deadline, ok := ctx.Deadline(); ok {
 		// Leave time for the response to arrive before the deadline.
 		watchWait = min(watchWait, time.Until(deadline)*3/4)
 	}
 	query := url.Values{}
-	query.Set("watch", strconv.FormatUint(after, 10))
+	query.Set("watch", strconv.FormatUint(uint64(after), 10))
 	query.Set("timeout_ms", strconv.FormatInt(max(watchWait.Milliseconds(), 0), 10))
 	c := call{method: fasthttp.MethodGet, path: kindPath(kind) + "?" + query.Encode(), watchWait: watchWait}
 	var response watchResponse
@@ -152,7 +152,7 @@
 	path   string
 	value  json.RawMessage
 	// ifMatch is the expected version of a conditional call; zero makes it unconditional.
-	ifMatch uint64
+	ifMatch objectstore.Version
 	// watchWait is how long the service may delay its response to a watch.
 	watchWait time.Duration
 }
@@ -163,7 +163,7 @@
 		s.setRequest(req, c)
 		return nil
 	}
-	return s.requester.Do(ctx, s.options.Timeout+c.watchWait, set, out)
+	return s.requester.Do(ctx, objecthttp.Call{Timeout: s.options.Timeout + c.watchWait, SetRequest: set, Out: out})
 }
 
 func (s *Store) setRequest(req *fasthttp.Request, c call) {
@@ -173,7 +173,7 @@
 		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+s.options.Token)
 	}
 	if c.ifMatch != 0 {
-		req.Header.Set(fasthttp.HeaderIfMatch, strconv.FormatUint(c.ifMatch, 10))
+		req.Header.Set(fasthttp.HeaderIfMatch, strconv.FormatUint(uint64(c.ifMatch), 10))
 	}
 	if c.value != nil {
 		req.Header.SetContentType("application/json")
--- a/internal/claim/fakestore_test.go
+++ b/internal/claim/fakestore_test.go
@@ -19,7 +19,7 @@
 	loseNextAnswer bool
 
 	mu      sync.Mutex
-	version uint64
+	version objectstore.Version
 	objects map[string]objectstore.Object
 }
 
--- a/internal/claim/segmentstore.go
+++ b/internal/claim/segmentstore.go
@@ -23,7 +23,7 @@
 // name it, in place of the given version, has not been confirmed.
 type orphan struct {
 	name    string
-	version uint64
+	version objectstore.Version
 }
 
 // loadSegments reads the segments of a shard that are not in memory yet.
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -31,7 +31,7 @@
 
 	// base is the last known stored value, at the given version; nil if it has to be read.
 	base    *Shard
-	version uint64
+	version objectstore.Version
 	// lastLoaded is the last value whose segments were loaded. It may have been replaced since.
 	lastLoaded *Shard
 	orphans    []orphan
@@ -125,7 +125,7 @@
 }
 
 // setBase sets the value that is known to be stored.
-func (s *shardStore) setBase(base *Shard, version uint64) {
+func (s *shardStore) setBase(base *Shard, version objectstore.Version) {
 	base.sealThresholdBytes = s.sealThresholdBytes
 	base.mergeThreshold = s.mergeThreshold
 	s.base = base
--- a/internal/configstore/accept.go
+++ b/internal/configstore/accept.go
@@ -32,7 +32,7 @@
 	Entry Entry
 	// Version is the platform's version of the configuration; zero if the change was found to be
 	// accepted already, by an earlier call or by a write of this call whose response was lost.
-	Version uint64
+	Version objectstore.Version
 }
 
 // Accept validates a change and writes it together with its audit entry. Its errors are a
@@ -178,7 +178,7 @@
 		errors.Is(err, objectstore.ErrNotFound)
 }
 
-func (a *acceptance) put(ctx context.Context, version uint64, next Stored) (objectstore.Object, error) {
+func (a *acceptance) put(ctx context.Context, version objectstore.Version, next Stored) (objectstore.Object, error) {
 	value, err := encode(next)
 	if err != nil {
 		return objectstore.Object{}, err
--- a/internal/configstore/fake_store_test.go
+++ b/internal/configstore/fake_store_test.go
@@ -30,7 +30,7 @@
 // fakeStore is an in-memory store that injects the faults chosen by pick.
 type fakeStore struct {
 	objects map[string]objectstore.Object
-	version uint64
+	version objectstore.Version
 	delayed []func()
 	// pick chooses the fault of a write, or of a read when write is false.
 	pick func(write bool) fault
@@ -120,7 +120,7 @@
 	return nil
 }
 
-func (s *fakeStore) List(_ context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error) {
+func (s *fakeStore) List(_ context.Context, kind objectstore.Kind) ([]objectstore.Object, objectstore.Version, error) {
 	var all []objectstore.Object
 	for k, o := range s.objects {
 		if strings.HasPrefix(k, string(kind)+"/") {
@@ -130,6 +130,6 @@
 	return all, s.version, nil
 }
 
-func (s *fakeStore) Watch(context.Context, objectstore.Kind, uint64) ([]objectstore.Event, uint64, error) {
+func (s *fakeStore) Watch(context.Context, objectstore.Kind, objectstore.Version) ([]objectstore.Event, objectstore.Version, error) {
 	return nil, s.version, objectstore.ErrUnavailable
 }
--- a/internal/configstore/stored.go
+++ b/internal/configstore/stored.go
@@ -26,7 +26,7 @@
 	// have been deleted since.
 	AuditPages int `json:"audit_pages"`
 	// Version is the platform's version of the object; zero if the object does not exist yet.
-	Version uint64 `json:"-"`
+	Version objectstore.Version `json:"-"`
 }
 
 // Entry records one accepted change.
--- a/internal/duty/fake_test.go
+++ b/internal/duty/fake_test.go
@@ -11,7 +11,8 @@
 // fakeStore is an in-memory object store.
 type fakeStore struct {
 	mu      sync.Mutex
-	version uint64
+	eras    *objectstore.EraTracker
+	version objectstore.Version
 	objects map[string]objectstore.Object
 	// err, if set, is returned by every call. With lateEffect, Create and Update take effect
 	// nevertheless, unless they fail with a conflict.
@@ -22,7 +23,9 @@
 
 var _ objectstore.Store = (*fakeStore)(nil)
 
-func newFakeStore() *fakeStore { return &fakeStore{objects: map[string]objectstore.Object{}} }
+func newFakeStore() *fakeStore {
+	return &fakeStore{eras: new(objectstore.EraTracker), objects: map[string]objectstore.Object{}}
+}
 
 func key(kind objectstore.Kind, name string) string { return string(kind) + "/" + name }
 
@@ -39,7 +42,7 @@
 	return o, nil
 }
 
-func (s *fakeStore) List(context.Context, objectstore.Kind) ([]objectstore.Object, uint64, error) {
+func (s *fakeStore) List(context.Context, objectstore.Kind) ([]objectstore.Object, objectstore.Version, error) {
 	return nil, s.version, s.err
 }
 
@@ -69,6 +72,6 @@
 
 func (s *fakeStore) Delete(context.Context, objectstore.Object) error { return s.err }
 
-func (s *fakeStore) Watch(context.Context, objectstore.Kind, uint64) ([]objectstore.Event, uint64, error) {
+func (s *fakeStore) Watch(context.Context, objectstore.Kind, objectstore.Version) ([]objectstore.Event, objectstore.Version, error) {
 	return nil, s.version, s.err
 }
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -24,7 +24,7 @@
 	store objectstore.Store
 	// loaded means that version and stored, which holds the counts, are as in the store.
 	loaded  bool
-	version uint64
+	version objectstore.Version
 	stored  map[orderKey]int
 	// accepted are the orders that the platform has accepted under the current lease.
 	accepted map[orderKey]acceptedOrder
--- a/internal/duty/reports.go
+++ b/internal/duty/reports.go
@@ -22,7 +22,7 @@
 	reportableWindows = 3
 	// storedWindows is the number of windows whose counts are kept in the store.
 	storedWindows = 6
-	// reportsName is the name of the single stored object.
+	// reportsName is the name of the stored object, of which each era of the store has its own.
 	reportsName = "reports"
 )
 
@@ -35,20 +35,26 @@
 // reporter reports the usage of closed windows.
 type reporter struct {
 	store  objectstore.Store
+	eras   *objectstore.EraTracker
 	ledger *usage.Ledger
-	// loaded means that version and stored were read or written under the current lease.
-	loaded  bool
-	version uint64
-	stored  storedReports
+	// loaded means that version and stored were read or written under the current lease, in the era
+	// loadedEra of the store.
+	loaded    bool
+	loadedEra uint64
+	version   objectstore.Version
+	stored    storedReports
 	// reported are the windows whose report by this host the platform has accepted.
 	reported map[int64]bool
 	// firstWindow is the first window to report: the one in which this host started. Earlier ones
 	// ended before it counted.
 	firstWindow int64
+	// uncertainBefore is the first window that cannot have ended before a restore of the store; zero if
+	// there was none. Another host may have reported earlier ones, and the store has lost what.
+	uncertainBefore int64
 }
 
-func newReporter(store objectstore.Store, ledger *usage.Ledger) *reporter {
-	return &reporter{store: store, ledger: ledger, reported: map[int64]bool{}}
+func newReporter(store objectstore.Store, eras *objectstore.EraTracker, ledger *usage.Ledger) *reporter {
+	return &reporter{store: store, eras: eras, ledger: ledger, reported: map[int64]bool{}}
 }
 
 // reset discards what was read under an earlier lease.
@@ -68,10 +74,11 @@
 }
 
 // persistCounts stores the counts of the windows, which has to succeed before they are reported.
-// Counts that are stored already are not changed.
-func (r *reporter) persistCounts(ctx context.Context, windows []int64) error {
+// Counts that are stored already are not changed. It returns the windows that must not be reported,
+// because it is not known which counts were reported for them.
+func (r *reporter) persistCounts(ctx context.Context, windows []int64) (abandoned []int64, err error) {
 	if err := r.load(ctx); err != nil {
-		return err
+		return nil, err
 	}
 	next := storedReports{Windows: maps.Clone(r.stored.Windows)}
 	if next.Windows == nil {
@@ -79,16 +86,28 @@
 	}
 	changed := false
 	for _, w := range windows {
-		if _, ok := next.Windows[w]; !ok {
-			next.Windows[w] = r.ledger.Total(w)
-			changed = true
+		if _, ok := next.Windows[w]; ok {
+			continue
+		}
+		if w < r.uncertainBefore && !r.ledger.IsFinal(w) {
+			abandoned = append(abandoned, w)
+			continue
 		}
+		next.Windows[w] = r.ledger.Total(w)
+		changed = true
 	}
 	if !changed {
-		return nil
+		return abandoned, nil
 	}
 	next.prune()
-	return r.write(ctx, next)
+	return abandoned, r.write(ctx, next)
+}
+
+// finalize makes the stored counts final in the ledger, which shares them with the other hosts.
+func (r *reporter) finalize() {
+	for w, counts := range r.stored.Windows {
+		r.ledger.Finalize(w, counts)
+	}
 }
 
 func (s *storedReports) prune() {
@@ -99,13 +118,15 @@
 }
 
 func (r *reporter) load(ctx context.Context) error {
-	if r.loaded {
+	era, _ := r.eras.Era()
+	if r.loaded && r.loadedEra == era {
 		return nil
 	}
-	object, err := r.store.Get(ctx, objectstore.KindUsage, reportsName)
+	r.loadedEra = era
+	object, err := r.store.Get(ctx, objectstore.KindUsage, r.objectName())
 	if errors.Is(err, objectstore.ErrNotFound) {
 		r.loaded, r.version, r.stored = true, 0, storedReports{}
-		return nil
+		return r.checkEra()
 	}
 	if err != nil {
 		return fmt.Errorf("usage reports: %w", err)
@@ -115,6 +136,19 @@
 		return fmt.Errorf("usage reports: %w", err)
 	}
 	r.loaded, r.version, r.stored = true, object.Version, stored
+	r.finalize()
+	return r.checkEra()
+}
+
+func (r *reporter) objectName() string { return objectstore.NameInEra(reportsName, r.loadedEra) }
+
+// checkEra returns an error if the store was restored since its state was loaded. What was read or written
+// under the name of the earlier era then does not count.
+func (r *reporter) checkEra() error {
+	if era, _ := r.eras.Era(); era != r.loadedEra {
+		r.loaded = false
+		return fmt.Errorf("usage reports: %w: restored in era %d", objectstore.ErrUnavailable, era)
+	}
 	return nil
 }
 
@@ -126,14 +160,18 @@
 		return fmt.Errorf("usage reports: %w", err)
 	}
 	object, err := put(ctx, r.store, objectstore.Object{
-		Kind: objectstore.KindUsage, Name: reportsName, Version: r.version, Value: value,
+		Kind: objectstore.KindUsage, Name: r.objectName(), Version: r.version, Value: value,
 	})
 	if err != nil {
 		r.loaded = false
 		return fmt.Errorf("usage reports: %w", err)
 	}
+	if err := r.checkEra(); err != nil {
+		return err
+	}
 	r.version = object.Version
 	r.stored = next
+	r.finalize()
 	return nil
 }
 
--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -15,25 +16,24 @@
 // tickInterval is the time between two checks for due work.
 const tickInterval = 250 * time.Millisecond
 
-// firstFencingToken is the token of the first holder ever. No host can have made calls before it.
-const firstFencingToken = 1
-
 // Lease is this host's view of the lease.
 type Lease interface {
 	// Valid reports whether this host holds the lease now, and the fencing token.
 	Valid(now time.Time) (fencing uint64, ok bool)
 	// Uninterrupted reports whether this host, when it last acquired the lease, took it over from
-	// itself, so that no other host held it in between.
+	// itself, so that no other host held it in between, or was the first holder ever.
 	Uninterrupted() bool
 }
 
 // Dependencies are what a Runner works with, and its settings.
 type Dependencies struct {
 	// Name is the name of this host.
-	Name         string
-	Lease        Lease
-	Platform     Platform
-	Store        objectstore.Store
+	Name     string
+	Lease    Lease
+	Platform Platform
+	Store    objectstore.Store
+	// Eras tracks the eras of Store.
+	Eras         *objectstore.EraTracker
 	Usage        *usage.Ledger
 	ClusterClock *clock.ClusterClock
 	Planner      *Planner
@@ -61,18 +61,32 @@
 	lastCallAt time.Time
 	// waitUntil is when this host may start to make calls under the current lease.
 	waitUntil time.Time
+	// restoredInWindow is the usage window in which the store was last restored from an older copy while
+	// another host may have held the lease; zero if never.
+	restoredInWindow atomic.Int64
 }
 
 // NewRunner returns a runner that does nothing until Run is called.
 func NewRunner(d Dependencies) *Runner {
 	r := &Runner{
-		Dependencies: d, reporter: newReporter(d.Store, d.Usage), orders: newOrders(d.Store),
+		Dependencies: d, reporter: newReporter(d.Store, d.Eras, d.Usage), orders: newOrders(d.Store),
 		lastCallAt: clock.Now(),
 	}
 	r.reporter.firstWindow = d.Usage.Window(d.ClusterClock.At(clock.Now()))
 	return r
 }
 
+// OnRestore records that the store was restored from an older copy now. It may be called while Run
+// runs.
+func (r *Runner) OnRestore() {
+	now := clock.Now()
+	if _, held := r.Lease.Valid(now); held {
+		// This host knows what it has reported.
+		return
+	}
+	r.restoredInWindow.Store(r.Usage.Window(r.ClusterClock.At(now)))
+}
+
 // Run performs the duties, at the times at which this host holds the lease, until the context
 // ends.
 func (r *Runner) Run(ctx context.Context) {
@@ -112,7 +126,7 @@
 func (r *Runner) beginTerm(fencing uint64) {
 	r.fencing = fencing
 	r.waitUntil = time.Time{}
-	if fencing > firstFencingToken && !r.Lease.Uninterrupted() {
+	if !r.Lease.Uninterrupted() {
 		r.waitUntil = r.lastCallAt.Add(r.HandoverDelay)
 	}
 	r.reporter.reset()
@@ -146,12 +160,22 @@
 	if len(dueWindows) == 0 {
 		return
 	}
-	persistCounts := func(ctx context.Context) error { return r.reporter.persistCounts(ctx, dueWindows) }
-	if err := r.withTimeout(ctx, persistCounts); err != nil {
+	r.reporter.uncertainBefore = r.restoredInWindow.Load()
+	var abandoned []int64
+	err := r.withTimeout(ctx, func(ctx context.Context) (err error) {
+		abandoned, err = r.reporter.persistCounts(ctx, dueWindows)
+		return err
+	})
+	if err != nil {
 		r.Log.Warn().Err(err).Int("windows", len(dueWindows)).Msg("usage not stored")
 		return
 	}
-	for _, window := range dueWindows {
+	for _, window := range abandoned {
+		r.reporter.reported[window] = true
+		r.Log.Warn().Int64("window", window).Int64("restored_in_window", r.reporter.uncertainBefore).
+			Msg("usage not reported, the store has lost what was reported")
+	}
+	for _, window := range r.reporter.dueWindows(r.ClusterClock.At(clock.Now())) {
 		if !r.reportWindow(ctx, window) {
 			return
 		}
--- a/internal/duty/runner_test.go
+++ b/internal/duty/runner_test.go
@@ -33,7 +33,7 @@
 		Demand:        func(time.Time) map[string]heartbeat.FleetDemand { return nil },
 	})
 	return NewRunner(Dependencies{
-		Name: "n", Lease: l, Store: newFakeStore(), Usage: usage.NewLedger(window), Planner: planner,
+		Name: "n", Lease: l, Store: newFakeStore(), Eras: new(objectstore.EraTracker), Usage: usage.NewLedger(window), Planner: planner,
 		ClusterClock: clock.NewClusterClock(clock.Now(), time.Now()), HandoverDelay: 3 * time.Second,
 	})
 }
@@ -45,11 +45,11 @@
 // does not wait.
 func TestHolderWaitsAfterAnotherHolder(t *testing.T) {
 	is := is.New(t)
-	l := &fakeLease{fencing: 1}
+	l := &fakeLease{fencing: 1, uninterrupted: true}
 	r := newTestRunner(l)
 	_, ok := r.mayCall()
 	is.True(ok) // the first holder ever
-	l.fencing = 0
+	l.fencing, l.uninterrupted = 0, false
 	_, ok = r.mayCall()
 	is.True(!ok)
 	l.fencing = 3
@@ -102,7 +102,7 @@
 	for _, store := range []objectstore.Store{unavailable, silentStore{}} {
 		var logged bytes.Buffer
 		platform := &acceptedOrders{}
-		r := newTestRunner(&fakeLease{fencing: 1})
+		r := newTestRunner(&fakeLease{fencing: 1, uninterrupted: true})
 		r.Platform, r.CallTimeout = platform, 20*time.Millisecond
 		r.Log = &log.Logger{Writer: &log.IOWriter{Writer: &logged}}
 		r.orders = newOrders(store)
--- a/internal/gossip/gossiptest/store.go
+++ b/internal/gossip/gossiptest/store.go
@@ -18,7 +18,7 @@
 	down  atomic.Bool
 
 	mu      sync.Mutex
-	version uint64
+	version objectstore.Version
 	objects map[objectstore.Kind]map[string]objectstore.Object
 	events  map[objectstore.Kind][]objectstore.Event
 	changed chan struct{}
@@ -56,7 +56,7 @@
 }
 
 // List implements objectstore.Store.
-func (s *Store) List(_ context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error) {
+func (s *Store) List(_ context.Context, kind objectstore.Kind) ([]objectstore.Object, objectstore.Version, error) {
 	if err := s.call(); err != nil {
 		return nil, 0, err
 	}
@@ -86,7 +86,7 @@
 }
 
 // Watch implements objectstore.Store.
-func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after uint64) ([]objectstore.Event, uint64, error) {
+func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after objectstore.Version) ([]objectstore.Event, objectstore.Version, error) {
 	if err := s.call(); err != nil {
 		return nil, 0, err
 	}
@@ -108,7 +108,7 @@
 	}
 }
 
-func (s *Store) since(kind objectstore.Kind, after uint64) []objectstore.Event {
+func (s *Store) since(kind objectstore.Kind, after objectstore.Version) []objectstore.Event {
 	var out []objectstore.Event
 	for _, e := range s.events[kind] {
 		if e.Object.Version > after {
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -70,7 +70,7 @@
 
 // list reads all objects of a kind, passes them to handle, and returns the store version of the
 // list.
-func (r *Runner) list(kind objectstore.Kind, handle func(objectstore.Event)) (uint64, error) {
+func (r *Runner) list(kind objectstore.Kind, handle func(objectstore.Event)) (objectstore.Version, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, platformTimeout)
 	defer cancel()
 	objects, version, err := r.settings.Store.List(ctx, kind)
@@ -87,7 +87,7 @@
 
 // watch processes the events of a kind until this node is no longer a relay or the watch has to
 // start over from a list.
-func (r *Runner) watch(kind objectstore.Kind, version uint64, handle func(objectstore.Event)) {
+func (r *Runner) watch(kind objectstore.Kind, version objectstore.Version, handle func(objectstore.Event)) {
 	wait := backoff{}
 	for r.ctx.Err() == nil && r.IsRelay(kind) {
 		events, next, err := r.watchOnce(kind, version)
@@ -106,7 +106,7 @@
 	}
 }
 
-func (r *Runner) watchOnce(kind objectstore.Kind, version uint64) ([]objectstore.Event, uint64, error) {
+func (r *Runner) watchOnce(kind objectstore.Kind, version objectstore.Version) ([]objectstore.Event, objectstore.Version, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, watchTimeout)
 	defer cancel()
 	events, next, err := r.settings.Store.Watch(ctx, kind, version)
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -2,6 +2,8 @@
 
 import (
 	"rattanchute/internal/balancer"
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/usage"
@@ -62,21 +64,24 @@
 	HoldsLease bool `json:"holds_lease,omitempty"`
 	// LeaseVersion is the stored version of the lease that the sender holds; zero if it holds
 	// none.
-	LeaseVersion uint64 `json:"lease_version,omitempty"`
+	LeaseVersion objectstore.Version `json:"lease_version,omitempty"`
 	// Members lists the group: the sender and its followers.
 	Members []string `json:"members,omitempty"`
 	// Left lists the hosts of the group that recently left gracefully.
 	Left []string `json:"gone,omitempty"`
-	// ConfigurationVersion and EndpointsVersion are store versions: the version of the active
-	// configuration and that of the newest change to the endpoints.
-	ConfigurationVersion uint64 `json:"configuration_version,omitempty"`
-	EndpointsVersion     uint64 `json:"endpoints_version,omitempty"`
+	// Generation is that of the active configuration, and EndpointsVersion the store version of the
+	// newest change to the endpoints.
+	Generation       fleet.Generation    `json:"generation,omitempty"`
+	EndpointsVersion objectstore.Version `json:"endpoints_version,omitempty"`
 
-	Quota    quota.SpendingReport   `json:"quota"`
-	Usage    []HostUsage            `json:"usage,omitempty"`
-	Loads    []balancer.Load        `json:"loads,omitempty"`
-	Prefills []balancer.Prefill     `json:"reads,omitempty"`
-	Demand   map[string]FleetDemand `json:"demand,omitempty"`
+	Quota quota.SpendingReport `json:"quota"`
+	Usage []HostUsage          `json:"usage,omitempty"`
+	// FinalUsage holds the totals of the last windows that the sender may have reported to the platform.
+	// Only the holder of the lease sends them.
+	FinalUsage map[int64]usage.Counts `json:"final_usage,omitempty"`
+	Loads      []balancer.Load        `json:"loads,omitempty"`
+	Prefills   []balancer.Prefill     `json:"reads,omitempty"`
+	Demand     map[string]FleetDemand `json:"demand,omitempty"`
 }
 
 // HostUsage is the usage counted by one run of a host.
@@ -100,8 +105,9 @@
 	Reachable int `json:"heard"`
 	Known     int `json:"known"`
 
-	ConfigurationVersion uint64         `json:"configuration_version,omitempty"`
-	Endpoints            registry.Delta `json:"endpoints"`
+	// Generation is that of the active configuration.
+	Generation fleet.Generation `json:"generation,omitempty"`
+	Endpoints  registry.Delta   `json:"endpoints"`
 	// Levels are the remaining quota tokens by organisation, after all processed reports.
 	Levels map[string]float64 `json:"levels,omitempty"`
 	// Loads are the loads of all hosts, including the follower's own. If the digest would be too large,
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"rattanchute/internal/objectstore"
 )
 
 // Record is the stored value of a lease.
@@ -44,15 +46,18 @@
 
 // Action is the store call to make next; Version and Record are set for ActionWrite.
 type Action struct {
-	Kind    ActionKind
-	Version uint64
+	Kind ActionKind
+	// Era is the era of the store in which the call is to take effect. Each era has its own object, so
+	// that a member that has not noticed a restore of the store cannot overwrite the lease of the others.
+	Era     uint64
+	Version objectstore.Version
 	Record  Record
 	// decidedAt is when the action was decided. The duration of a lease counts from this time, which
 	// is before the write is sent.
 	decidedAt time.Time
-	// heldHere indicates that an acquisition replaces a holder that is this run, or an earlier run
-	// of this host that has ended.
-	heldHere bool
+	// continues indicates that an acquisition replaces a holder that is this run, or an earlier run
+	// of this host that has ended, or that there was no holder before.
+	continues bool
 }
 
 // StateMachine makes the decisions of one member about one lease. It starts no goroutine and is not
@@ -65,17 +70,27 @@
 	hasEnded func(holder string) bool
 	// newWriteID returns a new unique ID for a write.
 	newWriteID func() string
+	// firstStart indicates that the system has never run before, so that in the first era that this
+	// member sees a missing object shows that there is no holder.
+	firstStart bool
+
+	// eraKnown is set with the first answer of the store. firstEra and era are the eras of the first and
+	// the newest answer, and eraSeenAt is when era was first seen.
+	eraKnown  bool
+	firstEra  uint64
+	era       uint64
+	eraSeenAt time.Time
 
 	// known indicates that version and record are what the store last answered; it is false at the
 	// start and after a write that was refused or not answered. seenAt is when the version was first
 	// seen.
 	known   bool
-	version uint64
+	version objectstore.Version
 	record  Record
 	seenAt  time.Time
 	// reportedVersion is the latest version that a holder reported to have written, and reportedAt
 	// when its first report of that version arrived.
-	reportedVersion uint64
+	reportedVersion objectstore.Version
 	reportedAt      time.Time
 
 	// fencing and validUntil describe the lease that this member last acquired or renewed. fencing
@@ -85,7 +100,7 @@
 	// lastFencing is the fencing token with which this member last acquired the lease.
 	lastFencing uint64
 	// uninterrupted indicates that this host, when it last acquired the lease, took it over from
-	// itself.
+	// itself or was the first holder ever.
 	uninterrupted bool
 	// unanswered are the writes that got no answer and may have taken effect, or may still do so.
 	unanswered []Action
@@ -99,6 +114,24 @@
 	return &StateMachine{self: self, timing: timing, newWriteID: newWriteID, hasEnded: hasEnded}
 }
 
+// AssumeFirstStart states that the system has never run before.
+func (m *StateMachine) AssumeFirstStart() { m.firstStart = true }
+
+// ObserveEra records that the store has answered in an era, which begins when the store is restored from
+// an older copy. What was stored in earlier eras no longer counts.
+func (m *StateMachine) ObserveEra(era uint64, now time.Time) {
+	if m.eraKnown && era <= m.era {
+		return
+	}
+	if !m.eraKnown {
+		m.eraKnown, m.firstEra = true, era
+	}
+	m.era, m.eraSeenAt = era, now
+	m.known, m.version, m.seenAt = false, 0, time.Time{}
+	m.record = Record{Fencing: m.record.Fencing}
+	m.unanswered = nil
+}
+
 // Valid reports whether this member holds the lease now, and returns the fencing token if so.
 func (m *StateMachine) Valid(now time.Time) (fencing uint64, ok bool) {
 	if m.fencing == 0 || m.released || !beforeOnBothClocks(now, m.validUntil) {
@@ -115,23 +148,28 @@
 
 // Next returns the next action. If it is not known what is stored, that is to read the object.
 // Otherwise a holder renews its lease on each call while the lease is valid, and other members read
-// it until it is available and then try to acquire it. After Release, the lease is only freed.
+// it until it is available and then try to acquire it. After Release, the lease is only freed. A holder
+// whose valid lease the store has lost in a restore writes it again.
 func (m *StateMachine) Next(now time.Time) Action {
 	if !m.known {
-		return Action{Kind: ActionRead, decidedAt: now}
+		return m.readAction(now)
 	}
 	if m.released {
 		return m.nextAfterRelease(now)
 	}
-	if fencing, ok := m.Valid(now); ok && m.record.Holder == m.self {
+	if fencing, ok := m.Valid(now); ok && (m.record.Holder == m.self || m.version == 0) {
 		return m.writeAction(now, m.self, fencing)
 	}
 	if m.isAvailable(now) {
-		a := m.writeAction(now, m.self, m.record.Fencing+1)
-		a.heldHere = m.isHeldHere()
+		a := m.writeAction(now, m.self, m.nextFencing())
+		a.continues = m.isHeldHere() || m.neverHeld()
 		return a
 	}
-	return Action{Kind: ActionRead, decidedAt: now}
+	return m.readAction(now)
+}
+
+func (m *StateMachine) readAction(now time.Time) Action {
+	return Action{Kind: ActionRead, Era: m.era, decidedAt: now}
 }
 
 // nextAfterRelease returns the write that frees the lease in the store, or no action if this member
@@ -143,10 +181,30 @@
 	return m.writeAction(now, "", m.record.Fencing)
 }
 
+// fencingEraBits is the number of bits of a fencing token that count acquisitions within one era of the
+// store. The bits above them hold the era, so that tokens rise although the store has lost the last one.
+const fencingEraBits = 20
+
+// nextFencing returns the fencing token of an acquisition.
+func (m *StateMachine) nextFencing() uint64 {
+	return max(m.record.Fencing, m.era<<fencingEraBits) + 1
+}
+
+// neverHeld reports whether the object is missing because no member has held the lease before, rather
+// than because the store was restored: the store has no eras, or the system has just been started for
+// the first time.
+func (m *StateMachine) neverHeld() bool {
+	return m.version == 0 && m.record.Fencing == 0 && (m.era == 0 || m.firstStart && m.era == m.firstEra)
+}
+
 // isAvailable reports whether the lease may be acquired: it has no holder, or this member has seen
 // no renewal for its duration. An expired lease of this run is available at once, and so is the
-// lease of an earlier run of this host that has ended.
+// lease of an earlier run of this host that has ended. If the object is missing, a member that acquired
+// the lease before a restore of the store may hold it until its duration has passed.
 func (m *StateMachine) isAvailable(now time.Time) bool {
+	if m.version == 0 && m.era > 0 && !m.neverHeld() {
+		return !now.Before(m.eraSeenAt.Add(m.timing.Duration))
+	}
 	if m.record.Holder == "" || m.isHeldHere() {
 		return true
 	}
@@ -164,20 +222,20 @@
 }
 
 // Uninterrupted reports whether this host, when it last acquired the lease, took it over from
-// itself, so that no other host held it in between. What happened after the acquisition does not
-// matter.
+// itself, so that no other host held it in between, or was the first holder ever. What happened after
+// the acquisition does not matter.
 func (m *StateMachine) Uninterrupted() bool { return m.uninterrupted }
 
 // OnReport records that a holder reports to have written a version. The version was therefore
 // written before the report arrived.
-func (m *StateMachine) OnReport(version uint64, now time.Time) {
+func (m *StateMachine) OnReport(version objectstore.Version, now time.Time) {
 	if version > m.reportedVersion {
 		m.reportedVersion, m.reportedAt = version, now
 	}
 }
 
 // HeldVersion returns the stored version of the lease if this member holds it now; zero otherwise.
-func (m *StateMachine) HeldVersion(now time.Time) uint64 {
+func (m *StateMachine) HeldVersion(now time.Time) objectstore.Version {
 	if _, ok := m.Valid(now); !ok || m.record.Holder != m.self {
 		return 0
 	}
@@ -186,7 +244,7 @@
 
 func (m *StateMachine) writeAction(now time.Time, holder string, fencing uint64) Action {
 	record := Record{Holder: holder, Fencing: fencing, WriteID: m.newWriteID()}
-	return Action{Kind: ActionWrite, Version: m.version, Record: record, decidedAt: now}
+	return Action{Kind: ActionWrite, Era: m.era, Version: m.version, Record: record, decidedAt: now}
 }
 
 // OnMissing records that the object does not exist. If it was deleted, the next acquisition
@@ -197,7 +255,7 @@
 
 // OnRead records the stored object. It returns an error, and records nothing, if the value is not a
 // lease.
-func (m *StateMachine) OnRead(version uint64, value json.RawMessage, now time.Time) error {
+func (m *StateMachine) OnRead(version objectstore.Version, value json.RawMessage, now time.Time) error {
 	var record Record
 	if err := json.Unmarshal(value, &record); err != nil {
 		return fmt.Errorf("lease value: %w", err)
@@ -216,7 +274,7 @@
 }
 
 // OnWritten records that a write took effect and created the given version.
-func (m *StateMachine) OnWritten(a Action, version uint64, now time.Time) {
+func (m *StateMachine) OnWritten(a Action, version objectstore.Version, now time.Time) {
 	m.observe(version, a.Record, now)
 	m.recordOwnWrite(a)
 }
@@ -234,10 +292,10 @@
 
 // observe records what is stored. While the version does not change, seenAt stays the time at which
 // it was first seen.
-func (m *StateMachine) observe(version uint64, record Record, now time.Time) {
+func (m *StateMachine) observe(version objectstore.Version, record Record, now time.Time) {
 	if version != m.version || m.seenAt.IsZero() {
 		m.seenAt = now
-		m.prune(version)
+		m.prune()
 	}
 	m.known = true
 	m.version = version
@@ -247,7 +305,7 @@
 // prune drops unanswered writes that can no longer take effect, because the version that they were
 // to replace has been replaced. It is called before m.version changes, and keeps the writes that
 // were to replace m.version, since one of them may have written the new version.
-func (m *StateMachine) prune(version uint64) {
+func (m *StateMachine) prune() {
 	kept := m.unanswered[:0]
 	for _, a := range m.unanswered {
 		if a.Version >= m.version {
@@ -265,7 +323,7 @@
 		return
 	}
 	if m.fencing != a.Record.Fencing && m.lastFencing != a.Record.Fencing {
-		m.uninterrupted = a.heldHere
+		m.uninterrupted = a.continues
 	}
 	m.fencing, m.lastFencing = a.Record.Fencing, a.Record.Fencing
 	m.validUntil = a.decidedAt.Add(m.timing.Duration - m.timing.Margin)
--- a/internal/lease/runner.go
+++ b/internal/lease/runner.go
@@ -54,6 +54,10 @@
 	// and this member does not hold the lease, this member does not call the store, except at the
 	// end of Run. It may be nil.
 	HeldElsewhere func() bool
+	// Eras tracks the eras of the store. It may be nil for a store without eras.
+	Eras *objectstore.EraTracker
+	// FirstStart means that the system has never run before, so that a missing lease was never held.
+	FirstStart bool
 	// HolderEnded reports whether a holder is an earlier run of this host, which has ended. The
 	// lease of such a holder is taken over without waiting until it expires. It may be nil.
 	HolderEnded func(holder string) bool
@@ -87,7 +91,13 @@
 	if config.HeldElsewhere == nil {
 		config.HeldElsewhere = func() bool { return false }
 	}
+	if config.Eras == nil {
+		config.Eras = new(objectstore.EraTracker)
+	}
 	machine := NewStateMachine(config.Self, config.Timing, uuid.NewString, config.HolderEnded)
+	if config.FirstStart {
+		machine.AssumeFirstStart()
+	}
 	return &Runner{config: config, machine: machine}
 }
 
@@ -101,14 +111,21 @@
 
 // OnReport records that the holder, which is another host, reports to have written a version of the
 // lease.
-func (r *Runner) OnReport(version uint64, now time.Time) {
+func (r *Runner) OnReport(version objectstore.Version, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.machine.OnReport(version, now)
 }
 
+// OnRestore records that the store was restored from an older copy, which began an era.
+func (r *Runner) OnRestore(era uint64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.machine.ObserveEra(era, now)
+}
+
 // Uninterrupted reports whether this host, when it last acquired the lease, took it over from
-// itself, so that no other host held it in between.
+// itself, so that no other host held it in between, or was the first holder ever.
 func (r *Runner) Uninterrupted() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -116,7 +133,7 @@
 }
 
 // HeldVersion returns the stored version of the lease if this member holds it now; zero otherwise.
-func (r *Runner) HeldVersion(now time.Time) uint64 {
+func (r *Runner) HeldVersion(now time.Time) objectstore.Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.machine.HeldVersion(now)
@@ -177,24 +194,48 @@
 func (r *Runner) perform(ctx context.Context, action Action) bool {
 	r.config.Metrics.Calls.Add(1)
 	if action.Kind == ActionRead {
-		object, err := r.config.Store.Get(ctx, objectstore.KindLease, r.config.Name)
+		object, err := r.config.Store.Get(ctx, objectstore.KindLease, r.objectName(action.Era))
+		if r.eraChanged(action) {
+			return true
+		}
 		return r.onReadResult(object, err)
 	}
 	object, err := r.put(ctx, action)
+	if r.eraChanged(action) {
+		return true
+	}
 	return r.onWriteResult(action, object, err)
 }
 
+// objectName returns the name of the object that holds the lease in an era of the store.
+func (r *Runner) objectName(era uint64) string {
+	return objectstore.NameInEra(r.config.Name, era)
+}
+
+// eraChanged tells the state machine the newest era of the store, and reports whether that is another
+// one than the action's. The result of the action then does not count.
+func (r *Runner) eraChanged(action Action) bool {
+	era, known := r.config.Eras.Era()
+	if !known {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.machine.ObserveEra(era, r.config.Now())
+	return era != action.Era
+}
+
 func (r *Runner) put(ctx context.Context, action Action) (objectstore.Object, error) {
 	value, err := action.Record.encode()
 	if err != nil {
 		return objectstore.Object{}, err
 	}
 	if action.Version == 0 {
-		return r.config.Store.Create(ctx, objectstore.KindLease, r.config.Name, value)
+		return r.config.Store.Create(ctx, objectstore.KindLease, r.objectName(action.Era), value)
 	}
 	return r.config.Store.Update(ctx, objectstore.Object{
 		Kind:    objectstore.KindLease,
-		Name:    r.config.Name,
+		Name:    r.objectName(action.Era),
 		Version: action.Version,
 		Value:   value,
 	})
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"rattanchute/internal/clock"
+	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/route"
 )
@@ -36,37 +38,76 @@
 		return err
 	}
 	// The configuration that was read was the newest at some time after the request was sent.
-	n.proxy.ConfirmConfiguration(requestedAt)
+	n.confirmConfiguration(requestedAt, nil)
 	return nil
 }
 
+// confirmConfiguration records that the store held a generation at some time after the given one: the
+// generation that a leader reports or, if that is nil, the one that this host has read last.
+func (n *Node) confirmConfiguration(at time.Time, reported *fleet.Generation) {
+	n.applyMu.Lock()
+	defer n.applyMu.Unlock()
+	stored := n.configuration.stored
+	if reported != nil {
+		stored = *reported
+	}
+	if n.configuration.confirmed(at, stored) {
+		n.proxy.ConfirmConfiguration(at)
+	}
+}
+
+// hearGeneration records the generation that a peer has in force, and triggers a read of the store if
+// this host lacks it.
+func (n *Node) hearGeneration(g fleet.Generation) {
+	n.applyMu.Lock()
+	outdated := n.configuration.heard(g)
+	n.applyMu.Unlock()
+	if outdated {
+		wake(n.configurationStale)
+	}
+}
+
 // applyConfiguration activates a configuration if it is newer than the active one. It returns
-// errOldConfiguration if it is older, and nil if it is the active one.
+// errOldConfiguration if it was read at an older store version than another one.
 func (n *Node) applyConfiguration(object objectstore.Object) error {
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
-	if object.Version <= n.appliedVersion {
-		if object.Version == n.appliedVersion {
-			return nil
-		}
+	if object.Version == n.configuration.version {
+		return nil
+	}
+	if object.Version < n.configuration.version {
 		return errOldConfiguration
 	}
 	c, err := n.Decode.Configuration(object.Value)
 	if err != nil {
-		n.Log.Error().Uint64("version", object.Version).Err(err).Msg("cannot decode configuration")
+		n.Log.Error().Uint64("version", object.Version.Revision()).Err(err).Msg("cannot decode configuration")
 		return err
 	}
+	active := n.configuration.active
+	if !n.configuration.read(object.Version, c.Generation) {
+		n.logStoredConfiguration(object.Version, c.Generation, active)
+		return nil
+	}
 	now := clock.Now()
 	n.balancer.Configure(c)
 	n.quota.Configure(now, c.Organisations)
 	n.proxy.SetTable(route.Compile(c))
-	n.appliedVersion = object.Version
 	n.announceChange()
-	n.Log.Info().Uint64("generation", uint64(c.Generation)).Uint64("version", object.Version).
+	n.Log.Info().Uint64("generation", uint64(c.Generation)).
+		Uint64("era", object.Version.Era()).Uint64("version", object.Version.Revision()).
 		Int("routes", len(c.Routes)).Int("organisations", len(c.Organisations)).Msg("configuration in force")
 	return nil
 }
 
+// logStoredConfiguration logs that the store holds a configuration that is older than the active one.
+func (n *Node) logStoredConfiguration(version objectstore.Version, stored, active fleet.Generation) {
+	if stored == active {
+		return
+	}
+	n.Log.Warn().Uint64("generation", uint64(stored)).Uint64("active", uint64(active)).
+		Uint64("era", version.Era()).Uint64("version", version.Revision()).Msg("older configuration in the store ignored")
+}
+
 // watchConfiguration applies new configurations as they are written, while this host is a leader
 // and has a configuration to start from.
 func (n *Node) watchConfiguration(ctx context.Context) {
@@ -75,7 +116,7 @@
 	}
 	for {
 		n.applyMu.Lock()
-		from := n.appliedVersion
+		from := n.configuration.version
 		n.applyMu.Unlock()
 		if from == 0 || !n.peers.IsLeader(clock.Now()) {
 			if !pause(ctx, retryDelay) {
@@ -90,7 +131,7 @@
 	}
 }
 
-func (n *Node) watchConfigurationFrom(ctx context.Context, from uint64) {
+func (n *Node) watchConfigurationFrom(ctx context.Context, from objectstore.Version) {
 	for n.peers.IsLeader(clock.Now()) {
 		events, asOf, err := n.Store.Watch(ctx, objectstore.KindConfiguration, from)
 		if err != nil {
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -22,7 +22,7 @@
 	}
 }
 
-func (n *Node) listEndpoints(ctx context.Context) (uint64, error) {
+func (n *Node) listEndpoints(ctx context.Context) (objectstore.Version, error) {
 	requestedAt := clock.Now()
 	objects, asOf, err := n.Store.List(ctx, objectstore.KindEndpoint)
 	n.recordStoreCall("endpoints", err)
@@ -78,7 +78,7 @@
 	}
 }
 
-func (n *Node) watchEndpointsFrom(ctx context.Context, from uint64) {
+func (n *Node) watchEndpointsFrom(ctx context.Context, from objectstore.Version) {
 	for n.peers.IsLeader(clock.Now()) {
 		events, asOf, err := n.Store.Watch(ctx, objectstore.KindEndpoint, from)
 		if err != nil {
@@ -99,7 +99,7 @@
 	}
 }
 
-func (n *Node) applyEndpointEvent(e objectstore.Event, asOf uint64) []registry.Change {
+func (n *Node) applyEndpointEvent(e objectstore.Event, asOf objectstore.Version) []registry.Change {
 	now := clock.Now()
 	if e.Deleted {
 		return n.endpoints.Delete(now, e.Object.Name, max(asOf, e.Object.Version))
@@ -122,7 +122,7 @@
 			Str("change", string(c.Kind)).Str("address", c.Endpoint.Address).
 			Str("data_centre", c.Endpoint.DataCentre).Bool("reclaimable", c.Endpoint.Reclaimable).
 			Int64("leaves_in_ms", c.Endpoint.LeavesIn.Milliseconds()).
-			Uint64("version", c.Version).Msg("endpoint changed")
+			Uint64("version", c.Version.Revision()).Msg("endpoint changed")
 	}
 	n.balancer.SetEndpoints(n.endpoints.Known())
 	n.announceChange()
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"rattanchute/internal/clock"
@@ -30,12 +31,25 @@
 			n.recordStoreCall("members", err)
 			wait = time.Second
 		}
-		if !pause(ctx, jittered(wait)) {
+		if !n.waitForMembersRead(ctx, jittered(wait)) {
 			return
 		}
 	}
 }
 
+// waitForMembersRead waits for the given time, or for a random part of membersSettleTime after a restore
+// of the store. It returns false if the context ends.
+func (n *Node) waitForMembersRead(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	case <-n.membersStale:
+		return pause(ctx, rand.N(membersSettleTime))
+	}
+}
+
 // registerMember reads the other hosts' entries. If this host is not yet registered, it then
 // writes its own entry and reads again, so that of two hosts that start at the same time at
 // least one sees the other.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -107,7 +107,10 @@
 			_, reported := n.balancer.Compare(clock.Now())
 			return float64(reported)
 		})
-	n.registry.MustRegister(quotaCollector{n.quota})
+	n.restores = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "rattanchute_store_restores_total", Help: "Restores of the platform's store from an older copy that this host has seen.",
+	})
+	n.registry.MustRegister(n.restores, quotaCollector{n.quota})
 	gauge("rattanchute_lease_held", "1 while this host holds the duties.",
 		func() float64 {
 			if n.lease == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,8 +31,10 @@
 
 // Dependencies are provided by the platform's adapter.
 type Dependencies struct {
-	Settings    Settings
-	Store       objectstore.Store
+	Settings Settings
+	Store    objectstore.Store
+	// StoreEras is the tracker of the eras of Store.
+	StoreEras   *objectstore.EraTracker
 	Duties      duty.Platform
 	HeaderCodec proxy.HeaderCodec
 	Decode      Decoders
@@ -105,11 +107,12 @@
 	peerBytesSent atomic.Uint64
 	storeCalls    *storeCalls
 	health        storeHealth
-	// applyMu serialises the activation of configurations; appliedVersion is the store version
-	// of the active one.
-	applyMu        sync.Mutex
-	appliedVersion uint64
-	malformed      malformedLog
+	// applyMu serialises the activation of configurations and guards configuration.
+	applyMu       sync.Mutex
+	configuration configurationState
+	malformed     malformedLog
+	// restores counts the restores of the store from an older copy.
+	restores prometheus.Counter
 	// usageReportedAt is when usage was last reported to the peers, in nanoseconds since boot; zero
 	// if it was not reported yet.
 	usageReportedAt atomic.Int64
@@ -118,9 +121,11 @@
 	leaderMu sync.Mutex
 	leader   string
 	// configurationStale and endpointsStale wake the readers of the store when a peer has seen
-	// something newer; reportNow triggers a report ahead of its time.
+	// something newer, and membersStale the reader of the list of hosts when the store was restored;
+	// reportNow triggers a report ahead of its time.
 	configurationStale chan struct{}
 	endpointsStale     chan struct{}
+	membersStale       chan struct{}
 	reportNow          chan struct{}
 	tasks              sync.WaitGroup
 }
@@ -147,6 +152,7 @@
 
 		configurationStale: make(chan struct{}, 1),
 		endpointsStale:     make(chan struct{}, 1),
+		membersStale:       make(chan struct{}, 1),
 		reportNow:          make(chan struct{}, 1),
 	}
 	n.registry.MustRegister(collectors.NewGoCollector())
@@ -161,6 +167,7 @@
 	n.buildProxy()
 	n.buildDuties()
 	n.registerGauges()
+	deps.StoreEras.OnRestore(n.storeRestored)
 	return n, nil
 }
 
@@ -207,6 +214,8 @@
 		Self:        s.leaseHolder(n.incarnation),
 		HolderEnded: n.isPreviousRun,
 		Store:       n.Store,
+		Eras:        n.StoreEras,
+		FirstStart:  s.FirstStart,
 		Timing:      lease.Timing{Duration: duration, Margin: leaseMargin},
 		Logger:      n.Log,
 		Now:         clock.Now,
@@ -219,6 +228,7 @@
 		Lease:         n.lease,
 		Platform:      n.Duties,
 		Store:         n.Store,
+		Eras:          n.StoreEras,
 		Usage:         n.usage,
 		ClusterClock:  n.clusterClock,
 		Planner:       duty.NewPlanner(n.planSources()),
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -70,6 +70,9 @@
 			n.usage.OnReport(u.Source, u.Windows)
 		}
 	}
+	for window, total := range r.FinalUsage {
+		n.usage.Finalize(window, total)
+	}
 	n.clusterClock.OnReport(now, time.Now(), r.Name, time.UnixMilli(r.WallMillis))
 	n.balancer.SetPeerLoads(now, r.Name, follower, r.Loads)
 	for _, prefill := range r.Prefills {
@@ -80,9 +83,7 @@
 // refreshIfOutdated triggers reads of the store if a report shows that a peer has a newer
 // configuration or has seen a newer change to the endpoints.
 func (n *Node) refreshIfOutdated(r *heartbeat.Report) {
-	if r.ConfigurationVersion > n.configurationVersion() {
-		wake(n.configurationStale)
-	}
+	n.hearGeneration(r.Generation)
 	if asOf, _ := n.endpoints.Versions(); r.EndpointsVersion > asOf {
 		wake(n.endpointsStale)
 	}
@@ -118,13 +119,9 @@
 // after it had received a report of this host, that version was the newest at some time after the
 // report was sent.
 func (n *Node) applyStoreState(now time.Time, d *heartbeat.Digest, ack heartbeat.Ack) {
-	switch applied := n.configurationVersion(); {
-	case d.ConfigurationVersion > applied:
-		wake(n.configurationStale)
-	case d.ConfigurationVersion > 0:
-		if sent, ok := n.sent.At(ack.Configuration); ok {
-			n.proxy.ConfirmConfiguration(sent.At)
-		}
+	n.hearGeneration(d.Generation)
+	if sent, ok := n.sent.At(ack.Configuration); ok {
+		n.confirmConfiguration(sent.At, &d.Generation)
 	}
 	confirmed := time.Time{}
 	if sent, ok := n.sent.At(ack.Endpoints); ok {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -11,6 +11,7 @@
 	"rattanchute/internal/adapter/peerudp"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
+	"rattanchute/internal/fleet"
 	"rattanchute/internal/heartbeat"
 )
 
@@ -170,18 +171,21 @@
 	if n.lease != nil {
 		r.LeaseVersion = n.lease.HeldVersion(now)
 	}
+	if r.LeaseVersion > 0 {
+		r.FinalUsage = n.usage.Final(reportedUsageWindows)
+	}
 	r.Members, r.Left = n.peers.Members(now)
 	r.Usage = n.reportedUsage(now, r.Members)
-	r.ConfigurationVersion = n.configurationVersion()
+	r.Generation = n.activeGeneration()
 	_, r.EndpointsVersion = n.endpoints.Versions()
 	n.sent.Add(r.Number, heartbeat.SentReport{At: now, Spent: r.Quota.Spent, Loads: r.Loads})
 	return heartbeat.Datagram{Report: r}
 }
 
-func (n *Node) configurationVersion() uint64 {
+func (n *Node) activeGeneration() fleet.Generation {
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
-	return n.appliedVersion
+	return n.configuration.active
 }
 
 func (n *Node) prefillsSince(now time.Time) time.Time {
@@ -213,17 +217,17 @@
 	reachable, known := n.peers.HostCounts(now)
 	prefills := n.proxy.Prefills(n.prefillsSince(now), balancer.ScopeAll)
 	return &heartbeat.Digest{
-		Peer:                 n.self(),
-		Number:               n.messagesSent.Add(1),
-		IntervalMillis:       n.peers.Interval(now).Milliseconds(),
-		TrueMillis:           n.clusterClock.At(now).UnixMilli(),
-		Acks:                 n.peers.Acks(now, configuration, endpoints),
-		Reachable:            reachable,
-		Known:                known,
-		ConfigurationVersion: n.configurationVersion(),
-		Endpoints:            n.endpoints.Delta(now),
-		Levels:               n.quota.SpendingReport(now).Level,
-		Loads:                n.balancer.Loads(now, balancer.ScopeAll),
-		Prefills:             prefills[max(len(prefills)-maxReportedPrefills, 0):],
+		Peer:           n.self(),
+		Number:         n.messagesSent.Add(1),
+		IntervalMillis: n.peers.Interval(now).Milliseconds(),
+		TrueMillis:     n.clusterClock.At(now).UnixMilli(),
+		Acks:           n.peers.Acks(now, configuration, endpoints),
+		Reachable:      reachable,
+		Known:          known,
+		Generation:     n.activeGeneration(),
+		Endpoints:      n.endpoints.Delta(now),
+		Levels:         n.quota.SpendingReport(now).Level,
+		Loads:          n.balancer.Loads(now, balancer.ScopeAll),
+		Prefills:       prefills[max(len(prefills)-maxReportedPrefills, 0):],
 	}
 }
--- a/internal/objectstore/instrumented.go
+++ b/internal/objectstore/instrumented.go
@@ -22,7 +22,7 @@
 }
 
 // List implements Store.
-func (c Instrumented) List(ctx context.Context, kind Kind) ([]Object, uint64, error) {
+func (c Instrumented) List(ctx context.Context, kind Kind) ([]Object, Version, error) {
 	list, version, err := c.Store.List(ctx, kind)
 	c.OnCall(kind, "list", err)
 	return list, version, err
@@ -50,7 +50,7 @@
 }
 
 // Watch implements Store.
-func (c Instrumented) Watch(ctx context.Context, kind Kind, after uint64) ([]Event, uint64, error) {
+func (c Instrumented) Watch(ctx context.Context, kind Kind, after Version) ([]Event, Version, error) {
 	events, version, err := c.Store.Watch(ctx, kind, after)
 	c.OnCall(kind, "watch", err)
 	return events, version, err
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -38,7 +38,7 @@
 	Name string `json:"name"`
 	// Version changes with each write; it is zero for an object that is not yet stored. Versions
 	// increase across the whole store, so that they also order the events of a watch.
-	Version uint64          `json:"version"`
+	Version Version         `json:"version"`
 	Value   json.RawMessage `json:"value"`
 }
 
@@ -64,7 +64,7 @@
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
 	// List returns all objects of a kind and a store version. A watch from this version misses no
 	// later change; some of the objects may already be newer.
-	List(ctx context.Context, kind Kind) ([]Object, uint64, error)
+	List(ctx context.Context, kind Kind) ([]Object, Version, error)
 	// Create stores a new object; ErrConflict if one of that name exists.
 	Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (Object, error)
 	// Update replaces the value if the stored version equals o.Version, else ErrConflict.
@@ -73,5 +73,5 @@
 	Delete(ctx context.Context, o Object) error
 	// Watch waits for changes of a kind after a store version, for as long as the service allows
 	// for one call. It returns the changes, possibly none, and the version from which to continue.
-	Watch(ctx context.Context, kind Kind, after uint64) ([]Event, uint64, error)
+	Watch(ctx context.Context, kind Kind, after Version) ([]Event, Version, error)
 }
--- a/internal/registry/delta.go
+++ b/internal/registry/delta.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"rattanchute/internal/objectstore"
 )
 
 // deltaRetention is how long a change is included in deltas. It is repeated because messages
@@ -13,8 +15,8 @@
 type Delta struct {
 	// Since and AsOf are store versions. Apart from SkippedVersions, the delta holds all
 	// changes made after Since and up to AsOf.
-	Since uint64 `json:"since,omitempty"`
-	AsOf  uint64 `json:"as_of,omitempty"`
+	Since objectstore.Version `json:"since,omitempty"`
+	AsOf  objectstore.Version `json:"as_of,omitempty"`
 	// SkippedVersions are the version ranges over which the view did not observe each change,
 	// because it read the whole list or applied a delta. Changes lacks the entries that were
 	// both added and removed within one of them.
@@ -24,14 +26,14 @@
 
 // VersionRange is a range of store versions.
 type VersionRange struct {
-	From uint64 `json:"from"`
-	To   uint64 `json:"to"`
+	From objectstore.Version `json:"from"`
+	To   objectstore.Version `json:"to"`
 }
 
 // EntryChange is the new state of an endpoint.
 type EntryChange struct {
-	Version uint64 `json:"version"`
-	ID      string `json:"id"`
+	Version objectstore.Version `json:"version"`
+	ID      string              `json:"id"`
 	// Endpoint is nil if the entry was removed or marked as missing.
 	Endpoint *Endpoint `json:"endpoint,omitempty"`
 }
@@ -39,7 +41,7 @@
 // changeLog holds the recent changes of a view.
 type changeLog struct {
 	// since is the version after which every observed change is kept.
-	since   uint64
+	since   objectstore.Version
 	skipped []timestamped[VersionRange]
 	changes []timestamped[EntryChange]
 }
@@ -49,12 +51,12 @@
 	value T
 	at    time.Time
 	// asOf is the view's version after the value was applied.
-	asOf uint64
+	asOf objectstore.Version
 }
 
 // dropExpired drops the values older than deltaRetention, in place. It returns those that are
 // kept, and the view's version after the last dropped one was applied; zero if none was dropped.
-func dropExpired[T any](all []timestamped[T], now time.Time) (kept []timestamped[T], since uint64) {
+func dropExpired[T any](all []timestamped[T], now time.Time) (kept []timestamped[T], since objectstore.Version) {
 	old := 0
 	for old < len(all) && now.Sub(all[old].at) >= deltaRetention {
 		since = all[old].asOf
@@ -64,7 +66,7 @@
 }
 
 func (l *changeLog) prune(now time.Time) {
-	var skipped, changes uint64
+	var skipped, changes objectstore.Version
 	l.skipped, skipped = dropExpired(l.skipped, now)
 	l.changes, changes = dropExpired(l.changes, now)
 	l.since = max(l.since, skipped, changes)
@@ -78,7 +80,7 @@
 // logSkipped records that the view advanced from one version to another without observing each
 // change in between. From version zero, that of an empty view, it records no range: the log starts
 // at to.
-func (v *View) logSkipped(now time.Time, from, to uint64) {
+func (v *View) logSkipped(now time.Time, from, to objectstore.Version) {
 	if from == 0 {
 		v.changeLog.since = to
 		return
@@ -120,7 +122,7 @@
 // appliesTo reports whether the delta contains every change that a view at version asOf lacks. A
 // view at a version within a skipped range may hold an entry whose removal the delta does not
 // contain.
-func (d *Delta) appliesTo(asOf uint64) bool {
+func (d *Delta) appliesTo(asOf objectstore.Version) bool {
 	if asOf == 0 || asOf < d.Since {
 		return false
 	}
@@ -172,7 +174,7 @@
 		}
 		return v.removeOrMarkMissing(now, change.ID, change.Version, changes)
 	}
-	if state == nil && v.removed[change.ID] >= change.Version || state != nil && state.version >= change.Version {
+	if state == nil && v.removed[change.ID].version >= change.Version || state != nil && state.version >= change.Version {
 		return changes
 	}
 	return v.put(now, Entry{*change.Endpoint, change.Version}, changes)
--- a/internal/registry/delta_test.go
+++ b/internal/registry/delta_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"rattanchute/internal/objectstore"
 )
 
 func TestDeltaUpdatesAnotherView(t *testing.T) {
@@ -95,13 +97,13 @@
 
 // storeModel is a store that can be listed and watched.
 type storeModel struct {
-	version uint64
+	version objectstore.Version
 	entries map[string]Entry
-	deleted map[string]uint64
+	deleted map[string]objectstore.Version
 }
 
 func newStoreModel() *storeModel {
-	return &storeModel{entries: map[string]Entry{}, deleted: map[string]uint64{}}
+	return &storeModel{entries: map[string]Entry{}, deleted: map[string]objectstore.Version{}}
 }
 
 func (s *storeModel) put(id string) {
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"rattanchute/internal/objectstore"
 )
 
 // recoveryGrace is how long after a store outage an entry that expired during the outage may
@@ -32,13 +34,13 @@
 	Kind     ChangeKind
 	Endpoint Endpoint
 	// Version is the store version at which the change was observed.
-	Version uint64
+	Version objectstore.Version
 }
 
 // Entry is an endpoint as of a store version.
 type Entry struct {
 	Endpoint Endpoint
-	Version  uint64
+	Version  objectstore.Version
 }
 
 // View is the state of the endpoints as observed in the store. It is safe for concurrent use.
@@ -46,10 +48,10 @@
 	mu      sync.Mutex
 	entries map[string]*entryState
 	// asOf is the newest store version observed.
-	asOf uint64
+	asOf objectstore.Version
 	// changedAt is the store version at which a list, a watch or a delta last changed the view.
 	// RemoveMissing leaves it as it is.
-	changedAt uint64
+	changedAt objectstore.Version
 	// respondedAt is when the store last responded to this host, or when a delta last arrived
 	// that confirmed the view; callFailed is set if a call of this host has failed since.
 	respondedAt time.Time
@@ -60,11 +62,23 @@
 	// confirmedAt is the last time at which the view was known to be the newest.
 	confirmedAt time.Time
 	changeLog   changeLog
-	// removed maps the IDs of removed entries to the versions at which they were removed, so
-	// that a delta does not add them again.
-	removed map[string]uint64
+	// removed maps the IDs of removed entries to what is known of their removal, so that neither a
+	// delta nor a store that was restored from an older copy adds them again.
+	removed map[string]removal
+	// restoredAt is when the store was last seen to be restored from an older copy; zero if never.
+	restoredAt time.Time
+}
+
+// removal is the removal of an entry.
+type removal struct {
+	version  objectstore.Version
+	endpoint Endpoint
 }
 
+// copiedEntryLifetime is how long after a restore of the store the copy may list an endpoint that has
+// ended. The platform removes such an entry after three missed heartbeats.
+const copiedEntryLifetime = 4 * time.Second
+
 // maxRemoved limits the number of removed entries that are remembered. When it is reached, all are
 // forgotten.
 const maxRemoved = 2000
@@ -76,7 +90,7 @@
 // entryState is the state of an entry of a view.
 type entryState struct {
 	endpoint Endpoint
-	version  uint64
+	version  objectstore.Version
 	// seenAt is when the entry was last observed, in the store or in a delta.
 	seenAt time.Time
 	// missingSince is when the entry was found to be missing; zero while it is listed.
@@ -86,7 +100,9 @@
 }
 
 // NewView returns an empty view.
-func NewView() *View { return &View{entries: map[string]*entryState{}, removed: map[string]uint64{}} }
+func NewView() *View {
+	return &View{entries: map[string]*entryState{}, removed: map[string]removal{}}
+}
 
 // StoreFailed records that a call to the store failed.
 func (v *View) StoreFailed() {
@@ -119,7 +135,7 @@
 // Replace replaces the view with a whole list, read at a store version, and returns the changes
 // ordered by endpoint ID. Unlisted entries are removed or marked as missing. A list older than the
 // view is ignored.
-func (v *View) Replace(now time.Time, list []Entry, asOf uint64) []Change {
+func (v *View) Replace(now time.Time, list []Entry, asOf objectstore.Version) []Change {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.recordResponse(now)
@@ -168,7 +184,7 @@
 
 // Delete applies the removal of an entry, observed by a watch at a store version, unless the view
 // has a newer version of the entry.
-func (v *View) Delete(now time.Time, id string, asOf uint64) []Change {
+func (v *View) Delete(now time.Time, id string, asOf objectstore.Version) []Change {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.recordResponse(now)
@@ -186,8 +202,30 @@
 	return v.removeOrMarkMissing(now, id, asOf, nil)
 }
 
+// StoreRestored records that the store was restored from an older copy. Entries that the copy lacks may
+// be written again, as after an outage.
+func (v *View) StoreRestored(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.restoredAt = now
+	v.recoveredAt = now
+}
+
+// endedBefore reports whether a restored store may list an entry only because its copy is from before
+// the endpoint ended: this view has seen the removal of the same run.
+func (v *View) endedBefore(now time.Time, e *Endpoint) bool {
+	if v.restoredAt.IsZero() || now.Sub(v.restoredAt) >= copiedEntryLifetime {
+		return false
+	}
+	r, ok := v.removed[e.ID]
+	return ok && sameRun(r.endpoint, *e)
+}
+
 func (v *View) put(now time.Time, e Entry, changes []Change) []Change {
 	old := v.entries[e.Endpoint.ID]
+	if old == nil && v.endedBefore(now, &e.Endpoint) {
+		return changes
+	}
 	if old != nil && e.Version < old.version {
 		return changes
 	}
@@ -226,7 +264,7 @@
 
 // removeOrMarkMissing removes an entry that is not listed, or marks it as missing if it may
 // have expired during a store outage.
-func (v *View) removeOrMarkMissing(now time.Time, id string, asOf uint64, changes []Change) []Change {
+func (v *View) removeOrMarkMissing(now time.Time, id string, asOf objectstore.Version, changes []Change) []Change {
 	state := v.entries[id]
 	if v.mayReappear(now, state) {
 		if state.missingSince.IsZero() {
@@ -240,14 +278,14 @@
 	if len(v.removed) >= maxRemoved {
 		clear(v.removed)
 	}
-	v.removed[id] = asOf
+	v.removed[id] = removal{asOf, state.endpoint}
 	v.logChange(now, EntryChange{Version: asOf, ID: id})
 	return append(changes, Change{Kind: ChangeRemoved, Endpoint: state.endpoint, Version: asOf})
 }
 
 // Versions returns the newest store version observed, and the version at which a list, a watch or a
 // delta last changed the view.
-func (v *View) Versions() (asOf, changedAt uint64) {
+func (v *View) Versions() (asOf, changedAt objectstore.Version) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.asOf, v.changedAt
--- a/internal/registry/view_test.go
+++ b/internal/registry/view_test.go
@@ -5,15 +5,17 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"rattanchute/internal/objectstore"
 )
 
 var epoch = time.Unix(1000, 0)
 
-func entry(id string, version uint64) Entry {
+func entry(id string, version objectstore.Version) Entry {
 	return Entry{Endpoint{ID: id, Fleet: "f", Address: "1.2.3.4:5", Slots: 1, StartMillis: 1}, version}
 }
 
-func leavingEntry(id string, version uint64) Entry {
+func leavingEntry(id string, version objectstore.Version) Entry {
 	e := entry(id, version)
 	e.Endpoint.Leaving = true
 	return e
@@ -124,3 +126,47 @@
 	v.Replace(epoch.Add(outageThreshold+time.Second), []Entry{entry("b", 2)}, 3)
 	is.Equal(ids(v), []string{"b"})
 }
+
+// TestCopyDoesNotReviveEndedEndpoint checks that a restored store, whose copy still lists an endpoint that
+// has ended, gets it no new work, and that an endpoint that drains stays so.
+func TestCopyDoesNotReviveEndedEndpoint(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	at := func(revision uint64) objectstore.Version { return objectstore.NewVersion(1, revision) }
+	copied := []Entry{entry("ended", at(1)), entry("draining", at(2)), entry("other", at(3))}
+	v.Replace(epoch, copied, at(3))
+	v.Delete(epoch, "ended", at(4))
+	v.Put(epoch, leavingEntry("draining", at(5)))
+
+	restored := epoch.Add(time.Second)
+	v.StoreRestored(restored)
+	for i := range copied {
+		copied[i].Version = objectstore.NewVersion(2, copied[i].Version.Revision())
+	}
+	v.Replace(restored, copied, objectstore.NewVersion(2, 3))
+	for _, k := range v.Known() {
+		is.True(k.ID != "ended")
+		is.Equal(k.Leaving, k.ID == "draining")
+	}
+	// An entry that is still listed when a copied one would have expired belongs to a live endpoint.
+	v.Replace(restored.Add(copiedEntryLifetime), copied, objectstore.NewVersion(2, 3))
+	is.Equal(len(v.Known()), 3)
+}
+
+// TestEndpointsThatTheCopyLacksGoOnServing checks that endpoints started after the copy are used until
+// they have had the time to register again.
+func TestEndpointsThatTheCopyLacksGoOnServing(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	v.Replace(epoch, []Entry{entry("old", objectstore.NewVersion(1, 1)), entry("new", objectstore.NewVersion(1, 9))},
+		objectstore.NewVersion(1, 9))
+	restored := epoch.Add(time.Second)
+	v.StoreRestored(restored)
+	copied := []Entry{entry("old", objectstore.NewVersion(2, 1))}
+	v.Replace(restored, copied, objectstore.NewVersion(2, 3))
+	is.Equal(ids(v), []string{"new", "old"})
+	v.RemoveMissing(restored.Add(recoveryGrace - time.Millisecond))
+	is.Equal(ids(v), []string{"new", "old"})
+	v.RemoveMissing(restored.Add(recoveryGrace))
+	is.Equal(ids(v), []string{"old"})
+}
--- a/internal/soak/node_test.go
+++ b/internal/soak/node_test.go
@@ -192,7 +192,7 @@
 }
 
 // List implements objectstore.Store.
-func (s gatedStore) List(ctx context.Context, k objectstore.Kind) ([]objectstore.Object, uint64, error) {
+func (s gatedStore) List(ctx context.Context, k objectstore.Kind) ([]objectstore.Object, objectstore.Version, error) {
 	store, err := s.reach()
 	if err != nil {
 		return nil, 0, err
@@ -230,7 +230,7 @@
 }
 
 // Watch implements objectstore.Store.
-func (s gatedStore) Watch(ctx context.Context, k objectstore.Kind, after uint64) ([]objectstore.Event, uint64, error) {
+func (s gatedStore) Watch(ctx context.Context, k objectstore.Kind, after objectstore.Version) ([]objectstore.Event, objectstore.Version, error) {
 	store, err := s.reach()
 	if err != nil {
 		return nil, 0, err
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -26,12 +26,14 @@
 
 	mu      sync.Mutex
 	objects map[objectKey]objectstore.Object
-	version uint64
+	version objectstore.Version
 	// history holds the latest changes in the order of their versions; compacted is the
 	// version of the newest change that was removed from it.
-	history     []change
-	compacted   uint64
-	changed     chan struct{}
+	history   []change
+	compacted objectstore.Version
+	changed   chan struct{}
+	// era counts the restores.
+	era         uint64
 	faults      StoreFaults
 	calls       map[Verb]uint64
 	throttled   uint64
@@ -40,7 +42,7 @@
 
 // change is an event and the store version that it created.
 type change struct {
-	version uint64
+	version objectstore.Version
 	event   objectstore.Event
 }
 
@@ -84,7 +86,7 @@
 }
 
 // List returns all objects of a kind, sorted by name, and the store's version.
-func (s *Store) List(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error) {
+func (s *Store) List(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, objectstore.Version, error) {
 	if err := s.begin(ctx, VerbList); err != nil {
 		return nil, 0, err
 	}
@@ -196,6 +198,15 @@
 	s.changed = make(chan struct{})
 }
 
+// Remove deletes an object as the platform itself does, if there is one.
+func (s *Store) Remove(kind objectstore.Kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.objects[objectKey{kind, name}]; ok {
+		s.apply(o, true)
+	}
+}
+
 // Put writes an object as the platform itself does: without a version check, a rate limit
 // or faults.
 func (s *Store) Put(kind objectstore.Kind, name string, value json.RawMessage) {
--- a/internal/standin/store_http.go
+++ b/internal/standin/store_http.go
@@ -19,13 +19,13 @@
 
 // listResponse is the response body of a list call.
 type listResponse struct {
-	Version uint64               `json:"version"`
+	Version objectstore.Version  `json:"version"`
 	Objects []objectstore.Object `json:"objects"`
 }
 
 // watchResponse is the response body of a watch call.
 type watchResponse struct {
-	Version uint64              `json:"version"`
+	Version objectstore.Version `json:"version"`
 	Events  []objectstore.Event `json:"events"`
 }
 
@@ -35,7 +35,7 @@
 type objectRequest struct {
 	kind    objectstore.Kind
 	name    string
-	ifMatch uint64
+	ifMatch objectstore.Version
 }
 
 // handleObjects serves the HTTP API of the object store. The end of lifetime ends waiting
@@ -100,7 +100,7 @@
 		if err != nil {
 			return r, false
 		}
-		r.ifMatch = v
+		r.ifMatch = objectstore.Version(v)
 	}
 	return r, kindErr == nil && nameErr == nil && kind != ""
 }
@@ -127,7 +127,7 @@
 		return
 	}
 	wait := min(millis(args.GetUintOrZero("timeout_ms")), maxWatchWait)
-	events, version, err := s.WatchFor(lifetime, r.kind, after, wait)
+	events, version, err := s.WatchFor(lifetime, r.kind, objectstore.Version(after), wait)
 	if err != nil {
 		s.writeStoreError(ctx, err)
 		return
--- a/internal/standin/store_watch.go
+++ b/internal/standin/store_watch.go
@@ -11,13 +11,13 @@
 
 // Watch waits for changes of a kind after a version, for at most StoreConfig.WatchWaitMillis. It
 // returns them and the version from which the next watch continues.
-func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after uint64) ([]objectstore.Event, uint64, error) {
+func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after objectstore.Version) ([]objectstore.Event, objectstore.Version, error) {
 	return s.WatchFor(ctx, kind, after, millis(s.config.WatchWaitMillis))
 }
 
 // WatchFor is like Watch with an explicit maximum wait. It returns no changes and no error if
 // there are none in that time.
-func (s *Store) WatchFor(ctx context.Context, kind objectstore.Kind, after uint64, wait time.Duration) ([]objectstore.Event, uint64, error) {
+func (s *Store) WatchFor(ctx context.Context, kind objectstore.Kind, after objectstore.Version, wait time.Duration) ([]objectstore.Event, objectstore.Version, error) {
 	if err := s.begin(ctx, VerbWatch); err != nil {
 		return nil, after, err
 	}
@@ -26,7 +26,7 @@
 	for {
 		s.mu.Lock()
 		events, version, changed := s.changesSince(kind, after), s.version, s.changed
-		compacted, outage := after < s.compacted, s.faults.Outage
+		compacted, outage := after < s.compacted || after > s.version, s.faults.Outage
 		s.mu.Unlock()
 		switch {
 		case outage:
@@ -47,7 +47,7 @@
 }
 
 // changesSince returns the changes of a kind in the history that are newer than a version.
-func (s *Store) changesSince(kind objectstore.Kind, after uint64) []objectstore.Event {
+func (s *Store) changesSince(kind objectstore.Kind, after objectstore.Version) []objectstore.Event {
 	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].version > after })
 	var events []objectstore.Event
 	for _, c := range s.history[first:] {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -28,11 +28,13 @@
 	mu             sync.Mutex
 	ownCounts      map[int64]Counts
 	reportedCounts map[Source]map[int64]Counts
+	// final are the totals that may have been reported to the platform. They no longer change.
+	final map[int64]Counts
 }
 
 // NewLedger returns a ledger with windows of the given length.
 func NewLedger(windowLength time.Duration) *Ledger {
-	return &Ledger{windowLength: windowLength, ownCounts: map[int64]Counts{}, reportedCounts: map[Source]map[int64]Counts{}}
+	return &Ledger{windowLength: windowLength, ownCounts: map[int64]Counts{}, reportedCounts: map[Source]map[int64]Counts{}, final: map[int64]Counts{}}
 }
 
 // Window returns the number of the window that contains the given cluster time.
@@ -146,10 +148,44 @@
 	}
 }
 
-// Total returns the sum of the counts of all hosts in a window, as far as they are known here.
+// Finalize records the total of a window that may have been reported to the platform, by this host or by
+// another one. Only the first total of a window counts.
+func (l *Ledger) Finalize(window int64, total Counts) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.final[window] != nil {
+		return
+	}
+	l.final[window] = cloneCounts(total)
+	prune(l.final, window)
+}
+
+// Final returns the final totals of the newest windows that have one, at most the given number of them.
+func (l *Ledger) Final(windows int) map[int64]Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[int64]Counts, windows)
+	for _, w := range newestWindows(l.final, windows) {
+		out[w] = cloneCounts(l.final[w])
+	}
+	return out
+}
+
+// IsFinal reports whether the window has a final total.
+func (l *Ledger) IsFinal(window int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.final[window] != nil
+}
+
+// Total returns the final total of a window or, without one, the sum of the counts of all hosts, as far
+// as they are known here.
 func (l *Ledger) Total(window int64) Counts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if final := l.final[window]; final != nil {
+		return cloneCounts(final)
+	}
 	total := cloneCounts(l.ownCounts[window])
 	for _, windows := range l.reportedCounts {
 		for name, n := range windows[window] {
