capacity: on-demand endpoints come before further reclaims, and none is given up meanwhile

Change: while reclaimable endpoints are unavailable, keep all of them, and cover the need after one more loss and 0.7 of it after two.

--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -77,9 +77,12 @@
 	// the reclaimable ones. It is below 1 because on-demand endpoints cost several times as
 	// much and a shortage of reclaimable ones is short.
 	onDemandCoverShare = 0.8
-	// onDemandAheadShare is the share of the need that, while reclaimable endpoints are
-	// unavailable, must remain covered if one more data centre loses its reclaimable ones.
-	onDemandAheadShare = 0.5
+	// aheadOfOneLossShare and aheadOfTwoLossesShare are the shares of the need that, while
+	// reclaimable endpoints are unavailable, must remain covered if one or two more data centres
+	// lose theirs. Reclaims come in waves, and on-demand endpoints that are ordered only then arrive
+	// a boot time too late.
+	aheadOfOneLossShare   = 1.0
+	aheadOfTwoLossesShare = 0.7
 )
 
 // EnginesNeeded returns the number of engines that can serve the demand; it is not rounded.
@@ -106,14 +109,18 @@
 	for i, dc := range s.PerDataCentre {
 		counts[i] = EndpointCount{DataCentre: dc.DataCentre, Reclaimable: perDataCentre}
 		if s.ReclaimableRefused {
-			counts[i].Reclaimable = min(dc.Reclaimable, perDataCentre)
+			counts[i].Reclaimable = min(dc.Reclaimable, s.Max)
 		}
 	}
 	placeOnDemand(s, counts, requiredOnDemand(s, counts, need))
 	for i := range counts {
 		// Reclaimable endpoints that are unavailable now are still requested, as far as the
-		// maximum allows.
-		counts[i].Reclaimable = min(perDataCentre, s.Max-counts[i].OnDemand)
+		// maximum allows. Those that are there are kept, as they could not be replaced.
+		wanted := perDataCentre
+		if s.ReclaimableRefused {
+			wanted = max(wanted, s.PerDataCentre[i].Reclaimable)
+		}
+		counts[i].Reclaimable = min(wanted, s.Max-counts[i].OnDemand)
 	}
 	enforceMinimum(s, counts)
 	return counts
@@ -123,11 +130,12 @@
 // cannot, including those that are kept until the reclaimable ones that replace them are there. With
 // KeepOnDemand it is the number of existing ones.
 func requiredOnDemand(s EndpointSnapshot, counts []EndpointCount, need float64) int {
-	present, expected, largest, existing := 0, 0, 0, 0
+	present, expected, existing := 0, 0, 0
+	losses := make([]int, len(s.PerDataCentre))
 	for i, dc := range s.PerDataCentre {
-		present += min(dc.Reclaimable, counts[i].Reclaimable)
+		losses[i] = min(dc.Reclaimable, counts[i].Reclaimable)
+		present += losses[i]
 		expected += counts[i].Reclaimable
-		largest = max(largest, min(dc.Reclaimable, counts[i].Reclaimable))
 		existing += dc.OnDemand
 	}
 	if s.KeepOnDemand {
@@ -136,9 +144,15 @@
 	kept := min(existing, int(math.Ceil(need))-present)
 	missing := int(math.Ceil(need*onDemandCoverShare)) - expected
 	if s.ReclaimableRefused {
-		// The next data centre may be lost as well, and no replacement comes for a while.
+		// The next data centres may be lost as well, and no replacement comes for a while.
 		kept = min(existing, int(math.Ceil(need)))
-		missing = max(missing, int(math.Ceil(need*onDemandAheadShare))-(expected-largest))
+		slices.SortFunc(losses, func(a, b int) int { return cmp.Compare(b, a) })
+		for i, share := range []float64{aheadOfOneLossShare, aheadOfTwoLossesShare} {
+			if i < len(losses) {
+				expected -= losses[i]
+			}
+			missing = max(missing, int(math.Ceil(need*share))-expected)
+		}
 	}
 	return max(missing, kept, 0)
 }
--- a/internal/capacity/counts_test.go
+++ b/internal/capacity/counts_test.go
@@ -136,3 +136,58 @@
 		}
 	})
 }
+
+// reclaimWave plays a fleet of reclaimable endpoints that data centres lose one after the other, while no
+// replacement is to be had anywhere, and returns the smallest share of the load that the endpoints could
+// serve. Orders take effect after the boot time.
+func reclaimWave(t *testing.T, demand EngineDemand, perDataCentre int, lossAt []int) float64 {
+	t.Helper()
+	const bootSeconds, endSeconds = 4, 36
+	dataCentres := fourDataCentres(0, perDataCentre)
+	arrivals := map[int][]EndpointCount{}
+	worst := 1.0
+	for second := range endSeconds {
+		for i, at := range lossAt {
+			if second == at {
+				dataCentres[i].Reclaimable = 0
+			}
+		}
+		for _, c := range arrivals[second] {
+			for i := range dataCentres {
+				if dataCentres[i].DataCentre == c.DataCentre {
+					dataCentres[i].OnDemand = max(dataCentres[i].OnDemand, c.OnDemand)
+				}
+			}
+		}
+		capacity := 0
+		for _, dc := range dataCentres {
+			capacity += dc.OnDemand + dc.Reclaimable
+		}
+		// Above the target utilisation an engine still serves, up to all of its time.
+		worst = min(worst, float64(capacity)/(EnginesNeeded(demand)*targetUtilisation))
+		plan := PlanEndpointCounts(EndpointSnapshot{
+			Demand: demand, PerDataCentre: dataCentres, Min: 1, Max: 70,
+			ReclaimablePriceRatio: 0.15, ReclaimableRefused: second > lossAt[0],
+		})
+		arrivals[second+bootSeconds] = plan
+		for i, c := range plan {
+			// What is no longer ordered leaves at once.
+			dataCentres[i].OnDemand = min(dataCentres[i].OnDemand, c.OnDemand)
+			dataCentres[i].Reclaimable = min(dataCentres[i].Reclaimable, c.Reclaimable)
+		}
+	}
+	return worst
+}
+
+// TestReclaimsInARowLeaveEnoughEngines plays the load of a busy assistant site, with long prompts, through
+// four data centres that lose their reclaimable endpoints within 17 seconds. Even in the worst second the
+// endpoints that are left must be able to serve most of the load.
+func TestReclaimsInARowLeaveEnoughEngines(t *testing.T) {
+	is := is.New(t)
+	demand := EngineDemand{RequestsPerSecond: 350, PromptTokens: 9000, OutputTokens: 120, Slots: 64}
+	for _, perDataCentre := range []int{30, 39} {
+		share := reclaimWave(t, demand, perDataCentre, []int{6, 12, 13, 23})
+		t.Logf("%d endpoints a data centre: at least %.2f of the load", perDataCentre, share)
+		is.True(share >= 0.85)
+	}
+}
