heartbeat: a digest that arrives before the first report no longer ends the host

A host that restarts within its leader's interval hears the digest meant for its earlier run; the leader is then known without a report. Change: the state of a peer begins with an empty report; the checks for nil go.

--- a/internal/heartbeat/receive.go
+++ b/internal/heartbeat/receive.go
@@ -92,7 +92,8 @@
 		return nil
 	}
 	if peer == nil || peer.Incarnation != p.Incarnation {
-		peer = &peerState{Peer: p, addedAt: now, leader: p.Name}
+		peer = newPeerState(now, p)
+		peer.leader = p.Name
 		t.peers[p.Name] = peer
 	}
 	return peer
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -99,12 +99,17 @@
 	// leader is the host that the peer follows, or its own name if it follows none. It is empty if the
 	// peer was listed in the store and has not sent a report yet.
 	leader string
-	// report is the peer's newest report; nil before the first.
+	// report is the peer's newest report. It is empty before the first one: a peer can be known from the
+	// store or from its digests alone.
 	report *Report
 	// arrivals are the peer's newest reports, at most keptArrivals, the oldest first.
 	arrivals []arrival
 }
 
+func newPeerState(now time.Time, p Peer) *peerState {
+	return &peerState{Peer: p, addedAt: now, report: &Report{}}
+}
+
 // arrival records when a report arrived.
 type arrival struct {
 	number uint64
@@ -136,7 +141,7 @@
 		return
 	}
 	if old == nil || old.Incarnation < p.Incarnation {
-		t.peers[p.Name] = &peerState{Peer: p, addedAt: now}
+		t.peers[p.Name] = newPeerState(now, p)
 		t.sightings[p.Name] = sighting{at: now}
 	}
 	t.peers[p.Name].listedAt = now
@@ -243,7 +248,7 @@
 
 func (t *Table) leaseHolderReachableLocked(now time.Time) bool {
 	for _, peer := range t.peers {
-		if peer.reachable(now) && peer.report != nil && peer.report.HoldsLease {
+		if peer.reachable(now) && peer.report.HoldsLease {
 			return true
 		}
 	}
@@ -258,7 +263,7 @@
 	t.updateLeaderLocked(now)
 	sum := map[string]FleetDemand{}
 	for _, peer := range t.peers {
-		if !peer.reachable(now) || peer.report == nil {
+		if !peer.reachable(now) {
 			continue
 		}
 		if role := t.roleLocked(peer); role == RoleUnrelated || role == RolePeerLeader && !all {
--- a/internal/heartbeat/table_test.go
+++ b/internal/heartbeat/table_test.go
@@ -267,3 +267,20 @@
 	longAgo := epoch.Add(-time.Minute)
 	is.Equal(leader.Acks(sim.now.Add(time.Second), longAgo, longAgo)[follower.Name].Configuration, uint64(0))
 }
+
+// TestDigestBeforeTheFirstReport checks that a host that has just restarted can hear a leader's digest, meant
+// for its earlier run, before it knows the leader by a report or from the store.
+func TestDigestBeforeTheFirstReport(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(epoch, Peer{Name: "self"})
+	leader := Peer{Name: "leader", Incarnation: 1, Address: "leader"}
+	receipt := table.HandleDigest(epoch, &Digest{Peer: leader, Number: 7})
+	is.True(receipt.Joined)
+	reachable, known := table.HostCounts(epoch)
+	is.Equal(reachable, 2)
+	is.Equal(known, 2)
+	is.True(!table.LeaseHolderReachable(epoch))
+	is.Equal(len(table.Demand(epoch, true)), 0)
+	members, _ := table.Members(epoch)
+	is.Equal(members, []string{"self"})
+}
