proxy: a stream counts towards usage with its first event only

Cause: docs/design/hundreds-of-hosts.md, 'Usage of a busy second': streams that ended at their deadline without an event were counted as started; windows off by 541 of 2,689 and 462 of 2,930 requests. Change: such a stream may still have run for what its caller is told, but is not counted. Ruled out: lost reports between hosts (the counts were too high, and only in the windows with refusals).

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -107,7 +107,7 @@
 		return outcomeFailed, balancer.ResultFailed
 	}
 	// The caller has disconnected: no response is sent.
-	a.exchange.markStarted(clock.Now())
+	a.exchange.markUnanswered(clock.Now())
 	a.exchange.callerLeft()
 	return outcomeDone, balancer.ResultCancelled
 }
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -176,7 +176,7 @@
 		x.sends++
 	}
 	if out == outcomeFailed {
-		x.markStarted(clock.Now())
+		x.markUnanswered(clock.Now())
 	}
 	p.telemetry.Attempted(x, a, out, result)
 	return out
--- a/internal/proxy/edgecases_test.go
+++ b/internal/proxy/edgecases_test.go
@@ -197,3 +197,28 @@
 		is.Equal(p.send(t, "1").status, want)
 	}
 }
+
+// TestUsageCountsStreamsThatBegan checks that a stream that ends at its deadline without an event, as
+// those do that are queued at a busy endpoint, is not counted towards usage, and is not said not to have
+// run either.
+func TestUsageCountsStreamsThatBegan(t *testing.T) {
+	is := is.New(t)
+	silent := func(*receivedRequest) bool {
+		time.Sleep(time.Second)
+		return false
+	}
+	for _, c := range []struct {
+		kind    fleet.RouteKind
+		respond responder
+		counted int64
+	}{
+		{fleet.RouteStream, silent, 0},
+		{fleet.RouteStream, respondOK, 1},
+		{fleet.RouteNonIdempotent, silent, 1},
+	} {
+		p := newTestProxy(t, fleet.Route{Kind: c.kind, Timeout: 200 * time.Millisecond}, newTestEndpoint(t, c.respond))
+		status := p.send(t, "1").status
+		is.True(status == 200 || status == 504)
+		is.Equal(p.counted.Load(), c.counted)
+	}
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -46,6 +46,8 @@
 	tokenCost float64
 	// started is set once the request may have started to run.
 	started bool
+	// counted is set once the request is counted towards usage.
+	counted bool
 	// sends counts the finished attempts in which the request may have reached the endpoint.
 	sends int
 
@@ -210,17 +212,30 @@
 	}
 }
 
-// markStarted records that the request may have started to run. Only the first call has an effect.
+// markStarted records that the request has started to run, and counts it towards the usage of its
+// organisation, once.
 func (x *exchange) markStarted(now time.Time) {
-	if x.started {
+	x.started = true
+	if x.counted {
 		return
 	}
-	x.started = true
+	x.counted = true
 	if x.organisation != nil {
 		x.proxy.OnStarted(now, x.organisation.Name)
 	}
 }
 
+// markUnanswered records that the request may have started to run although its endpoint has not shown
+// it. A stream without a first event is not counted towards usage: on a busy fleet most of those were
+// still queued.
+func (x *exchange) markUnanswered(now time.Time) {
+	if x.route.Kind == fleet.RouteStream {
+		x.started = true
+		return
+	}
+	x.markStarted(now)
+}
+
 // sendError sends an error response of the proxy itself, and refunds the quota tokens if the request
 // cannot have run.
 func (x *exchange) sendError(e *errorResponse) {
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,6 +166,8 @@
 	server   *Server
 	balancer *balancer.Table
 	quota    *quota.Ledger
+	// counted is the number of requests that were counted towards usage.
+	counted atomic.Int64
 }
 
 const testFleet = "f"
@@ -196,7 +199,7 @@
 		Quota:        p.quota,
 		RetryBudget:  retrybudget.NewBudget(retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}),
 		Telemetry:    NewTelemetry(logger, prometheus.NewRegistry()),
-		OnStarted:    func(time.Time, string) {},
+		OnStarted:    func(time.Time, string) { p.counted.Add(1) },
 		KeyMaxAge:    maxAge,
 		DenyMaxAge:   maxAge,
 		MaxBodyBytes: 1 << 24,
