Followers, restarted and refused hosts call the store less

Change: a confirmation is renewed at 0.6 of the time for which it may be used; a digest applies over a list that the follower read itself; a starting host registers with two calls; refused calls are repeated with a backoff that doubles up to a second, in a package of its own that gossip shares. Ruled out: confirming the endpoints by each answer of a watch (a watch may be cut just when it has not heard all); leaders that read more often (seven hosts' calls in place of few).

--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"rattanchute/internal/backoff"
 	"rattanchute/internal/membership"
 	"rattanchute/internal/objectstore"
 )
@@ -26,13 +27,13 @@
 // succeeds. After that it lists the objects every memberListInterval, but only while this node
 // owns DutyMembers.
 func (r *Runner) memberLoop() {
-	wait := backoff{}
+	wait := backoff.Backoff{Min: minBackoff, Max: maxBackoff}
 	for r.ctx.Err() == nil && r.writeMember() != nil {
-		r.sleep(wait.next())
+		r.sleep(wait.Next())
 	}
-	wait.reset()
+	wait.Reset()
 	for r.ctx.Err() == nil && r.listMembers() != nil {
-		r.sleep(wait.next())
+		r.sleep(wait.Next())
 	}
 	for r.ctx.Err() == nil {
 		r.sleep(memberListInterval)
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"rattanchute/internal/backoff"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
 )
@@ -52,7 +52,7 @@
 
 // relayLoop lists and watches a kind while this node is a relay for it.
 func (r *Runner) relayLoop(kind objectstore.Kind, handle func(objectstore.Event)) {
-	wait := backoff{}
+	wait := backoff.Backoff{Min: minBackoff, Max: maxBackoff}
 	for r.ctx.Err() == nil {
 		if !r.IsRelay(kind) {
 			r.sleep(relayCheckInterval)
@@ -60,10 +60,10 @@
 		}
 		version, err := r.list(kind, handle)
 		if err != nil {
-			r.sleep(wait.next())
+			r.sleep(wait.Next())
 			continue
 		}
-		wait.reset()
+		wait.Reset()
 		r.watch(kind, version, handle)
 	}
 }
@@ -88,17 +88,17 @@
 // watch processes the events of a kind until this node is no longer a relay or the watch has to
 // start over from a list.
 func (r *Runner) watch(kind objectstore.Kind, version objectstore.Version, handle func(objectstore.Event)) {
-	wait := backoff{}
+	wait := backoff.Backoff{Min: minBackoff, Max: maxBackoff}
 	for r.ctx.Err() == nil && r.IsRelay(kind) {
 		events, next, err := r.watchOnce(kind, version)
 		if errors.Is(err, objectstore.ErrCompacted) {
 			return
 		}
 		if err != nil {
-			r.sleep(wait.next())
+			r.sleep(wait.Next())
 			continue
 		}
-		wait.reset()
+		wait.Reset()
 		version = next
 		for _, e := range events {
 			handle(e)
@@ -117,7 +117,7 @@
 // readInitialConfiguration reads the configuration once at startup, without waiting to become a
 // relay. It stops trying once the node is ready through its peers.
 func (r *Runner) readInitialConfiguration() {
-	wait := backoff{}
+	wait := backoff.Backoff{Min: minBackoff, Max: maxBackoff}
 	for r.ctx.Err() == nil {
 		if _, err := r.list(objectstore.KindConfiguration, r.handleConfiguration); err == nil {
 			return
@@ -127,7 +127,7 @@
 			return
 		default:
 		}
-		r.sleep(wait.next())
+		r.sleep(wait.Next())
 	}
 }
 
@@ -171,19 +171,3 @@
 	case <-timer.C:
 	}
 }
-
-// backoff computes exponential backoff. Jitter keeps the nodes from calling in lockstep.
-type backoff struct {
-	base time.Duration
-}
-
-func (b *backoff) next() time.Duration {
-	if b.base == 0 {
-		b.base = minBackoff
-	}
-	wait := b.base/2 + rand.N(b.base/2)
-	b.base = min(b.base*2, maxBackoff)
-	return wait
-}
-
-func (b *backoff) reset() { b.base = 0 }
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -16,12 +16,15 @@
 // pollConfiguration reads the configuration whenever its confirmation as the newest is too old or
 // a peer has seen a newer one, and activates what it reads if it is newer.
 func (n *Node) pollConfiguration(ctx context.Context) {
+	retry := newRetryBackoff()
 	for {
 		err := n.readConfiguration(ctx)
-		if err != nil && pause(ctx, jittered(retryDelay)) {
-			continue
+		if err == nil {
+			retry.Reset()
+		} else if !pause(ctx, retry.Next()) {
+			return
 		}
-		if !n.waitUntilStale(ctx, n.proxy.ConfirmedAt, n.configurationStale) {
+		if !n.waitUntilStale(ctx, n.proxy.ConfirmedAt, n.configurationInterval, n.configurationStale) {
 			return
 		}
 	}
@@ -114,6 +117,7 @@
 	if !pause(ctx, watchDelay) {
 		return
 	}
+	retry := newRetryBackoff()
 	for {
 		n.applyMu.Lock()
 		from := n.configuration.version
@@ -124,30 +128,36 @@
 			}
 			continue
 		}
-		n.watchConfigurationFrom(ctx, from)
-		if !pause(ctx, jittered(retryDelay)) {
+		if n.watchConfigurationFrom(ctx, from) {
+			retry.Reset()
+		}
+		if !pause(ctx, retry.Next()) {
 			return
 		}
 	}
 }
 
-func (n *Node) watchConfigurationFrom(ctx context.Context, from objectstore.Version) {
+// watchConfigurationFrom watches until a call fails or this host is no longer a leader, and reports whether
+// a call has succeeded.
+func (n *Node) watchConfigurationFrom(ctx context.Context, from objectstore.Version) (responded bool) {
 	for n.peers.IsLeader(clock.Now()) {
 		events, asOf, err := n.Store.Watch(ctx, objectstore.KindConfiguration, from)
 		if err != nil {
 			if ctx.Err() == nil {
 				n.recordStoreCall("configuration watch", err)
 			}
-			return
+			return responded
 		}
+		responded = true
 		for _, e := range events {
 			if e.Deleted || e.Object.Name != n.Decode.ConfigurationName {
 				continue
 			}
 			if err := n.applyConfiguration(e.Object); err != nil && !errors.Is(err, errOldConfiguration) {
-				return
+				return responded
 			}
 		}
 		from = max(from, asOf)
 	}
+	return responded
 }
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -11,12 +11,15 @@
 // pollEndpoints reads the list of endpoints whenever its confirmation as the newest is too old or
 // a peer has seen a newer one.
 func (n *Node) pollEndpoints(ctx context.Context) {
+	retry := newRetryBackoff()
 	for {
 		_, err := n.listEndpoints(ctx)
-		if err != nil && pause(ctx, jittered(retryDelay)) {
-			continue
+		if err == nil {
+			retry.Reset()
+		} else if !pause(ctx, retry.Next()) {
+			return
 		}
-		if !n.waitUntilStale(ctx, n.endpoints.ConfirmedAt, n.endpointsStale) {
+		if !n.waitUntilStale(ctx, n.endpoints.ConfirmedAt, n.endpointsInterval, n.endpointsStale) {
 			return
 		}
 	}
@@ -65,20 +68,27 @@
 	if !pause(ctx, watchDelay) {
 		return
 	}
+	retry := newRetryBackoff()
 	for {
-		if n.peers.IsLeader(clock.Now()) {
-			from, err := n.listEndpoints(ctx)
-			if err == nil {
-				n.watchEndpointsFrom(ctx, from)
+		if !n.peers.IsLeader(clock.Now()) {
+			if !pause(ctx, jittered(retryDelay)) {
+				return
 			}
+			continue
 		}
-		if !pause(ctx, jittered(retryDelay)) {
+		from, err := n.listEndpoints(ctx)
+		if err == nil && n.watchEndpointsFrom(ctx, from) {
+			retry.Reset()
+		}
+		if !pause(ctx, retry.Next()) {
 			return
 		}
 	}
 }
 
-func (n *Node) watchEndpointsFrom(ctx context.Context, from objectstore.Version) {
+// watchEndpointsFrom watches until a call fails or this host is no longer a leader, and reports whether a
+// call has succeeded.
+func (n *Node) watchEndpointsFrom(ctx context.Context, from objectstore.Version) (responded bool) {
 	for n.peers.IsLeader(clock.Now()) {
 		events, asOf, err := n.Store.Watch(ctx, objectstore.KindEndpoint, from)
 		if err != nil {
@@ -86,17 +96,19 @@
 				n.recordStoreCall("endpoint watch", err)
 				n.endpoints.StoreFailed()
 			}
-			return
+			return responded
 		}
+		responded = true
 		n.endpoints.StoreResponded(clock.Now())
 		for _, e := range events {
 			n.endpointsChanged(n.applyEndpointEvent(e, asOf))
 		}
 		from = max(from, asOf)
 		if len(events) > 0 && !pause(ctx, watchPause) {
-			return
+			return responded
 		}
 	}
+	return responded
 }
 
 func (n *Node) applyEndpointEvent(e objectstore.Event, asOf objectstore.Version) []registry.Change {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -50,21 +50,31 @@
 	}
 }
 
-// registerMember reads the other hosts' entries. If this host is not yet registered, it then
-// writes its own entry and reads again, so that of two hosts that start at the same time at
-// least one sees the other.
+// registerMember creates this host's entry unless it did so before, and reads the others. As it writes
+// first, at least one of two hosts that start at the same time sees the other. An entry of an earlier run
+// is replaced afterwards: it has the same address.
 func (n *Node) registerMember(ctx context.Context) error {
+	if !n.registered {
+		err := n.createMember(ctx)
+		if err != nil && !errors.Is(err, objectstore.ErrConflict) {
+			return err
+		}
+		n.registered = true
+	}
 	own, listed, err := n.readMembers(ctx)
 	if err != nil || listed {
 		return err
 	}
-	if err := n.writeMember(ctx, own); err != nil {
-		return err
+	if own.Version == 0 {
+		n.registered = false
+		return errMemberMissing
 	}
-	_, _, err = n.readMembers(ctx)
-	return err
+	return n.updateMember(ctx, own)
 }
 
+// errMemberMissing means that this host's entry is not stored although it was.
+var errMemberMissing = errors.New("member entry is missing")
+
 // readMembers reads the other hosts' entries. It returns this host's own entry, without its value
 // and with version zero if there is none, and whether that entry is from this run.
 func (n *Node) readMembers(ctx context.Context) (own objectstore.Object, listed bool, err error) {
@@ -91,17 +101,22 @@
 	return own, listed, nil
 }
 
-func (n *Node) writeMember(ctx context.Context, own objectstore.Object) error {
+func (n *Node) createMember(ctx context.Context) error {
 	value, err := json.Marshal(n.self())
 	if err != nil {
 		return err
 	}
-	own.Value = value
-	if own.Version == 0 {
-		_, err = n.Store.Create(ctx, own.Kind, own.Name, own.Value)
-	} else {
-		_, err = n.Store.Update(ctx, own)
+	_, err = n.Store.Create(ctx, objectstore.KindMember, n.Settings.Name, value)
+	return err
+}
+
+func (n *Node) updateMember(ctx context.Context, own objectstore.Object) error {
+	value, err := json.Marshal(n.self())
+	if err != nil {
+		return err
 	}
+	own.Value = value
+	_, err = n.Store.Update(ctx, own)
 	if errors.Is(err, objectstore.ErrConflict) {
 		// An earlier write of this host took effect late; the next read will see it.
 		return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,6 +111,9 @@
 	applyMu       sync.Mutex
 	configuration configurationState
 	malformed     malformedLog
+	// registered is set once this host has created its entry in the list of hosts, or found that there is
+	// one. Only maintainMembership uses it.
+	registered bool
 	// restores counts the restores of the store from an older copy.
 	restores prometheus.Counter
 	// usageReportedAt is when usage was last reported to the peers, in nanoseconds since boot; zero
@@ -192,12 +195,19 @@
 		DenyMaxAge:   denyMaxAge,
 		MaxBodyBytes: int64(bodyMemoryFraction * float64(max(s.MemoryBytes, 64<<20))),
 	}
-	if s.Bounds.FailClosed {
-		deps.KeyMaxAge = max(s.Bounds.RevocationDelay-keyRevocationMargin, keyRevocationMargin)
-	}
+	deps.KeyMaxAge = s.keyMaxAge()
 	n.proxy = proxy.New(deps)
 }
 
+// keyMaxAge returns how old the confirmation of the configuration may be at the use of a key; zero means
+// that it does not matter.
+func (s *Settings) keyMaxAge() time.Duration {
+	if !s.Bounds.FailClosed {
+		return 0
+	}
+	return max(s.Bounds.RevocationDelay-keyRevocationMargin, keyRevocationMargin)
+}
+
 // countRequest counts a request towards the usage of its organisation.
 func (n *Node) countRequest(at time.Time, organisation string) {
 	n.usage.RecordStart(n.clusterClock.At(at), organisation)
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"rattanchute/internal/backoff"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
@@ -24,13 +25,17 @@
 }
 
 const (
-	// pollInterval is the age at which a leader renews the confirmation that its view of the
+	// pollInterval is the largest age at which a leader renews the confirmation that its view of the
 	// store is the newest. It is needed besides the watches, because the silence of a watch
 	// proves nothing.
 	pollInterval = time.Second
-	// followerPollInterval is the age of the last confirmation through its leader's digests at
-	// which a follower queries the store itself.
-	followerPollInterval = 2000 * time.Millisecond
+	// maxFollowerInterval is the largest age of the last confirmation through its leader's digests at
+	// which a follower queries the store itself. In a large group, a confirmation can be two seconds
+	// old although no message was lost.
+	maxFollowerInterval = 3 * time.Second
+	// confirmationFraction is the part of the time for which a confirmation may be used after which it
+	// is renewed. The rest leaves time for a read that fails and is repeated.
+	confirmationFraction = 0.6
 	// minReadInterval is the minimum time between two reads that are triggered by peers, and
 	// between two reports. For reads, followers use followerReadInterval, which is longer because
 	// there are many of them.
@@ -45,14 +50,20 @@
 	// missingCheckInterval is the interval between two checks for endpoints that have been
 	// missing for too long.
 	missingCheckInterval = 500 * time.Millisecond
-	// retryDelay is the pause after a failed read of the configuration or the endpoints, after the
-	// end of a watch, and between two checks whether this host may watch.
-	retryDelay = 200 * time.Millisecond
+	// retryDelay is the pause after the first failed call of a reader or a watch, and between two checks
+	// whether this host may watch. It doubles with each further failure, up to maxRetryDelay: a store
+	// that refuses calls counts and charges them nevertheless.
+	retryDelay    = 200 * time.Millisecond
+	maxRetryDelay = time.Second
 	// jitterFraction is the width of the random variation of intervals, which spreads the
 	// hosts' calls.
 	jitterFraction = 0.2
 )
 
+func newRetryBackoff() backoff.Backoff {
+	return backoff.Backoff{Min: retryDelay, Max: maxRetryDelay}
+}
+
 func jittered(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 - jitterFraction/2 + jitterFraction*rand.Float64()))
 }
@@ -81,12 +92,32 @@
 	n.Log.Info().Str("call", call).Msg("store regained")
 }
 
-// confirmInterval returns the age of a confirmation at which this host queries the store.
-func (n *Node) confirmInterval() time.Duration {
-	if n.peers.IsLeader(clock.Now()) {
-		return pollInterval
+// configurationInterval returns the age of the confirmation of the configuration at which this host reads
+// it.
+func (n *Node) configurationInterval() time.Duration {
+	return confirmationInterval(n.peers.IsLeader(clock.Now()), n.Settings.keyMaxAge())
+}
+
+// endpointsInterval returns the age of the confirmation of the endpoints at which this host reads them.
+func (n *Node) endpointsInterval() time.Duration {
+	return confirmationInterval(n.peers.IsLeader(clock.Now()), max(n.Settings.Bounds.Drain, minEndpointsMaxAge))
+}
+
+// minEndpointsMaxAge is the least time for which a confirmation of the endpoints may be used. Changes
+// reach a host through watches and digests, whatever the age of the confirmation.
+const minEndpointsMaxAge = 3500 * time.Millisecond
+
+// confirmationInterval returns the age at which a leader or a follower renews a confirmation that may be
+// used for maxAge; zero means without limit.
+func confirmationInterval(leader bool, maxAge time.Duration) time.Duration {
+	interval := maxFollowerInterval
+	if maxAge > 0 {
+		interval = min(interval, time.Duration(confirmationFraction*float64(maxAge)))
+	}
+	if leader {
+		return min(interval, pollInterval)
 	}
-	return followerPollInterval
+	return interval
 }
 
 // readInterval returns the minimum time between the end of a successful read and the next read.
@@ -121,16 +152,17 @@
 	return true
 }
 
-// waitUntilStale waits until a confirmation is older than confirmInterval, or until woken because
+// waitUntilStale waits until a confirmation is older than an interval, or until woken because
 // a peer has seen something newer, but at least for readInterval. It returns false if the context
 // ends.
-func (n *Node) waitUntilStale(ctx context.Context, confirmedAt func() time.Time, woken <-chan struct{}) bool {
+func (n *Node) waitUntilStale(
+	ctx context.Context, confirmedAt func() time.Time, maxAge func() time.Duration, woken <-chan struct{},
+) bool {
 	if !pause(ctx, n.readInterval()) {
 		return false
 	}
 	for {
-		interval := jittered(n.confirmInterval())
-		wait := interval - clock.Now().Sub(confirmedAt())
+		wait := jittered(maxAge()) - clock.Now().Sub(confirmedAt())
 		if wait <= 0 {
 			return true
 		}
--- a/internal/registry/delta.go
+++ b/internal/registry/delta.go
@@ -19,7 +19,7 @@
 	AsOf  objectstore.Version `json:"as_of,omitempty"`
 	// SkippedVersions are the version ranges over which the view did not observe each change,
 	// because it read the whole list or applied a delta. Changes lacks the entries that were
-	// both added and removed within one of them.
+	// both added and removed within one of them, and holds all others that were changed there.
 	SkippedVersions []VersionRange `json:"lists,omitempty"`
 	Changes         []EntryChange  `json:"changes,omitempty"`
 }
@@ -119,19 +119,31 @@
 	return change
 }
 
-// appliesTo reports whether the delta contains every change that a view at version asOf lacks. A
-// view at a version within a skipped range may hold an entry whose removal the delta does not
-// contain.
-func (d *Delta) appliesTo(asOf objectstore.Version) bool {
-	if asOf == 0 || asOf < d.Since {
-		return false
-	}
+// appliesTo reports whether the delta contains every change that a view at version asOf lacks, apart
+// from those that skippedRemovals finds.
+func (d *Delta) appliesTo(asOf objectstore.Version) bool { return asOf != 0 && asOf >= d.Since }
+
+// skippedRemovals returns the entries of a view at version asOf that were both added and removed within a
+// skipped range of the delta. The delta does not contain them; the view holds them if it read the list in
+// between.
+func (d *Delta) skippedRemovals(asOf objectstore.Version, entries map[string]*entryState) []EntryChange {
+	var removed []EntryChange
 	for _, versions := range d.SkippedVersions {
-		if versions.From < asOf && asOf < versions.To {
-			return false
+		if asOf <= versions.From || versions.To <= asOf {
+			continue
+		}
+		for id, state := range entries {
+			if versions.From < state.version && state.version <= asOf && !d.changesSince(id, state.version) {
+				removed = append(removed, EntryChange{Version: versions.To, ID: id})
+			}
 		}
 	}
-	return true
+	return removed
+}
+
+// changesSince reports whether the delta holds a change of an entry at a version or later.
+func (d *Delta) changesSince(id string, version objectstore.Version) bool {
+	return slices.ContainsFunc(d.Changes, func(c EntryChange) bool { return c.ID == id && c.Version >= version })
 }
 
 // Apply applies a delta received from another host. confirmed is a time at which the delta was
@@ -156,7 +168,7 @@
 	if before < d.AsOf {
 		v.logSkipped(now, before, d.AsOf)
 	}
-	for _, change := range d.Changes {
+	for _, change := range slices.Concat(d.skippedRemovals(before, v.entries), d.Changes) {
 		changes = v.applyChange(now, change, changes)
 	}
 	if len(changes) > 0 {
