balancer: few endpoints are compared for a request, the same ones on all hosts

Cause: docs/design/hundreds-of-hosts.md, 'All hosts choose the endpoint that was idle at the last report'. Change: of a fleet of more than eight endpoints, two that the hash of the shared prefix selects, one random one and those that hold the prefix are compared. Ruled out: the estimate itself (right where few hosts send); more frequent reports; the plan (three quarters of the engines were idle meanwhile).

--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -30,6 +30,8 @@
 // a new state. inFlight, pendingTokens and memoryTokens count only the requests of this host.
 type endpoint struct {
 	known registry.Known
+	// idHash is a hash of the endpoint's ID.
+	idHash uint64
 	// model is set for engines and not set for plain services.
 	model bool
 	cache *prefixCache
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -102,7 +102,7 @@
 	for _, k := range list {
 		e := p.endpoints[k.ID]
 		if e == nil || e.known.StartMillis != k.StartMillis || e.known.Address != k.Address {
-			e = &endpoint{cache: newPrefixCache(0), peerLoads: map[string]endpointLoad{}}
+			e = &endpoint{idHash: xxhash.Sum64String(k.ID), cache: newPrefixCache(0), peerLoads: map[string]endpointLoad{}}
 			e.describe(p.engine)
 		}
 		e.known = k
@@ -157,15 +157,19 @@
 // best returns the candidate with the lowest cost, including ejected endpoints only if
 // includeEjected is set.
 func (p *pool) best(now time.Time, random uint64, r *Request, dataCentre string, includeEjected bool) *candidate {
-	var best *candidate
-	affinity := affinityKey(r.Prefixes)
-	source := p.cacheSource(now, r)
-	for i, e := range p.ordered {
+	var eligible []*endpoint
+	for _, e := range p.ordered {
 		if e.known.Leaving || slices.Contains(r.Exclude, e.known.ID) || e.ejected(now) && !includeEjected {
 			continue
 		}
+		eligible = append(eligible, e)
+	}
+	var best *candidate
+	affinity := affinityKey(r.Prefixes)
+	source := p.cacheSource(now, r)
+	for _, e := range sample(eligible, random, affinity, r.Prefixes) {
 		c := candidate{endpoint: e, choice: e.estimate(now, r, p.meanDuration, &source)}
-		c.cost = c.choice.FirstEvent + p.penalty(now, e, &c.choice, dataCentre) + tieBreak(random, i, affinity, e.known.ID)
+		c.cost = c.choice.FirstEvent + p.penalty(now, e, &c.choice, dataCentre) + tieBreak(random, affinity, e)
 		if best == nil || c.cost < best.cost {
 			best = &c
 		}
@@ -235,11 +239,11 @@
 	return prefixes[len(prefixes)-2].Key
 }
 
-func tieBreak(random uint64, index int, affinity uint64, id string) time.Duration {
+func tieBreak(random, affinity uint64, e *endpoint) time.Duration {
 	if affinity != 0 {
-		return time.Duration(mix(affinity^xxhash.Sum64String(id)) % uint64(maxAffinityCost))
+		return time.Duration(mix(affinity^e.idHash) % uint64(maxAffinityCost))
 	}
-	return time.Duration(mix(random+uint64(index)) % uint64(maxRandomCost))
+	return time.Duration(mix(random^e.idHash) % uint64(maxRandomCost))
 }
 
 // mix distributes the bits of a word evenly.
