--- a/internal/adapter/callers/server.go
+++ b/internal/adapter/callers/server.go
@@ -96,6 +96,9 @@
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	// A stream that was answered on the connection before has left its write deadline there. If the
+	// connection is gone, the response fails as well.
+	_ = ctx.Conn().SetWriteDeadline(time.Time{})
 	requestID := dispatcher.NewRequestID()
 	ctx.Response.Header.Set(outcome.HeaderRequestID, requestID)
 	org, ok := s.authenticate(ctx)
--- a/internal/heartbeat/history.go
+++ b/internal/heartbeat/history.go
@@ -31,13 +31,17 @@
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{sent: map[uint64]SentReport{}} }
 
-// Add records a report and drops the one whose number is lower by keptReports, if there is one.
-// Report numbers must increase.
+// Add records a report and drops those whose number is lower by keptReports or more. Report numbers must
+// increase.
 func (h *History) Add(number uint64, s SentReport) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.sent[number] = s
-	delete(h.sent, number-keptReports)
+	for old := range h.sent {
+		if old+keptReports <= number {
+			delete(h.sent, old)
+		}
+	}
 }
 
 // At returns the report with a given number, or false if it is not kept.
--- a/internal/heartbeat/table_test.go
+++ b/internal/heartbeat/table_test.go
@@ -284,3 +284,19 @@
 	members, _ := table.Members(epoch)
 	is.Equal(members, []string{"self"})
 }
+
+// TestHistoryIsBounded numbers reports as a host does that sends digests only some of the time.
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory()
+	number := uint64(0)
+	for round := range 20 {
+		for range 30 {
+			number += uint64(1 + round%2)
+			h.Add(number, SentReport{At: epoch})
+		}
+	}
+	is.True(len(h.sent) <= keptReports)
+	_, ok := h.At(number)
+	is.True(ok)
+}
