loadshed: requests are refused by the backlog of prompts before them, also while slots are free

Change: the choice tells what part of the expected first event is due to others' prompts; a request is refused at once if that is more than its latency target (0.8 and 0.6 of it for lower ranks), with that time as Retry-After. Requests without a shared prefix compare three endpoints. Ruled out: a lower share of busy slots (slots say nothing about prompts); the expected first event itself (it holds the request's own prompt, which is no reason to refuse it).

--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -95,6 +95,7 @@
 	}
 	if !e.model {
 		c.FirstEvent = scaleDuration(queueTime+meanDuration, factor)
+		c.Backlog = scaleDuration(queueTime, factor)
 		return c
 	}
 	cachedTokens := e.cache.matchedTokens(r.Prefixes)
@@ -111,6 +112,7 @@
 	}
 	c.FirstEvent = queueTime + fetchTime +
 		scaleDuration(baseFirstEvent+prefillTime(l.pendingTokens+c.UncachedTokens), factor)
+	c.Backlog = queueTime + scaleDuration(prefillTime(l.pendingTokens), factor)
 	return c
 }
 
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -46,6 +46,8 @@
 	// recently, at most one hour. The factor is 1 for a fleet of plain services, whose slowness is
 	// tracked only for each endpoint.
 	CorrectedFirstEvent time.Duration
+	// Backlog is the part of CorrectedFirstEvent for which the request waits for others.
+	Backlog time.Duration
 	// UncachedTokens is the part of the prompt that an engine has to compute, at least 1; zero for a
 	// plain service.
 	UncachedTokens int
--- a/internal/balancer/sample.go
+++ b/internal/balancer/sample.go
@@ -12,9 +12,9 @@
 	// prefix selects them. All hosts select the same ones, so that they find the prefix there without
 	// having heard of it, and agree on others after a data centre is lost.
 	homeEndpoints = 2
-	// randomEndpoints is how many are compared besides, and the number for a request without a shared
-	// prefix. It is small because the loads that hosts know of are old: if every host compared all
-	// endpoints, all would send to the one that was idle at the last report.
+	// randomEndpoints is how many are compared besides. All numbers are small because the loads that hosts
+	// know of are old: if every host compared all endpoints, all would send to the one that was idle at
+	// the last report.
 	randomEndpoints = 1
 )
 
@@ -24,10 +24,10 @@
 	if len(eligible) <= maxCompared {
 		return eligible
 	}
-	chosen := lowestHashes(eligible, random, randomEndpoints)
 	if affinity == 0 {
-		return chosen
+		return lowestHashes(eligible, random, homeEndpoints+randomEndpoints)
 	}
+	chosen := lowestHashes(eligible, random, randomEndpoints)
 	chosen = append(chosen, lowestHashes(eligible, affinity, homeEndpoints)...)
 	shared := prefixes[:len(prefixes)-1]
 	for _, e := range eligible {
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -150,7 +150,9 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	best.choice.CorrectedFirstEvent = scaleDuration(best.choice.FirstEvent, p.firstEventSlowness.factor(now))
+	factor := p.firstEventSlowness.factor(now)
+	best.choice.CorrectedFirstEvent = scaleDuration(best.choice.FirstEvent, factor)
+	best.choice.Backlog = scaleDuration(best.choice.Backlog, factor)
 	return best.choice, true
 }
 
--- a/internal/loadshed/loadshed.go
+++ b/internal/loadshed/loadshed.go
@@ -1,8 +1,9 @@
 // Package loadshed decides which requests are admitted while the endpoints of a fleet are
 // overloaded: after data centres were reclaimed in a row or during a burst of requests, when even
 // the best endpoint is busy. Less urgent requests are then rejected immediately, with a retry
-// delay, so that the others are served in time. While less than busySlotShare of the best
-// endpoint's slots are in use, no request is rejected for its urgency. The package does no I/O.
+// delay, so that the others are served in time. An endpoint is overloaded if most of its slots are in use
+// or if the prompts that it has still to compute would make the request late: an engine with many slots
+// and long prompts is at its limit while most slots are free. The package does no I/O.
 //
 // It serves the pass-through interface (packages node and proxy). The daemon's own chat and call
 // interface (packages app and dispatcher) sheds load in package ratelimit.
@@ -26,8 +27,14 @@
 	secondRankWaitShare = 0.4
 	lowerRankWaitShare  = 0.1
 	// busySlotShare is the part of an endpoint's slots that must be in use before requests are
-	// rejected for their rank.
+	// rejected for their expected time to the first event.
 	busySlotShare = 0.6
+	// topRankBacklogShare, secondRankBacklogShare and lowerRankBacklogShare bound the part of the expected
+	// time that is due to other requests, relative to the latency target, whatever slots are free. The
+	// time that the request's own prompt takes does not count.
+	topRankBacklogShare    = 1.0
+	secondRankBacklogShare = 0.8
+	lowerRankBacklogShare  = 0.6
 )
 
 // Request holds the properties of a request that a decision depends on.
@@ -45,6 +52,8 @@
 type Estimate struct {
 	// FirstEvent is the expected time to the first event.
 	FirstEvent time.Duration
+	// Backlog is the part of FirstEvent for which the request waits for others.
+	Backlog time.Duration
 	// Queued indicates that the endpoint has no free slot, so that the request would wait. InFlight
 	// is how many of its Slots are in use.
 	Queued   bool
@@ -72,21 +81,38 @@
 	if float64(e.FirstEvent) > maxRemainingShare*float64(r.Remaining) {
 		return Decision{RetryAfter: e.FirstEvent - r.Remaining/2}
 	}
-	if !e.busy() || r.LatencyTarget <= 0 || e.FirstEvent <= r.maxWait() {
+	if r.LatencyTarget <= 0 {
 		return Decision{Admit: true}
 	}
-	return Decision{RetryAfter: e.FirstEvent}
+	if e.busy() && e.FirstEvent > r.maxWait() {
+		return Decision{RetryAfter: e.FirstEvent}
+	}
+	if e.Backlog > r.maxBacklog() {
+		return Decision{RetryAfter: e.Backlog}
+	}
+	return Decision{Admit: true}
 }
 
 // maxWait is the longest expected time to the first event with which the request is admitted to a
 // busy endpoint.
 func (r *Request) maxWait() time.Duration {
-	share := lowerRankWaitShare
+	return r.targetShare(topRankWaitShare, secondRankWaitShare, lowerRankWaitShare)
+}
+
+// maxBacklog is the longest expected wait for other requests with which the request is admitted to any
+// endpoint.
+func (r *Request) maxBacklog() time.Duration {
+	return r.targetShare(topRankBacklogShare, secondRankBacklogShare, lowerRankBacklogShare)
+}
+
+// targetShare returns the share of the latency target that belongs to the request's rank.
+func (r *Request) targetShare(top, second, lower float64) time.Duration {
+	share := lower
 	switch r.Rank {
 	case 0:
-		share = topRankWaitShare
+		share = top
 	case 1:
-		share = secondRankWaitShare
+		share = second
 	}
 	return time.Duration(share * float64(r.LatencyTarget))
 }
--- a/internal/loadshed/loadshed_test.go
+++ b/internal/loadshed/loadshed_test.go
@@ -61,8 +61,19 @@
 	}
 }
 
+// longPromptLoad is the load of an assistant site: summaries and explanations with long prompts, which
+// fill an engine long before its slots do, and short questions.
+func longPromptLoad(factor float64) []*class {
+	return []*class{
+		{rank: 0, ratePerSecond: 161 * factor, promptTokens: 9200, outputTokens: 49, latencyTarget: 800 * time.Millisecond, timeout: 4 * time.Second, value: 2.6},
+		{rank: 1, ratePerSecond: 223 * factor, promptTokens: 17000, outputTokens: 119, latencyTarget: time.Second, timeout: 8 * time.Second, value: 3},
+		{rank: 2, ratePerSecond: 269 * factor, promptTokens: 1460, outputTokens: 175, latencyTarget: 600 * time.Millisecond, timeout: 8 * time.Second, value: 0.39},
+	}
+}
+
 const (
-	engineSlots          = 12
+	fewSlots             = 12
+	manySlots            = 64
 	simulatedDuration    = 20 * time.Second
 	simulationTick       = 10 * time.Millisecond
 	promptTokensPerMilli = 55.0
@@ -80,13 +91,16 @@
 	started                bool
 }
 
-// engine runs up to engineSlots requests at once and queues the others by rank. It processes one
+// engine runs up to a number of requests at once and queues the others by rank. It processes one
 // prompt after the other. Each prompt that it processes within a tick halves the rate at which it
 // generates tokens in that tick.
-type engine struct{ running, queue []*activeRequest }
+type engine struct {
+	slots          int
+	running, queue []*activeRequest
+}
 
 func (e *engine) advance(now time.Time) {
-	for len(e.running) < engineSlots && len(e.queue) > 0 {
+	for len(e.running) < e.slots && len(e.queue) > 0 {
 		best := 0
 		for i, r := range e.queue {
 			if r.class.rank < e.queue[best].class.rank {
@@ -137,16 +151,16 @@
 // simulate sends a load to a number of engines through the real load balancer. It returns the value
 // of the requests that are served in time, relative to the value of all requests; late ones count a
 // tenth.
-func simulate(engineCount int, mix []*class, seed uint64, decide func(Request, Estimate) Decision) float64 {
+func simulate(engineCount, slots int, mix []*class, seed uint64, decide func(Request, Estimate) Decision) float64 {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	table := balancer.NewTable("dc")
-	table.Configure(&fleet.Configuration{Fleets: []fleet.Fleet{{Name: "f", Engine: &fleet.Engine{Slots: engineSlots, CacheTokens: 400_000}}}})
+	table.Configure(&fleet.Configuration{Fleets: []fleet.Fleet{{Name: "f", Engine: &fleet.Engine{Slots: slots, CacheTokens: 400_000}}}})
 	var known []registry.Known
 	engines := map[string]*engine{}
 	for i := range engineCount {
 		id := fmt.Sprint("e", i)
-		known = append(known, registry.Known{Endpoint: registry.Endpoint{ID: id, Fleet: "f", Slots: engineSlots, DataCentre: "dc", Address: id}})
-		engines[id] = &engine{}
+		known = append(known, registry.Known{Endpoint: registry.Endpoint{ID: id, Fleet: "f", Slots: slots, DataCentre: "dc", Address: id}})
+		engines[id] = &engine{slots: slots}
 	}
 	table.SetEndpoints(known)
 	start := time.Unix(1000, 0)
@@ -174,7 +188,7 @@
 	k.total++
 	r := balancer.Request{Fleet: "f", PromptTokens: k.promptTokens, OutputTokens: k.outputTokens}
 	c, ok := table.Choose(now, rnd.Uint64(), r)
-	if !ok || !decide(Request{Rank: k.rank, LatencyTarget: k.latencyTarget, Remaining: k.timeout}, Estimate{c.CorrectedFirstEvent, c.Queued, c.InFlight, engineSlots}).Admit {
+	if !ok || !decide(Request{Rank: k.rank, LatencyTarget: k.latencyTarget, Remaining: k.timeout}, Estimate{c.CorrectedFirstEvent, c.Backlog, c.Queued, c.InFlight, c.Endpoint.Slots}).Admit {
 		k.refused++
 		return
 	}
@@ -196,8 +210,8 @@
 	for _, engines := range []int{25, 35, 45} {
 		for seed := range uint64(3) {
 			shedLoad, baselineLoad := largeDeploymentLoad(1), largeDeploymentLoad(1)
-			shedValue := simulate(engines, shedLoad, seed, Decide)
-			baselineValue := simulate(engines, baselineLoad, seed, admitUnlessLate)
+			shedValue := simulate(engines, fewSlots, shedLoad, seed, Decide)
+			baselineValue := simulate(engines, fewSlots, baselineLoad, seed, admitUnlessLate)
 			t.Logf("%d engines, seed %d: share of value %.3f with load shedding, %.3f without; drafts in time %d and %d",
 				engines, seed, shedValue, baselineValue, shedLoad[0].inTime, baselineLoad[0].inTime)
 			is.True(shedValue > baselineValue+0.03)
@@ -205,11 +219,34 @@
 	}
 }
 
+// TestLongPromptsAreShedWhileSlotsAreFree simulates long prompts on the engines that are left after
+// reclaims. Load shedding must serve more value in time than admitting all requests that can meet their
+// deadline, although hardly any engine has most of its slots in use.
+func TestLongPromptsAreShedWhileSlotsAreFree(t *testing.T) {
+	is := is.New(t)
+	for _, engines := range []int{25, 35} {
+		for seed := range uint64(2) {
+			shedLoad, baselineLoad := longPromptLoad(1), longPromptLoad(1)
+			shedValue := simulate(engines, manySlots, shedLoad, seed, Decide)
+			baselineValue := simulate(engines, manySlots, baselineLoad, seed, admitUnlessLate)
+			t.Logf("%d engines, seed %d: share of value %.3f with load shedding, %.3f without; explanations in time %d and %d",
+				engines, seed, shedValue, baselineValue, shedLoad[0].inTime, baselineLoad[0].inTime)
+			is.True(shedValue > baselineValue+0.1)
+		}
+	}
+	mix := longPromptLoad(0.7)
+	share := simulate(80, manySlots, mix, 1, Decide)
+	refused := mix[0].refused + mix[1].refused + mix[2].refused
+	t.Logf("80 engines, 0.7 of the load: share of value %.3f, %d refused", share, refused)
+	is.True(share > 0.95)
+	is.Equal(refused, 0)
+}
+
 // TestNothingIsRefusedAtNormalLoad simulates 80% of the same load on all endpoints.
 func TestNothingIsRefusedAtNormalLoad(t *testing.T) {
 	is := is.New(t)
 	mix := largeDeploymentLoad(0.8)
-	share := simulate(140, mix, 1, Decide)
+	share := simulate(140, fewSlots, mix, 1, Decide)
 	t.Logf("share of value in time: %.3f", share)
 	for _, k := range mix {
 		is.Equal(k.refused, 0)
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -108,6 +108,7 @@
 func estimate(c *balancer.Choice) loadshed.Estimate {
 	return loadshed.Estimate{
 		FirstEvent: c.CorrectedFirstEvent,
+		Backlog:    c.Backlog,
 		Queued:     c.Queued,
 		InFlight:   c.InFlight,
 		Slots:      c.Endpoint.Slots,
