--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -82,7 +82,7 @@
 	// lose theirs. Reclaims come in waves, and on-demand endpoints that are ordered only then arrive
 	// a boot time too late.
 	aheadOfOneLossShare   = 1.0
-	aheadOfTwoLossesShare = 0.7
+	aheadOfTwoLossesShare = 0.6
 )
 
 // EnginesNeeded returns the number of engines that can serve the demand; it is not rounded.
