Five faults that readers had found: an engine's 204, shards out of range, a hidden leave, windows kept for ever, an unused bound

Cause and change: Generate returned neither a stream nor an error for a success other than 200: a status error, after which the request counts as one that may have run. Settings.Shards was stored without the bound that loading has. An endpoint that was missing and is listed again as leaving was shown as returned: it is shown as leaving. Reported usage windows were never forgotten. gossip.MaxMessageBytes was used nowhere: it goes. Ruled out: treating 204 as not run (nothing proves it).

--- a/internal/adapter/enginehttp/client_test.go
+++ b/internal/adapter/enginehttp/client_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -348,3 +349,23 @@
 	is.NoErr(err)
 	is.Equal(append([]string{first.Text}, rest...), standin.ExpectedAnswer(body))
 }
+
+// TestSuccessWithoutAStreamIsAnError covers an engine that answers a generation with 204: neither a stream
+// nor a word that nothing ran.
+func TestSuccessWithoutAStreamIsAnError(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusNoContent)
+		}))
+	}()
+	s, err := newClient().Generate(t.Context(), listener.Addr().String(), engine.Generate{Stream: "s", Body: body})
+	is.True(s == nil)
+	var status *enginehttp.StatusError
+	is.True(errors.As(err, &status))
+	is.Equal(status.Status, http.StatusNoContent)
+	is.True(!errors.Is(err, engine.ErrNotSent))
+}
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -63,7 +63,11 @@
 	if status != fasthttp.StatusOK {
 		defer body.Finish()
 		text, _ := io.ReadAll(io.LimitReader(body, maxErrorBodyBytes))
-		return nil, statusError(status, text)
+		if err := statusError(status, text); err != nil {
+			return nil, err
+		}
+		// A success without a stream: the request may have run.
+		return nil, &StatusError{Status: status}
 	}
 	s := &stream{client: c, address: address, id: g.Stream, body: body, nextOffset: g.Offset}
 	s.lines = bufio.NewScanner(body)
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -90,3 +90,10 @@
 		is.Equal(b.Acquire(context.Background(), testKey(name), "b"+name).Kind, InProgress)
 	}
 }
+
+// TestShardsAreWithinTheLayout checks that a daemon stores no layout that the others refuse.
+func TestShardsAreWithinTheLayout(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Settings{Shards: 1 << 30}.withDefaults().Shards, maxShards)
+	is.Equal(Settings{}.withDefaults().Shards, DefaultShards)
+}
--- a/internal/claim/settings.go
+++ b/internal/claim/settings.go
@@ -18,6 +18,7 @@
 type Settings struct {
 	// Shards is the number of shards. The first daemon of a deployment stores it in the platform,
 	// and the stored number overrides the setting.
+	// It is at most maxShards, which every member accepts as a stored layout.
 	Shards int
 	// MaxGroupDelay is the longest time that a claim waits for others to share its write.
 	MaxGroupDelay time.Duration
@@ -44,6 +45,7 @@
 // withDefaults replaces zero values by the defaults.
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.Shards, DefaultShards)
+	s.Shards = min(s.Shards, maxShards)
 	setDefault(&s.MaxGroupDelay, DefaultMaxGroupDelay)
 	setDefault(&s.TargetGroupSize, DefaultTargetGroupSize)
 	setDefault(&s.StoreTimeout, DefaultStoreTimeout)
--- a/internal/duty/reports.go
+++ b/internal/duty/reports.go
@@ -65,6 +65,8 @@
 func (r *reporter) dueWindows(clusterTime time.Time) []int64 {
 	var out []int64
 	newest := r.ledger.Window(clusterTime.Add(-countsDelay)) - 1
+	// A margin covers a cluster time that is corrected backwards.
+	r.forgetBefore(newest - storedWindows - reportableWindows)
 	for w := max(newest-reportableWindows+1, r.firstWindow); w <= newest; w++ {
 		if !r.reported[w] {
 			out = append(out, w)
@@ -103,6 +105,11 @@
 	return abandoned, r.write(ctx, next)
 }
 
+// forgetBefore forgets which windows before the given one were reported, as they are no longer due.
+func (r *reporter) forgetBefore(window int64) {
+	maps.DeleteFunc(r.reported, func(w int64, _ bool) bool { return w < window })
+}
+
 // finalize makes the stored counts final in the ledger, which shares them with the other hosts.
 func (r *reporter) finalize() {
 	for w, counts := range r.stored.Windows {
--- a/internal/duty/reports_test.go
+++ b/internal/duty/reports_test.go
@@ -122,3 +122,15 @@
 	is.NoErr(err)
 	is.Equal(r.stored.Windows[w], usage.Counts{"o": 1})
 }
+
+func TestReportedWindowsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	ledger := usage.NewLedger(window)
+	r := newReporter(newFakeStore(), new(objectstore.EraTracker), ledger)
+	for i := range 100 {
+		for _, w := range r.dueWindows(time.Unix(5000, 0).Add(time.Duration(i) * window)) {
+			r.reported[w] = true
+		}
+	}
+	is.True(len(r.reported) <= storedWindows+2*reportableWindows)
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -34,9 +34,6 @@
 
 // Limits on the size of a message.
 const (
-	// MaxMessageBytes is the intended maximum size of an encoded message. This package does not
-	// enforce it.
-	MaxMessageBytes = 2 << 20
 	// MaxRecords is the maximum number of member and host records, taken together, in a push or
 	// a delta. Replies to deltas are not limited.
 	MaxRecords = 4096
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -24,7 +24,7 @@
 	// ChangeMissing means that the endpoint is no longer listed but may reappear, because the
 	// store was unavailable.
 	ChangeMissing ChangeKind = "missing"
-	// ChangeReturned means that a missing endpoint is listed again. It may be leaving by now.
+	// ChangeReturned means that a missing endpoint is listed again and has not begun to leave meanwhile.
 	ChangeReturned ChangeKind = "returned"
 	ChangeRemoved  ChangeKind = "removed"
 )
@@ -229,10 +229,10 @@
 	switch {
 	case old == nil || !sameRun(old.endpoint, next.endpoint):
 		change.Kind = ChangeAdded
-	case !old.missingSince.IsZero():
-		change.Kind = ChangeReturned
 	case next.endpoint.Leaving && !old.endpoint.Leaving:
 		change.Kind = ChangeLeaving
+	case !old.missingSince.IsZero():
+		change.Kind = ChangeReturned
 	default:
 		return changes
 	}
--- a/internal/registry/view_test.go
+++ b/internal/registry/view_test.go
@@ -170,3 +170,19 @@
 	v.RemoveMissing(restored.Add(recoveryGrace))
 	is.Equal(ids(v), []string{"old"})
 }
+
+// TestMissingEndpointThatReturnsLeavingIsShownAsLeaving checks that the change that ends new work is not
+// hidden by the return of the entry.
+func TestMissingEndpointThatReturnsLeavingIsShownAsLeaving(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	v.Replace(epoch, []Entry{entry("a", 1)}, 1)
+	v.StoreFailed()
+	back := epoch.Add(outageThreshold + time.Second)
+	missing := v.Replace(back, nil, 2)
+	is.Equal(len(missing), 1)
+	is.Equal(missing[0].Kind, ChangeMissing)
+	returned := v.Put(back.Add(time.Millisecond), leavingEntry("a", 3))
+	is.Equal(len(returned), 1)
+	is.Equal(returned[0].Kind, ChangeLeaving)
+}
