claim: a response that is too large to keep is not recorded as an empty one

Cause: Complete dropped a body over MaxBodyBytes, and the owner recorded the empty one that was left: a repeat got 200 with an empty body in place of 'not kept', which is false. Change: the operation says that the body was omitted, also when it is forwarded. Ruled out: sending the body to the owner, which has the check (up to a megabyte over the network for nothing). TestLargeBodyIsNotRecordedAsEmpty fails before, passes after.

--- a/internal/claim/editor.go
+++ b/internal/claim/editor.go
@@ -55,7 +55,10 @@
 	}
 	r.State = StateCompleted
 	r.Status = op.Status
-	e.store(e.withBody(r, op.Body))
+	if !op.BodyOmitted {
+		r = e.withBody(r, op.Body)
+	}
+	e.store(r)
 	return Result{Kind: Recorded}
 }
 
--- a/internal/claim/message.go
+++ b/internal/claim/message.go
@@ -32,9 +32,11 @@
 	Attempt string `json:"attempt"`
 	// Writer is the run of the daemon that made the attempt.
 	Writer string `json:"writer"`
-	// Status and Body are the response to record, for OpComplete.
-	Status int    `json:"status,omitempty"`
-	Body   []byte `json:"body,omitempty"`
+	// Status and Body are the response to record, for OpComplete. BodyOmitted is set if the response had a
+	// body that is too large to be kept; Body is then empty.
+	Status      int    `json:"status,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	BodyOmitted bool   `json:"body_omitted,omitempty"`
 }
 
 // ResultKind is the kind of result of an operation.
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -114,16 +114,17 @@
 	return op
 }
 
-// Complete records the response of an attempt that was granted the claim and was executed. A body
-// larger than MaxBodyBytes is recorded as an empty one; a body for which the shard has no room is
-// omitted, so that HasBody is not set. The errors are
-// those of a report: ErrDeferred, ErrIgnored and, for an invalid operation, ErrInvalid.
+// Complete records the response of an attempt that was granted the claim and was executed. A body that is
+// larger than MaxBodyBytes, or for which the shard has no room, is omitted, so that HasBody is not set.
+// The errors are those of a report: ErrDeferred, ErrIgnored and, for an invalid operation, ErrInvalid.
 func (s *Service) Complete(ctx context.Context, key Key, attempt string, status int, body []byte) error {
+	op := Op{Kind: OpComplete, Key: key, Attempt: attempt, Writer: s.config.Writer, Status: status}
 	if len(body) > MaxBodyBytes {
-		body = nil
+		op.BodyOmitted = true
+	} else {
+		op.Body = body
 	}
-	return s.report(ctx, Op{Kind: OpComplete, Key: key, Attempt: attempt,
-		Writer: s.config.Writer, Status: status, Body: body})
+	return s.report(ctx, op)
 }
 
 // Withdraw withdraws the claim of an attempt that was granted it, provably was not executed, and
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -97,3 +97,20 @@
 	is.Equal(Settings{Shards: 1 << 30}.withDefaults().Shards, maxShards)
 	is.Equal(Settings{}.withDefaults().Shards, DefaultShards)
 }
+
+// TestLargeBodyIsNotRecordedAsEmpty checks that a repeat of a call whose response was too large to keep is
+// told so, rather than given an empty body as if that were the response.
+func TestLargeBodyIsNotRecordedAsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewService(Config{Member: "a", Writer: "a/1", Store: newFakeStore(nil)})
+		defer s.Close()
+		for name, body := range map[string][]byte{"empty": nil, "largest": make([]byte, MaxBodyBytes), "too large": make([]byte, MaxBodyBytes+1)} {
+			is.Equal(s.Acquire(t.Context(), testKey(name), "t1").Kind, Granted)
+			is.NoErr(s.Complete(t.Context(), testKey(name), "t1", 200, body))
+			done := s.Acquire(t.Context(), testKey(name), "t2")
+			is.Equal(done.Kind, Completed)
+			is.Equal(done.HasBody, name != "too large")
+		}
+	})
+}
