node: a member entry that a restore has lost is created again at once

Cause: read again after the change: the missing entry was reported as a failed call, so that 'store lost' was logged, and created a second later. Change: it is created where it is found to be missing. Ruled out: nothing else in the way. TestRestoredStoreKeepsPromises, which checks the entry, passes as before.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -55,8 +55,7 @@
 // is replaced afterwards: it has the same address.
 func (n *Node) registerMember(ctx context.Context) error {
 	if !n.registered {
-		err := n.createMember(ctx)
-		if err != nil && !errors.Is(err, objectstore.ErrConflict) {
+		if err := n.createMember(ctx); err != nil {
 			return err
 		}
 		n.registered = true
@@ -66,15 +65,12 @@
 		return err
 	}
 	if own.Version == 0 {
-		n.registered = false
-		return errMemberMissing
+		// Lost in a restore of the store.
+		return n.createMember(ctx)
 	}
 	return n.updateMember(ctx, own)
 }
 
-// errMemberMissing means that this host's entry is not stored although it was.
-var errMemberMissing = errors.New("member entry is missing")
-
 // readMembers reads the other hosts' entries. It returns this host's own entry, without its value
 // and with version zero if there is none, and whether that entry is from this run.
 func (n *Node) readMembers(ctx context.Context) (own objectstore.Object, listed bool, err error) {
@@ -101,12 +97,16 @@
 	return own, listed, nil
 }
 
+// createMember creates this host's entry unless there is one, of this run or an earlier one.
 func (n *Node) createMember(ctx context.Context) error {
 	value, err := json.Marshal(n.self())
 	if err != nil {
 		return err
 	}
 	_, err = n.Store.Create(ctx, objectstore.KindMember, n.Settings.Name, value)
+	if errors.Is(err, objectstore.ErrConflict) {
+		return nil
+	}
 	return err
 }
 
