--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -41,19 +41,27 @@
 		return err
 	}
 	// The configuration that was read was the newest at some time after the request was sent.
-	n.confirmConfiguration(requestedAt, nil)
+	n.confirmRead(requestedAt)
 	return nil
 }
 
-// confirmConfiguration records that the store held a generation at some time after the given one: the
-// generation that a leader reports or, if that is nil, the one that this host has read last.
-func (n *Node) confirmConfiguration(at time.Time, reported *fleet.Generation) {
+// confirmRead records that the store held the configuration that was read last at some time after the
+// given one.
+func (n *Node) confirmRead(at time.Time) {
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
-	stored := n.configuration.stored
-	if reported != nil {
-		stored = *reported
-	}
+	n.confirmLocked(at, n.configuration.stored)
+}
+
+// confirmReported records that this host's leader found a generation in the store at some time after the
+// given one.
+func (n *Node) confirmReported(at time.Time, g fleet.Generation) {
+	n.applyMu.Lock()
+	defer n.applyMu.Unlock()
+	n.confirmLocked(at, g)
+}
+
+func (n *Node) confirmLocked(at time.Time, stored fleet.Generation) {
 	if n.configuration.confirmed(at, stored) {
 		n.proxy.ConfirmConfiguration(at)
 	}
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -121,7 +121,7 @@
 func (n *Node) applyStoreState(now time.Time, d *heartbeat.Digest, ack heartbeat.Ack) {
 	n.hearGeneration(d.Generation)
 	if sent, ok := n.sent.At(ack.Configuration); ok {
-		n.confirmConfiguration(sent.At, &d.Generation)
+		n.confirmReported(sent.At, d.Generation)
 	}
 	confirmed := time.Time{}
 	if sent, ok := n.sent.At(ack.Endpoints); ok {
