proxy: a refusal for overload logs the backlog that decided it

Cause: the decision has a new input, which the line lacked; an engineer could not tell from it why a request was refused while slots were free.

--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -136,7 +136,8 @@
 	}
 	if e.estimate != nil {
 		line = line.Str("endpoint", e.estimate.Endpoint.ID).Int("in_flight", e.estimate.InFlight).
-			Int64("expected_ms", e.estimate.CorrectedFirstEvent.Milliseconds())
+			Int64("expected_ms", e.estimate.CorrectedFirstEvent.Milliseconds()).
+			Int64("backlog_ms", e.estimate.Backlog.Milliseconds())
 	}
 	line.
 		Str("reason", string(e.reason)).
