registry: a follower learns of a restore from its leader's delta

Cause: read again after the change: a host that did not call the store itself took an endpoint that the copy lacks for removed, since only its leader knew that it may return. Change: a delta of a later era counts as the restore. Ruled out: an announcement of its own (the versions hold the era). TestFollowerLearnsOfARestoreFromADelta fails before.

--- a/internal/registry/delta.go
+++ b/internal/registry/delta.go
@@ -159,6 +159,9 @@
 	if !d.appliesTo(v.asOf) {
 		return nil, false
 	}
+	if d.AsOf.Era() > v.asOf.Era() {
+		v.markRestored(now)
+	}
 	if !confirmed.IsZero() {
 		v.recordResponse(now)
 		v.confirm(confirmed)
--- a/internal/registry/delta_test.go
+++ b/internal/registry/delta_test.go
@@ -149,3 +149,22 @@
 		}
 	}
 }
+
+// TestFollowerLearnsOfARestoreFromADelta checks that a host that hears of a restore of the store by its
+// leader's delta treats its endpoints as if it had seen the restore itself.
+func TestFollowerLearnsOfARestoreFromADelta(t *testing.T) {
+	is := is.New(t)
+	leader, follower := NewView(), NewView()
+	at := func(era, revision uint64) objectstore.Version { return objectstore.NewVersion(era, revision) }
+	for _, v := range []*View{leader, follower} {
+		v.Replace(epoch, []Entry{entry("ended", at(1, 1)), entry("new", at(1, 8))}, at(1, 8))
+		v.Delete(epoch, "ended", at(1, 9))
+	}
+	restored := epoch.Add(time.Second)
+	leader.StoreRestored(restored)
+	leader.Replace(restored, []Entry{entry("ended", at(2, 1))}, at(2, 3))
+	_, complete := follower.Apply(restored, leader.Delta(restored), restored)
+	is.True(complete)
+	is.Equal(ids(follower), []string{"new"}) // missing, but used until it has had the time to return
+	is.Equal(ids(leader), ids(follower))
+}
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -11,6 +11,10 @@
 func (v *View) StoreRestored(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.markRestored(now)
+}
+
+func (v *View) markRestored(now time.Time) {
 	v.restoredAt = now
 	v.recoveredAt = now
 }
