proxy: how a response was framed and what a stream ended with, in logs and metrics

Change: request answered and attempt ended carry framing, events and partial_bytes; a counter of stream ends by framing and end.

--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -28,6 +28,31 @@
 	closeOnce sync.Once
 }
 
+// Framing is how a response marks the end of its body.
+type Framing string
+
+// The framings of a response body.
+const (
+	FramingLength  Framing = "length"
+	FramingChunked Framing = "chunked"
+	// FramingClose means that the body ends with the connection.
+	FramingClose Framing = "close"
+)
+
+// Framing returns how the response marks the end of its body.
+func (b *Body) Framing() Framing {
+	switch length := b.Response.Header.ContentLength(); {
+	case length >= 0:
+		return FramingLength
+	case length == contentLengthChunked:
+		return FramingChunked
+	}
+	return FramingClose
+}
+
+// contentLengthChunked is what fasthttp returns as the content length of a chunked body.
+const contentLengthChunked = -1
+
 // Open sends a request and returns once the response header has arrived.
 func (c *Client) Open(ctx context.Context, address string, req *fasthttp.Request) (*Body, error) {
 	return c.OpenTarget(ctx, Target{Address: address}, req, nil)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -32,6 +32,12 @@
 	err error
 	// status is the HTTP status that the endpoint returned; zero before there is a response.
 	status int
+	// framing is how the endpoint marks the end of its response; empty before there is a response.
+	framing httpclient.Framing
+	// events is the number of complete events received.
+	events int
+	// partialBytes is the size of what a stream ended with after its last complete event.
+	partialBytes int
 	// firstEventAt is when a stream's first event arrived, and lastEventAt when events were last
 	// forwarded to the caller; both are zero before.
 	firstEventAt time.Time
@@ -117,6 +123,7 @@
 	header := &body.Response.Header
 	info := x.proxy.HeaderCodec.DecodeResponse(header)
 	a.status = header.StatusCode()
+	a.framing = body.Framing()
 	if info.KeepAlive > 0 {
 		body.SetIdleTimeout(time.Duration(float64(info.KeepAlive) * idleTimeoutFraction))
 	}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -11,6 +11,7 @@
 	responses     *prometheus.CounterVec
 	refusals      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
+	streamEnds    *prometheus.CounterVec
 	ejections     prometheus.Counter
 	first         *prometheus.HistogramVec
 	total         *prometheus.HistogramVec
@@ -34,6 +35,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_attempts_total", Help: "Sendings to endpoints, by outcome.",
 		}, []string{"outcome"}),
+		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_stream_ends_total", Help: "Ends of endpoints' streams, by framing and how they ended.",
+		}, []string{"framing", "end"}),
 		ejections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_endpoints_set_aside_total", Help: "Times that an endpoint was set aside for its failures.",
 		}),
@@ -54,7 +58,7 @@
 	suppressedLines := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rattanchute_gateway_log_lines_left_out_total", Help: "Lines of ordinary requests beyond the bound, by kind.",
 	}, []string{"kind"})
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.ejections, m.first, m.total, m.eventInterval,
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.streamEnds, m.ejections, m.first, m.total, m.eventInterval,
 		suppressedLines)
 	for _, kind := range []string{lineSent, lineAnswered, lineAccept} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -41,8 +41,10 @@
 		}
 		if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 			a.err = err
+			a.observeStreamEnd(&events)
 			return a.streamBroken()
 		}
+		a.observeStreamEnd(&events)
 		return a.endStream(body, events.remainder())
 	}
 }
@@ -75,6 +77,7 @@
 		if !ok {
 			break
 		}
+		a.events++
 		if a.firstEventAt.IsZero() {
 			a.observeFirstEvent()
 		}
@@ -98,6 +101,12 @@
 	return x.flush()
 }
 
+// observeStreamEnd records what the endpoint's stream ended with.
+func (a *attempt) observeStreamEnd(events *eventReader) {
+	a.partialBytes = len(events.remainder())
+	a.exchange.proxy.telemetry.StreamEnded(a)
+}
+
 // observeEventInterval records the time since events were last forwarded to the caller in this
 // attempt.
 func (a *attempt) observeEventInterval() {
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -81,6 +81,9 @@
 		Str("endpoint", a.choice.Endpoint.ID).
 		Str("outcome", out.String()).
 		Int("status", a.status).
+		Str("framing", string(a.framing)).
+		Int("events", a.events).
+		Int("partial_bytes", a.partialBytes).
 		Err(a.err).
 		Str("after_event", x.info.LastEventID).
 		Int64("took_ms", clock.Now().Sub(a.sentAt).Milliseconds()).
@@ -115,6 +118,9 @@
 	t.entry(log.InfoLevel, x).
 		Str("endpoint", a.choice.Endpoint.ID).
 		Int("status", a.status).
+		Str("framing", string(a.framing)).
+		Int("events", a.events).
+		Int("partial_bytes", a.partialBytes).
 		Int64("first_ms", first.Milliseconds()).
 		Int64("total_ms", total.Milliseconds()).
 		Msg("request answered")
@@ -211,6 +217,22 @@
 	return false
 }
 
+// StreamEnded counts the end of an endpoint's stream, by framing and by how it ended.
+func (t *Telemetry) StreamEnded(a *attempt) {
+	t.metrics.streamEnds.WithLabelValues(string(a.framing), a.streamEnd()).Inc()
+}
+
+// streamEnd returns how the stream ended, as a metric label.
+func (a *attempt) streamEnd() string {
+	switch {
+	case a.err != nil:
+		return "cut"
+	case a.partialBytes > 0:
+		return "inside_event"
+	}
+	return "between_events"
+}
+
 // ObserveEventInterval records the time between two events of a stream. Events that are relayed
 // together count as one.
 func (t *Telemetry) ObserveEventInterval(d time.Duration) {
