proxy: a stream that ends inside an event is broken off, whatever its framing

Cause: relayStream took the end of the response body for the end of the stream, forwarded the incomplete event and ended the caller's response. A body that has neither a length nor chunks ends whenever its connection does.

Why it works: the blank line after an event is the only mark of its end, so bytes that follow the last one show a stream that was broken off; it is resumed elsewhere where the route allows that, and else the caller's connection is closed without the end. A stream without any event whose end is that of its connection shows nothing and is treated alike. Blank lines at the end are no event. What was cut is never forwarded.

Beside it: a response on a stream route with another content type is no stream and is forwarded as a plain one.

Ruled out: a check of the framing alone (chunked and sized bodies that end inside an event are cut by the engine itself).

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -36,7 +37,7 @@
 	framing httpclient.Framing
 	// events is the number of complete events received.
 	events int
-	// partialBytes is the size of what a stream ended with after its last complete event.
+	// partialBytes is the size of the incomplete event that a stream ended with.
 	partialBytes int
 	// firstEventAt is when a stream's first event arrived, and lastEventAt when events were last
 	// forwarded to the caller; both are zero before.
@@ -137,12 +138,24 @@
 		}
 		return outcomeNotExecuted, balancer.ResultRefused
 	}
-	if x.route.Kind == fleet.RouteStream && a.status == fasthttp.StatusOK {
+	if x.route.Kind == fleet.RouteStream && isEventStream(header) {
 		return a.relayStream(body)
 	}
 	return a.relayBuffered(body)
 }
 
+// isEventStream reports whether a response is a stream of events: one with status 200 whose content
+// type says so or is missing.
+func isEventStream(h *fasthttp.ResponseHeader) bool {
+	if h.StatusCode() != fasthttp.StatusOK {
+		return false
+	}
+	h.SetNoDefaultContentType(true)
+	mediaType, _, _ := bytes.Cut(h.ContentType(), []byte(";"))
+	mediaType = bytes.TrimSpace(mediaType)
+	return len(mediaType) == 0 || bytes.EqualFold(mediaType, []byte("text/event-stream"))
+}
+
 // relayBuffered forwards a response once it is complete, so that the caller never gets a truncated
 // one that looks whole.
 func (a *attempt) relayBuffered(body *httpclient.Body) (outcome, balancer.Result) {
@@ -201,7 +214,7 @@
 	for {
 		n, err := body.Read(buffer)
 		content = append(content, buffer[:n]...)
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if err == io.EOF {
 			return content, nil
 		}
 		if err != nil {
--- a/internal/proxy/edgecases_test.go
+++ b/internal/proxy/edgecases_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
@@ -207,13 +208,17 @@
 		time.Sleep(time.Second)
 		return false
 	}
+	oneEvent := func(r *receivedRequest) bool {
+		r.framedStream(httpclient.FramingChunked, eventTexts(1, 1))
+		return true
+	}
 	for _, c := range []struct {
 		kind    fleet.RouteKind
 		respond responder
 		counted int64
 	}{
 		{fleet.RouteStream, silent, 0},
-		{fleet.RouteStream, respondOK, 1},
+		{fleet.RouteStream, oneEvent, 1},
 		{fleet.RouteNonIdempotent, silent, 1},
 	} {
 		p := newTestProxy(t, fleet.Route{Kind: c.kind, Timeout: 200 * time.Millisecond}, newTestEndpoint(t, c.respond))
--- a/internal/proxy/eventstream.go
+++ b/internal/proxy/eventstream.go
@@ -22,8 +22,8 @@
 	number int64
 }
 
-// eventReader splits a stream into complete events. What follows the last complete event is
-// available only from remainder.
+// eventReader splits a stream into complete events. Lines end with LF or CRLF. What follows the last
+// complete event is available only from partial.
 type eventReader struct {
 	buffer []byte
 }
@@ -49,8 +49,8 @@
 	return e, true
 }
 
-// remainder returns the bytes after the last complete event.
-func (r *eventReader) remainder() []byte { return r.buffer }
+// partial returns the incomplete event at the end, without the blank lines before it.
+func (r *eventReader) partial() []byte { return bytes.TrimLeft(r.buffer, "\r\n") }
 
 // eventEnd returns the index after the first blank line, or -1 if there is none yet.
 func eventEnd(b []byte) int {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -20,11 +20,19 @@
 // errMissingEvents means that a stream has skipped events that the caller lacks.
 var errMissingEvents = errors.New("events missing from the stream")
 
+// errCutInsideEvent means that a stream ended before the blank line that ends its last event.
+var errCutInsideEvent = errors.New("stream ended inside an event")
+
+// errNoEvent means that a stream whose end is that of its connection had no event. Nothing shows that
+// it is whole.
+var errNoEvent = errors.New("stream without an event ended with its connection")
+
 // errCallerGone means that writing to the caller failed.
 var errCallerGone = errors.New("write to the caller failed")
 
 // relayStream forwards complete events as they arrive.
 func (a *attempt) relayStream(body *httpclient.Body) (outcome, balancer.Result) {
+	x := a.exchange
 	var events eventReader
 	buffer := make([]byte, readBufferBytes)
 	for {
@@ -39,16 +47,29 @@
 		if err == nil {
 			continue
 		}
-		if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-			a.err = err
-			a.observeStreamEnd(&events)
+		a.partialBytes = len(events.partial())
+		a.err = a.streamError(err)
+		x.proxy.telemetry.StreamEnded(a)
+		if a.err != nil {
 			return a.streamBroken()
 		}
-		a.observeStreamEnd(&events)
-		return a.endStream(body, events.remainder())
+		return a.endStream(body)
 	}
 }
 
+// streamError returns why a stream that ended with readErr is not whole, and nil if it is.
+func (a *attempt) streamError(readErr error) error {
+	switch {
+	case readErr != io.EOF:
+		return readErr
+	case a.partialBytes > 0:
+		return errCutInsideEvent
+	case a.events == 0 && a.framing == httpclient.FramingClose:
+		return errNoEvent
+	}
+	return nil
+}
+
 // relayFailed records err and returns the outcome of an attempt whose events could not be relayed.
 func (a *attempt) relayFailed(err error) (outcome, balancer.Result) {
 	a.err = err
@@ -101,12 +122,6 @@
 	return x.flush()
 }
 
-// observeStreamEnd records what the endpoint's stream ended with.
-func (a *attempt) observeStreamEnd(events *eventReader) {
-	a.partialBytes = len(events.remainder())
-	a.exchange.proxy.telemetry.StreamEnded(a)
-}
-
 // observeEventInterval records the time since events were last forwarded to the caller in this
 // attempt.
 func (a *attempt) observeEventInterval() {
@@ -188,21 +203,12 @@
 	return nil
 }
 
-// endStream ends the caller's response after the endpoint has ended its own. rest is what the
-// endpoint sent after its last complete event.
-func (a *attempt) endStream(body *httpclient.Body, rest []byte) (outcome, balancer.Result) {
+// endStream ends the caller's response after the endpoint has ended its own.
+func (a *attempt) endStream(body *httpclient.Body) (outcome, balancer.Result) {
 	x := a.exchange
 	x.markStarted(a.sentAt)
 	defer body.Finish()
-	if len(rest) > 0 && x.headSent && x.sends > 0 {
-		// The response may have begun at an earlier endpoint. An incomplete event at the end cannot
-		// be joined to the events already sent, so it is dropped.
-		rest = nil
-	}
 	x.beginStream(&body.Response.Header)
-	if len(rest) > 0 {
-		x.writeChunk(rest)
-	}
 	if _, err := x.conn.writer.WriteString("0\r\n\r\n"); err != nil {
 		x.broken = true
 	}
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -225,12 +226,14 @@
 // streamEnd returns how the stream ended, as a metric label.
 func (a *attempt) streamEnd() string {
 	switch {
-	case a.err != nil:
-		return "cut"
-	case a.partialBytes > 0:
+	case a.err == nil:
+		return "whole"
+	case errors.Is(a.err, errCutInsideEvent):
 		return "inside_event"
+	case errors.Is(a.err, errNoEvent):
+		return "no_event"
 	}
-	return "between_events"
+	return "cut"
 }
 
 // ObserveEventInterval records the time between two events of a stream. Events that are relayed
--- a/internal/proxy/truncated_test.go
+++ b/internal/proxy/truncated_test.go
@@ -96,3 +96,25 @@
 		})
 	}
 }
+
+func TestBlankLinesAfterTheLastEventAreNoPartialEvent(t *testing.T) {
+	for _, blank := range []string{"\n", "\r\n", "\n\n\n"} {
+		t.Run(fmt.Sprintf("%q", blank), func(t *testing.T) {
+			is := is.New(t)
+			p := newTestProxy(t, streamRoute, streamEndpoint(t, httpclient.FramingClose, eventTexts(1, 3)+blank))
+			is.NoErr(p.send(t, "1").err)
+		})
+	}
+}
+
+func TestPlainResponseOnAStreamRouteIsForwardedWhole(t *testing.T) {
+	is := is.New(t)
+	p := newTestProxy(t, streamRoute, newTestEndpoint(t, func(r *receivedRequest) bool {
+		r.writeRaw("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}", r.id())
+		return true
+	}))
+	a := p.send(t, "1")
+	is.NoErr(a.err)
+	is.Equal(a.status, 200)
+	is.Equal(a.body, "{}")
+}
