httpclient: a response that is reset while its request is still being sent is not whole

What callers could see: the beginning of a plain answer or a stream without a length, relayed as whole. Cause: a socket reports a reset once. For a request body over 16 KiB, one goroutine sends while another reads; if the sending one gets the reset, the reader sees an ordinary end, which is the end of a response without a length. Why it works: at the end of such a response the result of sending is looked at; if it failed, the response was cut. A sender that is still blocked after 20 ms has seen no reset, so the peer has only closed its side.

--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -40,8 +40,10 @@
 )
 
 // Framing returns how the response marks the end of its body.
-func (b *Body) Framing() Framing {
-	switch length := b.Response.Header.ContentLength(); {
+func (b *Body) Framing() Framing { return framingOf(&b.Response.Header) }
+
+func framingOf(h *fasthttp.ResponseHeader) Framing {
+	switch length := h.ContentLength(); {
 	case length >= 0:
 		return FramingLength
 	case length == contentLengthChunked:
@@ -128,6 +130,11 @@
 		return 0, io.EOF
 	}
 	n, err := b.Response.BodyStream().Read(p)
+	if err == io.EOF && b.Framing() == FramingClose {
+		if failure := b.exchange.writeFailure(); failure != nil {
+			err = failure
+		}
+	}
 	if err == io.EOF {
 		b.ended = true
 		return n, err
--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -83,7 +84,7 @@
 		return err
 	}
 	resp.SkipBody = req.Header.IsHead()
-	err = resp.ReadLimitBody(x.reader, MaxResponseBytes)
+	err = x.readResponse(resp)
 	x.release(err == nil && !resp.ConnectionClose())
 	if err != nil {
 		return responseError(ctx, err)
@@ -91,6 +92,34 @@
 	return nil
 }
 
+// readResponse reads a whole response, of at most MaxResponseBytes.
+func (x *exchange) readResponse(resp *fasthttp.Response) error {
+	// The framing is known only until a buffered body is read.
+	resp.StreamBody = true
+	defer func() { resp.StreamBody = false }()
+	if err := resp.ReadLimitBody(x.reader, 0); err != nil {
+		return err
+	}
+	stream := resp.BodyStream()
+	if stream == nil {
+		return nil
+	}
+	framing := framingOf(&resp.Header)
+	body, err := io.ReadAll(io.LimitReader(stream, MaxResponseBytes+1))
+	_ = resp.CloseBodyStream()
+	switch {
+	case err != nil:
+		return err
+	case len(body) > MaxResponseBytes:
+		return fasthttp.ErrBodyTooLarge
+	}
+	resp.SetBodyRaw(body)
+	if framing == FramingClose {
+		return x.writeFailure()
+	}
+	return nil
+}
+
 // pool returns the connection pool of a target. When it adds a pool, it removes those
 // without connections.
 func (c *Client) pool(target Target) *fasthttp.HostClient {
@@ -135,9 +164,10 @@
 	conn    *countingConn
 	reader  reader
 	release func(reuse bool)
-	// writeResult receives the result of writing the request. It is nil unless the request
-	// is written concurrently.
-	writeResult chan error
+	// writeDone is closed once the request is written or failed with writeErr. It is nil unless
+	// the request is written concurrently.
+	writeDone chan struct{}
+	writeErr  error
 }
 
 // send takes a connection to the target and writes the request to it.
@@ -204,23 +234,48 @@
 // writeConcurrently writes the request in a goroutine, while the caller waits for the
 // response. The request must not be released before x.release returns.
 func (x *exchange) writeConcurrently(h *fasthttp.HostClient, req *fasthttp.Request) {
-	x.writeResult = make(chan error, 1)
-	go func() { x.writeResult <- x.write(h, req) }()
+	x.writeDone = make(chan struct{})
+	go func() {
+		defer close(x.writeDone)
+		x.writeErr = x.write(h, req)
+	}()
 	release := x.release
 	x.release = func(reuse bool) {
 		select {
-		case err := <-x.writeResult:
-			release(reuse && err == nil)
+		case <-x.writeDone:
+			release(reuse && x.writeErr == nil)
 		default:
 			// The peer responded without reading the whole body. It would take the rest of
 			// the body for the next request on this connection.
 			_ = x.conn.Close()
-			<-x.writeResult
+			<-x.writeDone
 			release(false)
 		}
 	}
 }
 
+// writeResultTimeout is how long writeFailure waits for the result of writing the request.
+const writeResultTimeout = 20 * time.Millisecond
+
+// writeFailure returns an error if writing the request has failed. A response that ends with its
+// connection is whole only without one: the operating system reports a reset once, and if the goroutine
+// that writes the request gets it, the reader sees an ordinary end. While that goroutine is still
+// blocked, there was no reset.
+func (x *exchange) writeFailure() error {
+	if x.writeDone == nil {
+		return nil
+	}
+	select {
+	case <-x.writeDone:
+	case <-time.After(writeResultTimeout):
+		return nil
+	}
+	if x.writeErr != nil {
+		return fmt.Errorf("%w: writing the request: %w", io.ErrUnexpectedEOF, x.writeErr)
+	}
+	return nil
+}
+
 // sendError returns the error of a request that failed before its response. It wraps
 // ErrNotSent if no byte of the request was sent. Otherwise the request may have arrived.
 func (x *exchange) sendError(ctx context.Context, err error) error {
