backpressure: what endpoints say of further requests, as a decision package

Change: a package without I/O that answers 'may I send' and 'until when', for one run of an endpoint: leaving is final and told to other hosts with source and age; a stated time ends at the latest end that was told, later by a random part, and requests return one by one.

--- /dev/null
+++ b/internal/backpressure/endpoint.go
@@ -0,0 +1,200 @@
+package backpressure
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// fullLimit is the number of requests in progress from which a return is complete.
+	fullLimit = 64
+	// returnSpread is the largest part of a stated time by which a host returns later than it was told,
+	// and maxReturnSpread its upper bound.
+	returnSpread    = 0.25
+	maxReturnSpread = time.Second
+	// minReturnSpread keeps hosts apart after a short time too.
+	minReturnSpread = 100 * time.Millisecond
+)
+
+// Belief says from whom and since when it is known that an endpoint leaves.
+type Belief struct {
+	// Source is the name of the host that the endpoint told.
+	Source string
+	// Since is when the endpoint told it.
+	Since time.Time
+}
+
+// Verdict says whether a request may be sent to an endpoint.
+type Verdict struct {
+	Allowed bool
+	// Leaving is set if the endpoint leaves: it will never be allowed again.
+	Leaving bool
+	// OpensAt is when requests may return to a closed endpoint; zero if it is not closed.
+	OpensAt time.Time
+}
+
+// Change is what a signal changed.
+type Change struct {
+	// Left is set if it was not known before that the endpoint leaves.
+	Left bool
+	// OpensAt is when requests may return; zero if the signal did not close the endpoint or has not
+	// moved that time back.
+	OpensAt time.Time
+}
+
+// Endpoint is what is known of one run of an endpoint. It is safe for concurrent use.
+type Endpoint struct {
+	// restricted is set while a restriction may apply. Requests to other endpoints take no lock.
+	restricted atomic.Bool
+	mu         sync.Mutex
+	leaving    *Belief
+	// opensAt is the latest end of a stated time; zero if none was stated since the last complete
+	// return.
+	opensAt time.Time
+	// limit bounds the requests that are in progress since opensAt, of which running are. It is zero
+	// until the first one is sent.
+	limit   int
+	running int
+	// round counts the times for which the endpoint was closed, so that a permit of an earlier one
+	// changes nothing in a later one.
+	round int
+}
+
+// Observe records a signal of a response that arrived now at the host with the given name. The random
+// number, from 0 to 1, delays the return. A time that ends before one stated earlier changes nothing.
+func (e *Endpoint) Observe(now time.Time, random float64, s Signal, host string) Change {
+	if !s.Leaving && s.RetryAfter <= 0 {
+		return Change{}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var c Change
+	if s.Leaving {
+		c.Left = e.learnLocked(Belief{Source: host, Since: now})
+	}
+	if s.RetryAfter > 0 {
+		c.OpensAt = e.closeLocked(now, random, s.RetryAfter)
+	}
+	return c
+}
+
+// learnLocked records that the endpoint leaves, and reports whether that was not known.
+func (e *Endpoint) learnLocked(b Belief) bool {
+	if e.leaving != nil {
+		return false
+	}
+	e.leaving = &b
+	e.restricted.Store(true)
+	return true
+}
+
+// closeLocked closes the endpoint for a stated time, and returns when it opens; zero if it was closed
+// for longer.
+func (e *Endpoint) closeLocked(now time.Time, random float64, retryAfter time.Duration) time.Time {
+	retryAfter = min(retryAfter, MaxRetryAfter)
+	if !now.Add(retryAfter).After(e.opensAt) {
+		return time.Time{}
+	}
+	spread := min(max(time.Duration(returnSpread*float64(retryAfter)), minReturnSpread), maxReturnSpread)
+	e.opensAt = now.Add(retryAfter + time.Duration(random*float64(spread)))
+	e.limit, e.running = 0, 0
+	e.round++
+	e.restricted.Store(true)
+	return e.opensAt
+}
+
+// Verdict returns whether a request may be sent now.
+func (e *Endpoint) Verdict(now time.Time) Verdict {
+	if !e.restricted.Load() {
+		return Verdict{Allowed: true}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.verdictLocked(now)
+}
+
+func (e *Endpoint) verdictLocked(now time.Time) Verdict {
+	switch {
+	case e.leaving != nil:
+		return Verdict{Leaving: true}
+	case e.opensAt.IsZero():
+		return Verdict{Allowed: true}
+	case now.Before(e.opensAt):
+		return Verdict{OpensAt: e.opensAt}
+	}
+	return Verdict{Allowed: e.running < max(e.limit, 1), OpensAt: e.opensAt}
+}
+
+// Acquire asks for permission to send a request now. The permit is nil if that is not allowed. It has to
+// be released when the request ends.
+func (e *Endpoint) Acquire(now time.Time) (*Permit, Verdict) {
+	if !e.restricted.Load() {
+		return &Permit{}, Verdict{Allowed: true}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := e.verdictLocked(now)
+	if !v.Allowed {
+		return nil, v
+	}
+	if e.opensAt.IsZero() {
+		return &Permit{}, v
+	}
+	first := e.limit == 0
+	e.limit = max(e.limit, 1)
+	e.running++
+	return &Permit{endpoint: e, round: e.round, First: first}, v
+}
+
+// Permit is the permission to send one request to an endpoint.
+type Permit struct {
+	// First is set for the first request after the endpoint was closed.
+	First bool
+	// endpoint is nil unless the endpoint limits the requests in progress.
+	endpoint *Endpoint
+	round    int
+}
+
+// Answered records that the endpoint has begun to respond, and did not close itself again. Only the
+// first call has an effect. It reports whether the return of requests is now complete.
+func (p *Permit) Answered() (complete bool) {
+	e := p.take()
+	if e == nil {
+		return false
+	}
+	defer e.mu.Unlock()
+	e.running--
+	e.limit *= 2
+	if e.limit < fullLimit {
+		return false
+	}
+	e.opensAt, e.limit, e.running = time.Time{}, 0, 0
+	e.round++
+	e.restricted.Store(e.leaving != nil)
+	return true
+}
+
+// Release records that the request has ended. It has no effect after Answered.
+func (p *Permit) Release() {
+	if e := p.take(); e != nil {
+		e.running--
+		e.mu.Unlock()
+	}
+}
+
+// take returns the endpoint, locked, and detaches the permit from it. It returns nil if the permit was
+// taken before, or if the endpoint has been closed or completely opened since.
+func (p *Permit) take() *Endpoint {
+	e := p.endpoint
+	if e == nil {
+		return nil
+	}
+	p.endpoint = nil
+	e.mu.Lock()
+	if e.round != p.round {
+		e.mu.Unlock()
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/internal/backpressure/signal.go
@@ -0,0 +1,79 @@
+package backpressure
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Signal is what a response says about further requests to its endpoint. The zero value says nothing.
+type Signal struct {
+	// Leaving means that the endpoint is about to end and accepts no more requests.
+	Leaving bool
+	// RetryAfter is how long the endpoint wants no requests from this host; zero if it did not say.
+	RetryAfter time.Duration
+}
+
+// MaxRetryAfter bounds a stated time. It is longer than the life of most endpoints, whose end also ends
+// the time.
+const MaxRetryAfter = 24 * time.Hour
+
+// errMalformedRetryAfter means that a value is neither a number of seconds nor a date.
+var errMalformedRetryAfter = errors.New("malformed Retry-After")
+
+// ParseRetryAfter parses the value of a Retry-After header: seconds, which may have a fraction, or an
+// HTTP date. A date counts from the value of the same response's Date header, because the clocks of two
+// hosts may differ; without one it is an error. Zero and a date in the past are no time at all. A time
+// over MaxRetryAfter, however large, counts as MaxRetryAfter.
+func ParseRetryAfter(value, date string) (time.Duration, error) {
+	value = strings.TrimSpace(value)
+	if isDecimal(value) {
+		return parseSeconds(value), nil
+	}
+	until, err := http.ParseTime(value)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %q", errMalformedRetryAfter, value)
+	}
+	sent, err := http.ParseTime(strings.TrimSpace(date))
+	if err != nil {
+		return 0, fmt.Errorf("%w: the response of %q has no date", errMalformedRetryAfter, value)
+	}
+	return min(max(until.Sub(sent), 0), MaxRetryAfter), nil
+}
+
+// isDecimal reports whether the text consists of digits, with at most one point between them.
+func isDecimal(text string) bool {
+	whole, fraction, hasPoint := strings.Cut(text, ".")
+	return isDigits(whole) && (!hasPoint || isDigits(fraction))
+}
+
+func isDigits(text string) bool {
+	return text != "" && strings.Trim(text, "0123456789") == ""
+}
+
+// parseSeconds returns the duration of a decimal number of seconds, rounded up to a millisecond.
+func parseSeconds(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || seconds >= MaxRetryAfter.Seconds() {
+		// The only possible error is a number out of range.
+		return MaxRetryAfter
+	}
+	d := time.Duration(seconds * float64(time.Second))
+	return (d + time.Millisecond - 1).Truncate(time.Millisecond)
+}
+
+// LongestRetryAfter parses each value of a repeated Retry-After header and returns the longest time. It
+// returns the first error if a value is malformed, together with the longest of the others.
+func LongestRetryAfter(values []string, date string) (longest time.Duration, err error) {
+	for _, value := range values {
+		d, parseErr := ParseRetryAfter(value, date)
+		longest = max(longest, d)
+		if err == nil {
+			err = parseErr
+		}
+	}
+	return longest, err
+}
--- /dev/null
+++ b/internal/backpressure/table.go
@@ -0,0 +1,184 @@
+package backpressure
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// newsRetention is how long after an endpoint told it the hosts tell each other that it leaves.
+	// Messages are repeated, because they may be lost.
+	newsRetention = 5 * time.Second
+	// maxNews bounds the endpoints of one message.
+	maxNews = 100
+	// maxUnlisted bounds the remembered endpoints that are not listed. Closed ones are forgotten first, and
+	// then those that are known to leave for the longest time.
+	maxUnlisted = 4096
+)
+
+// Instance identifies one run of an endpoint.
+type Instance struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	// StartMillis is when the run started, in Unix milliseconds; zero if unknown.
+	StartMillis int64 `json:"born,omitempty"`
+}
+
+// News is the message of a host that an endpoint leaves.
+type News struct {
+	Instance
+	// Source is the host that the endpoint told, and AgeMillis how long ago.
+	Source    string `json:"source"`
+	AgeMillis int64  `json:"age_ms"`
+}
+
+// Table holds the endpoints by run. It is safe for concurrent use.
+type Table struct {
+	// host is the name of this host.
+	host      string
+	mu        sync.Mutex
+	endpoints map[Instance]*Endpoint
+}
+
+// NewTable returns an empty table of the host with the given name.
+func NewTable(host string) *Table {
+	return &Table{host: host, endpoints: map[Instance]*Endpoint{}}
+}
+
+// Endpoint returns the state of a run of an endpoint, which it creates if there is none.
+func (t *Table) Endpoint(i Instance) *Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[i]
+	if e == nil {
+		e = &Endpoint{}
+		t.endpoints[i] = e
+	}
+	return e
+}
+
+// Observe records a signal of a response of an endpoint that arrived now. The random number, from 0 to
+// 1, delays the return of requests to it.
+func (t *Table) Observe(now time.Time, random float64, i Instance, s Signal) Change {
+	return t.Endpoint(i).Observe(now, random, s, t.host)
+}
+
+// IsLeaving reports whether the endpoint has told a host that it leaves.
+func (t *Table) IsLeaving(i Instance) bool {
+	t.mu.Lock()
+	e := t.endpoints[i]
+	t.mu.Unlock()
+	return e != nil && e.restricted.Load() && e.belief() != nil
+}
+
+func (e *Endpoint) belief() *Belief {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
+// Learn records the news of another host, and returns those that were new.
+func (t *Table) Learn(now time.Time, news []News) []News {
+	var learned []News
+	for _, n := range news {
+		if n.ID == "" || n.AgeMillis < 0 {
+			continue
+		}
+		e := t.Endpoint(n.Instance)
+		e.mu.Lock()
+		since := now.Add(-time.Duration(min(n.AgeMillis, newsRetention.Milliseconds())) * time.Millisecond)
+		if e.learnLocked(Belief{Source: n.Source, Since: since}) {
+			learned = append(learned, n)
+		}
+		e.mu.Unlock()
+	}
+	return learned
+}
+
+// News returns what to tell the other hosts: the endpoints that have told a host in the last seconds that
+// they leave, the newest first.
+func (t *Table) News(now time.Time) []News {
+	var news []News
+	for i, b := range t.leaving() {
+		if age := now.Sub(b.Since); age < newsRetention {
+			news = append(news, News{Instance: i, Source: b.Source, AgeMillis: age.Milliseconds()})
+		}
+	}
+	slices.SortFunc(news, func(a, b News) int {
+		return cmp.Or(cmp.Compare(a.AgeMillis, b.AgeMillis), cmp.Compare(a.ID, b.ID))
+	})
+	return news[:min(len(news), maxNews)]
+}
+
+// leaving returns the endpoints that are known to leave.
+func (t *Table) leaving() map[Instance]Belief {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	beliefs := map[Instance]Belief{}
+	for i, e := range t.endpoints {
+		if !e.restricted.Load() {
+			continue
+		}
+		if b := e.belief(); b != nil {
+			beliefs[i] = *b
+		}
+	}
+	return beliefs
+}
+
+// Counts returns how many endpoints are known to leave, and how many others are closed.
+func (t *Table) Counts(now time.Time) (leaving, closed int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.endpoints {
+		switch v := e.Verdict(now); {
+		case v.Leaving:
+			leaving++
+		case now.Before(v.OpensAt):
+			closed++
+		}
+	}
+	return leaving, closed
+}
+
+// Retain forgets the endpoints that are not listed, except those that leave or to which requests have not
+// returned completely: a later list may name them again.
+func (t *Table) Retain(listed []Instance) {
+	keep := make(map[Instance]bool, len(listed))
+	for _, i := range listed {
+		keep[i] = true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var unlisted []Instance
+	for i, e := range t.endpoints {
+		if keep[i] {
+			continue
+		}
+		if e.restricted.Load() {
+			unlisted = append(unlisted, i)
+			continue
+		}
+		delete(t.endpoints, i)
+	}
+	t.forgetOldestLocked(unlisted)
+}
+
+// forgetOldestLocked forgets as many endpoints as there are over maxUnlisted.
+func (t *Table) forgetOldestLocked(unlisted []Instance) {
+	if len(unlisted) <= maxUnlisted {
+		return
+	}
+	since := func(i Instance) time.Time {
+		if b := t.endpoints[i].belief(); b != nil {
+			return b.Since
+		}
+		return time.Time{}
+	}
+	slices.SortFunc(unlisted, func(a, b Instance) int { return since(a).Compare(since(b)) })
+	for _, i := range unlisted[:len(unlisted)-maxUnlisted] {
+		delete(t.endpoints, i)
+	}
+}
