proxy, node, platform: no request to an endpoint that says that it leaves or is full

Cause: endpoints say in their answers that they leave (Server-Leaving) and for how long they want nothing from this host (503 with Retry-After); nothing read either, and the list may say it late or never. Change: platform decodes both and decides nothing; the balancer never chooses such an endpoint, not as a last resort either, and the proxy asks again when the connection stands, before the first byte (a request that was chosen earlier is withdrawn and placed anew). That an endpoint leaves goes to the other hosts with the reports and digests, with source and age, and the plan of endpoints counts it as gone; a closed one is neither lost to the plan nor a failure. If all are closed, callers are told at once when room is expected, one after the other. Decided and tested: other values, repeated headers, trailers, answers of other attempts, late ones.

--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -57,20 +57,27 @@
 
 // Open sends a request and returns once the response header has arrived.
 func (c *Client) Open(ctx context.Context, address string, req *fasthttp.Request) (*Body, error) {
-	return c.OpenTarget(ctx, Target{Address: address}, req, nil)
+	return c.OpenTarget(ctx, Target{Address: address}, req, OpenOptions{})
+}
+
+// OpenOptions are the conditions of sending a request and of accepting its response. Zero fields set
+// none.
+type OpenOptions struct {
+	// BeforeSend is called when there is a connection, immediately before the request is written. If it
+	// returns an error, nothing is sent, and the error is returned together with ErrNotSent.
+	BeforeSend func() error
+	// Matches reports whether a response belongs to the request. Other responses, to earlier requests on
+	// the connection, are discarded, at most maxMismatchedResponses of them.
+	Matches func(*fasthttp.ResponseHeader) bool
 }
 
 // maxMismatchedResponses is how many responses to earlier requests are skipped on one
 // connection. If one more follows, OpenTarget fails.
 const maxMismatchedResponses = 2
 
-// OpenTarget is Open for a Target. The function matches reports whether a response belongs to
-// this request. Other responses, to earlier requests on the connection, are discarded, at most
-// maxMismatchedResponses of them. If matches is nil, every response belongs to this request.
-func (c *Client) OpenTarget(
-	ctx context.Context, target Target, req *fasthttp.Request, matches func(*fasthttp.ResponseHeader) bool,
-) (*Body, error) {
-	x, err := c.send(ctx, target, req)
+// OpenTarget is Open for a Target and with options.
+func (c *Client) OpenTarget(ctx context.Context, target Target, req *fasthttp.Request, o OpenOptions) (*Body, error) {
+	x, err := c.send(ctx, target, req, o.BeforeSend)
 	if err != nil {
 		return nil, err
 	}
@@ -85,7 +92,7 @@
 		}
 		b := &Body{Response: resp, ctx: ctx, exchange: x}
 		b.ended = resp.BodyStream() == nil
-		if matches == nil || matches(&resp.Header) {
+		if o.Matches == nil || o.Matches(&resp.Header) {
 			return b, nil
 		}
 		if err := b.discard(); err != nil {
--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -79,7 +79,7 @@
 
 // Do sends a request and reads the whole response, of at most MaxResponseBytes.
 func (c *Client) Do(ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response) error {
-	x, err := c.send(ctx, Target{Address: address}, req)
+	x, err := c.send(ctx, Target{Address: address}, req, nil)
 	if err != nil {
 		return err
 	}
@@ -170,8 +170,9 @@
 	writeErr  error
 }
 
-// send takes a connection to the target and writes the request to it.
-func (c *Client) send(ctx context.Context, target Target, req *fasthttp.Request) (*exchange, error) {
+// send takes a connection to the target and writes the request to it, unless beforeSend returns an error;
+// it may be nil.
+func (c *Client) send(ctx context.Context, target Target, req *fasthttp.Request, beforeSend func() error) (*exchange, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -180,6 +181,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if err := checkBeforeSend(beforeSend); err != nil {
+		x.release(true)
+		return nil, err
+	}
 	if len(req.Body()) > concurrentBodyBytes {
 		x.writeConcurrently(h, req)
 		return x, nil
@@ -191,6 +196,16 @@
 	return x, nil
 }
 
+func checkBeforeSend(beforeSend func() error) error {
+	if beforeSend == nil {
+		return nil
+	}
+	if err := beforeSend(); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return nil
+}
+
 // acquire takes a usable connection from the pool or dials a new one. Pooled connections
 // that are no longer usable (see errStaleConn) are dropped.
 func acquire(ctx context.Context, h *fasthttp.HostClient) (*exchange, error) {
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -1,6 +1,11 @@
 package balancer
 
-import "time"
+import (
+	"errors"
+	"time"
+
+	"rattanchute/internal/backpressure"
+)
 
 // Attempt is one request at one endpoint, from the time it is sent until it ends.
 type Attempt struct {
@@ -13,6 +18,10 @@
 	memoryTokens  int
 	answered      bool
 	ended         bool
+	// signals and instance are those of the chosen endpoint, even if it is no longer in the table.
+	signals  *backpressure.Table
+	instance backpressure.Instance
+	permit   *backpressure.Permit
 }
 
 // Begin counts a request as in flight at the chosen endpoint. An engine is from now on assumed
@@ -21,7 +30,7 @@
 	p := t.pool(r.Fleet)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := &Attempt{pool: p, request: r, choice: c, sentAt: now}
+	a := &Attempt{pool: p, request: r, choice: c, sentAt: now, signals: t.signals, instance: InstanceOf(&c.Endpoint.Endpoint)}
 	e := p.endpoints[c.Endpoint.ID]
 	if e == nil {
 		return a
@@ -38,6 +47,38 @@
 	return a
 }
 
+// Permit asks, immediately before the request is sent, whether the endpoint still accepts requests: it
+// may have closed itself or begun to leave since it was chosen. It reports whether this is the first
+// request after the endpoint was closed.
+func (a *Attempt) Permit(now time.Time) (first bool, err error) {
+	permit, verdict := a.signals.Endpoint(a.instance).Acquire(now)
+	switch {
+	case permit != nil:
+		a.permit = permit
+		return permit.First, nil
+	case verdict.Leaving:
+		return false, ErrEndpointLeaving
+	}
+	return false, ErrEndpointClosed
+}
+
+// ErrEndpointLeaving and ErrEndpointClosed mean that a request was not sent because of what its endpoint
+// had said in a response.
+var (
+	ErrEndpointLeaving = errors.New("endpoint is leaving")
+	ErrEndpointClosed  = errors.New("endpoint is closed for some time")
+)
+
+// ObserveSignal records what the response of the endpoint says about further requests. The random
+// number, from 0 to 1, delays the return of requests to a closed endpoint.
+func (a *Attempt) ObserveSignal(now time.Time, random float64, s backpressure.Signal) backpressure.Change {
+	change := a.signals.Observe(now, random, a.instance, s)
+	if s.RetryAfter <= 0 && a.permit != nil {
+		a.permit.Answered()
+	}
+	return change
+}
+
 // FirstEvent records that the first event of a stream has arrived.
 func (a *Attempt) FirstEvent(now time.Time) {
 	a.pool.mu.Lock()
@@ -117,6 +158,9 @@
 		return HealthChange{}
 	}
 	a.ended = true
+	if a.permit != nil {
+		a.permit.Release()
+	}
 	a.clearPending()
 	e := a.endpoint
 	if e == nil {
--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/registry"
 )
 
@@ -30,6 +31,8 @@
 // a new state. inFlight, pendingTokens and memoryTokens count only the requests of this host.
 type endpoint struct {
 	known registry.Known
+	// signals is what the endpoint said in its responses about further requests.
+	signals *backpressure.Endpoint
 	// idHash is a hash of the endpoint's ID.
 	idHash uint64
 	// model is set for engines and not set for plain services.
--- a/internal/balancer/stale_test.go
+++ b/internal/balancer/stale_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/registry"
 )
@@ -89,7 +90,7 @@
 	}
 	var hosts []*Table
 	for range staleHosts {
-		h := NewTable("dc")
+		h := NewTable("dc", backpressure.NewTable("host"))
 		h.Configure(&fleet.Configuration{Fleets: []fleet.Fleet{{Name: modelFleet, Engine: &fleet.Engine{
 			Slots: 64, CacheTokens: 560_000, BytesPerToken: 18_432, LinkMbps: 130_000,
 		}}}})
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/registry"
 )
@@ -14,8 +15,10 @@
 // Table selects endpoints and tracks their load. Each fleet has its own lock.
 type Table struct {
 	dataCentre string
-	mu         sync.RWMutex
-	pools      map[string]*pool
+	// signals is what the endpoints said in their responses about further requests.
+	signals *backpressure.Table
+	mu      sync.RWMutex
+	pools   map[string]*pool
 }
 
 // pool holds the endpoints of one fleet.
@@ -32,11 +35,14 @@
 	// firstEventSlowness is by how much first events over the whole fleet recently took longer
 	// than expected.
 	firstEventSlowness slowness
+	// returns spreads the callers that were refused because all endpoints are closed.
+	returns backpressure.Returns
 }
 
-// NewTable returns a table without endpoints for a host in the data centre.
-func NewTable(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, pools: map[string]*pool{}}
+// NewTable returns a table without endpoints for a host in the data centre. It chooses no endpoint that
+// is leaving or closed according to signals.
+func NewTable(dataCentre string, signals *backpressure.Table) *Table {
+	return &Table{dataCentre: dataCentre, signals: signals, pools: map[string]*pool{}}
 }
 
 // Configure records for each fleet of the configuration whether its endpoints are engines and, if
@@ -90,11 +96,11 @@
 	}
 	t.mu.RUnlock()
 	for name, list := range byFleet {
-		t.pool(name).setEndpoints(list)
+		t.pool(name).setEndpoints(list, t.signals)
 	}
 }
 
-func (p *pool) setEndpoints(list []registry.Known) {
+func (p *pool) setEndpoints(list []registry.Known, signals *backpressure.Table) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := make(map[string]*endpoint, len(list))
@@ -103,6 +109,7 @@
 		e := p.endpoints[k.ID]
 		if e == nil || e.known.StartMillis != k.StartMillis || e.known.Address != k.Address {
 			e = &endpoint{idHash: xxhash.Sum64String(k.ID), cache: newPrefixCache(0), peerLoads: map[string]endpointLoad{}}
+			e.signals = signals.Endpoint(InstanceOf(&k.Endpoint))
 			e.describe(p.engine)
 		}
 		e.known = k
@@ -112,6 +119,11 @@
 	p.endpoints = next
 }
 
+// InstanceOf returns the identity of an endpoint's run.
+func InstanceOf(e *registry.Endpoint) backpressure.Instance {
+	return backpressure.Instance{ID: e.ID, Address: e.Address, StartMillis: e.StartMillis}
+}
+
 func (t *Table) pool(name string) *pool {
 	t.mu.RLock()
 	p := t.pools[name]
@@ -137,7 +149,7 @@
 }
 
 // Choose selects the endpoint with the lowest cost for a request; it returns false if there is
-// none. Ejected endpoints are chosen only if there is no other. Between endpoints of about equal
+// none. Ejected endpoints are chosen only if there is no other, leaving and closed ones never. Between endpoints of about equal
 // cost, a shared prefix decides, and if there is none, the random word.
 func (t *Table) Choose(now time.Time, random uint64, r Request) (Choice, bool) {
 	p := t.pool(r.Fleet)
@@ -164,6 +176,9 @@
 		if e.known.Leaving || slices.Contains(r.Exclude, e.known.ID) || e.ejected(now) && !includeEjected {
 			continue
 		}
+		if !e.signals.Verdict(now).Allowed {
+			continue
+		}
 		eligible = append(eligible, e)
 	}
 	var best *candidate
@@ -179,6 +194,39 @@
 	return best
 }
 
+// Opening reports whether all endpoints of a fleet are closed for some time, apart from those that leave,
+// and if so, after which time a caller that is refused now should return. Each caller is given a later
+// time, as the endpoints find room.
+func (t *Table) Opening(now time.Time, fleetName string) (returnIn time.Duration, closed bool) {
+	p := t.pool(fleetName)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	opensAt, slots := p.opening(now)
+	if slots == 0 {
+		return 0, false
+	}
+	return p.returns.Next(now, opensAt, p.meanDuration/time.Duration(slots)), true
+}
+
+// opening returns when the first closed endpoint opens and the slots of all of them. It returns no slots
+// if an endpoint is open.
+func (p *pool) opening(now time.Time) (opensAt time.Time, slots int) {
+	for _, e := range p.ordered {
+		v := e.signals.Verdict(now)
+		if e.known.Leaving || v.Leaving {
+			continue
+		}
+		if v.Allowed {
+			return time.Time{}, 0
+		}
+		slots += max(e.known.Slots, 1)
+		if opensAt.IsZero() || v.OpensAt.Before(opensAt) {
+			opensAt = v.OpensAt
+		}
+	}
+	return opensAt, slots
+}
+
 // cacheSource is the endpoint that has the longest part of a prompt cached; zero if there is
 // none.
 type cacheSource struct {
@@ -198,7 +246,7 @@
 func (p *pool) cacheSource(now time.Time, r *Request) cacheSource {
 	var best cacheSource
 	for _, e := range p.ordered {
-		if !e.model || e.known.Leaving || e.ejected(now) {
+		if !e.model || e.known.Leaving || e.ejected(now) || e.signals.Verdict(now).Leaving {
 			continue
 		}
 		if n := e.cache.matchedTokens(r.Prefixes); n > best.tokens {
--- a/internal/balancer/table_test.go
+++ b/internal/balancer/table_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/registry"
 )
@@ -16,7 +17,7 @@
 const modelFleet, plainFleet = "model", "plain"
 
 func newTestTable(endpoints int) *Table {
-	t := NewTable("dc")
+	t := NewTable("dc", backpressure.NewTable("host"))
 	t.Configure(&fleet.Configuration{Fleets: []fleet.Fleet{
 		{Name: modelFleet, Engine: &fleet.Engine{Slots: 8, CacheTokens: 500_000, BytesPerToken: 18_432, LinkMbps: 130_000}},
 		{Name: plainFleet},
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
@@ -74,6 +75,9 @@
 	Generation       fleet.Generation    `json:"generation,omitempty"`
 	EndpointsVersion objectstore.Version `json:"endpoints_version,omitempty"`
 
+	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
+	LeavingEndpoints []backpressure.News `json:"leaving_endpoints,omitempty"`
+
 	Quota quota.SpendingReport `json:"quota"`
 	Usage []HostUsage          `json:"usage,omitempty"`
 	// FinalUsage holds the totals of the last windows that the sender may have reported to the platform.
@@ -108,6 +112,8 @@
 	// Generation is that of the active configuration.
 	Generation fleet.Generation `json:"generation,omitempty"`
 	Endpoints  registry.Delta   `json:"endpoints"`
+	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
+	LeavingEndpoints []backpressure.News `json:"leaving_endpoints,omitempty"`
 	// Levels are the remaining quota tokens by organisation, after all processed reports.
 	Levels map[string]float64 `json:"levels,omitempty"`
 	// Loads are the loads of all hosts, including the follower's own. If the digest would be too large,
--- a/internal/loadshed/loadshed_test.go
+++ b/internal/loadshed/loadshed_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/registry"
@@ -153,7 +154,7 @@
 // tenth.
 func simulate(engineCount, slots int, mix []*class, seed uint64, decide func(Request, Estimate) Decision) float64 {
 	rnd := rand.New(rand.NewPCG(seed, 1))
-	table := balancer.NewTable("dc")
+	table := balancer.NewTable("dc", backpressure.NewTable("host"))
 	table.Configure(&fleet.Configuration{Fleets: []fleet.Fleet{{Name: "f", Engine: &fleet.Engine{Slots: slots, CacheTokens: 400_000}}}})
 	var known []registry.Known
 	engines := map[string]*engine{}
--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -21,7 +21,7 @@
 			}
 			return t.Configuration()
 		},
-		Endpoints:   n.endpoints.Known,
+		Endpoints:   n.knownEndpoints,
 		Demand:      n.totalDemand,
 		DataCentres: names,
 	}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"time"
 
+	"rattanchute/internal/backpressure"
+	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/registry"
@@ -138,6 +141,40 @@
 			Int64("leaves_in_ms", c.Endpoint.LeavesIn.Milliseconds()).
 			Uint64("version", c.Version.Revision()).Msg("endpoint changed")
 	}
-	n.balancer.SetEndpoints(n.endpoints.Known())
+	n.setEndpoints()
 	n.announceChange()
 }
+
+// setEndpoints passes the list of endpoints to the balancer.
+func (n *Node) setEndpoints() {
+	known := n.endpoints.Known()
+	n.balancer.SetEndpoints(known)
+	listed := make([]backpressure.Instance, 0, len(known))
+	for i := range known {
+		listed = append(listed, balancer.InstanceOf(&known[i].Endpoint))
+	}
+	n.signals.Retain(listed)
+}
+
+// knownEndpoints returns the listed endpoints. Those that have told a host that they leave are leaving,
+// whatever the store says of them.
+func (n *Node) knownEndpoints() []registry.Known {
+	known := n.endpoints.Known()
+	for i := range known {
+		e := &known[i].Endpoint
+		e.Leaving = e.Leaving || n.signals.IsLeaving(balancer.InstanceOf(e))
+	}
+	return known
+}
+
+// learnLeaving records and logs which endpoints another host reports to leave, and passes them on.
+func (n *Node) learnLeaving(now time.Time, from string, news []backpressure.News) {
+	learned := n.signals.Learn(now, news)
+	for _, l := range learned {
+		n.Log.Info().Str("endpoint", l.ID).Str("address", l.Address).Str("peer", from).
+			Str("source", l.Source).Int64("age_ms", l.AgeMillis).Msg("endpoint said to a peer that it leaves")
+	}
+	if len(learned) > 0 {
+		n.announceChange()
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -107,6 +107,16 @@
 			_, reported := n.balancer.Compare(clock.Now())
 			return float64(reported)
 		})
+	gauge("rattanchute_endpoints_said_leaving", "Endpoints that have said in a response that they leave.",
+		func() float64 {
+			leaving, _ := n.signals.Counts(clock.Now())
+			return float64(leaving)
+		})
+	gauge("rattanchute_endpoints_closed", "Endpoints that want no requests from this host for some time.",
+		func() float64 {
+			_, closed := n.signals.Counts(clock.Now())
+			return float64(closed)
+		})
 	n.restores = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rattanchute_store_restores_total", Help: "Restores of the platform's store from an older copy that this host has seen.",
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/adapter/peerudp"
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/duty"
@@ -92,11 +93,13 @@
 	usage        *usage.Ledger
 	clusterClock *clock.ClusterClock
 	endpoints    *registry.View
-	peers        *heartbeat.Table
-	sent         *heartbeat.History
-	socket       *peerudp.Socket
-	lease        *lease.Runner
-	duties       *duty.Runner
+	// signals is what endpoints said in their responses about further requests.
+	signals *backpressure.Table
+	peers   *heartbeat.Table
+	sent    *heartbeat.History
+	socket  *peerudp.Socket
+	lease   *lease.Runner
+	duties  *duty.Runner
 
 	// ready is reported to the platform's load balancer unless leaving is set; stopped is set
 	// once the host's last request has ended, or at the end of the grace period.
@@ -140,18 +143,20 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	}
+	signals := backpressure.NewTable(s.Name)
 	n := &Node{
 		Dependencies: deps,
 		incarnation:  wall.UnixMilli(),
 		startedAt:    now,
 		registry:     prometheus.NewRegistry(),
-		balancer:     balancer.NewTable(s.DataCentre),
+		balancer:     balancer.NewTable(s.DataCentre, signals),
 		quota: quota.NewLedger(quota.Tolerance{
 			Window: s.Bounds.QuotaWindow, Overrun: s.Bounds.QuotaOverrun, Slack: s.Bounds.QuotaSlack,
 		}, !s.FirstStart),
 		usage:        usage.NewLedger(max(s.Bounds.UsageWindow, time.Second)),
 		clusterClock: clock.NewClusterClock(now, wall),
 		endpoints:    registry.NewView(),
+		signals:      signals,
 
 		configurationStale: make(chan struct{}, 1),
 		endpointsStale:     make(chan struct{}, 1),
@@ -192,6 +197,7 @@
 		RetryBudget:  n.retryBudget,
 		Telemetry:    proxy.NewTelemetry(n.Log, n.registry),
 		OnStarted:    n.countRequest,
+		OnLeaving:    func() { wake(n.reportNow) },
 		DenyMaxAge:   denyMaxAge,
 		MaxBodyBytes: int64(bodyMemoryFraction * float64(max(s.MemoryBytes, 64<<20))),
 	}
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -57,6 +57,7 @@
 	if n.lease != nil && r.LeaseVersion > 0 {
 		n.lease.OnReport(r.LeaseVersion, now)
 	}
+	n.learnLeaving(now, r.Name, r.LeavingEndpoints)
 	if receipt.Role == heartbeat.RoleUnrelated {
 		// The host that it follows reports what it spends.
 		n.quota.Forget(r.Name)
@@ -100,6 +101,8 @@
 	if receipt.Role != heartbeat.RoleLeader {
 		return
 	}
+	// That an endpoint leaves is final, so that this holds however old the digest is.
+	n.learnLeaving(now, d.Name, d.LeavingEndpoints)
 	ack := d.Acks[n.Settings.Name]
 	sent, ok := n.sent.At(ack.Included)
 	if !ok || now.Sub(sent.At) > maxAckAge {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -212,6 +212,7 @@
 	if r.LeaseVersion > 0 {
 		r.FinalUsage = n.usage.Final(reportedUsageWindows)
 	}
+	r.LeavingEndpoints = n.signals.News(now)
 	r.Members, r.Left = n.peers.Members(now)
 	r.Usage = n.reportedUsage(now, r.Members)
 	r.Generation = n.activeGeneration()
@@ -264,8 +265,11 @@
 		Known:          known,
 		Generation:     n.activeGeneration(),
 		Endpoints:      n.endpoints.Delta(now),
-		Levels:         n.quota.SpendingReport(now).Level,
-		Loads:          n.balancer.Loads(now, balancer.ScopeAll),
-		Prefills:       prefills[max(len(prefills)-maxReportedPrefills, 0):],
+
+		LeavingEndpoints: n.signals.News(now),
+
+		Levels:   n.quota.SpendingReport(now).Level,
+		Loads:    n.balancer.Loads(now, balancer.ScopeAll),
+		Prefills: prefills[max(len(prefills)-maxReportedPrefills, 0):],
 	}
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -33,6 +34,8 @@
 	err error
 	// status is the HTTP status that the endpoint returned; zero before there is a response.
 	status int
+	// closed is set if the endpoint wants no further requests for some time.
+	closed bool
 	// framing is how the endpoint marks the end of its response; empty before there is a response.
 	framing httpclient.Framing
 	// events is the number of complete events received.
@@ -51,7 +54,8 @@
 	a.encode(req)
 	x := a.exchange
 	target := httpclient.Target{Address: a.choice.Endpoint.Address, Instance: a.choice.Endpoint.ID}
-	body, err := x.proxy.Upstream.OpenTarget(a.ctx, target, req, a.matchesResponse)
+	options := httpclient.OpenOptions{BeforeSend: a.permit, Matches: a.matchesResponse}
+	body, err := x.proxy.Upstream.OpenTarget(a.ctx, target, req, options)
 	if err != nil {
 		return a.errorOutcome(err)
 	}
@@ -59,6 +63,15 @@
 	return a.relay(body)
 }
 
+// permit reports whether the endpoint still accepts requests, immediately before this one is sent.
+func (a *attempt) permit() error {
+	first, err := a.balancerAttempt.Permit(clock.Now())
+	if first {
+		a.exchange.proxy.telemetry.Reopened(a)
+	}
+	return err
+}
+
 func (a *attempt) encode(req *fasthttp.Request) {
 	x := a.exchange
 	upstream := UpstreamRequest{
@@ -99,6 +112,8 @@
 	switch {
 	case errors.Is(err, httpclient.ErrNotSent) && a.ctx.Err() != nil:
 		return outcomeNotSent, balancer.ResultCancelled
+	case errors.Is(err, balancer.ErrEndpointClosed), errors.Is(err, balancer.ErrEndpointLeaving):
+		return outcomeWithdrawn, balancer.ResultRefused
 	case errors.Is(err, httpclient.ErrNotSent):
 		return outcomeNotSent, balancer.ResultUnreachable
 	case a.ctx.Err() != nil:
@@ -125,6 +140,8 @@
 	info := x.proxy.HeaderCodec.DecodeResponse(header)
 	a.status = header.StatusCode()
 	a.framing = body.Framing()
+	a.observeSignal(&info)
+	a.closed = info.Signal.RetryAfter > 0
 	if info.KeepAlive > 0 {
 		body.SetIdleTimeout(time.Duration(float64(info.KeepAlive) * idleTimeoutFraction))
 	}
@@ -144,6 +161,26 @@
 	return a.relayBuffered(body)
 }
 
+// observeSignal records what a response says about further requests to its endpoint. After another
+// instance has answered, that instance is not known; the one that was chosen is gone in any case.
+func (a *attempt) observeSignal(info *ResponseInfo) {
+	change := a.balancerAttempt.ObserveSignal(clock.Now(), rand.Float64(), info.Signal)
+	a.exchange.proxy.telemetry.SignalObserved(a, info, change)
+	if change.Left {
+		a.exchange.proxy.OnLeaving()
+	}
+}
+
+// observeTrailer records a signal in the trailer of a response that has been read to its end. The trailer
+// is part of the header by then, and is forwarded with it.
+func (a *attempt) observeTrailer(body *httpclient.Body) {
+	if a.framing != httpclient.FramingChunked || a.closed {
+		return
+	}
+	info := a.exchange.proxy.HeaderCodec.DecodeResponse(&body.Response.Header)
+	a.observeSignal(&info)
+}
+
 // isEventStream reports whether a response is a stream of events: one with status 200 whose content
 // type says so or is missing.
 func isEventStream(h *fasthttp.ResponseHeader) bool {
@@ -168,16 +205,17 @@
 		}
 		return outcomeFailed, balancer.ResultFailed
 	}
+	a.observeTrailer(body)
 	now := clock.Now()
 	x.markStarted(a.sentAt)
 	if a.shouldRetry() {
-		return outcomeFailed, balancer.ResultError
+		return outcomeFailed, a.errorResult()
 	}
 	defer body.Finish()
 	if x.headSent {
 		// The caller has part of a stream that was to resume at this endpoint; an error response
 		// cannot follow it.
-		return outcomeFailed, balancer.ResultError
+		return outcomeFailed, a.errorResult()
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
@@ -187,11 +225,20 @@
 	x.sendResponse(resp)
 	x.proxy.telemetry.Responded(x, a, now)
 	if a.status >= fasthttp.StatusInternalServerError {
-		return outcomeDone, balancer.ResultError
+		return outcomeDone, a.errorResult()
 	}
 	return outcomeDone, balancer.ResultOK
 }
 
+// errorResult returns the result of an attempt that was answered with an error status. An endpoint that
+// closes itself for some time has not failed.
+func (a *attempt) errorResult() balancer.Result {
+	if a.closed {
+		return balancer.ResultRefused
+	}
+	return balancer.ResultError
+}
+
 // shouldRetry reports whether the request may be retried at another endpoint because of this one's
 // error status: if the route and its MaxAttempts allow it, and if more than twice the time to the
 // first event that was estimated for this endpoint is left.
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -40,6 +40,9 @@
 	outcomeDone outcome = iota
 	// outcomeNotSent means that no byte of the request reached the endpoint.
 	outcomeNotSent
+	// outcomeWithdrawn means that nothing was sent, because the endpoint has begun to leave or has closed
+	// itself since it was chosen.
+	outcomeWithdrawn
 	// outcomeNotExecuted means that the endpoint reported that it did not run the request.
 	outcomeNotExecuted
 	// outcomeFailed means that the request may have run and that the caller has no complete
@@ -66,7 +69,7 @@
 				x.sendFailure(ctx, x.finalError(ctx))
 				return
 			}
-		case outcomeNotExecuted:
+		case outcomeNotExecuted, outcomeWithdrawn:
 		}
 		x.balancerRequest.Exclude = append(x.balancerRequest.Exclude, choice.Endpoint.ID)
 	}
@@ -85,11 +88,11 @@
 		return balancer.Choice{}, x.refusalOrFailure(ReasonEndpointsUnreachable, minRetryAfter)
 	}
 	if x.sends >= x.route.MaxAttempts {
-		return balancer.Choice{}, x.refusalOrFailure(ReasonEndpointsRefused, minRetryAfter)
+		return balancer.Choice{}, x.noRoom(now, ReasonEndpointsRefused)
 	}
 	choice, ok := x.proxy.Balancer.Choose(now, rand.Uint64(), x.balancerRequest)
 	if !ok {
-		return choice, x.refusalOrFailure(ReasonNoEndpoint, minRetryAfter)
+		return choice, x.noRoom(now, ReasonNoEndpoint)
 	}
 	if x.sends == 0 {
 		if d := loadshed.Decide(x.loadshedRequest(left), estimate(&choice)); !d.Admit {
@@ -99,11 +102,22 @@
 		}
 	}
 	if x.sends > 0 && !x.proxy.RetryBudget.Allow(now, x.fleet) {
-		return choice, x.refusalOrFailure(ReasonEndpointsRefused, minRetryAfter)
+		return choice, x.noRoom(now, ReasonEndpointsRefused)
 	}
 	return choice, nil
 }
 
+// noRoom returns the error response to a request that no endpoint takes now. While all endpoints are
+// closed for some time, a caller whose request has not run is told when they are expected to have room.
+func (x *exchange) noRoom(now time.Time, reason Reason) *errorResponse {
+	if !x.started {
+		if returnIn, closed := x.proxy.Balancer.Opening(now, x.fleet); closed {
+			return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonEndpointsClosed, max(returnIn, minRetryAfter))
+		}
+	}
+	return x.refusalOrFailure(reason, minRetryAfter)
+}
+
 // estimate returns what load shedding needs to know about the chosen endpoint.
 func estimate(c *balancer.Choice) loadshed.Estimate {
 	return loadshed.Estimate{
@@ -173,7 +187,7 @@
 	p.telemetry.Sent(x, &choice)
 	out, result := a.run()
 	p.telemetry.HealthChanged(choice.Endpoint.ID, a.balancerAttempt.End(clock.Now(), result))
-	if out != outcomeNotSent {
+	if out != outcomeNotSent && out != outcomeWithdrawn {
 		x.sends++
 	}
 	if out == outcomeFailed {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -5,6 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/fleet"
 )
 
@@ -64,6 +65,10 @@
 	NotExecuted bool
 	// WrongEndpoint is set if another endpoint has taken over the address.
 	WrongEndpoint bool
+	// Signal is what the response says about further requests to the endpoint.
+	Signal backpressure.Signal
+	// SignalErr is why a part of what it says was ignored; nil if nothing was.
+	SignalErr error
 	// Signed reports whether the endpoint signed the response.
 	Signed bool
 	// Load is the load that the endpoint reports; nil if it reports none.
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -12,6 +12,7 @@
 	refusals      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
 	streamEnds    *prometheus.CounterVec
+	signals       *prometheus.CounterVec
 	ejections     prometheus.Counter
 	first         *prometheus.HistogramVec
 	total         *prometheus.HistogramVec
@@ -38,6 +39,10 @@
 		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_stream_ends_total", Help: "Ends of endpoints' streams, by framing and how they ended.",
 		}, []string{"framing", "end"}),
+		signals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_endpoint_signals_total",
+			Help: "What responses said about further requests to their endpoint: leaving, closed for some time, or ignored.",
+		}, []string{"signal"}),
 		ejections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_endpoints_set_aside_total", Help: "Times that an endpoint was set aside for its failures.",
 		}),
@@ -58,9 +63,9 @@
 	suppressedLines := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rattanchute_gateway_log_lines_left_out_total", Help: "Lines of ordinary requests beyond the bound, by kind.",
 	}, []string{"kind"})
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.streamEnds, m.ejections, m.first, m.total, m.eventInterval,
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.streamEnds, m.signals, m.ejections, m.first, m.total, m.eventInterval,
 		suppressedLines)
-	for _, kind := range []string{lineSent, lineAnswered, lineAccept} {
+	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
 	}
 	return m
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,10 +19,8 @@
 // Upstream sends requests to endpoints.
 type Upstream interface {
 	// OpenTarget sends a request and returns its response, of which the body is still to be read.
-	// Responses for which matches returns false belong to earlier requests on the connection and are
-	// discarded.
 	OpenTarget(ctx context.Context, target httpclient.Target, req *fasthttp.Request,
-		matches func(*fasthttp.ResponseHeader) bool) (*httpclient.Body, error)
+		o httpclient.OpenOptions) (*httpclient.Body, error)
 }
 
 // Dependencies are the parts and limits that a Proxy is built from.
@@ -35,6 +33,8 @@
 	Telemetry   *Telemetry
 	// OnStarted is called once for each request of an organisation that may have started to run.
 	OnStarted func(now time.Time, organisation string)
+	// OnLeaving is called when a response says for the first time that its endpoint leaves.
+	OnLeaving func()
 	// KeyMaxAge limits the use of keys: they are refused once the configuration has not been
 	// confirmed to be the newest for this time. Zero means that they are never refused for that.
 	KeyMaxAge time.Duration
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -21,6 +21,7 @@
 	ReasonConfigurationUnconfirmed Reason = "configuration_unconfirmed"
 	ReasonQuota                    Reason = "quota"
 	ReasonNoEndpoint               Reason = "no_endpoint"
+	ReasonEndpointsClosed          Reason = "endpoints_closed"
 	ReasonOverloaded               Reason = "overloaded"
 	ReasonEndpointsRefused         Reason = "endpoints_refused"
 	ReasonEndpointsUnreachable     Reason = "endpoints_unreachable"
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 )
@@ -91,6 +92,43 @@
 		Msg("attempt ended without an answer")
 }
 
+// SignalObserved counts and logs what a response says about further requests to its endpoint, if that
+// changes what this host believes, and what of it was ignored.
+func (t *Telemetry) SignalObserved(a *attempt, info *ResponseInfo, change backpressure.Change) {
+	x := a.exchange
+	if change.Left {
+		t.metrics.signals.WithLabelValues(signalLeaving).Inc()
+		t.entry(log.WarnLevel, x).Str("endpoint", a.choice.Endpoint.ID).Int("status", a.status).
+			Msg("endpoint says that it leaves")
+	}
+	if !change.OpensAt.IsZero() {
+		t.metrics.signals.WithLabelValues(signalClosed).Inc()
+		t.entry(log.WarnLevel, x).Str("endpoint", a.choice.Endpoint.ID).Int("status", a.status).
+			Int64("retry_after_ms", info.Signal.RetryAfter.Milliseconds()).
+			Int64("opens_in_ms", change.OpensAt.Sub(clock.Now()).Milliseconds()).
+			Msg("endpoint closed")
+	}
+	if info.SignalErr != nil {
+		t.metrics.signals.WithLabelValues(signalIgnored).Inc()
+		if t.allowRoutine(clock.Now(), lineSignal) {
+			t.entry(log.WarnLevel, x).Str("endpoint", a.choice.Endpoint.ID).Int("status", a.status).
+				Err(info.SignalErr).Msg("endpoint's signal ignored")
+		}
+	}
+}
+
+// The kinds of signals in metrics.
+const (
+	signalLeaving = "leaving"
+	signalClosed  = "closed"
+	signalIgnored = "ignored"
+)
+
+// Reopened logs the first request to an endpoint after it was closed.
+func (t *Telemetry) Reopened(a *attempt) {
+	t.entry(log.InfoLevel, a.exchange).Str("endpoint", a.choice.Endpoint.ID).Msg("endpoint open again")
+}
+
 // HealthChanged logs that an endpoint was ejected as an outlier, which it also counts, or returned
 // to use. It does nothing if neither is the case.
 func (t *Telemetry) HealthChanged(endpoint string, change balancer.HealthChange) {
@@ -194,6 +232,8 @@
 		return "done"
 	case outcomeNotSent:
 		return "not_sent"
+	case outcomeWithdrawn:
+		return "withdrawn"
 	case outcomeNotExecuted:
 		return "not_executed"
 	default:
@@ -206,6 +246,7 @@
 	lineSent     = "sent"
 	lineAnswered = "answered"
 	lineAccept   = "accept_failed"
+	lineSignal   = "signal_ignored"
 )
 
 // allowRoutine reports whether a routine line may be written within the rate limit, and counts it
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rattanchute/internal/adapter/httpclient"
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
@@ -53,7 +54,16 @@
 }
 
 func (testCodec) DecodeResponse(h *fasthttp.ResponseHeader) ResponseInfo {
-	return ResponseInfo{ID: string(h.Peek("Id")), NotExecuted: len(h.Peek("Not-Executed")) > 0}
+	info := ResponseInfo{
+		ID:            string(h.Peek("Id")),
+		NotExecuted:   len(h.Peek("Not-Executed")) > 0 || h.StatusCode() == fasthttp.StatusMisdirectedRequest,
+		WrongEndpoint: h.StatusCode() == fasthttp.StatusMisdirectedRequest,
+	}
+	info.Signal.Leaving = len(h.Peek("Leaving")) > 0
+	if h.StatusCode() == fasthttp.StatusServiceUnavailable {
+		info.Signal.RetryAfter, _ = backpressure.ParseRetryAfter(string(h.Peek("Retry-After")), "")
+	}
+	return info
 }
 
 func (testCodec) EncodeRefusal(h *fasthttp.ResponseHeader, id string) { h.Set("Id", id) }
@@ -168,6 +178,8 @@
 	quota    *quota.Ledger
 	// counted is the number of requests that were counted towards usage.
 	counted atomic.Int64
+	// leaving is the number of endpoints that were found to leave.
+	leaving atomic.Int64
 }
 
 const testFleet = "f"
@@ -190,7 +202,7 @@
 		r.Split = []fleet.WeightedFleet{{Fleet: testFleet, Weight: 1}}
 	}
 	r.MaxAttempts = max(r.MaxAttempts, 1)
-	p := &testProxy{balancer: balancer.NewTable("dc0"), quota: quota.NewLedger(quota.Tolerance{}, false)}
+	p := &testProxy{balancer: balancer.NewTable("dc0", backpressure.NewTable("host")), quota: quota.NewLedger(quota.Tolerance{}, false)}
 	logger := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 	p.proxy = New(Dependencies{
 		HeaderCodec:  testCodec{},
@@ -200,6 +212,7 @@
 		RetryBudget:  retrybudget.NewBudget(retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}),
 		Telemetry:    NewTelemetry(logger, prometheus.NewRegistry()),
 		OnStarted:    func(time.Time, string) { p.counted.Add(1) },
+		OnLeaving:    func() { p.leaving.Add(1) },
 		KeyMaxAge:    maxAge,
 		DenyMaxAge:   maxAge,
 		MaxBodyBytes: 1 << 24,
