registry, node: a host that was cut off alone does not take missing endpoints for expired ones

Cause: after its own loss of the store a host keeps endpoints that its first list lacks for 2.2 s, and removes them up to 0.5 s later, as they may have expired in an outage of the store. If only this host was cut off, they are gone: it sent a request to one 2,150 ms after its removal (bound 2,000). Change: reports say how long ago the store last confirmed the list to their sender; a span in which peers heard from the store is no outage. A hole in all hosts' evidence still is one, also if a peer is back first. Ruled out: a shorter grace, which loses endpoints after real outages; a finer check for missing ones (0.5 s of the 2.15). Tests: TestRemovalIsFinalForAHostThatWasCutOffAlone ('missing' without the change), and TestEntriesThatExpiredDuringOutageAreKeptIfAPeerIsBackFirst for the other side.

--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -74,6 +74,9 @@
 	// newest change to the endpoints.
 	Generation       fleet.Generation    `json:"generation,omitempty"`
 	EndpointsVersion objectstore.Version `json:"endpoints_version,omitempty"`
+	// EndpointsAgeMillis is how long ago the store last confirmed the list of endpoints to the sender, at
+	// least 1; zero if it never did.
+	EndpointsAgeMillis int64 `json:"endpoints_age_ms,omitempty"`
 
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
 	LeavingEndpoints []backpressure.News `json:"leaving_endpoints,omitempty"`
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -58,6 +58,7 @@
 		n.lease.OnReport(r.LeaseVersion, now)
 	}
 	n.learnLeaving(now, r.Name, r.LeavingEndpoints)
+	n.observeStoreOf(now, r)
 	if receipt.Role == heartbeat.RoleUnrelated {
 		// The host that it follows reports what it spends.
 		n.quota.Forget(r.Name)
@@ -81,6 +82,13 @@
 	}
 }
 
+// observeStoreOf records when the store last responded to a peer.
+func (n *Node) observeStoreOf(now time.Time, r *heartbeat.Report) {
+	if r.EndpointsAgeMillis > 0 {
+		n.endpoints.PeerConfirmed(now.Add(-time.Duration(r.EndpointsAgeMillis) * time.Millisecond))
+	}
+}
+
 // refreshIfOutdated triggers reads of the store if a report shows that a peer has a newer
 // configuration or has seen a newer change to the endpoints.
 func (n *Node) refreshIfOutdated(r *heartbeat.Report) {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -217,6 +217,9 @@
 	r.Usage = n.reportedUsage(now, r.Members)
 	r.Generation = n.activeGeneration()
 	_, r.EndpointsVersion = n.endpoints.Versions()
+	if confirmed := n.endpoints.ConfirmedAt(); !confirmed.IsZero() {
+		r.EndpointsAgeMillis = max(now.Sub(confirmed).Milliseconds(), 1)
+	}
 	n.sent.Add(r.Number, heartbeat.SentReport{At: now, Spent: r.Quota.Spent, Loads: r.Loads})
 	return heartbeat.Datagram{Report: r}
 }
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -52,8 +52,8 @@
 	// changedAt is the store version at which a list, a watch or a delta last changed the view.
 	// RemoveMissing leaves it as it is.
 	changedAt objectstore.Version
-	// respondedAt is when the store last responded to this host, or when a delta last arrived
-	// that confirmed the view; callFailed is set if a call of this host has failed since.
+	// respondedAt is when the store last responded to this host or to a peer; callFailed is set if a call
+	// of this host has failed since its own last response, or since a delta last confirmed the view.
 	respondedAt time.Time
 	callFailed  bool
 	// recoveredAt is when the store last responded again after an outage; zero if there was
@@ -107,17 +107,34 @@
 	v.callFailed = true
 }
 
-// recordResponse records that the store responded. A long time without a response counts as an
-// outage only if a call failed in it, because a host that rarely queries the store rarely gets a
-// response.
+// recordResponse records that the store responded to this host.
 func (v *View) recordResponse(now time.Time) {
-	if v.callFailed && !v.respondedAt.IsZero() && now.Sub(v.respondedAt) >= outageThreshold {
-		v.recoveredAt = now
-	}
-	v.respondedAt = now
+	v.recordResponseToAny(now)
 	v.callFailed = false
 }
 
+// recordResponseToAny records that the store responded to this host or to a peer. A long time without a
+// response counts as an outage only if a call of this host failed in it, because a host that rarely
+// queries the store rarely gets a response.
+func (v *View) recordResponseToAny(at time.Time) {
+	if !at.After(v.respondedAt) {
+		return
+	}
+	if v.callFailed && !v.respondedAt.IsZero() && at.Sub(v.respondedAt) >= outageThreshold {
+		v.recoveredAt = at
+	}
+	v.respondedAt = at
+}
+
+// PeerConfirmed records that the store confirmed its list of endpoints to a peer at a given time. A host
+// that loses the store while its peers do not was cut off alone: entries that it then finds missing have
+// not expired in an outage.
+func (v *View) PeerConfirmed(at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.recordResponseToAny(at)
+}
+
 // mayReappear reports whether an unlisted entry may merely have expired during a store outage,
 // and may be listed again soon: it is not leaving and has not been observed since the outage
 // ended, which was less than recoveryGrace ago.
--- a/internal/registry/view_test.go
+++ b/internal/registry/view_test.go
@@ -186,3 +186,34 @@
 	is.Equal(len(returned), 1)
 	is.Equal(returned[0].Kind, ChangeLeaving)
 }
+
+// TestRemovalIsFinalForAHostThatWasCutOffAlone guards against a host that takes its own loss of the store for an
+// outage of the store, and goes on using endpoints that are gone.
+func TestRemovalIsFinalForAHostThatWasCutOffAlone(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	v.Replace(epoch, []Entry{entry("a", 1), entry("b", 2)}, 2)
+	v.StoreFailed()
+	for i := range 12 {
+		v.PeerConfirmed(epoch.Add(time.Duration(i) * time.Second))
+	}
+	changes := v.Replace(epoch.Add(12*time.Second), []Entry{entry("b", 2)}, 3)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Kind, ChangeRemoved)
+	is.Equal(ids(v), []string{"b"})
+}
+
+func TestEntriesThatExpiredDuringOutageAreKeptIfAPeerIsBackFirst(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	v.Replace(epoch, []Entry{entry("a", 1), entry("b", 2)}, 2)
+	v.PeerConfirmed(epoch)
+	v.StoreFailed()
+	back := epoch.Add(10 * time.Second)
+	v.PeerConfirmed(back)
+	changes := v.Replace(back.Add(time.Second), []Entry{entry("b", 2)}, 3)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Kind, ChangeMissing)
+	is.Equal(len(v.RemoveMissing(back.Add(recoveryGrace-1))), 0)
+	is.Equal(len(v.RemoveMissing(back.Add(recoveryGrace))), 1)
+}
