route, enginehttp: the project's own interface hears that endpoints leave or are full

Cause and decisions as for the pass-through interface; package backpressure decides for both. Own names: X-Endpoint-Leaving, Retry-After with 503, X-Endpoint-Instance for the run. Every response counts, also load reports, which go on. A request that starts new work asks again when the connection stands; attaching to a running stream does not. It is no failure of the endpoint: engine.ErrClosed beside ErrNotSent. If all endpoints are closed, the refusal is endpoints_closed with the time at which room is expected. The stand-in's faults leaving and retry_after_ms play both. Tests: TestServiceThatLeavesGetsNoFurtherCall, TestLeavingEngineFinishesItsStreams, TestLoadReportOfALeavingEngineCounts, TestClosedEngineGetsNoRequestUntilTheStatedEnd; before, such endpoints got every further request. Not done: daemons of this interface do not tell each other (hosts' notices are exchanged as before).

--- a/internal/adapter/enginehttp/call.go
+++ b/internal/adapter/enginehttp/call.go
@@ -34,11 +34,14 @@
 	}
 	setCall(req, address, call)
 	resp.Header.SetNoDefaultContentType(true)
-	if err := c.httpClient.Do(ctx, address, req, resp); err != nil {
+	p := permission{client: c, address: address}
+	defer p.release()
+	if err := c.httpClient.DoIf(ctx, address, req, resp, p.acquire); err != nil {
 		return engine.Response{}, sendError(err)
 	}
+	signal := p.answered(&resp.Header)
 	if isRefusal(resp) {
-		return engine.Response{}, fmt.Errorf("%w: refused by the service", engine.ErrNotSent)
+		return engine.Response{}, withClosed(fmt.Errorf("%w: refused by the service", engine.ErrNotSent), signal)
 	}
 	return newResponse(resp), nil
 }
--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -48,14 +48,18 @@
 type Options struct {
 	Connections   httpclient.Options
 	CancelTimeout time.Duration
+	// Signals is told what responses say about further requests; nil if nobody wants to know.
+	Signals Signals
 }
 
 // Client sends requests to engines and services. It is safe for concurrent use.
 type Client struct {
 	httpClient     *httpclient.Client
 	cancelTimeout  time.Duration
+	signals        Signals
 	foreignChunks  atomic.Uint64
 	repeatedChunks atomic.Uint64
+	ignoredSignals atomic.Uint64
 }
 
 var _ engine.Client = (*Client)(nil)
@@ -65,9 +69,13 @@
 	if o.CancelTimeout <= 0 {
 		o.CancelTimeout = DefaultCancelTimeout
 	}
+	if o.Signals == nil {
+		o.Signals = noSignals{}
+	}
 	return &Client{
 		httpClient:    httpclient.New(o.Connections),
 		cancelTimeout: o.CancelTimeout,
+		signals:       o.Signals,
 	}
 }
 
@@ -77,6 +85,10 @@
 // RepeatedChunks returns the number of dropped chunks that had been delivered already.
 func (c *Client) RepeatedChunks() uint64 { return c.repeatedChunks.Load() }
 
+// IgnoredSignals returns the number of responses of which a statement about further requests was
+// malformed and ignored.
+func (c *Client) IgnoredSignals() uint64 { return c.ignoredSignals.Load() }
+
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() { c.httpClient.CloseIdle() }
 
@@ -134,6 +146,7 @@
 	if err := c.httpClient.Do(ctx, address, req, resp); err != nil {
 		return sendError(err)
 	}
+	c.observe(address, &resp.Header)
 	if err := statusError(resp.StatusCode(), resp.Body()); err != nil {
 		return err
 	}
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -55,16 +55,24 @@
 	if err := setRequest(req, address, fasthttp.MethodPost, "/v1/generate", g); err != nil {
 		return nil, err
 	}
-	body, err := c.httpClient.Open(ctx, address, req)
+	p := permission{client: c, address: address}
+	defer p.release()
+	options := httpclient.OpenOptions{}
+	if !g.Attach {
+		// Attaching to a running stream is no new work.
+		options.BeforeSend = p.acquire
+	}
+	body, err := c.httpClient.OpenTarget(ctx, httpclient.Target{Address: address}, req, options)
 	if err != nil {
 		return nil, sendError(err)
 	}
+	signal := p.answered(&body.Response.Header)
 	status := body.Response.StatusCode()
 	if status != fasthttp.StatusOK {
 		defer body.Finish()
 		text, _ := io.ReadAll(io.LimitReader(body, maxErrorBodyBytes))
 		if err := statusError(status, text); err != nil {
-			return nil, err
+			return nil, withClosed(err, signal)
 		}
 		// A success without a stream: the request may have run.
 		return nil, &StatusError{Status: status}
--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -79,7 +79,15 @@
 
 // Do sends a request and reads the whole response, of at most MaxResponseBytes.
 func (c *Client) Do(ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response) error {
-	x, err := c.send(ctx, Target{Address: address}, req, nil)
+	return c.DoIf(ctx, address, req, resp, nil)
+}
+
+// DoIf is Do with a function that is called when there is a connection, immediately before the request is
+// written. If it returns an error, nothing is sent, and the error is returned together with ErrNotSent.
+func (c *Client) DoIf(
+	ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response, beforeSend func() error,
+) error {
+	x, err := c.send(ctx, Target{Address: address}, req, beforeSend)
 	if err != nil {
 		return err
 	}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -73,10 +73,11 @@
 		registry: prometheus.NewRegistry(),
 		router:   route.NewRouter(s.DataCentre),
 		limiter:  ratelimit.NewLimiter(s.Node),
-		engines:  enginehttp.New(enginehttp.Options{}),
 		pool:     pond.NewPool(controlWorkers),
 		stop:     make(chan struct{}),
 	}
+	a.engines = enginehttp.New(enginehttp.Options{Signals: a.router})
+	a.router.OnSignal(a.logSignal)
 	a.handleInvariantViolations()
 	a.store = newStore(s.Platform)
 	a.cloud = newCloud(s.Platform)
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -139,6 +139,7 @@
 	return errors.Is(err, context.Canceled) ||
 		errors.Is(err, context.DeadlineExceeded) ||
 		errors.Is(err, engine.ErrNoStream) ||
+		errors.Is(err, engine.ErrClosed) ||
 		errors.Is(err, errMoved)
 }
 
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -103,7 +103,7 @@
 	now := c.service.now()
 	choice, err := c.service.router.Choose(now, randomBits(), c.query)
 	if err != nil {
-		return refuseRoute(c.req.RequestID, err)
+		return c.service.refuseRoute(c.req.RequestID, err, c.query)
 	}
 	priority := choice.Priority
 	if c.req.Priority != PriorityUnset {
@@ -133,7 +133,7 @@
 	for attempt := 1; ; attempt++ {
 		choice, err := c.choose()
 		if err != nil {
-			return CallResponse{}, refuseRoute(c.req.RequestID, err).withOutcome(c.machine.Outcome())
+			return CallResponse{}, c.service.refuseRoute(c.req.RequestID, err, c.query).withOutcome(c.machine.Outcome())
 		}
 		answer, err := c.runAttempt(ctx, choice)
 		if err == nil {
--- a/internal/dispatcher/chat.go
+++ b/internal/dispatcher/chat.go
@@ -150,7 +150,7 @@
 func (c *ChatStream) ratelimit(now time.Time) *Refusal {
 	choice, err := c.service.router.Choose(now, randomBits(), c.query)
 	if err != nil {
-		return refuseRoute(c.req.RequestID, err)
+		return c.service.refuseRoute(c.req.RequestID, err, c.query)
 	}
 	c.priority = choice.Priority
 	if c.req.Priority != PriorityUnset {
--- a/internal/dispatcher/refusal.go
+++ b/internal/dispatcher/refusal.go
@@ -58,11 +58,16 @@
 		"this daemon has as many open streams as it may").withRetryAfter(retryAfterStreams)
 }
 
-func refuseRoute(requestID string, err error) *Refusal {
+// refuseRoute returns the refusal of a request for which the router has no endpoint.
+func (s *Service) refuseRoute(requestID string, err error, q route.Query) *Refusal {
 	if errors.Is(err, route.ErrNoSelector) {
 		return NewRefusal(http.StatusForbidden, requestID, "no_selector",
 			"no selector allows this organisation on the asked fleet")
 	}
+	if returnIn, closed := s.router.Opening(s.now(), q.Organisation, q.Fleet); closed {
+		return NewRefusal(http.StatusServiceUnavailable, requestID, "endpoints_closed",
+			"all endpoints are closed for some time").withRetryAfter(returnIn)
+	}
 	return NewRefusal(http.StatusServiceUnavailable, requestID, "no_endpoint",
 		"no endpoint can take the request now").withRetryAfter(retryAfterNoEndpoint)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -128,6 +128,10 @@
 // reached the endpoint, or the endpoint reported that it refused it.
 var ErrNotSent = errors.New("engine: request not run")
 
+// ErrClosed means that the endpoint accepts no new requests for now or any more, by its own word. It is
+// wrapped together with ErrNotSent, and is no failure of the endpoint.
+var ErrClosed = errors.New("engine: accepts no requests")
+
 // ErrNoStream means that the engine has no stream with the id that Generate asked to attach to.
 var ErrNoStream = errors.New("engine: no such stream")
 
--- a/internal/proxy/signals_test.go
+++ b/internal/proxy/signals_test.go
@@ -89,8 +89,10 @@
 	p := newTestProxy(t, streamRoute, leaving, other)
 	running := make(chan callerResponse)
 	go func() { running <- p.send(t, "1") }()
-	for p.leaving.Load() == 0 {
-		time.Sleep(time.Millisecond)
+	for deadline := time.Now().Add(5 * time.Second); p.leaving.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("not found to leave")
+		}
 	}
 	is.Equal(p.send(t, "2").body, eventTexts(1, 2))
 	is.Equal(len(other.receivedRequests()), 1)
@@ -168,7 +170,7 @@
 		return respondOK(r)
 	})
 	p := newTestProxy(t, nonIdempotentRoute, e)
-	for i := 0; requests.Load() <= 4; i++ {
+	for i := 0; requests.Load() <= 4 && i < 1000; i++ {
 		p.send(t, fmt.Sprint(i))
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"rattanchute/internal/backpressure"
 )
 
 const (
@@ -24,6 +26,8 @@
 type pool struct {
 	mu      sync.Mutex
 	members []*target
+	// returns spreads the callers that were refused because all endpoints are closed.
+	returns backpressure.Returns
 }
 
 // recordSuccess resets the consecutive failures and the backoff of ejections, unless the
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -38,6 +38,9 @@
 	loadUsed     atomic.Int64  // Unix nanoseconds of the last choice that used the load
 	polledAt     atomic.Int64  // Unix nanoseconds of the last requested poll
 
+	// signals is what the endpoint said in its responses about further requests.
+	signals signalState
+
 	mu        sync.Mutex
 	ejections int
 }
--- a/internal/route/host.go
+++ b/internal/route/host.go
@@ -31,13 +31,17 @@
 	return h
 }
 
-// merge records the phase of an instance. Phases only advance: a lower one has no effect.
-func (h *hostState) merge(instance string, phase fleet.Phase) {
+// merge records the phase of an instance. Phases only advance: a lower one has no effect. It reports
+// whether a live instance has followed another one.
+func (h *hostState) merge(instance string, phase fleet.Phase) (replaced bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	known := len(h.instances)
 	h.advancePhase(instance, phase)
+	replaced = known > 0 && len(h.instances) > known && phase == fleet.PhaseLive
 	h.evictEnded()
 	h.usable.Store(h.anyLive())
+	return replaced
 }
 
 func (h *hostState) advancePhase(instance string, phase fleet.Phase) {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/engine"
 	"rattanchute/internal/fleet"
 )
@@ -15,6 +16,8 @@
 	view            atomic.Pointer[view]
 	cache           *cacheIndex
 	disabled        Mechanism
+	// onSignal is nil or called when the signals of an endpoint change what may be sent to it.
+	onSignal func(endpoint string, c backpressure.Change)
 
 	// mu guards the maps and the replacement of view; the states in the maps have their own
 	// locks.
@@ -69,6 +72,8 @@
 		lists:  make(map[listKey]*liveList, len(table.lists)),
 		pools:  make(map[string]*pool),
 		byName: make(map[string]*target, len(table.endpoints)),
+
+		byAddress: make(map[string]*target, len(table.endpoints)),
 	}
 	region := table.regionOf(r.localDataCentre)
 	for i := range table.endpoints {
@@ -109,6 +114,7 @@
 	t.pool.members = append(t.pool.members, t)
 	v.targets = append(v.targets, t)
 	v.byName[t.info.endpoint.Name] = t
+	v.byAddress[t.info.endpoint.Address] = t
 }
 
 func (v *view) liveList(list *candidates, popularity *popularity) *liveList {
@@ -156,12 +162,20 @@
 	return host
 }
 
-// SetHostState merges the phase of an instance of a host; phases only advance.
+// SetHostState merges the phase of an instance of a host; phases only advance. What the endpoints of
+// another instance of the host said in their responses is forgotten when a new one lives.
 func (r *Router) SetHostState(state fleet.HostState) {
 	r.mu.Lock()
 	host := r.hostLocked(state.Host)
 	r.mu.Unlock()
-	host.merge(state.Instance, state.Phase)
+	if !host.merge(state.Instance, state.Phase) {
+		return
+	}
+	for _, t := range r.view.Load().targets {
+		if t.host == host {
+			t.state.signals.restart()
+		}
+	}
 }
 
 // state returns the state of an endpoint, including one that the table no longer contains; nil
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -22,6 +22,8 @@
 	lists   map[listKey]*liveList
 	pools   map[string]*pool
 	byName  map[string]*target
+	// byAddress maps the address that requests are sent to.
+	byAddress map[string]*target
 }
 
 // target is one endpoint of a view.
@@ -56,9 +58,9 @@
 func (l *liveList) meanPrompt() float64 { return math.Float64frombits(l.meanPromptBits.Load()) }
 
 // available reports whether the endpoint may be chosen for new requests: its host is usable, and the
-// endpoint is not ejected.
+// endpoint is not ejected and has not said that it leaves or is closed for some time.
 func (t *target) available(now time.Time) bool {
-	return t.host.usable.Load() && !t.state.ejected(now)
+	return t.host.usable.Load() && !t.state.ejected(now) && t.state.signals.current().Verdict(now).Allowed
 }
 
 func (t *target) excluded(names []string) bool {
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -27,10 +27,12 @@
 		e.handleGenerate(ctx)
 		return
 	}
-	if f := e.currentFaults(); f.Freeze && !f.wait() {
+	f := e.currentFaults()
+	if f.Freeze && !f.wait() {
 		_ = ctx.Conn().Close()
 		return
 	}
+	f.signal(ctx)
 	switch {
 	case path == "/v1/load":
 		writeJSON(ctx, fasthttp.StatusOK, e.Load())
@@ -57,8 +59,9 @@
 		_ = ctx.Conn().Close()
 		return
 	}
+	faults.signal(ctx)
 	if faults.Refuse {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, "refused")
+		faults.refuse(ctx)
 		return
 	}
 	var g engine.Generate
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -1,10 +1,21 @@
 package standin
 
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
 // Faults are the injected failures of an engine or a service. The zero value injects none.
 type Faults struct {
 	// Refuse rejects generate requests and calls without executing them, and the response says
 	// so.
 	Refuse bool `json:"refuse"`
+	// Leaving says in every response that the endpoint leaves.
+	Leaving bool `json:"leaving"`
+	// RetryAfterMillis is the time for which refused requests are told to stay away; zero tells none.
+	RetryAfterMillis int `json:"retry_after_ms"`
 	// Freeze accepts requests but blocks them and the open streams until the faults are
 	// replaced or the listener is closed. At a service it blocks only calls.
 	Freeze bool `json:"freeze"`
@@ -33,3 +44,19 @@
 	// cleared; zero means no limit.
 	Count int `json:"count"`
 }
+
+// signal sets the headers with which a response says that the endpoint leaves.
+func (f *Faults) signal(ctx *fasthttp.RequestCtx) {
+	if f.Leaving {
+		ctx.Response.Header.Set("X-Endpoint-Leaving", "true")
+	}
+}
+
+// refuse answers that the request has not run, and for how long further ones should stay away.
+func (f *Faults) refuse(ctx *fasthttp.RequestCtx) {
+	if f.RetryAfterMillis > 0 {
+		seconds := (time.Duration(f.RetryAfterMillis) * time.Millisecond).Seconds()
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	writeError(ctx, fasthttp.StatusServiceUnavailable, "refused")
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -98,9 +98,10 @@
 		_ = ctx.Conn().Close()
 		return
 	}
+	faults.signal(ctx)
 	if faults.Refuse {
 		ctx.Response.Header.Set("X-Not-Run", "true")
-		writeError(ctx, fasthttp.StatusServiceUnavailable, "refused")
+		faults.refuse(ctx)
 		return
 	}
 	echo := s.run(ctx)
