--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"rattanchute/internal/adapter/httpclient"
 )
 
 type metrics struct {
@@ -68,9 +70,22 @@
 	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
 	}
+	m.initLabels()
 	return m
 }
 
+// initLabels exports the counters of what may not happen for a long time, as zero.
+func (m *metrics) initLabels() {
+	for _, signal := range []string{signalLeaving, signalClosed, signalIgnored} {
+		m.signals.WithLabelValues(signal)
+	}
+	for _, framing := range []httpclient.Framing{httpclient.FramingLength, httpclient.FramingChunked, httpclient.FramingClose} {
+		for _, end := range []string{endWhole, endInsideEvent, endNoEvent, endCut} {
+			m.streamEnds.WithLabelValues(string(framing), end)
+		}
+	}
+}
+
 // responded counts a response and records the times to its first event and to its end.
 func (m *metrics) responded(x *exchange, status int, first, total time.Duration) {
 	m.responses.WithLabelValues(x.route.Name, strconv.Itoa(status)).Inc()
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -264,17 +264,25 @@
 	t.metrics.streamEnds.WithLabelValues(string(a.framing), a.streamEnd()).Inc()
 }
 
+// The ways in which streams end, in metrics.
+const (
+	endWhole       = "whole"
+	endInsideEvent = "inside_event"
+	endNoEvent     = "no_event"
+	endCut         = "cut"
+)
+
 // streamEnd returns how the stream ended, as a metric label.
 func (a *attempt) streamEnd() string {
 	switch {
 	case a.err == nil:
-		return "whole"
+		return endWhole
 	case errors.Is(a.err, errCutInsideEvent):
-		return "inside_event"
+		return endInsideEvent
 	case errors.Is(a.err, errNoEvent):
-		return "no_event"
+		return endNoEvent
 	}
-	return "cut"
+	return endCut
 }
 
 // ObserveEventInterval records the time between two events of a stream. Events that are relayed
--- a/internal/soak/endpoint_test.go
+++ b/internal/soak/endpoint_test.go
@@ -20,6 +20,15 @@
 	errEndpointGone  = errors.New("soak: endpoint gone")
 )
 
+// closedError is the refusal of an endpoint that wants no requests from the node for some time.
+type closedError struct{ retryAfter time.Duration }
+
+// Error implements error.
+func (e *closedError) Error() string { return fmt.Sprintf("closed for %s", e.retryAfter) }
+
+// Unwrap returns what the refusal means for its request.
+func (e *closedError) Unwrap() []error { return []error{engine.ErrClosed, engine.ErrNotSent} }
+
 // endpoint is a fake engine and a fake service with a record of what it ran.
 type endpoint struct {
 	env     *environment
@@ -63,6 +72,10 @@
 		e.env.report.countFault(faultRefused)
 		return fmt.Errorf("%s refused: %w", e.name, engine.ErrNotSent)
 	}
+	if e.env.randBool(0.01) {
+		e.env.report.countFault(faultClosed)
+		return &closedError{retryAfter: time.Millisecond + e.env.randDuration(100*time.Millisecond)}
+	}
 	if e.env.randBool(0.02) {
 		e.env.report.countFault(faultCutBefore)
 		return errConnectionCut
--- a/internal/soak/node_test.go
+++ b/internal/soak/node_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/claim"
 	"rattanchute/internal/dispatcher"
 	"rattanchute/internal/engine"
@@ -39,6 +40,8 @@
 	stopped atomic.Bool
 	// noticedAt maps each leaving host to the time at which the node received the notice.
 	noticedAt map[string]time.Time
+	// closings are, by address, the times for which endpoints want no requests from this node.
+	closings map[string][]closing
 	// replaced holds the host instances that are gone for good.
 	replaced map[string]bool
 }
@@ -48,6 +51,7 @@
 		env: env, name: name, writer: fmt.Sprintf("%s-%d", name, run),
 		crashed: make(chan struct{}), router: route.NewRouter("dc-0"),
 		noticedAt: map[string]time.Time{}, replaced: map[string]bool{},
+		closings: map[string][]closing{},
 	}
 	n.router.SetTable(route.Compile(env.configuration))
 	limiter := ratelimit.NewLimiter(name)
@@ -254,7 +258,68 @@
 	if err != nil {
 		return nil, err
 	}
-	return e.generate(ctx, r)
+	if r.Attach {
+		return e.generate(ctx, r)
+	}
+	var stream engine.Stream
+	err = g.withPermit(address, func() error {
+		stream, err = e.generate(ctx, r)
+		return err
+	})
+	return stream, err
+}
+
+// withPermit sends a request that starts new work, as the HTTP client does: it asks the router before,
+// and tells it what the response says.
+func (g gatedEngines) withPermit(address string, send func() error) error {
+	permit, err := g.n.router.Acquire(time.Now(), address)
+	if err != nil {
+		return errors.Join(engine.ErrClosed, engine.ErrNotSent, err)
+	}
+	defer permit.Release()
+	g.n.checkOpen(address)
+	err = send()
+	var closed *closedError
+	if !errors.As(err, &closed) {
+		if err == nil {
+			permit.Answered()
+		}
+		return err
+	}
+	g.n.close(address, closed.retryAfter)
+	return err
+}
+
+// close records that an endpoint wants no requests from this node for some time.
+func (n *node) close(address string, retryAfter time.Duration) {
+	now := time.Now()
+	n.router.Observe(now, address, "", backpressure.Signal{RetryAfter: retryAfter})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closings[address] = append(n.closings[address], closing{observed: time.Now(), until: now.Add(retryAfter)})
+}
+
+// closing is one time for which an endpoint wants no requests, from when the node has read it.
+type closing struct{ observed, until time.Time }
+
+// closedTolerance allows for a request that was permitted while the response was being read.
+const closedTolerance = 20 * time.Millisecond
+
+// checkOpen checks that an endpoint gets no request while it is closed to this node.
+func (n *node) checkOpen(address string) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	kept := n.closings[address][:0]
+	for _, c := range n.closings[address] {
+		if now.Before(c.until) {
+			kept = append(kept, c)
+			ok := now.Sub(c.observed) < closedTolerance
+			n.env.report.check(guaranteeClosed, ok, "%s sends to %s, closed for %s more", n.name, address, c.until.Sub(now))
+		}
+	}
+	n.closings[address] = kept
+	n.env.report.check(guaranteeClosed, true, "")
 }
 
 // Call implements engine.Client.
@@ -263,7 +328,12 @@
 	if err != nil {
 		return engine.Response{}, err
 	}
-	return e.call(ctx, c)
+	var response engine.Response
+	err = g.withPermit(address, func() error {
+		response, err = e.call(ctx, c)
+		return err
+	})
+	return response, err
 }
 
 // Load implements engine.Client.
--- a/internal/soak/report_test.go
+++ b/internal/soak/report_test.go
@@ -14,6 +14,7 @@
 const (
 	faultNotSent       faultKind = "request not sent"
 	faultRefused       faultKind = "request refused by the endpoint"
+	faultClosed        faultKind = "endpoint closed for some time"
 	faultCutBefore     faultKind = "connection cut before the run"
 	faultCutAfter      faultKind = "connection cut after the run"
 	faultStreamCut     faultKind = "stream cut"
@@ -34,7 +35,7 @@
 )
 
 var allFaults = []faultKind{
-	faultNotSent, faultRefused, faultCutBefore, faultCutAfter, faultStreamCut, faultStreamFrozen,
+	faultNotSent, faultRefused, faultClosed, faultCutBefore, faultCutAfter, faultStreamCut, faultStreamFrozen,
 	faultChunkTwice, faultChunkCrossed, faultEndpointDied, faultNotice, faultTransfer,
 	faultNodeCrashed, faultNodePaused, faultNodeStopped, faultOutage, faultLostAnswer,
 	faultForwardLost, faultForwardTwice, faultForwardAnswer,
@@ -43,7 +44,8 @@
 // guarantee names a guarantee that a run checks.
 type guarantee string
 
-// The guarantees. Their values are the names of the end-to-end tests without the prefix TestPromise.
+// The guarantees. Their values are the names of the end-to-end tests without the prefix TestPromise, apart
+// from ClosedGetsNoNewWork, which has none.
 const (
 	guaranteeSurvivesReclaim guarantee = "AcceptedWorkSurvivesReclaim"
 	guaranteeWholeAnswer     guarantee = "WholeOwnAnswer"
@@ -51,11 +53,12 @@
 	guaranteeAtMostOnce      guarantee = "AtMostOnce"
 	guaranteeLeaving         guarantee = "LeavingGetsNoNewWork"
 	guaranteeGracefulStop    guarantee = "GracefulStop"
+	guaranteeClosed          guarantee = "ClosedGetsNoNewWork"
 )
 
 var allGuarantees = []guarantee{
 	guaranteeSurvivesReclaim, guaranteeWholeAnswer, guaranteeNotRun,
-	guaranteeAtMostOnce, guaranteeLeaving, guaranteeGracefulStop,
+	guaranteeAtMostOnce, guaranteeLeaving, guaranteeGracefulStop, guaranteeClosed,
 }
 
 // report counts the injected faults, the checks and the violations of a run.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -99,6 +99,7 @@
 	"configuration_unconfirmed": "the host could not confirm its configuration with the store, and so neither used the key nor said that something is unknown; the request has not run",
 	"quota":                     "the organisation's quota over all hosts was used up; the request has not run",
 	"no_endpoint":               "no endpoint of the fleet was left to try; the request has not run",
+	"endpoints_closed":          "all endpoints wanted no requests from this host for some time; the request has not run",
 	"overloaded":                "no endpoint was expected to answer within the caller's time; the request has not run",
 	"endpoints_refused":         "the endpoints that were asked said that they did not run it, and no attempt was left",
 	"endpoints_unreachable":     "no connection to an endpoint could be made; the request has not run",
@@ -119,7 +120,7 @@
 		}
 		reason, _ := l.Fields["reason"].(string)
 		if why, ok := reasonTexts[reason]; ok {
-			return how + ": " + why
+			return how + ": " + why + closedUntil(l, reason)
 		}
 		return how
 	}
@@ -129,6 +130,17 @@
 	return "no line says how it ended: the host may have been killed, or the line dropped"
 }
 
+// closedUntil returns when a caller was told to return that was refused because all endpoints were closed,
+// and nothing for other reasons.
+func closedUntil(l Line, reason string) string {
+	milliseconds, ok := l.Fields["retry_after_ms"].(float64)
+	if reason != "endpoints_closed" || !ok {
+		return ""
+	}
+	until := l.Time.Add(time.Duration(milliseconds) * time.Millisecond)
+	return "; closed until " + until.Format("15:04:05.000")
+}
+
 // WriteText writes the timeline in human-readable form.
 func (t Timeline) WriteText(w io.Writer) {
 	fmt.Fprintf(w, "request %s\n", t.Request)
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -38,3 +38,12 @@
 	is.NoErr(err)
 	is.True(strings.Contains(NewTimeline("other", lines).Conclusion, "no line says how it ended"))
 }
+
+func TestRefusalWhileAllEndpointsAreClosedNamesTheEnd(t *testing.T) {
+	is := is.New(t)
+	const refusal = `{"time":"2026-12-04T08:00:00.500Z","level":"warn","node":"edge-a","request":"b1",` +
+		`"reason":"endpoints_closed","status":503,"retry_after_ms":2250,"message":"request refused"}`
+	lines, err := Read(strings.NewReader(refusal), "b1")
+	is.NoErr(err)
+	is.True(strings.Contains(NewTimeline("b1", lines).Conclusion, "closed until 08:00:02.750"))
+}
