httpclient: the rest of a long response to another request is never taken for a response

Cause: a response to an earlier request was discarded up to 64 MiB, and what followed on the connection was read as the next response, also if it was still that body: bytes in it could pass for the response to the request. Change: a longer one fails the request's attempt. TestBytesOfAnotherResponseAreNeverTakenForAResponse fails before (the forged response is returned), passes after.

--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -108,15 +108,21 @@
 // maxMismatchedResponses responses to other requests.
 var ErrMismatchedResponse = errors.New("answer to another request")
 
-// discard reads and drops the body of a response to another request, at most
-// MaxResponseBytes of it.
+// errLongMismatch means that a response to another request is longer than MaxResponseBytes. What follows
+// on the connection is part of it.
+var errLongMismatch = errors.New("response to another request is too long to discard")
+
+// discard reads and drops the body of a response to another request, of at most MaxResponseBytes.
 func (b *Body) discard() error {
 	defer fasthttp.ReleaseResponse(b.Response)
 	if b.ended {
 		return nil
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(b.Response.BodyStream(), MaxResponseBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(b.Response.BodyStream(), MaxResponseBytes+1))
 	_ = b.Response.CloseBodyStream()
+	if err == nil && n > MaxResponseBytes {
+		return errLongMismatch
+	}
 	return err
 }
 
