enginehttp: a long request is not reused while it is being sent

Cause: Generate released its pooled request when it returned, and an engine that responds before it has read a long request is still being sent the rest: the next request's bytes overwrote it. Change: the request is not pooled. Ruled out: the proxy, which closes the body, and so ends the sending, before it releases the request.

--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -50,8 +50,8 @@
 // Generate starts a stream or attaches to a running one. The context applies to the whole
 // stream: when it is done, a blocked Next returns.
 func (c *Client) Generate(ctx context.Context, address string, g engine.Generate) (engine.Stream, error) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
+	// Not from the pool: a long request may still be being written when Generate returns.
+	req := &fasthttp.Request{}
 	if err := setRequest(req, address, fasthttp.MethodPost, "/v1/generate", g); err != nil {
 		return nil, err
 	}
