--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -161,8 +161,9 @@
 	return a.relayBuffered(body)
 }
 
-// observeSignal records what a response says about further requests to its endpoint. After another
-// instance has answered, that instance is not known; the one that was chosen is gone in any case.
+// observeSignal records what a response says about further requests to its endpoint. If another instance
+// at the address has answered, the signal is recorded for the chosen one, which is gone: the response does
+// not say which one has answered.
 func (a *attempt) observeSignal(info *ResponseInfo) {
 	change := a.balancerAttempt.ObserveSignal(clock.Now(), rand.Float64(), info.Signal)
 	a.exchange.proxy.telemetry.SignalObserved(a, info, change)
