proxy: the test of refusals while all endpoints are closed compares no rounded times

The check was wrong at that level. Its replacement, in the balancer's test, is exact: a second caller at the same instant returns one answer's time per slot later.

--- a/internal/balancer/signals_test.go
+++ b/internal/balancer/signals_test.go
@@ -79,6 +79,8 @@
 	in, closed := table.Opening(epoch.Add(time.Second), plainFleet)
 	is.True(closed)
 	is.True(in >= time.Second && in < 1100*time.Millisecond) // the earliest end
+	later, _ := table.Opening(epoch.Add(time.Second), plainFleet)
+	is.Equal(later-in, defaultAnswerDuration/16) // another caller returns when there is room for it too
 	_, ok := table.Choose(epoch.Add(2*time.Second), 1, r)
 	is.True(ok)
 }
--- a/internal/proxy/signals_test.go
+++ b/internal/proxy/signals_test.go
@@ -137,13 +137,11 @@
 	is.True(time.Since(closedAt) >= 400*time.Millisecond)
 }
 
-// TestAllEndpointsClosedRefusesAtOnce also covers that callers are told different times, none of them too early.
 func TestAllEndpointsClosedRefusesAtOnce(t *testing.T) {
 	is := is.New(t)
 	full := respondWith("503 Service Unavailable", "Retry-After: 7\r\n"+notRun, "")
 	one, two := newTestEndpoint(t, full), newTestEndpoint(t, full)
 	p := newTestProxy(t, idempotentRoute, one, two)
-	told := map[string]bool{}
 	for i := range 5 {
 		began := time.Now()
 		a := p.send(t, strconv.Itoa(i))
@@ -153,9 +151,7 @@
 		seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
 		is.NoErr(err)
 		is.True(seconds > 6 && seconds < 10)
-		told[a.header.Get("Retry-After")] = true
 	}
-	is.True(len(told) > 1)
 	is.Equal(len(one.receivedRequests())+len(two.receivedRequests()), 2)
 }
 
