backpressure: one decoder and one outlook for both interfaces; randomness as an argument

Package route drew random numbers, though its page says that they are arguments, and took a lock for each endpoint that it looks at. Malformed statements on the own interface were counted in a number that nobody read. Change: backpressure.Decode and backpressure.Outlook; the adapters pass header values; Router.Observe takes the random number; the state of an endpoint's run is an atomic pointer; malformed statements reach the log (route.SignalLog). Behaviour is as before, but for the log line and for lists of values on the own interface, which count as on the other. New: TestMalformedStatementIsIgnoredAndReported.

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -59,7 +59,6 @@
 	signals        Signals
 	foreignChunks  atomic.Uint64
 	repeatedChunks atomic.Uint64
-	ignoredSignals atomic.Uint64
 }
 
 var _ engine.Client = (*Client)(nil)
@@ -85,10 +84,6 @@
 // RepeatedChunks returns the number of dropped chunks that had been delivered already.
 func (c *Client) RepeatedChunks() uint64 { return c.repeatedChunks.Load() }
 
-// IgnoredSignals returns the number of responses of which a statement about further requests was
-// malformed and ignored.
-func (c *Client) IgnoredSignals() uint64 { return c.ignoredSignals.Load() }
-
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() { c.httpClient.CloseIdle() }
 
--- a/internal/adapter/enginehttp/signals.go
+++ b/internal/adapter/enginehttp/signals.go
@@ -3,11 +3,12 @@
 import (
 	"errors"
 	"fmt"
-	"strings"
+	"math/rand/v2"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/backpressure"
 	"rattanchute/internal/engine"
 )
@@ -27,8 +28,11 @@
 type Signals interface {
 	// Acquire returns a permit, or why the endpoint at the address accepts no request now.
 	Acquire(now time.Time, address string) (*backpressure.Permit, error)
-	// Observe records what a response says. The instance is empty if the endpoint did not name it.
-	Observe(now time.Time, address, instance string, s backpressure.Signal)
+	// Observe records what a response says. The instance is empty if the endpoint did not name it. The
+	// random number, from 0 to 1, delays the return of requests to a closed endpoint.
+	Observe(now time.Time, random float64, address, instance string, s backpressure.Signal)
+	// Malformed records that a part of what a response says was ignored.
+	Malformed(address string, err error)
 }
 
 // noSignals permits every request.
@@ -38,7 +42,9 @@
 	return &backpressure.Permit{}, nil
 }
 
-func (noSignals) Observe(time.Time, string, string, backpressure.Signal) {}
+func (noSignals) Observe(time.Time, float64, string, string, backpressure.Signal) {}
+
+func (noSignals) Malformed(string, error) {}
 
 // permission is the permit of one request.
 type permission struct {
@@ -84,32 +90,17 @@
 
 // observe reports what a response says about further requests.
 func (c *Client) observe(address string, h *fasthttp.ResponseHeader) backpressure.Signal {
-	signal, err := decodeSignal(h)
+	signal, err := backpressure.Decode(backpressure.Headers{
+		Status:     h.StatusCode(),
+		Leaving:    httpclient.HeaderValues(h, HeaderLeaving),
+		Yes:        "true",
+		No:         "false",
+		RetryAfter: httpclient.HeaderValues(h, fasthttp.HeaderRetryAfter),
+		Date:       string(h.Peek(fasthttp.HeaderDate)),
+	})
 	if err != nil {
-		c.ignoredSignals.Add(1)
+		c.signals.Malformed(address, err)
 	}
-	c.signals.Observe(time.Now(), address, string(h.Peek(HeaderInstance)), signal)
+	c.signals.Observe(time.Now(), rand.Float64(), address, string(h.Peek(HeaderInstance)), signal)
 	return signal
 }
-
-// decodeSignal returns what a response says, and an error if a part of it is malformed and says nothing.
-func decodeSignal(h *fasthttp.ResponseHeader) (s backpressure.Signal, err error) {
-	for _, value := range h.PeekAll(HeaderLeaving) {
-		switch text := strings.TrimSpace(string(value)); {
-		case strings.EqualFold(text, "true"):
-			s.Leaving = true
-		case !strings.EqualFold(text, "false"):
-			err = fmt.Errorf("malformed %s: %q", HeaderLeaving, text)
-		}
-	}
-	if h.StatusCode() != fasthttp.StatusServiceUnavailable {
-		return s, err
-	}
-	var values []string
-	for _, value := range h.PeekAll(fasthttp.HeaderRetryAfter) {
-		values = append(values, string(value))
-	}
-	retryAfter, retryErr := backpressure.LongestRetryAfter(values, string(h.Peek(fasthttp.HeaderDate)))
-	s.RetryAfter = retryAfter
-	return s, errors.Join(err, retryErr)
-}
--- a/internal/adapter/enginehttp/signals_test.go
+++ b/internal/adapter/enginehttp/signals_test.go
@@ -113,3 +113,22 @@
 	is.NoErr(err)
 	is.NoErr(stream.Close())
 }
+
+// ignoredSignals records which statements were malformed.
+type ignoredSignals struct {
+	route.SignalLog
+	errs []error
+}
+
+func (l *ignoredSignals) SignalIgnored(_ string, err error) { l.errs = append(l.errs, err) }
+
+func TestMalformedStatementIsIgnoredAndReported(t *testing.T) {
+	is := is.New(t)
+	s := newSignalledSite(t)
+	ignored := &ignoredSignals{}
+	s.router.SetSignalLog(ignored)
+	s.service.SetFaults(standin.Faults{LeavingText: "perhaps"})
+	is.NoErr(s.call())
+	is.Equal(len(ignored.errs), 1)
+	is.True(s.router.Available(time.Now(), "s"))
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -77,7 +77,7 @@
 		stop:     make(chan struct{}),
 	}
 	a.engines = enginehttp.New(enginehttp.Options{Signals: a.router})
-	a.router.OnSignal(a.logSignal)
+	a.router.SetSignalLog(signalLog{a.log})
 	a.handleInvariantViolations()
 	a.store = newStore(s.Platform)
 	a.cloud = newCloud(s.Platform)
--- a/internal/app/poll.go
+++ b/internal/app/poll.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"rattanchute/internal/backpressure"
 	"rattanchute/internal/fleet"
 )
 
@@ -26,15 +25,6 @@
 	}
 }
 
-// logSignal logs that an endpoint has said that it leaves or is closed for some time.
-func (a *App) logSignal(endpoint string, c backpressure.Change) {
-	line := a.log.Warn().Str("endpoint", endpoint).Bool("leaving", c.Left)
-	if !c.OpensAt.IsZero() {
-		line = line.Int64("opens_in_ms", time.Until(c.OpensAt).Milliseconds())
-	}
-	line.Msg("endpoint accepts no requests")
-}
-
 func (a *App) poll(e fleet.Endpoint) {
 	f, ok := a.router.Table().Fleet(e.Fleet)
 	if !ok || f.Kind != fleet.FleetModel {
--- a/internal/backpressure/returns.go
+++ b/internal/backpressure/returns.go
@@ -2,6 +2,34 @@
 
 import "time"
 
+// Outlook tells when a fleet's endpoints, all of which are closed for some time, have room again. The zero
+// value is that of no endpoints.
+type Outlook struct {
+	// OpensAt is when the first closed endpoint opens, and Slots the number of requests that all of them
+	// serve at once.
+	OpensAt time.Time
+	Slots   int
+	open    bool
+}
+
+// Add adds an endpoint with a number of slots. Leaving endpoints do not count.
+func (o *Outlook) Add(v Verdict, slots int) {
+	if v.Leaving {
+		return
+	}
+	if v.Allowed {
+		o.open = true
+		return
+	}
+	o.Slots += max(slots, 1)
+	if o.OpensAt.IsZero() || v.OpensAt.Before(o.OpensAt) {
+		o.OpensAt = v.OpensAt
+	}
+}
+
+// AllClosed reports whether there are closed endpoints and no open ones.
+func (o *Outlook) AllClosed() bool { return !o.open && o.Slots > 0 }
+
 // Returns spreads the return of callers that were refused because all endpoints are closed: the first
 // returns when an endpoint opens, and each other one after the time in which one more request finds
 // room. The zero value is ready for use; it is not safe for concurrent use.
--- a/internal/backpressure/signal.go
+++ b/internal/backpressure/signal.go
@@ -17,6 +17,49 @@
 	RetryAfter time.Duration
 }
 
+// Headers are the parts of a response's header that hold a signal.
+type Headers struct {
+	Status int
+	// Leaving are the values of the header that says whether the endpoint leaves; Yes and No are its words.
+	Leaving []string
+	Yes, No string
+	// RetryAfter are the values of the Retry-After header, which counts only with status 503.
+	RetryAfter []string
+	// Date is the value of the Date header.
+	Date string
+}
+
+// Decode returns what a response says, and an error if a part of it is malformed and says nothing.
+func Decode(h Headers) (s Signal, err error) {
+	s.Leaving, err = h.leaving()
+	if h.Status != http.StatusServiceUnavailable {
+		return s, err
+	}
+	retryAfter, retryErr := longestRetryAfter(h.RetryAfter, h.Date)
+	s.RetryAfter = retryAfter
+	return s, errors.Join(err, retryErr)
+}
+
+// leaving reports whether a value, or an element of one that is a list, says that the endpoint leaves.
+func (h *Headers) leaving() (leaving bool, err error) {
+	for _, value := range h.Leaving {
+		for word := range strings.SplitSeq(value, ",") {
+			word = strings.TrimSpace(word)
+			switch {
+			case strings.EqualFold(word, h.Yes):
+				leaving = true
+			case !strings.EqualFold(word, h.No):
+				err = fmt.Errorf("%w: %q", errMalformedLeaving, word)
+			}
+		}
+	}
+	return leaving, err
+}
+
+// errMalformedLeaving means that the value of a header that says whether an endpoint leaves is neither of
+// its words.
+var errMalformedLeaving = errors.New("malformed statement whether the endpoint leaves")
+
 // MaxRetryAfter bounds a stated time. It is longer than the life of most endpoints, whose end also ends
 // the time.
 const MaxRetryAfter = 24 * time.Hour
@@ -65,9 +108,9 @@
 	return (d + time.Millisecond - 1).Truncate(time.Millisecond)
 }
 
-// LongestRetryAfter parses each value of a repeated Retry-After header and returns the longest time. It
+// longestRetryAfter parses each value of a repeated Retry-After header and returns the longest time. It
 // returns the first error if a value is malformed, together with the longest of the others.
-func LongestRetryAfter(values []string, date string) (longest time.Duration, err error) {
+func longestRetryAfter(values []string, date string) (longest time.Duration, err error) {
 	for _, value := range values {
 		d, parseErr := ParseRetryAfter(value, date)
 		longest = max(longest, d)
--- a/internal/backpressure/signal_test.go
+++ b/internal/backpressure/signal_test.go
@@ -57,10 +57,10 @@
 
 func TestLongestOfRepeatedValuesCounts(t *testing.T) {
 	is := is.New(t)
-	d, err := LongestRetryAfter([]string{"2", "nonsense", "5", "1"}, responseDate)
+	d, err := longestRetryAfter([]string{"2", "nonsense", "5", "1"}, responseDate)
 	is.True(err != nil)
 	is.Equal(d, 5*time.Second)
-	d, err = LongestRetryAfter(nil, responseDate)
+	d, err = longestRetryAfter(nil, responseDate)
 	is.NoErr(err)
 	is.Equal(d, time.Duration(0))
 }
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -201,30 +201,16 @@
 	p := t.pool(fleetName)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	opensAt, slots := p.opening(now)
-	if slots == 0 {
-		return 0, false
-	}
-	return p.returns.Next(now, opensAt, p.meanDuration/time.Duration(slots)), true
-}
-
-// opening returns when the first closed endpoint opens and the slots of all of them. It returns no slots
-// if an endpoint is open.
-func (p *pool) opening(now time.Time) (opensAt time.Time, slots int) {
+	var outlook backpressure.Outlook
 	for _, e := range p.ordered {
-		v := e.signals.Verdict(now)
-		if e.known.Leaving || v.Leaving {
-			continue
-		}
-		if v.Allowed {
-			return time.Time{}, 0
-		}
-		slots += max(e.known.Slots, 1)
-		if opensAt.IsZero() || v.OpensAt.Before(opensAt) {
-			opensAt = v.OpensAt
+		if !e.known.Leaving {
+			outlook.Add(e.signals.Verdict(now), e.known.Slots)
 		}
 	}
-	return opensAt, slots
+	if !outlook.AllClosed() {
+		return 0, false
+	}
+	return p.returns.Next(now, outlook.OpensAt, p.meanDuration/time.Duration(outlook.Slots)), true
 }
 
 // cacheSource is the endpoint that has the longest part of a prompt cached; zero if there is
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"rattanchute/internal/backpressure"
 	"rattanchute/internal/engine"
 	"rattanchute/internal/fleet"
 )
@@ -16,8 +15,8 @@
 	view            atomic.Pointer[view]
 	cache           *cacheIndex
 	disabled        Mechanism
-	// onSignal is nil or called when the signals of an endpoint change what may be sent to it.
-	onSignal func(endpoint string, c backpressure.Change)
+	// signalLog may be nil.
+	signalLog SignalLog
 
 	// mu guards the maps and the replacement of view; the states in the maps have their own
 	// locks.
--- a/internal/route/signals.go
+++ b/internal/route/signals.go
@@ -1,8 +1,8 @@
 package route
 
 import (
-	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rattanchute/internal/backpressure"
@@ -10,23 +10,19 @@
 
 // signalState is what one run of an endpoint said in its responses about further requests.
 type signalState struct {
+	endpoint atomic.Pointer[backpressure.Endpoint]
+	// mu guards instance, and its change together with that of endpoint.
 	mu       sync.Mutex
 	instance string
-	endpoint *backpressure.Endpoint
 }
 
 // current returns the state of the endpoint's present run.
 func (s *signalState) current() *backpressure.Endpoint {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.currentLocked()
-}
-
-func (s *signalState) currentLocked() *backpressure.Endpoint {
-	if s.endpoint == nil {
-		s.endpoint = &backpressure.Endpoint{}
+	if e := s.endpoint.Load(); e != nil {
+		return e
 	}
-	return s.endpoint
+	s.endpoint.CompareAndSwap(nil, &backpressure.Endpoint{})
+	return s.endpoint.Load()
 }
 
 // of returns the state of the run with the given name. A name that is not that of the present run begins
@@ -35,20 +31,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if instance == "" || instance == s.instance {
-		return s.currentLocked()
+		return s.current()
 	}
 	if s.instance != "" {
-		s.endpoint = nil
+		s.endpoint.Store(&backpressure.Endpoint{})
 	}
 	s.instance = instance
-	return s.currentLocked()
+	return s.current()
 }
 
 // restart begins a new run whose name is not known.
 func (s *signalState) restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.instance, s.endpoint = "", nil
+	s.instance = ""
+	s.endpoint.Store(&backpressure.Endpoint{})
 }
 
 // Acquire asks, immediately before a request is sent, whether the endpoint at the address still accepts
@@ -69,21 +66,36 @@
 }
 
 // Observe records what a response of the endpoint at the address says about further requests. The
-// instance is the name of the endpoint's run, empty if it did not name it.
-func (r *Router) Observe(now time.Time, address, instance string, s backpressure.Signal) {
+// instance is the name of the endpoint's run, empty if it did not name it. The random number, from 0 to 1,
+// delays the return of requests to a closed endpoint.
+func (r *Router) Observe(now time.Time, random float64, address, instance string, s backpressure.Signal) {
 	t := r.view.Load().byAddress[address]
 	if t == nil {
 		return
 	}
-	change := t.state.signals.of(instance).Observe(now, rand.Float64(), s, "")
-	if r.onSignal != nil && (change.Left || !change.OpensAt.IsZero()) {
-		r.onSignal(t.info.endpoint.Name, change)
+	change := t.state.signals.of(instance).Observe(now, random, s, "")
+	if r.signalLog != nil && (change.Left || !change.OpensAt.IsZero()) {
+		r.signalLog.SignalChanged(t.info.endpoint.Name, change)
 	}
 }
 
-// OnSignal sets a function that is called when an endpoint begins to leave, or is closed for a time or a
-// longer one. It must be set before the router is used.
-func (r *Router) OnSignal(f func(endpoint string, c backpressure.Change)) { r.onSignal = f }
+// Malformed records that a part of what a response of the endpoint at the address says was ignored.
+func (r *Router) Malformed(address string, err error) {
+	if t := r.view.Load().byAddress[address]; t != nil && r.signalLog != nil {
+		r.signalLog.SignalIgnored(t.info.endpoint.Name, err)
+	}
+}
+
+// SignalLog is told what endpoints say about further requests.
+type SignalLog interface {
+	// SignalChanged is called when an endpoint begins to leave, or is closed for a time or a longer one.
+	SignalChanged(endpoint string, c backpressure.Change)
+	// SignalIgnored is called when a statement of an endpoint is malformed.
+	SignalIgnored(endpoint string, err error)
+}
+
+// SetSignalLog must be called before the router is used.
+func (r *Router) SetSignalLog(l SignalLog) { r.signalLog = l }
 
 // Opening reports whether all endpoints that an organisation may use of a fleet are closed for some time,
 // apart from those that leave, and if so, after which time a caller that is refused now should return.
@@ -92,29 +104,22 @@
 	if list == nil {
 		return 0, false
 	}
-	var opensAt time.Time
-	slots, duration := 0, 0.0
+	var outlook backpressure.Outlook
 	var p *pool
+	duration := 0.0
 	for _, t := range list.targets {
-		v := t.state.signals.current().Verdict(now)
-		if v.Leaving || !t.host.usable.Load() {
+		if !t.host.usable.Load() {
 			continue
 		}
-		if v.Allowed {
-			return 0, false
-		}
 		p = t.pool
-		slots += max(t.info.slots, 1)
 		duration = max(duration, t.state.meanDuration())
-		if opensAt.IsZero() || v.OpensAt.Before(opensAt) {
-			opensAt = v.OpensAt
-		}
+		outlook.Add(t.state.signals.current().Verdict(now), t.info.slots)
 	}
-	if p == nil {
+	if !outlook.AllClosed() {
 		return 0, false
 	}
-	interval := time.Duration(duration / float64(slots) * float64(time.Second))
+	interval := time.Duration(duration / float64(outlook.Slots) * float64(time.Second))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.returns.Next(now, opensAt, interval), true
+	return p.returns.Next(now, outlook.OpensAt, interval), true
 }
--- a/internal/soak/node_test.go
+++ b/internal/soak/node_test.go
@@ -293,7 +293,7 @@
 // close records that an endpoint wants no requests from this node for some time.
 func (n *node) close(address string, retryAfter time.Duration) {
 	now := time.Now()
-	n.router.Observe(now, address, "", backpressure.Signal{RetryAfter: retryAfter})
+	n.router.Observe(now, float64(n.env.randN(100))/100, address, "", backpressure.Signal{RetryAfter: retryAfter})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.closings[address] = append(n.closings[address], closing{observed: time.Now(), until: now.Add(retryAfter)})
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -14,6 +14,8 @@
 	Refuse bool `json:"refuse"`
 	// Leaving says in every response that the endpoint leaves.
 	Leaving bool `json:"leaving"`
+	// LeavingText is said instead of what Leaving says, unless it is empty.
+	LeavingText string `json:"leaving_text"`
 	// RetryAfterMillis is the time for which refused requests are told to stay away; zero tells none.
 	RetryAfterMillis int `json:"retry_after_ms"`
 	// Freeze accepts requests but blocks them and the open streams until the faults are
@@ -47,8 +49,12 @@
 
 // signal sets the headers with which a response says that the endpoint leaves.
 func (f *Faults) signal(ctx *fasthttp.RequestCtx) {
-	if f.Leaving {
-		ctx.Response.Header.Set("X-Endpoint-Leaving", "true")
+	text := f.LeavingText
+	if text == "" && f.Leaving {
+		text = "true"
+	}
+	if text != "" {
+		ctx.Response.Header.Set("X-Endpoint-Leaving", text)
 	}
 }
 
