backpressure: names of the field, and no result that nobody reads

Read as a newcomer: News, Learn, Belief and Returns needed explaining, 'by its own word' was a figure of speech, and Permit.Answered returned what only a test read. Now LeavingReport, ApplyReports, an unexported leavingInfo and RetrySchedule; the tests look at the state that the result told. Messages on the wire are unchanged.

--- a/internal/backpressure/endpoint.go
+++ b/internal/backpressure/endpoint.go
@@ -17,12 +17,10 @@
 	minReturnSpread = 100 * time.Millisecond
 )
 
-// Belief says from whom and since when it is known that an endpoint leaves.
-type Belief struct {
-	// Source is the name of the host that the endpoint told.
-	Source string
-	// Since is when the endpoint told it.
-	Since time.Time
+// leavingInfo says how it is known that an endpoint leaves: the host that it told, and when.
+type leavingInfo struct {
+	source string
+	since  time.Time
 }
 
 // Verdict says whether a request may be sent to an endpoint.
@@ -48,7 +46,7 @@
 	// restricted is set while a restriction may apply. Requests to other endpoints take no lock.
 	restricted atomic.Bool
 	mu         sync.Mutex
-	leaving    *Belief
+	leaving    *leavingInfo
 	// opensAt is the latest end of a stated time; zero if none was stated since the last complete
 	// return.
 	opensAt time.Time
@@ -71,7 +69,7 @@
 	defer e.mu.Unlock()
 	var c Change
 	if s.Leaving {
-		c.Left = e.learnLocked(Belief{Source: host, Since: now})
+		c.Left = e.markLeavingLocked(leavingInfo{source: host, since: now})
 	}
 	if s.RetryAfter > 0 {
 		c.OpensAt = e.closeLocked(now, random, s.RetryAfter)
@@ -79,12 +77,12 @@
 	return c
 }
 
-// learnLocked records that the endpoint leaves, and reports whether that was not known.
-func (e *Endpoint) learnLocked(b Belief) bool {
+// markLeavingLocked records that the endpoint leaves, and reports whether that was not known.
+func (e *Endpoint) markLeavingLocked(info leavingInfo) bool {
 	if e.leaving != nil {
 		return false
 	}
-	e.leaving = &b
+	e.leaving = &info
 	e.restricted.Store(true)
 	return true
 }
@@ -157,22 +155,21 @@
 }
 
 // Answered records that the endpoint has begun to respond, and did not close itself again. Only the
-// first call has an effect. It reports whether the return of requests is now complete.
-func (p *Permit) Answered() (complete bool) {
+// first call has an effect.
+func (p *Permit) Answered() {
 	e := p.take()
 	if e == nil {
-		return false
+		return
 	}
 	defer e.mu.Unlock()
 	e.running--
 	e.limit *= 2
 	if e.limit < fullLimit {
-		return false
+		return
 	}
 	e.opensAt, e.limit, e.running = time.Time{}, 0, 0
 	e.round++
 	e.restricted.Store(e.leaving != nil)
-	return true
 }
 
 // Release records that the request has ended. It has no effect after Answered.
--- a/internal/backpressure/endpoint_test.go
+++ b/internal/backpressure/endpoint_test.go
@@ -61,11 +61,12 @@
 		}
 		answered, _ := e.Acquire(now)
 		is.True(!answered.First)
-		is.True(!answered.Answered())
+		answered.Answered()
+		is.True(e.restricted.Load()) // the return is not complete
 		permits = acquireAll(&e, now)
 		is.Equal(len(permits), want)
 	}
-	is.True(permits[0].Answered()) // the return is complete
+	permits[0].Answered() // the return is complete
 	is.True(!e.restricted.Load())
 	permits[1].Release()
 	is.Equal(len(acquireAll(&e, now)), maxAcquired)
@@ -110,13 +111,13 @@
 	is.True(!e.Verdict(now).Allowed)
 	now = now.Add(time.Second)
 	is.Equal(len(acquireAll(&e, now)), 1)
-	is.True(!old.Answered())
+	old.Answered()
 	is.Equal(len(acquireAll(&e, now)), 0)
 }
 
 func TestRefusedCallersReturnOneAfterTheOther(t *testing.T) {
 	is := is.New(t)
-	var r Returns
+	var r RetrySchedule
 	opens := epoch.Add(3 * time.Second)
 	const interval = 10 * time.Millisecond
 	is.Equal(r.Next(epoch, opens, interval), 3*time.Second)
@@ -125,6 +126,6 @@
 	// Later, the earlier callers have returned.
 	is.Equal(r.Next(epoch.Add(time.Minute), epoch, interval), time.Duration(0))
 	for range 10_000 {
-		is.True(r.Next(epoch, opens, interval) <= 3*time.Second+maxReturnsAhead)
+		is.True(r.Next(epoch, opens, interval) <= 3*time.Second+maxScheduleAhead)
 	}
 }
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// newsRetention is how long after an endpoint told it the hosts tell each other that it leaves.
+	// reportRetention is how long after an endpoint told it the hosts tell each other that it leaves.
 	// Messages are repeated, because they may be lost.
-	newsRetention = 5 * time.Second
-	// maxNews bounds the endpoints of one message.
-	maxNews = 100
+	reportRetention = 5 * time.Second
+	// maxReports bounds the endpoints of one message.
+	maxReports = 100
 	// maxUnlisted bounds the remembered endpoints that are not listed. Closed ones are forgotten first, and
 	// then those that are known to leave for the longest time.
 	maxUnlisted = 4096
@@ -26,8 +26,8 @@
 	StartMillis int64 `json:"born,omitempty"`
 }
 
-// News is the message of a host that an endpoint leaves.
-type News struct {
+// LeavingReport is the message of a host that an endpoint leaves.
+type LeavingReport struct {
 	Instance
 	// Source is the host that the endpoint told, and AgeMillis how long ago.
 	Source    string `json:"source"`
@@ -70,62 +70,62 @@
 	t.mu.Lock()
 	e := t.endpoints[i]
 	t.mu.Unlock()
-	return e != nil && e.restricted.Load() && e.belief() != nil
+	return e != nil && e.restricted.Load() && e.leavingInfo() != nil
 }
 
-func (e *Endpoint) belief() *Belief {
+func (e *Endpoint) leavingInfo() *leavingInfo {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.leaving
 }
 
-// Learn records the news of another host, and returns those that were new.
-func (t *Table) Learn(now time.Time, news []News) []News {
-	var learned []News
-	for _, n := range news {
-		if n.ID == "" || n.AgeMillis < 0 {
+// ApplyReports records the reports of another host, and returns those that were not known.
+func (t *Table) ApplyReports(now time.Time, reports []LeavingReport) []LeavingReport {
+	var unknown []LeavingReport
+	for _, r := range reports {
+		if r.ID == "" || r.AgeMillis < 0 {
 			continue
 		}
-		e := t.Endpoint(n.Instance)
+		e := t.Endpoint(r.Instance)
 		e.mu.Lock()
-		since := now.Add(-time.Duration(min(n.AgeMillis, newsRetention.Milliseconds())) * time.Millisecond)
-		if e.learnLocked(Belief{Source: n.Source, Since: since}) {
-			learned = append(learned, n)
+		since := now.Add(-time.Duration(min(r.AgeMillis, reportRetention.Milliseconds())) * time.Millisecond)
+		if e.markLeavingLocked(leavingInfo{source: r.Source, since: since}) {
+			unknown = append(unknown, r)
 		}
 		e.mu.Unlock()
 	}
-	return learned
+	return unknown
 }
 
-// News returns what to tell the other hosts: the endpoints that have told a host in the last seconds that
+// LeavingReports returns what to tell the other hosts: the endpoints that have told a host in the last seconds that
 // they leave, the newest first.
-func (t *Table) News(now time.Time) []News {
-	var news []News
-	for i, b := range t.leaving() {
-		if age := now.Sub(b.Since); age < newsRetention {
-			news = append(news, News{Instance: i, Source: b.Source, AgeMillis: age.Milliseconds()})
+func (t *Table) LeavingReports(now time.Time) []LeavingReport {
+	var reports []LeavingReport
+	for i, info := range t.leaving() {
+		if age := now.Sub(info.since); age < reportRetention {
+			reports = append(reports, LeavingReport{Instance: i, Source: info.source, AgeMillis: age.Milliseconds()})
 		}
 	}
-	slices.SortFunc(news, func(a, b News) int {
+	slices.SortFunc(reports, func(a, b LeavingReport) int {
 		return cmp.Or(cmp.Compare(a.AgeMillis, b.AgeMillis), cmp.Compare(a.ID, b.ID))
 	})
-	return news[:min(len(news), maxNews)]
+	return reports[:min(len(reports), maxReports)]
 }
 
 // leaving returns the endpoints that are known to leave.
-func (t *Table) leaving() map[Instance]Belief {
+func (t *Table) leaving() map[Instance]leavingInfo {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	beliefs := map[Instance]Belief{}
+	infos := map[Instance]leavingInfo{}
 	for i, e := range t.endpoints {
 		if !e.restricted.Load() {
 			continue
 		}
-		if b := e.belief(); b != nil {
-			beliefs[i] = *b
+		if info := e.leavingInfo(); info != nil {
+			infos[i] = *info
 		}
 	}
-	return beliefs
+	return infos
 }
 
 // Counts returns how many endpoints are known to leave, and how many others are closed.
@@ -172,8 +172,8 @@
 		return
 	}
 	since := func(i Instance) time.Time {
-		if b := t.endpoints[i].belief(); b != nil {
-			return b.Since
+		if info := t.endpoints[i].leavingInfo(); info != nil {
+			return info.since
 		}
 		return time.Time{}
 	}
--- a/internal/backpressure/table_test.go
+++ b/internal/backpressure/table_test.go
@@ -56,27 +56,27 @@
 	is.True(table.IsLeaving(Instance{ID: "10"}))
 }
 
-func TestNewsCarriesItsSourceAndAge(t *testing.T) {
+func TestReportCarriesItsSourceAndAge(t *testing.T) {
 	is := is.New(t)
 	one, two, three := NewTable("one"), NewTable("two"), NewTable("three")
 	i := Instance{ID: "i-1"}
 	one.Observe(epoch, 0, i, Signal{Leaving: true, RetryAfter: time.Minute})
 	later := epoch.Add(time.Second)
-	is.Equal(len(two.Learn(later, one.News(later))), 1)
-	is.Equal(len(two.Learn(later, one.News(later))), 0)
+	is.Equal(len(two.ApplyReports(later, one.LeavingReports(later))), 1)
+	is.Equal(len(two.ApplyReports(later, one.LeavingReports(later))), 0)
 	evenLater := later.Add(time.Second)
-	news := two.News(evenLater)
-	is.Equal(news, []News{{Instance: i, Source: "one", AgeMillis: 2000}})
-	three.Learn(evenLater, news)
+	reports := two.LeavingReports(evenLater)
+	is.Equal(reports, []LeavingReport{{Instance: i, Source: "one", AgeMillis: 2000}})
+	three.ApplyReports(evenLater, reports)
 	is.True(three.IsLeaving(i))
-	is.Equal(len(three.News(epoch.Add(newsRetention))), 0) // news end, what is known does not
+	is.Equal(len(three.LeavingReports(epoch.Add(reportRetention))), 0) // no longer reported, but known
 	is.True(three.IsLeaving(i))
 }
 
-func TestMalformedNewsIsIgnored(t *testing.T) {
+func TestMalformedReportIsIgnored(t *testing.T) {
 	is := is.New(t)
 	table := NewTable("h")
-	is.Equal(len(table.Learn(epoch, []News{{Source: "x"}, {Instance: Instance{ID: "i"}, AgeMillis: -1}})), 0)
+	is.Equal(len(table.ApplyReports(epoch, []LeavingReport{{Source: "x"}, {Instance: Instance{ID: "i"}, AgeMillis: -1}})), 0)
 	is.Equal(len(table.endpoints), 0)
 }
 
@@ -194,11 +194,11 @@
 	}
 }
 
-// exchange passes the news of one host to another, which is bound by it too.
+// exchange passes the reports of one host to another, which is bound by it too.
 func (s *simulation) exchange(from, to int) {
-	news := s.hosts[from].News(s.now)
-	s.hosts[to].Learn(s.now, news)
-	for _, n := range news {
+	reports := s.hosts[from].LeavingReports(s.now)
+	s.hosts[to].ApplyReports(s.now, reports)
+	for _, n := range reports {
 		c := contact{to, n.Instance}
 		if _, told := s.told[c]; !told {
 			s.told[c] = s.now
@@ -206,7 +206,7 @@
 	}
 }
 
-func TestNoRequestReachesAnEndpointAgainstItsWord(t *testing.T) {
+func TestNoRequestIsSentToALeavingOrClosedEndpoint(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(rapid.IntRange(1, 3).Draw(t, "hosts"), rapid.IntRange(1, 2).Draw(t, "endpoints"))
 		host := rapid.IntRange(0, len(s.hosts)-1)
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -36,7 +36,7 @@
 	// than expected.
 	firstEventSlowness slowness
 	// returns spreads the callers that were refused because all endpoints are closed.
-	returns backpressure.Returns
+	returns backpressure.RetrySchedule
 }
 
 // NewTable returns a table without endpoints for a host in the data centre. It chooses no endpoint that
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -128,7 +128,7 @@
 // reached the endpoint, or the endpoint reported that it refused it.
 var ErrNotSent = errors.New("engine: request not run")
 
-// ErrClosed means that the endpoint accepts no new requests for now or any more, by its own word. It is
+// ErrClosed means that the endpoint accepts no new requests for now or any more, as it has said in a response. It is
 // wrapped together with ErrNotSent, and is no failure of the endpoint.
 var ErrClosed = errors.New("engine: accepts no requests")
 
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -79,7 +79,7 @@
 	EndpointsAgeMillis int64 `json:"endpoints_age_ms,omitempty"`
 
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
-	LeavingEndpoints []backpressure.News `json:"leaving_endpoints,omitempty"`
+	LeavingEndpoints []backpressure.LeavingReport `json:"leaving_endpoints,omitempty"`
 
 	Quota quota.SpendingReport `json:"quota"`
 	Usage []HostUsage          `json:"usage,omitempty"`
@@ -116,7 +116,7 @@
 	Generation fleet.Generation `json:"generation,omitempty"`
 	Endpoints  registry.Delta   `json:"endpoints"`
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
-	LeavingEndpoints []backpressure.News `json:"leaving_endpoints,omitempty"`
+	LeavingEndpoints []backpressure.LeavingReport `json:"leaving_endpoints,omitempty"`
 	// Levels are the remaining quota tokens by organisation, after all processed reports.
 	Levels map[string]float64 `json:"levels,omitempty"`
 	// Loads are the loads of all hosts, including the follower's own. If the digest would be too large,
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -167,14 +167,14 @@
 	return known
 }
 
-// learnLeaving records and logs which endpoints another host reports to leave, and passes them on.
-func (n *Node) learnLeaving(now time.Time, from string, news []backpressure.News) {
-	learned := n.signals.Learn(now, news)
-	for _, l := range learned {
+// applyLeavingReports records and logs which endpoints another host reports to leave, and passes them on.
+func (n *Node) applyLeavingReports(now time.Time, from string, reports []backpressure.LeavingReport) {
+	unknown := n.signals.ApplyReports(now, reports)
+	for _, l := range unknown {
 		n.Log.Info().Str("endpoint", l.ID).Str("address", l.Address).Str("peer", from).
 			Str("source", l.Source).Int64("age_ms", l.AgeMillis).Msg("endpoint said to a peer that it leaves")
 	}
-	if len(learned) > 0 {
+	if len(unknown) > 0 {
 		n.announceChange()
 	}
 }
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -57,7 +57,7 @@
 	if n.lease != nil && r.LeaseVersion > 0 {
 		n.lease.OnReport(r.LeaseVersion, now)
 	}
-	n.learnLeaving(now, r.Name, r.LeavingEndpoints)
+	n.applyLeavingReports(now, r.Name, r.LeavingEndpoints)
 	n.observeStoreOf(now, r)
 	if receipt.Role == heartbeat.RoleUnrelated {
 		// The host that it follows reports what it spends.
@@ -110,7 +110,7 @@
 		return
 	}
 	// That an endpoint leaves is final, so that this holds however old the digest is.
-	n.learnLeaving(now, d.Name, d.LeavingEndpoints)
+	n.applyLeavingReports(now, d.Name, d.LeavingEndpoints)
 	ack := d.Acks[n.Settings.Name]
 	sent, ok := n.sent.At(ack.Included)
 	if !ok || now.Sub(sent.At) > maxAckAge {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -212,7 +212,7 @@
 	if r.LeaseVersion > 0 {
 		r.FinalUsage = n.usage.Final(reportedUsageWindows)
 	}
-	r.LeavingEndpoints = n.signals.News(now)
+	r.LeavingEndpoints = n.signals.LeavingReports(now)
 	r.Members, r.Left = n.peers.Members(now)
 	r.Usage = n.reportedUsage(now, r.Members)
 	r.Generation = n.activeGeneration()
@@ -269,7 +269,7 @@
 		Generation:     n.activeGeneration(),
 		Endpoints:      n.endpoints.Delta(now),
 
-		LeavingEndpoints: n.signals.News(now),
+		LeavingEndpoints: n.signals.LeavingReports(now),
 
 		Levels:   n.quota.SpendingReport(now).Level,
 		Loads:    n.balancer.Loads(now, balancer.ScopeAll),
--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -27,7 +27,7 @@
 	mu      sync.Mutex
 	members []*target
 	// returns spreads the callers that were refused because all endpoints are closed.
-	returns backpressure.Returns
+	returns backpressure.RetrySchedule
 }
 
 // recordSuccess resets the consecutive failures and the backoff of ejections, unless the
