--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -2,14 +2,12 @@
 
 import (
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
-	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 )
@@ -33,10 +31,6 @@
 	}
 }
 
-// maxRoutineLinesPerSecond is the limit for routine lines per second. Refusals and failures of
-// requests, and attempts after the first one that reached an endpoint, are always logged.
-const maxRoutineLinesPerSecond = 100
-
 // entry begins a log line about a request.
 func (t *Telemetry) entry(level log.Level, x *exchange) *log.Entry {
 	line := t.log.WithLevel(level)
@@ -92,43 +86,6 @@
 		Msg("attempt ended without an answer")
 }
 
-// SignalObserved counts and logs what a response says about further requests to its endpoint, if that
-// changes what this host believes, and what of it was ignored.
-func (t *Telemetry) SignalObserved(a *attempt, info *ResponseInfo, change backpressure.Change) {
-	x := a.exchange
-	if change.Left {
-		t.metrics.signals.WithLabelValues(signalLeaving).Inc()
-		t.entry(log.WarnLevel, x).Str("endpoint", a.choice.Endpoint.ID).Int("status", a.status).
-			Msg("endpoint says that it leaves")
-	}
-	if !change.OpensAt.IsZero() {
-		t.metrics.signals.WithLabelValues(signalClosed).Inc()
-		t.entry(log.WarnLevel, x).Str("endpoint", a.choice.Endpoint.ID).Int("status", a.status).
-			Int64("retry_after_ms", info.Signal.RetryAfter.Milliseconds()).
-			Int64("opens_in_ms", change.OpensAt.Sub(clock.Now()).Milliseconds()).
-			Msg("endpoint closed")
-	}
-	if info.SignalErr != nil {
-		t.metrics.signals.WithLabelValues(signalIgnored).Inc()
-		if t.allowRoutine(clock.Now(), lineSignal) {
-			t.entry(log.WarnLevel, x).Str("endpoint", a.choice.Endpoint.ID).Int("status", a.status).
-				Err(info.SignalErr).Msg("endpoint's signal ignored")
-		}
-	}
-}
-
-// The kinds of signals in metrics.
-const (
-	signalLeaving = "leaving"
-	signalClosed  = "closed"
-	signalIgnored = "ignored"
-)
-
-// Reopened logs the first request to an endpoint after it was closed.
-func (t *Telemetry) Reopened(a *attempt) {
-	t.entry(log.InfoLevel, a.exchange).Str("endpoint", a.choice.Endpoint.ID).Msg("endpoint open again")
-}
-
 // HealthChanged logs that an endpoint was ejected as an outlier, which it also counts, or returned
 // to use. It does nothing if neither is the case.
 func (t *Telemetry) HealthChanged(endpoint string, change balancer.HealthChange) {
@@ -241,24 +198,6 @@
 	}
 }
 
-// The kinds of log lines that are rate-limited.
-const (
-	lineSent     = "sent"
-	lineAnswered = "answered"
-	lineAccept   = "accept_failed"
-	lineSignal   = "signal_ignored"
-)
-
-// allowRoutine reports whether a routine line may be written within the rate limit, and counts it
-// as suppressed if not.
-func (t *Telemetry) allowRoutine(now time.Time, kind string) bool {
-	if t.routineLimit.allow(now, kind) {
-		return true
-	}
-	t.metrics.suppressedLines[kind].Inc()
-	return false
-}
-
 // StreamEnded counts the end of an endpoint's stream, by framing and by how it ended.
 func (t *Telemetry) StreamEnded(a *attempt) {
 	t.metrics.streamEnds.WithLabelValues(string(a.framing), a.streamEnd()).Inc()
@@ -290,29 +229,3 @@
 func (t *Telemetry) ObserveEventInterval(d time.Duration) {
 	t.metrics.eventInterval.Observe(d.Seconds())
 }
-
-// lineLimiter limits the rate of log lines. The first line of each kind in a second is always
-// allowed and does not count towards the limit.
-type lineLimiter struct {
-	perSecond int
-	mu        sync.Mutex
-	second    int64
-	used      int
-	kinds     map[string]bool
-}
-
-func (l *lineLimiter) allow(now time.Time, kind string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if second := now.Unix(); second != l.second || l.kinds == nil {
-		l.second = second
-		l.used = 0
-		l.kinds = map[string]bool{}
-	}
-	if !l.kinds[kind] {
-		l.kinds[kind] = true
-		return true
-	}
-	l.used++
-	return l.used <= l.perSecond
-}
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -9,10 +9,6 @@
 	"rattanchute/internal/objectstore"
 )
 
-// recoveryGrace is how long after a store outage an entry that expired during the outage may
-// still be missing. The platform documents about two seconds.
-const recoveryGrace = 2200 * time.Millisecond
-
 // ChangeKind is the kind of a change to an endpoint.
 type ChangeKind string
 
@@ -79,10 +75,6 @@
 // forgotten.
 const maxRemoved = 2000
 
-// outageThreshold is the minimum duration of a store outage in which entries may have expired:
-// endpoints miss two heartbeats in that time.
-const outageThreshold = 2 * time.Second
-
 // entryState is the state of an entry of a view.
 type entryState struct {
 	endpoint Endpoint
@@ -100,51 +92,6 @@
 	return &View{entries: map[string]*entryState{}, removed: map[string]removal{}}
 }
 
-// StoreFailed records that a call to the store failed.
-func (v *View) StoreFailed() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.callFailed = true
-}
-
-// recordResponse records that the store responded to this host.
-func (v *View) recordResponse(now time.Time) {
-	v.recordResponseToAny(now)
-	v.callFailed = false
-}
-
-// recordResponseToAny records that the store responded to this host or to a peer. A long time without a
-// response counts as an outage only if a call of this host failed in it, because a host that rarely
-// queries the store rarely gets a response.
-func (v *View) recordResponseToAny(at time.Time) {
-	if !at.After(v.respondedAt) {
-		return
-	}
-	if v.callFailed && !v.respondedAt.IsZero() && at.Sub(v.respondedAt) >= outageThreshold {
-		v.recoveredAt = at
-	}
-	v.respondedAt = at
-}
-
-// PeerConfirmed records that the store confirmed its list of endpoints to a peer at a given time. A host
-// that loses the store while its peers do not was cut off alone: entries that it then finds missing have
-// not expired in an outage.
-func (v *View) PeerConfirmed(at time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.recordResponseToAny(at)
-}
-
-// mayReappear reports whether an unlisted entry may merely have expired during a store outage,
-// and may be listed again soon: it is not leaving and has not been observed since the outage
-// ended, which was less than recoveryGrace ago.
-func (v *View) mayReappear(now time.Time, state *entryState) bool {
-	if state.endpoint.Leaving || v.recoveredAt.IsZero() {
-		return false
-	}
-	return state.seenAt.Before(v.recoveredAt) && now.Sub(v.recoveredAt) < recoveryGrace
-}
-
 // Replace replaces the view with a whole list, read at a store version, and returns the changes
 // ordered by endpoint ID. Unlisted entries are removed or marked as missing. A list older than the
 // view is ignored.
@@ -175,13 +122,6 @@
 	return changes
 }
 
-// StoreResponded records that the store responded, with or without changes.
-func (v *View) StoreResponded(now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.recordResponse(now)
-}
-
 // Put applies an entry observed by a watch, unless the view has a newer version of it.
 func (v *View) Put(now time.Time, e Entry) []Change {
 	v.mu.Lock()
@@ -285,20 +225,6 @@
 	return v.asOf, v.changedAt
 }
 
-// RemoveMissing removes the entries that are still missing once recoveryGrace has passed since the
-// store outage.
-func (v *View) RemoveMissing(now time.Time) []Change {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var changes []Change
-	for id, state := range v.entries {
-		if !state.missingSince.IsZero() && !v.mayReappear(now, state) {
-			changes = v.removeOrMarkMissing(now, id, v.asOf, changes)
-		}
-	}
-	return changes
-}
-
 // Known is an endpoint in the view.
 type Known struct {
 	Endpoint
