backpressure: its page and constants in the terms of the field

'returns gently', 'spread' and 'stated time' are a slow start, jitter and a pause; the package's page now defines leaving, closed and open. Names of unexported constants and comments only; tests of the packages touched: ok.

--- a/internal/adapter/enginehttp/signals.go
+++ b/internal/adapter/enginehttp/signals.go
@@ -29,7 +29,7 @@
 	// Acquire returns a permit, or why the endpoint at the address accepts no request now.
 	Acquire(now time.Time, address string) (*backpressure.Permit, error)
 	// Observe records what a response says. The instance is empty if the endpoint did not name it. The
-	// random number, from 0 to 1, delays the return of requests to a closed endpoint.
+	// random number, from 0 to 1, is the jitter of a pause.
 	Observe(now time.Time, random float64, address, instance string, s backpressure.Signal)
 	// Malformed records that a part of what a response says was ignored.
 	Malformed(address string, err error)
--- a/internal/backpressure/doc.go
+++ b/internal/backpressure/doc.go
@@ -1,10 +1,10 @@
-// Package backpressure decides which endpoints a host may send requests to, from what the endpoints
-// say of themselves in their responses: that they leave, which is final for one run of an endpoint,
-// and that they want no requests from this host for some time.
+// Package backpressure decides which endpoints a host may send requests to, from what the endpoints say in
+// their responses. An endpoint announces its drain: it is leaving, which is final for one run of it. Or it
+// asks for a pause with a Retry-After: it is closed to this host until then, and open otherwise.
 //
-// After such a time, requests return gently: one at first, and twice as many with each response. Hosts
-// add a random delay, so that they do not all return at once. The first is told to the other hosts; the
-// second concerns one host only.
+// After a pause, requests return in a slow start: one at first, and twice as many with each response. Hosts
+// add jitter to the end of the pause, so that they do not all return at once. Hosts report leaving
+// endpoints to each other; a pause concerns one host only.
 //
 // The package performs no I/O: time, randomness and responses are arguments. It serves both the
 // pass-through interface (packages balancer, proxy and node) and the daemon's own (packages route and
--- a/internal/backpressure/endpoint.go
+++ b/internal/backpressure/endpoint.go
@@ -7,14 +7,13 @@
 )
 
 const (
-	// fullLimit is the number of requests in progress from which a return is complete.
+	// fullLimit is the number of requests in progress with which the slow start ends.
 	fullLimit = 64
-	// returnSpread is the largest part of a stated time by which a host returns later than it was told,
-	// and maxReturnSpread its upper bound.
-	returnSpread    = 0.25
-	maxReturnSpread = time.Second
-	// minReturnSpread keeps hosts apart after a short time too.
-	minReturnSpread = 100 * time.Millisecond
+	// jitterShare is the largest part of a pause by which a host makes it longer; the jitter's range is
+	// between minJitter and maxJitter.
+	jitterShare = 0.25
+	minJitter   = 100 * time.Millisecond
+	maxJitter   = time.Second
 )
 
 // leavingInfo says how it is known that an endpoint leaves: the host that it told, and when.
@@ -47,8 +46,7 @@
 	restricted atomic.Bool
 	mu         sync.Mutex
 	leaving    *leavingInfo
-	// opensAt is the latest end of a stated time; zero if none was stated since the last complete
-	// return.
+	// opensAt is the latest end of a pause; zero once the slow start after it has ended.
 	opensAt time.Time
 	// limit bounds the requests that are in progress since opensAt, of which running are. It is zero
 	// until the first one is sent.
@@ -60,7 +58,7 @@
 }
 
 // Observe records a signal of a response that arrived now at the host with the given name. The random
-// number, from 0 to 1, delays the return. A time that ends before one stated earlier changes nothing.
+// number, from 0 to 1, is the jitter. A pause that ends before an earlier one changes nothing.
 func (e *Endpoint) Observe(now time.Time, random float64, s Signal, host string) Change {
 	if !s.Leaving && s.RetryAfter <= 0 {
 		return Change{}
@@ -87,15 +85,15 @@
 	return true
 }
 
-// closeLocked closes the endpoint for a stated time, and returns when it opens; zero if it was closed
-// for longer.
+// closeLocked closes the endpoint for a time, and returns when it opens; zero if it was closed for
+// longer.
 func (e *Endpoint) closeLocked(now time.Time, random float64, retryAfter time.Duration) time.Time {
 	retryAfter = min(retryAfter, MaxRetryAfter)
 	if !now.Add(retryAfter).After(e.opensAt) {
 		return time.Time{}
 	}
-	spread := min(max(time.Duration(returnSpread*float64(retryAfter)), minReturnSpread), maxReturnSpread)
-	e.opensAt = now.Add(retryAfter + time.Duration(random*float64(spread)))
+	jitter := min(max(time.Duration(jitterShare*float64(retryAfter)), minJitter), maxJitter)
+	e.opensAt = now.Add(retryAfter + time.Duration(random*float64(jitter)))
 	e.limit, e.running = 0, 0
 	e.round++
 	e.restricted.Store(true)
--- a/internal/backpressure/endpoint_test.go
+++ b/internal/backpressure/endpoint_test.go
@@ -42,8 +42,8 @@
 		first := early.Observe(epoch, 0, closed(told), "h").OpensAt
 		last := late.Observe(epoch, 0.999, closed(told), "h").OpensAt
 		is.Equal(first, epoch.Add(told)) // never before the stated end
-		is.True(last.Sub(first) >= minReturnSpread/2)
-		is.True(last.Sub(first) <= maxReturnSpread)
+		is.True(last.Sub(first) >= minJitter/2)
+		is.True(last.Sub(first) <= maxJitter)
 	}
 }
 
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -60,7 +60,7 @@
 }
 
 // Observe records a signal of a response of an endpoint that arrived now. The random number, from 0 to
-// 1, delays the return of requests to it.
+// 1, is the jitter of a pause.
 func (t *Table) Observe(now time.Time, random float64, i Instance, s Signal) Change {
 	return t.Endpoint(i).Observe(now, random, s, t.host)
 }
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -70,7 +70,7 @@
 )
 
 // ObserveSignal records what the response of the endpoint says about further requests. The random
-// number, from 0 to 1, delays the return of requests to a closed endpoint.
+// number, from 0 to 1, is the jitter of a pause.
 func (a *Attempt) ObserveSignal(now time.Time, random float64, s backpressure.Signal) backpressure.Change {
 	change := a.signals.Observe(now, random, a.instance, s)
 	if s.RetryAfter <= 0 && a.permit != nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -128,8 +128,8 @@
 // reached the endpoint, or the endpoint reported that it refused it.
 var ErrNotSent = errors.New("engine: request not run")
 
-// ErrClosed means that the endpoint accepts no new requests for now or any more, as it has said in a response. It is
-// wrapped together with ErrNotSent, and is no failure of the endpoint.
+// ErrClosed means that the endpoint has said in a response that it is leaving, or that it wants no
+// requests for some time. It is wrapped together with ErrNotSent, and is no failure of the endpoint.
 var ErrClosed = errors.New("engine: accepts no requests")
 
 // ErrNoStream means that the engine has no stream with the id that Generate asked to attach to.
--- a/internal/route/signals.go
+++ b/internal/route/signals.go
@@ -67,7 +67,7 @@
 
 // Observe records what a response of the endpoint at the address says about further requests. The
 // instance is the name of the endpoint's run, empty if it did not name it. The random number, from 0 to 1,
-// delays the return of requests to a closed endpoint.
+// is the jitter of a pause.
 func (r *Router) Observe(now time.Time, random float64, address, instance string, s backpressure.Signal) {
 	t := r.view.Load().byAddress[address]
 	if t == nil {
