proxy: logs and a counter tell what an endpoint's crash ended

Change: prompt_parts, broken_off and sends on the lines; a counter by progress. No decision depends on them yet. Tests of proxy and httpclient pass.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -40,6 +40,8 @@
 	framing httpclient.Framing
 	// events is the number of complete events received.
 	events int
+	// brokenOff is set if the endpoint closed or reset the connection before its response was complete.
+	brokenOff bool
 	// partialBytes is the size of the incomplete event that a stream ended with.
 	partialBytes int
 	// firstEventAt is when a stream's first event arrived, and lastEventAt when events were last
@@ -49,6 +51,17 @@
 }
 
 func (a *attempt) run() (outcome, balancer.Result) {
+	out, result := a.exchangeWithEndpoint()
+	a.brokenOff = out == outcomeFailed && isBrokenOff(a.err)
+	return out, result
+}
+
+// isBrokenOff reports whether err means that the endpoint did not finish its response.
+func isBrokenOff(err error) bool {
+	return httpclient.IsBrokenOff(err) || errors.Is(err, errCutInsideEvent) || errors.Is(err, errNoEvent)
+}
+
+func (a *attempt) exchangeWithEndpoint() (outcome, balancer.Result) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	a.encode(req)
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -13,6 +13,7 @@
 	responses     *prometheus.CounterVec
 	refusals      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
+	brokenOff     *prometheus.CounterVec
 	streamEnds    *prometheus.CounterVec
 	signals       *prometheus.CounterVec
 	ejections     prometheus.Counter
@@ -38,6 +39,10 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_attempts_total", Help: "Sendings to endpoints, by outcome.",
 		}, []string{"outcome"}),
+		brokenOff: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_attempts_broken_off_total",
+			Help: "Sendings whose connection the endpoint closed or reset, by what had arrived.",
+		}, []string{"progress"}),
 		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_stream_ends_total", Help: "Ends of endpoints' streams, by framing and how they ended.",
 		}, []string{"framing", "end"}),
@@ -65,7 +70,7 @@
 	suppressedLines := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rattanchute_gateway_log_lines_left_out_total", Help: "Lines of ordinary requests beyond the bound, by kind.",
 	}, []string{"kind"})
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.streamEnds, m.signals, m.ejections, m.first, m.total, m.eventInterval,
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.brokenOff, m.streamEnds, m.signals, m.ejections, m.first, m.total, m.eventInterval,
 		suppressedLines)
 	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
@@ -79,6 +84,9 @@
 	for _, signal := range []string{signalLeaving, signalClosed, signalIgnored} {
 		m.signals.WithLabelValues(signal)
 	}
+	for _, progress := range []string{progressNoResponse, progressNoEvent, progressEvents} {
+		m.brokenOff.WithLabelValues(progress)
+	}
 	for _, framing := range []httpclient.Framing{httpclient.FramingLength, httpclient.FramingChunked, httpclient.FramingClose} {
 		for _, end := range []string{endWhole, endInsideEvent, endNoEvent, endCut} {
 			m.streamEnds.WithLabelValues(string(framing), end)
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/phuslu/log"
@@ -59,6 +60,7 @@
 		Float64("quota_tokens", x.tokenCost).
 		Int("in_flight", c.InFlight).
 		Int("uncached_tokens", c.UncachedTokens).
+		Str("prompt_parts", partsLabel(x.info.Parts)).
 		Int("fetched_tokens", c.FetchTokens).
 		Int64("expected_ms", c.FirstEvent.Milliseconds()).
 		Int64("likely_ms", c.CorrectedFirstEvent.Milliseconds()).
@@ -70,12 +72,18 @@
 // A failed write of a response that is not a stream is not logged.
 func (t *Telemetry) Attempted(x *exchange, a *attempt, out outcome, result balancer.Result) {
 	t.metrics.attempts.WithLabelValues(out.String()).Inc()
+	if a.brokenOff {
+		t.metrics.brokenOff.WithLabelValues(a.progress()).Inc()
+	}
 	if out == outcomeDone && result != balancer.ResultCancelled {
 		return
 	}
 	t.entry(log.WarnLevel, x).
 		Str("endpoint", a.choice.Endpoint.ID).
 		Str("outcome", out.String()).
+		Int("sends", x.sends).
+		Bool("broken_off", a.brokenOff).
+		Str("prompt_parts", partsLabel(x.info.Parts)).
 		Int("status", a.status).
 		Str("framing", string(a.framing)).
 		Int("events", a.events).
@@ -86,6 +94,36 @@
 		Msg("attempt ended without an answer")
 }
 
+// The progress of an attempt when its endpoint broke it off, in metrics.
+const (
+	progressNoResponse = "no_response"
+	progressNoEvent    = "no_event"
+	progressEvents     = "events"
+)
+
+// progress returns how far the endpoint had answered.
+func (a *attempt) progress() string {
+	switch {
+	case a.status == 0:
+		return progressNoResponse
+	case a.events == 0:
+		return progressNoEvent
+	}
+	return progressEvents
+}
+
+// maxLoggedParts limits the parts of a prompt that a line names.
+const maxLoggedParts = 8
+
+// partsLabel returns the IDs of a prompt's first parts, which tell requests with a common part from others.
+func partsLabel(parts []Part) string {
+	ids := make([]string, 0, maxLoggedParts)
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // HealthChanged logs that an endpoint was ejected as an outlier, which it also counts, or returned
 // to use. It does nothing if neither is the case.
 func (t *Telemetry) HealthChanged(endpoint string, change balancer.HealthChange) {
