quarantine: requests with a prompt part that crashes endpoints are refused

Change: package quarantine finds the part from crashes and complete responses and refuses requests with it; hosts share evidence, clearings and quarantines in their messages, and a leader stores them.

--- a/internal/heartbeat/group.go
+++ b/internal/heartbeat/group.go
@@ -21,6 +21,22 @@
 	return t.Leader(now) == t.self.Name
 }
 
+// IsFirstLeader reports whether this host is the first of all reachable leaders, by name.
+func (t *Table) IsFirstLeader(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.updateLeaderLocked(now)
+	if t.leader != t.self.Name {
+		return false
+	}
+	for _, peer := range t.peers {
+		if peer.reachable(now) && peer.leader == peer.Name && peer.Name < t.self.Name {
+			return false
+		}
+	}
+	return true
+}
+
 // updateLeaderLocked decides which host to follow.
 func (t *Table) updateLeaderLocked(now time.Time) {
 	t.fullMesh = t.knownHostsLocked(now) <= maxFullMeshHosts
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -5,6 +5,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/usage"
@@ -80,6 +81,8 @@
 
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
 	LeavingEndpoints []backpressure.LeavingReport `json:"leaving_endpoints,omitempty"`
+	// Quarantine is what is known of prompts that crash endpoints; nil if there are none.
+	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 
 	Quota quota.SpendingReport `json:"quota"`
 	Usage []HostUsage          `json:"usage,omitempty"`
@@ -117,6 +120,8 @@
 	Endpoints  registry.Delta   `json:"endpoints"`
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
 	LeavingEndpoints []backpressure.LeavingReport `json:"leaving_endpoints,omitempty"`
+	// Quarantine is what is known of prompts that crash endpoints; nil if there are none.
+	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 	// Levels are the remaining quota tokens by organisation, after all processed reports.
 	Levels map[string]float64 `json:"levels,omitempty"`
 	// Loads are the loads of all hosts, including the follower's own. If the digest would be too large,
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -112,6 +112,8 @@
 			leaving, _ := n.signals.Counts(clock.Now())
 			return float64(leaving)
 		})
+	gauge("rattanchute_quarantined_prompts", "Combinations of prompt parts that are quarantined because they crash endpoints.",
+		func() float64 { return float64(len(n.quarantine.Entries(clock.Now()))) })
 	gauge("rattanchute_endpoints_closed", "Endpoints that want no requests from this host for some time.",
 		func() float64 {
 			_, closed := n.signals.Counts(clock.Now())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"rattanchute/internal/lease"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/proxy"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/retrybudget"
@@ -95,11 +96,13 @@
 	endpoints    *registry.View
 	// signals is what endpoints said in their responses about further requests.
 	signals *backpressure.Table
-	peers   *heartbeat.Table
-	sent    *heartbeat.History
-	socket  *peerudp.Socket
-	lease   *lease.Runner
-	duties  *duty.Runner
+	// quarantine knows the prompts that crash endpoints.
+	quarantine *quarantine.Table
+	peers      *heartbeat.Table
+	sent       *heartbeat.History
+	socket     *peerudp.Socket
+	lease      *lease.Runner
+	duties     *duty.Runner
 
 	// ready is reported to the platform's load balancer unless leaving is set; stopped is set
 	// once the host's last request has ended, or at the end of the grace period.
@@ -133,7 +136,11 @@
 	endpointsStale     chan struct{}
 	membersStale       chan struct{}
 	reportNow          chan struct{}
-	tasks              sync.WaitGroup
+	// quarantineChanged wakes the writer of the quarantines; quarantineLoaded is set once the stored ones
+	// were read.
+	quarantineChanged chan struct{}
+	quarantineLoaded  atomic.Bool
+	tasks             sync.WaitGroup
 }
 
 // New builds a node that does nothing until Run. It also sets the memory limit of the Go runtime.
@@ -157,11 +164,13 @@
 		clusterClock: clock.NewClusterClock(now, wall),
 		endpoints:    registry.NewView(),
 		signals:      signals,
+		quarantine:   quarantine.NewTable(s.Name),
 
 		configurationStale: make(chan struct{}, 1),
 		endpointsStale:     make(chan struct{}, 1),
 		membersStale:       make(chan struct{}, 1),
 		reportNow:          make(chan struct{}, 1),
+		quarantineChanged:  make(chan struct{}, 1),
 	}
 	n.registry.MustRegister(collectors.NewGoCollector())
 	n.retryBudget = retrybudget.NewBudget(retrybudget.Limits{
@@ -198,6 +207,9 @@
 		Telemetry:    proxy.NewTelemetry(n.Log, n.registry),
 		OnStarted:    n.countRequest,
 		OnLeaving:    func() { wake(n.reportNow) },
+		Quarantine:   n.quarantine,
+		MayProbe:     n.mayProbe,
+		OnCrash:      func() { wake(n.reportNow) },
 		DenyMaxAge:   denyMaxAge,
 		MaxBodyBytes: int64(bodyMemoryFraction * float64(max(s.MemoryBytes, 64<<20))),
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -48,6 +48,7 @@
 	for waitForWake(ctx, jittered(n.peers.Interval(clock.Now())), minReadInterval, n.reportNow) {
 		now := clock.Now()
 		n.updatePeerState(now)
+		n.logQuarantine(now)
 		n.sendMessages(now)
 	}
 }
@@ -148,9 +149,14 @@
 	{"prefills", withoutPrefills},
 	{"loads of the less busy endpoints", withLoads(1000)},
 	{"loads of most endpoints", withLoads(250)},
+	{"prompts that crash endpoints", withoutQuarantine},
 	{"changes to endpoints", withoutEndpointChanges},
 }
 
+func withoutQuarantine(d heartbeat.Datagram) heartbeat.Datagram {
+	return edited(d, func(r *heartbeat.Report) { r.Quarantine = nil }, func(g *heartbeat.Digest) { g.Quarantine = nil })
+}
+
 func withoutPrefills(d heartbeat.Datagram) heartbeat.Datagram {
 	return edited(d, func(r *heartbeat.Report) { r.Prefills = nil }, func(g *heartbeat.Digest) { g.Prefills = nil })
 }
@@ -213,6 +219,7 @@
 		r.FinalUsage = n.usage.Final(reportedUsageWindows)
 	}
 	r.LeavingEndpoints = n.signals.LeavingReports(now)
+	r.Quarantine = n.quarantine.Report(now)
 	r.Members, r.Left = n.peers.Members(now)
 	r.Usage = n.reportedUsage(now, r.Members)
 	r.Generation = n.activeGeneration()
@@ -270,6 +277,7 @@
 		Endpoints:      n.endpoints.Delta(now),
 
 		LeavingEndpoints: n.signals.LeavingReports(now),
+		Quarantine:       n.quarantine.Report(now),
 
 		Levels:   n.quota.SpendingReport(now).Level,
 		Loads:    n.balancer.Loads(now, balancer.ScopeAll),
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -136,6 +136,7 @@
 	n.start(ctx, n.maintainMembership)
 	n.start(ctx, n.sendReports)
 	n.start(ctx, n.becomeReady)
+	n.start(ctx, n.maintainQuarantine)
 	n.start(ctx, n.logState)
 	n.tasks.Go(n.receiveMessages)
 }
@@ -155,7 +156,7 @@
 			return
 		}
 	}
-	if !pause(ctx, readyDelay) {
+	if !pause(ctx, readyDelay) || !n.awaitQuarantine(ctx) {
 		return
 	}
 	n.ready.Store(true)
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -27,6 +27,8 @@
 	KindUsage Kind = "usage"
 	// KindDesired objects hold the numbers of endpoints that were ordered.
 	KindDesired Kind = "desired"
+	// KindQuarantine objects hold the prompts that crash endpoints.
+	KindQuarantine Kind = "quarantine"
 )
 
 // MaxValueBytes is the size of the largest value that the platform accepts.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -76,8 +76,12 @@
 	return a.relay(body)
 }
 
-// permit reports whether the endpoint still accepts requests, immediately before this one is sent.
+// permit reports whether the request may still be sent and the endpoint still accepts requests, immediately
+// before it is sent.
 func (a *attempt) permit() error {
+	if a.exchange.recheckQuarantine(clock.Now()) != nil {
+		return errPromptQuarantined
+	}
 	first, err := a.balancerAttempt.Permit(clock.Now())
 	if first {
 		a.exchange.proxy.telemetry.Reopened(a)
@@ -125,6 +129,8 @@
 	switch {
 	case errors.Is(err, httpclient.ErrNotSent) && a.ctx.Err() != nil:
 		return outcomeNotSent, balancer.ResultCancelled
+	case errors.Is(err, errPromptQuarantined):
+		return outcomeWithdrawn, balancer.ResultCancelled
 	case errors.Is(err, balancer.ErrEndpointClosed), errors.Is(err, balancer.ErrEndpointLeaving):
 		return outcomeWithdrawn, balancer.ResultRefused
 	case errors.Is(err, httpclient.ErrNotSent):
@@ -153,6 +159,9 @@
 	info := x.proxy.HeaderCodec.DecodeResponse(header)
 	a.status = header.StatusCode()
 	a.framing = body.Framing()
+	if !info.WrongEndpoint {
+		x.proxy.Quarantine.Responded(clock.Now(), a.instanceName(), a.sentAt)
+	}
 	a.observeSignal(&info)
 	a.closed = info.Signal.RetryAfter > 0
 	if info.KeepAlive > 0 {
@@ -258,7 +267,7 @@
 // first event that was estimated for this endpoint is left.
 func (a *attempt) shouldRetry() bool {
 	x := a.exchange
-	if a.status < fasthttp.StatusInternalServerError || !x.route.Retryable() {
+	if a.status < fasthttp.StatusInternalServerError || !x.route.Retryable() || x.probe {
 		return false
 	}
 	if x.sends+1 >= x.route.MaxAttempts {
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -84,6 +84,9 @@
 	if ctx.Err() != nil || left < minTimeLeft {
 		return balancer.Choice{}, x.finalError(ctx)
 	}
+	if e := x.recheckQuarantine(now); e != nil {
+		return balancer.Choice{}, e
+	}
 	if unreachable > maxUnreachable {
 		return balancer.Choice{}, x.refusalOrFailure(ReasonEndpointsUnreachable, minRetryAfter)
 	}
@@ -186,6 +189,7 @@
 	x.recordPrefill(now, choice.Endpoint.ID)
 	p.telemetry.Sent(x, &choice)
 	out, result := a.run()
+	a.observePrompt(out, result)
 	p.telemetry.HealthChanged(choice.Endpoint.ID, a.balancerAttempt.End(clock.Now(), result))
 	if out != outcomeNotSent && out != outcomeWithdrawn {
 		x.sends++
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -11,6 +11,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/route"
 )
 
@@ -38,7 +39,10 @@
 	organisation    *fleet.Organisation
 	fleet           string
 	balancerRequest balancer.Request
+	prompt          quarantine.Prompt
 	priority        int
+	// probe is set if the request is quarantined and is sent to find out whether it still crashes endpoints.
+	probe bool
 	// deadline is the earlier of the caller's deadline and the end of the route's timeout.
 	deadline time.Time
 	// tokenCost is what the request counts against its organisation's quota; zero without an
@@ -84,7 +88,7 @@
 
 // admit decides whether the request is accepted, and returns the error response if it is not.
 func (x *exchange) admit() *errorResponse {
-	steps := []func() *errorResponse{x.readInfo, x.findRoute, x.checkKey, x.prepare, x.checkQuota}
+	steps := []func() *errorResponse{x.readInfo, x.findRoute, x.checkKey, x.prepare, x.checkQuarantine, x.recordDemand, x.checkQuota}
 	for _, step := range steps {
 		if e := step(); e != nil {
 			return e
@@ -151,8 +155,8 @@
 	return nil
 }
 
-// prepare sets the deadline, the fleet, the priority and the request to the balancer, and records
-// the demand. It never refuses the request.
+// prepare sets the deadline, the fleet, the priority, the prompt and the request to the balancer. It never
+// refuses the request.
 func (x *exchange) prepare() *errorResponse {
 	timeout := x.info.CallerTimeout
 	if timeout <= 0 {
@@ -177,6 +181,12 @@
 		prefix = balancer.AppendPrefix(prefix, part.ID, part.Tokens)
 		x.balancerRequest.Prefixes = append(x.balancerRequest.Prefixes, prefix)
 	}
+	x.prompt = x.sharedPrompt()
+	return nil
+}
+
+// recordDemand records the demand for endpoints. It never refuses the request.
+func (x *exchange) recordDemand() *errorResponse {
 	x.proxy.demand.record(x.arrived, x.fleet, x.info.PromptTokens, x.balancerRequest.OutputTokens)
 	return nil
 }
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -17,6 +17,7 @@
 	streamEnds    *prometheus.CounterVec
 	signals       *prometheus.CounterVec
 	ejections     prometheus.Counter
+	probes        prometheus.Counter
 	first         *prometheus.HistogramVec
 	total         *prometheus.HistogramVec
 	eventInterval prometheus.Histogram
@@ -53,6 +54,9 @@
 		ejections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_endpoints_set_aside_total", Help: "Times that an endpoint was set aside for its failures.",
 		}),
+		probes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_quarantine_probes_total", Help: "Quarantined requests sent to find out whether they still crash endpoints.",
+		}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "rattanchute_gateway_first_event_seconds", Help: "Time to the first event or the whole plain answer.",
 			Buckets: secondsBuckets,
@@ -70,7 +74,7 @@
 	suppressedLines := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rattanchute_gateway_log_lines_left_out_total", Help: "Lines of ordinary requests beyond the bound, by kind.",
 	}, []string{"kind"})
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.brokenOff, m.streamEnds, m.signals, m.ejections, m.first, m.total, m.eventInterval,
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.brokenOff, m.streamEnds, m.signals, m.ejections, m.probes, m.first, m.total, m.eventInterval,
 		suppressedLines)
 	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/fleet"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/retrybudget"
 	"rattanchute/internal/route"
@@ -31,6 +32,13 @@
 	Quota       *quota.Ledger
 	RetryBudget *retrybudget.Budget
 	Telemetry   *Telemetry
+	// Quarantine knows the prompts that crash endpoints.
+	Quarantine *quarantine.Table
+	// MayProbe reports whether this host may send a quarantined request to find out whether it still crashes
+	// endpoints. At most one host may.
+	MayProbe func() bool
+	// OnCrash is called when an endpoint has supposedly crashed.
+	OnCrash func()
 	// OnStarted is called once for each request of an organisation that may have started to run.
 	OnStarted func(now time.Time, organisation string)
 	// OnLeaving is called when a response says for the first time that its endpoint leaves.
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rattanchute/internal/balancer"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
 )
 
@@ -27,6 +28,7 @@
 	ReasonEndpointsUnreachable     Reason = "endpoints_unreachable"
 	ReasonOutOfMemory              Reason = "out_of_memory"
 	ReasonNotSentInTime            Reason = "not_sent_in_time"
+	ReasonPromptQuarantined        Reason = "prompt_quarantined"
 )
 
 // Reasons for other error responses. After ReasonEndpointFailed and ReasonTimeout the request may
@@ -56,6 +58,8 @@
 	// estimate is the best endpoint, with its estimated time to the first event, if the request was
 	// refused because it would have waited too long there; else nil.
 	estimate *balancer.Choice
+	// quarantine is the entry that covers the request if it was refused because of it; else nil.
+	quarantine *quarantine.Entry
 }
 
 func newErrorResponse(status int, reason Reason, retryAfter time.Duration) *errorResponse {
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -11,6 +11,7 @@
 
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
+	"rattanchute/internal/quarantine"
 )
 
 // Telemetry logs and counts the decisions about requests. Each kind of decision has one method.
@@ -112,6 +113,13 @@
 	return progressEvents
 }
 
+// Probing logs that a quarantined request is sent to find out whether it still crashes endpoints.
+func (t *Telemetry) Probing(x *exchange, e *quarantine.Entry) {
+	t.metrics.probes.Inc()
+	t.entry(log.WarnLevel, x).Strs("quarantined_parts", e.Parts).Int("crashes", e.Crashes).
+		Msg("quarantined prompt probed")
+}
+
 // maxLoggedParts limits the parts of a prompt that a line names.
 const maxLoggedParts = 8
 
@@ -174,6 +182,9 @@
 		line = line.Float64("quota_tokens", e.quotaTokens).Float64("quota_left", e.quota.Level).
 			Float64("quota_per_second", e.quota.PerSecond)
 	}
+	if e.quarantine != nil {
+		line = line.Strs("quarantined_parts", e.quarantine.Parts).Int("crashes", e.quarantine.Crashes)
+	}
 	if e.estimate != nil {
 		line = line.Str("endpoint", e.estimate.Endpoint.ID).Int("in_flight", e.estimate.InFlight).
 			Int64("expected_ms", e.estimate.CorrectedFirstEvent.Milliseconds()).
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -23,6 +23,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/retrybudget"
@@ -40,6 +41,9 @@
 	if ms, err := strconv.Atoi(string(h.Peek("Patience"))); err == nil {
 		a.CallerTimeout = time.Duration(ms) * time.Millisecond
 	}
+	for part := range strings.FieldsSeq(string(h.Peek("Parts"))) {
+		a.Parts = append(a.Parts, Part{ID: part, Tokens: 1})
+	}
 	return a, nil
 }
 
@@ -180,6 +184,8 @@
 	counted atomic.Int64
 	// leaving is the number of endpoints that were found to leave.
 	leaving atomic.Int64
+	// mayProbe is set if the proxy may probe quarantined requests.
+	mayProbe atomic.Bool
 }
 
 const testFleet = "f"
@@ -213,6 +219,9 @@
 		Telemetry:    NewTelemetry(logger, prometheus.NewRegistry()),
 		OnStarted:    func(time.Time, string) { p.counted.Add(1) },
 		OnLeaving:    func() { p.leaving.Add(1) },
+		Quarantine:   quarantine.NewTable("host"),
+		MayProbe:     p.mayProbe.Load,
+		OnCrash:      func() {},
 		KeyMaxAge:    maxAge,
 		DenyMaxAge:   maxAge,
 		MaxBodyBytes: 1 << 24,
@@ -274,6 +283,14 @@
 	return readResponse(t, bufio.NewReader(conn))
 }
 
+// sendPrompt sends a request with the id whose prompt has the parts, separated by spaces.
+func (p *testProxy) sendPrompt(t *testing.T, id, parts string) callerResponse {
+	t.Helper()
+	conn := p.dial(t)
+	_, _ = fmt.Fprintf(conn, "%sId: %s\r\nParts: %s\r\nContent-Length: 4\r\n\r\nbody", testRequestHead, id, parts)
+	return readResponse(t, bufio.NewReader(conn))
+}
+
 func readResponse(t *testing.T, r *bufio.Reader) callerResponse {
 	t.Helper()
 	resp, err := http.ReadResponse(r, nil)
--- /dev/null
+++ b/internal/quarantine/doc.go
@@ -0,0 +1,17 @@
+// Package quarantine finds out which parts of prompts crash endpoints, and decides whether a request with
+// such a part may be sent.
+//
+// When an endpoint closes the connections of its requests before their responses are complete, it may have
+// crashed, and any part of their prompts may be the reason. A part of which a later response is complete is
+// not. So the reason is among the parts that were in progress at several crashes and in no complete response
+// since. Parts that cannot be told apart are quarantined together: a request is refused only if it has all of
+// them, and a request with some of them soon tells which it is.
+//
+// A quarantined request is refused until it may be probed. Then one host sends one such request: a complete
+// response ends the quarantine, a crash prolongs it.
+//
+// Hosts share what they observe and what they have quarantined, in messages that may be lost, repeated or
+// out of order. All of it is merged so that the order does not matter.
+//
+// The package performs no I/O: time and messages are arguments.
+package quarantine
--- /dev/null
+++ b/internal/quarantine/report.go
@@ -0,0 +1,176 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// reportRetention is how long hosts tell each other of a crash or of a part that does not crash endpoints.
+	// Messages are repeated, because they may be lost.
+	reportRetention = 10 * time.Second
+	// maxReportedCrashes, maxReportedCleared and maxReportedEntries bound a message.
+	maxReportedCrashes = 24
+	maxReportedCleared = 64
+	maxReportedEntries = 32
+)
+
+// Report is what a host tells others. Ages are in milliseconds.
+type Report struct {
+	Crashes []CrashReport   `json:"crashes,omitempty"`
+	Cleared []ClearedReport `json:"cleared,omitempty"`
+	Entries []EntryReport   `json:"entries,omitempty"`
+}
+
+// CrashReport says that an endpoint has supposedly crashed, and which parts of prompts were in progress.
+type CrashReport struct {
+	Fleet     string   `json:"fleet"`
+	Endpoint  string   `json:"endpoint"`
+	Parts     []string `json:"parts,omitempty"`
+	AgeMillis int64    `json:"age_ms"`
+	// Survived is set if the endpoint has answered since.
+	Survived bool `json:"survived,omitempty"`
+}
+
+// ClearedReport says that a part which was in progress at a crash was in a complete response later.
+type ClearedReport struct {
+	Fleet     string `json:"fleet"`
+	Part      string `json:"part"`
+	AgeMillis int64  `json:"age_ms"`
+	// ID identifies the response.
+	ID string `json:"id"`
+}
+
+// EntryReport is an entry; the age is that of its last crash.
+type EntryReport struct {
+	Fleet     string   `json:"fleet"`
+	Parts     []string `json:"parts"`
+	Crashes   int      `json:"crashes"`
+	AgeMillis int64    `json:"age_ms"`
+}
+
+// Report returns what to tell the other hosts, the newest of each kind first; nil if there is nothing.
+func (t *Table) Report(now time.Time) *Report {
+	if !t.active.Load() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.update(now, "")
+	r := &Report{Crashes: t.crashReports(now), Cleared: t.clearedReports(now), Entries: t.entryReports(now)}
+	if len(r.Crashes)+len(r.Cleared)+len(r.Entries) == 0 {
+		return nil
+	}
+	return r
+}
+
+func (t *Table) crashReports(now time.Time) []CrashReport {
+	var reports []CrashReport
+	for _, c := range slices.Backward(t.log.crashes) {
+		age := now.Sub(c.at)
+		if age >= reportRetention || len(reports) == maxReportedCrashes {
+			break
+		}
+		if len(c.parts) > 0 || c.survived {
+			reports = append(reports, CrashReport{c.fleet, c.endpoint, slices.Clone(c.parts), age.Milliseconds(), c.survived})
+		}
+	}
+	return reports
+}
+
+func (t *Table) clearedReports(now time.Time) []ClearedReport {
+	var reports []ClearedReport
+	for key, c := range t.cleared {
+		if age := now.Sub(c.at); age < reportRetention {
+			reports = append(reports, ClearedReport{key.fleet, key.part, age.Milliseconds(), c.id})
+		}
+	}
+	slices.SortFunc(reports, func(a, b ClearedReport) int { return int(a.AgeMillis - b.AgeMillis) })
+	return reports[:min(len(reports), maxReportedCleared)]
+}
+
+func (t *Table) entryReports(now time.Time) []EntryReport {
+	list := t.entries.settledList()
+	reports := make([]EntryReport, 0, len(list))
+	for _, e := range list[:min(len(list), maxReportedEntries)] {
+		reports = append(reports, EntryReport{e.Fleet, e.Parts, e.Crashes, now.Sub(e.LastCrash).Milliseconds()})
+	}
+	return reports
+}
+
+// Apply records what another host tells, and reports whether any of it was not known.
+func (t *Table) Apply(now time.Time, source string, r *Report) bool {
+	if r == nil {
+		return false
+	}
+	t.active.Store(true)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.version
+	for i := range r.Crashes {
+		t.applyCrash(now, &r.Crashes[i])
+	}
+	changed := t.stale
+	for _, c := range r.Cleared {
+		if at, ok := timeOf(now, c.AgeMillis); ok {
+			t.applyCleared(clearing{at, c.ID}, partKey{c.Fleet, c.Part}, source)
+		}
+	}
+	for i := range r.Entries {
+		t.applyEntry(now, &r.Entries[i], source)
+	}
+	t.update(now, source)
+	return changed || t.version != before
+}
+
+// timeOf returns the time that was an age ago; false if that cannot be.
+func timeOf(now time.Time, ageMillis int64) (time.Time, bool) {
+	if ageMillis < 0 || ageMillis > entryRetention.Milliseconds() {
+		return time.Time{}, false
+	}
+	return now.Add(-time.Duration(ageMillis) * time.Millisecond), true
+}
+
+func (t *Table) applyCrash(now time.Time, r *CrashReport) {
+	at, ok := timeOf(now, r.AgeMillis)
+	if !ok || r.Endpoint == "" || now.Sub(at) >= crashRetention {
+		return
+	}
+	c := t.log.findOrAdd(r.Fleet, r.Endpoint, at)
+	if r.Survived && !c.survived {
+		c.survived = true
+		t.stale = true
+	}
+	t.addParts(c, r.Parts)
+}
+
+// applyCleared keeps a part that was cleared elsewhere, also one that this host does not know to be in
+// progress at a crash: the report of the crash may arrive later.
+func (t *Table) applyCleared(c clearing, key partKey, source string) {
+	known, ok := t.cleared[key]
+	if ok && (c.id == known.id || !c.at.After(known.at)) || !ok && len(t.cleared) >= maxCleared {
+		return
+	}
+	t.clearPart(c, key, source)
+}
+
+// maxCleared bounds the parts that are remembered as cleared.
+const maxCleared = 4096
+
+func (t *Table) applyEntry(now time.Time, r *EntryReport, source string) {
+	at, ok := timeOf(now, r.AgeMillis)
+	if !ok || len(r.Parts) == 0 || len(r.Parts) > maxCrashParts || r.Crashes < minOccasions {
+		return
+	}
+	e := Entry{Fleet: r.Fleet, Parts: slices.Clone(r.Parts), Crashes: r.Crashes, LastCrash: at}
+	slices.Sort(e.Parts)
+	e.Parts = slices.DeleteFunc(slices.Compact(e.Parts), func(part string) bool {
+		return t.isClearedSince(at, partKey{e.Fleet, part})
+	})
+	if len(e.Parts) == 0 {
+		return
+	}
+	before := t.entries.list()
+	t.entries.merge(e, true)
+	t.recordChanges(before, source)
+}
--- /dev/null
+++ b/internal/quarantine/simulation_test.go
@@ -0,0 +1,228 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	simulationStep = 25 * time.Millisecond
+	// reportEvery and messageDelay are those of hosts that form a full mesh.
+	reportEvery  = 250 * time.Millisecond
+	messageDelay = 25 * time.Millisecond
+	// contactTime is how long after the fifth crash hosts may still send bad requests, and maxLate how many
+	// may arrive later, those of probes included.
+	contactTime = 3 * time.Second
+	maxLate     = 3
+)
+
+// simulation plays hosts that send sound and bad requests to endpoints, which the bad ones crash.
+type simulation struct {
+	random    *rand.Rand
+	hosts     []*Table
+	endpoints []*simulatedEndpoint
+	messages  []simulatedMessage
+	now       time.Time
+	// loss is the share of messages lost, and crashRate that of ordinary crashes in a second.
+	loss, crashRate float64
+	crashes         int
+	fifthCrash      time.Time
+	// late counts the bad requests that arrive contactTime after the fifth crash.
+	late int
+	// sound and refused count the sound requests from that time on.
+	sound, refused int
+}
+
+type simulatedEndpoint struct {
+	name    string
+	run     int
+	downTo  time.Time
+	running []simulatedRequest
+}
+
+func (e *simulatedEndpoint) instance() string { return fmt.Sprint(e.name, ".", e.run) }
+
+type simulatedRequest struct {
+	host   *Table
+	prompt Prompt
+	bad    bool
+	endsAt time.Time
+}
+
+type simulatedMessage struct {
+	to     *Table
+	report *Report
+	at     time.Time
+}
+
+func (s *simulation) judged() bool {
+	return !s.fifthCrash.IsZero() && s.now.Sub(s.fifthCrash) >= contactTime
+}
+
+// send sends a request through a random host to a random endpoint that is up.
+func (s *simulation) send(bad bool, p Prompt) {
+	probing := s.random.IntN(len(s.hosts))
+	host := s.hosts[probing]
+	allowed := host.Check(s.now, p, func() bool { return probing == 0 }).Allowed
+	if !bad && s.judged() {
+		s.sound++
+		if !allowed {
+			s.refused++
+		}
+	}
+	e := s.endpoints[s.random.IntN(len(s.endpoints))]
+	if !allowed || s.now.Before(e.downTo) {
+		return
+	}
+	if bad && s.judged() {
+		s.late++
+	}
+	duration := time.Duration(200+s.random.IntN(1500)) * time.Millisecond
+	if bad {
+		duration = time.Duration(50+s.random.IntN(100)) * time.Millisecond
+	}
+	e.running = append(e.running, simulatedRequest{host, p, bad, s.now.Add(duration)})
+}
+
+func (s *simulation) crash(e *simulatedEndpoint) {
+	for _, r := range e.running {
+		r.host.BrokenOff(s.now, e.instance(), r.prompt)
+	}
+	e.running = nil
+	e.downTo = s.now.Add(2 * time.Second)
+	e.run++
+}
+
+func (s *simulation) runEndpoint(e *simulatedEndpoint) {
+	if s.random.Float64() < s.crashRate*simulationStep.Seconds()/float64(len(s.endpoints)) {
+		s.crash(e)
+	}
+	var left []simulatedRequest
+	for _, r := range e.running {
+		switch {
+		case s.now.Before(r.endsAt):
+			left = append(left, r)
+		case r.bad:
+			s.crashes++
+			if s.crashes == 5 {
+				s.fifthCrash = s.now
+			}
+			s.crash(e)
+			return
+		default:
+			r.host.Completed(s.now, e.instance(), r.prompt, false)
+		}
+	}
+	e.running = left
+}
+
+func (s *simulation) exchange(i int) {
+	if s.now.Sub(epoch)%reportEvery == 0 {
+		for _, to := range s.hosts {
+			if to != s.hosts[i] && s.random.Float64() >= s.loss {
+				s.messages = append(s.messages, simulatedMessage{to, s.hosts[i].Report(s.now), s.now.Add(messageDelay)})
+			}
+		}
+	}
+}
+
+func (s *simulation) deliver() {
+	var left []simulatedMessage
+	for _, m := range s.messages {
+		if s.now.Before(m.at) {
+			left = append(left, m)
+			continue
+		}
+		m.to.Apply(s.now, "", m.report)
+	}
+	s.messages = left
+}
+
+// TestBadPartIsToldFromItsCompanions plays a minute of requests. Bad ones share the first part and the
+// organisation's part with sound ones.
+func TestBadPartIsToldFromItsCompanions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &simulation{
+			random:    rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)),
+			now:       epoch,
+			loss:      rapid.Float64Range(0, .3).Draw(t, "loss"),
+			crashRate: rapid.Float64Range(0, .2).Draw(t, "ordinary crashes a second"),
+		}
+		for i := range rapid.IntRange(1, 12).Draw(t, "hosts") {
+			s.hosts = append(s.hosts, NewTable(fmt.Sprint("h", i)))
+		}
+		for i := range rapid.IntRange(6, 40).Draw(t, "endpoints") {
+			s.endpoints = append(s.endpoints, &simulatedEndpoint{name: fmt.Sprint("e", i)})
+		}
+		badRate := rapid.Float64Range(.2, 4).Draw(t, "bad requests a second")
+		soundRate := rapid.Float64Range(20, 80).Draw(t, "sound requests a second")
+		for i := 0; s.now.Before(epoch.Add(time.Minute)); i++ {
+			s.now = s.now.Add(simulationStep)
+			organisation := fmt.Sprint("o", s.random.IntN(4))
+			if s.random.Float64() < badRate*simulationStep.Seconds() {
+				s.send(true, prompt("first", organisation, "bad"))
+			}
+			if s.random.Float64() < soundRate*simulationStep.Seconds() {
+				s.send(false, prompt("first", organisation, fmt.Sprint("good", s.random.IntN(30))))
+			}
+			for _, e := range s.endpoints {
+				s.runEndpoint(e)
+			}
+			for h := range s.hosts {
+				s.exchange(h)
+			}
+			s.deliver()
+		}
+		if s.late > maxLate {
+			t.Fatalf("%d bad requests arrived after %d crashes", s.late, s.crashes)
+		}
+		if s.refused*20 > s.sound {
+			t.Fatalf("%d of %d sound requests were refused", s.refused, s.sound)
+		}
+	})
+}
+
+// TestMessagesInAnyOrderLeadToTheSameEntries plays random observations at two hosts that exchange them.
+func TestMessagesInAnyOrderLeadToTheSameEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := []*Table{NewTable("h0"), NewTable("h1"), NewTable("h2")}
+		now := epoch
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			host := hosts[rapid.IntRange(0, 2).Draw(t, "host")]
+			p := prompt(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "part"))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				host.Completed(now, "e", p, false)
+			case 1:
+				host.Apply(now, "h", hosts[0].Report(now))
+			default:
+				host.BrokenOff(now, fmt.Sprint("e", rapid.IntRange(0, 9).Draw(t, "endpoint")), p)
+			}
+		}
+		for range 2 {
+			for _, from := range hosts {
+				for _, to := range hosts {
+					to.Apply(now, "h", from.Report(now))
+				}
+			}
+		}
+		for _, host := range hosts[1:] {
+			compareParts(t, now, hosts[0], host)
+		}
+	})
+}
+
+// compareParts checks that two hosts refuse the same prompts.
+func compareParts(t *rapid.T, now time.Time, one, other *Table) {
+	for _, part := range []string{"a", "b", "c"} {
+		p := prompt(part)
+		if one.Check(now, p, nil).Allowed != other.Check(now, p, nil).Allowed {
+			t.Fatalf("hosts differ about %q", part)
+		}
+	}
+}
