--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/proxy"
 	"rattanchute/internal/quarantine"
+	"rattanchute/internal/quarantine/keeper"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/retrybudget"
@@ -97,12 +98,13 @@
 	// signals is what endpoints said in their responses about further requests.
 	signals *backpressure.Table
 	// quarantine knows the prompts that crash endpoints.
-	quarantine *quarantine.Table
-	peers      *heartbeat.Table
-	sent       *heartbeat.History
-	socket     *peerudp.Socket
-	lease      *lease.Runner
-	duties     *duty.Runner
+	quarantine       *quarantine.Table
+	quarantineKeeper *keeper.Keeper
+	peers            *heartbeat.Table
+	sent             *heartbeat.History
+	socket           *peerudp.Socket
+	lease            *lease.Runner
+	duties           *duty.Runner
 
 	// ready is reported to the platform's load balancer unless leaving is set; stopped is set
 	// once the host's last request has ended, or at the end of the grace period.
@@ -136,11 +138,7 @@
 	endpointsStale     chan struct{}
 	membersStale       chan struct{}
 	reportNow          chan struct{}
-	// quarantineChanged wakes the writer of the quarantines; quarantineLoaded is set once the stored ones
-	// were read.
-	quarantineChanged chan struct{}
-	quarantineLoaded  atomic.Bool
-	tasks             sync.WaitGroup
+	tasks              sync.WaitGroup
 }
 
 // New builds a node that does nothing until Run. It also sets the memory limit of the Go runtime.
@@ -170,7 +168,6 @@
 		endpointsStale:     make(chan struct{}, 1),
 		membersStale:       make(chan struct{}, 1),
 		reportNow:          make(chan struct{}, 1),
-		quarantineChanged:  make(chan struct{}, 1),
 	}
 	n.registry.MustRegister(collectors.NewGoCollector())
 	n.retryBudget = retrybudget.NewBudget(retrybudget.Limits{
@@ -181,6 +178,7 @@
 	n.leader = s.Name
 	n.storeCalls = n.newStoreCalls()
 	n.Store = objectstore.Instrumented{Store: deps.Store, OnCall: n.storeCalls.record}
+	n.quarantineKeeper = n.newQuarantineKeeper()
 	n.buildProxy()
 	n.buildDuties()
 	n.registerGauges()
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -48,7 +48,7 @@
 	for waitForWake(ctx, jittered(n.peers.Interval(clock.Now())), minReadInterval, n.reportNow) {
 		now := clock.Now()
 		n.updatePeerState(now)
-		n.logQuarantine(now)
+		n.quarantineKeeper.LogChanges()
 		n.sendMessages(now)
 	}
 }
--- a/internal/node/restore.go
+++ b/internal/node/restore.go
@@ -33,5 +33,5 @@
 	wake(n.configurationStale)
 	wake(n.endpointsStale)
 	wake(n.membersStale)
-	wake(n.quarantineChanged)
+	n.quarantineKeeper.Wake()
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -136,7 +136,7 @@
 	n.start(ctx, n.maintainMembership)
 	n.start(ctx, n.sendReports)
 	n.start(ctx, n.becomeReady)
-	n.start(ctx, n.maintainQuarantine)
+	n.start(ctx, n.quarantineKeeper.Run)
 	n.start(ctx, n.logState)
 	n.tasks.Go(n.receiveMessages)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rattanchute/internal/engine"
@@ -24,6 +25,8 @@
 	ledger   map[engine.StreamID]*LedgerEntry
 	load     engine.Load
 	exports  map[engine.StreamID][]uint64
+	// crashes counts the requests that have made the engine crash.
+	crashes atomic.Int64
 }
 
 // NewEngine returns an engine that does not listen yet.
@@ -58,6 +61,21 @@
 	e.exports = map[engine.StreamID][]uint64{}
 }
 
+// crashDelay is how long an engine that is to crash still writes the first chunk.
+const crashDelay = 20 * time.Millisecond
+
+// crash closes the engine soon, and has it listen again after a time.
+func (e *Engine) crash(down time.Duration) {
+	e.crashes.Add(1)
+	time.AfterFunc(crashDelay, func() {
+		e.Close()
+		time.AfterFunc(down, func() { _ = e.Listen() })
+	})
+}
+
+// Crashes returns how many requests have made the engine crash.
+func (e *Engine) Crashes() int { return int(e.crashes.Load()) }
+
 // LedgerEntry records what an engine executed for one stream.
 type LedgerEntry struct {
 	Stream engine.StreamID `json:"stream"`
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net"
@@ -79,6 +80,10 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "bad_request")
 		return
 	}
+	if faults.CrashOnText != "" && bytes.Contains(g.Body, []byte(faults.CrashOnText)) {
+		faults.CutAfterChunks = 1
+		defer e.crash(millis(faults.CrashMillis))
+	}
 	w := &chunkWriter{engine: e, stream: s, offset: g.Offset, faults: faults.Faults, conn: ctx.Conn()}
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.ImmediateHeaderFlush = true
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -36,6 +36,10 @@
 	// CutAfterChunks closes the connection of a stream after this many chunks; zero
 	// disables it.
 	CutAfterChunks int `json:"cut_after_chunks"`
+	// CrashOnText makes an engine crash after the first chunk of a stream whose request contains the text, as
+	// Die does, and listen again after CrashMillis. Empty disables it.
+	CrashOnText string `json:"crash_on_text"`
+	CrashMillis int    `json:"crash_ms"`
 	// DuplicateChunks sends each chunk twice.
 	DuplicateChunks bool `json:"duplicate_chunks"`
 	// ForeignChunks sends a chunk that belongs to another stream before each chunk.
