dispatcher, app: the own interface quarantines messages that crash engines

Change: the parts of a prompt are its messages (all of them: a caller may repeat the same one); the dispatcher reports attempts that an engine broke off and answers that are whole; daemons exchange reports with three random members while there are crashes, one every two seconds afterwards; the owner of the duty stores the quarantines and probes.

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -170,11 +170,15 @@
 	return nil
 }
 
-// sendError adds engine.ErrNotSent to an error that wraps httpclient.ErrNotSent.
+// sendError adds engine.ErrNotSent to an error that wraps httpclient.ErrNotSent, and engine.ErrBrokenOff to
+// one that means that the peer closed the connection.
 func sendError(err error) error {
 	if errors.Is(err, httpclient.ErrNotSent) {
 		return fmt.Errorf("%w: %w", engine.ErrNotSent, err)
 	}
+	if httpclient.IsBrokenOff(err) {
+		return fmt.Errorf("%w: %w", engine.ErrBrokenOff, err)
+	}
 	return fmt.Errorf("enginehttp: %w", err)
 }
 
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -27,7 +27,7 @@
 var ErrMissingChunk = errors.New("enginehttp: gap in the stream")
 
 // errTruncated means that a stream ended without its end marker.
-var errTruncated = errors.New("enginehttp: stream ended without its end marker")
+var errTruncated = fmt.Errorf("enginehttp: stream without its end marker: %w", engine.ErrBrokenOff)
 
 var (
 	dataPrefix = []byte("data: ")
@@ -156,7 +156,7 @@
 		}
 	}
 	if err := s.lines.Err(); err != nil {
-		return nil, fmt.Errorf("enginehttp: %w", err)
+		return nil, sendError(err)
 	}
 	return nil, errTruncated
 }
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -26,6 +26,8 @@
 	"rattanchute/internal/engine"
 	"rattanchute/internal/gossip"
 	"rattanchute/internal/objectstore"
+	"rattanchute/internal/quarantine"
+	"rattanchute/internal/quarantine/keeper"
 	"rattanchute/internal/ratelimit"
 	"rattanchute/internal/resumetoken"
 	"rattanchute/internal/route"
@@ -49,12 +51,16 @@
 	claims     *claim.Service
 	service    *dispatcher.Service
 	gossip     *gossip.Runner
-	callers    *callers.Server
-	operators  *fasthttp.Server
-	peers      *peerhttp.Server
-	peerHTTP   *peerhttp.Client
-	pool       pond.Pool
-	tls        tlsReloaders
+	// quarantine knows the prompts that crash endpoints.
+	quarantine       *quarantine.Table
+	quarantineKeeper *keeper.Keeper
+	quarantineRound  int
+	callers          *callers.Server
+	operators        *fasthttp.Server
+	peers            *peerhttp.Server
+	peerHTTP         *peerhttp.Client
+	pool             pond.Pool
+	tls              tlsReloaders
 
 	stop    chan struct{}
 	tasks   sync.WaitGroup
@@ -75,6 +81,8 @@
 		limiter:  ratelimit.NewLimiter(s.Node),
 		pool:     pond.NewPool(controlWorkers),
 		stop:     make(chan struct{}),
+
+		quarantine: quarantine.NewTable(s.Node),
 	}
 	a.engines = enginehttp.New(enginehttp.Options{Signals: a.router})
 	a.router.SetSignalLog(signalLog{a.log})
@@ -84,7 +92,7 @@
 	a.registry.MustRegister(collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	a.metrics = newControlMetrics(a.registry)
-	steps := []func() error{a.buildTLS, a.buildPeers, a.buildGossip, a.buildClaims, a.buildService, a.buildOperators}
+	steps := []func() error{a.buildTLS, a.buildPeers, a.buildGossip, a.buildClaims, a.buildQuarantine, a.buildService, a.buildOperators}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -130,6 +138,9 @@
 		Signer:    signer,
 		Metrics:   dispatcher.NewMetrics(a.registry),
 		MoveRates: dispatcher.DefaultMoveRates(),
+
+		Quarantine: a.quarantine,
+		MayProbe:   a.mayProbe,
 	})
 	a.callers = callers.New(a.service, a.router, callerLimits(a.settings.Limits))
 	return nil
@@ -205,6 +216,8 @@
 	a.runEvery(pollInterval, a.pollEndpoints)
 	a.runEvery(noticeInterval, a.readNotices)
 	a.runEvery(shareRequestInterval, a.requestShares)
+	a.runEvery(quarantineInterval, a.shareQuarantine)
+	a.keepQuarantine()
 	a.tls.run(a.settings.TLS.ReloadInterval.Std(), a.stop)
 }
 
--- a/internal/chat/chat.go
+++ b/internal/chat/chat.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -166,3 +167,22 @@
 	}
 	return length / 3
 }
+
+// maxParts bounds the parts of one prompt.
+const maxParts = 64
+
+// Parts returns a hash for each message, of its role and content. Equal messages have equal hashes, whatever
+// else their prompts hold. Of more than maxParts messages, the first ones are returned.
+func (r *Request) Parts() []string {
+	parts := make([]string, 0, min(len(r.Messages), maxParts))
+	for _, m := range r.Messages[:min(len(r.Messages), maxParts)] {
+		h := xxhash.New()
+		_, _ = h.WriteString(r.Model)
+		_, _ = h.Write([]byte{0})
+		_, _ = h.WriteString(m.Role)
+		_, _ = h.Write([]byte{0})
+		_, _ = h.WriteString(m.Content)
+		parts = append(parts, strconv.FormatUint(h.Sum64(), 16))
+	}
+	return parts
+}
--- a/internal/dispatcher/chat.go
+++ b/internal/dispatcher/chat.go
@@ -9,6 +9,7 @@
 
 	"rattanchute/internal/chat"
 	"rattanchute/internal/outcome"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/ratelimit"
 	"rattanchute/internal/request"
 	"rattanchute/internal/resumetoken"
@@ -82,6 +83,10 @@
 		deadline: now.Add(s.timeout(req.Timeout)),
 		query:    newQuery(req, target.Name),
 		moves:    make(chan Move, 1),
+		prompt:   quarantine.Prompt{Fleet: target.Name, Parts: req.Request.Parts()},
+	}
+	if refusal := c.checkQuarantine(now); refusal != nil {
+		return nil, refusal
 	}
 	c.progress.prompt = c.query.PromptTokens
 	c.progress.maxTokens = c.query.MaxTokens
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -52,6 +52,9 @@
 // beginNext starts an attempt at the next chosen endpoint. If there is none, it waits or returns an
 // error, as waitForEndpoint decides.
 func (c *ChatStream) beginNext() error {
+	if err := c.recheckQuarantine(); err != nil {
+		return err
+	}
 	choice, err := c.choose()
 	if err != nil {
 		return c.waitForEndpoint(err)
@@ -101,6 +104,7 @@
 	if c.interrupted.IsZero() {
 		c.interrupted = c.service.now()
 	}
+	c.observeFailure(err)
 	endpoint := c.current.endpoint.Name
 	c.endAttempt(resultOf(err))
 	if !errors.Is(err, engine.ErrNoStream) {
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"rattanchute/internal/engine"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/ratelimit"
 	"rattanchute/internal/resumetoken"
 	"rattanchute/internal/route"
@@ -59,18 +60,21 @@
 
 // Service serves chat requests and calls of plain services. It is safe for concurrent use.
 type Service struct {
-	settings  Settings
-	session   string
-	router    Router
-	limiter   Limiter
-	claims    Claims
-	engines   engine.Client
-	signer    *resumetoken.Signer
-	metrics   *Metrics
-	streams   *streamRegistry
-	moveRates MoveRates
-	pool      pond.Pool
-	inflight  *inflight
+	settings Settings
+	session  string
+	router   Router
+	limiter  Limiter
+	claims   Claims
+	engines  engine.Client
+	signer   *resumetoken.Signer
+	metrics  *Metrics
+	// quarantine knows the prompts that crash endpoints; mayProbe reports whether this daemon may probe them.
+	quarantine *quarantine.Table
+	mayProbe   func() bool
+	streams    *streamRegistry
+	moveRates  MoveRates
+	pool       pond.Pool
+	inflight   *inflight
 	// openCount is the number of streams that are open or being opened.
 	openCount atomic.Int64
 	// endContext is cancelled to end all open streams.
@@ -89,6 +93,11 @@
 	Signer    *resumetoken.Signer
 	Metrics   *Metrics
 	MoveRates MoveRates
+	// Quarantine knows the prompts that crash endpoints.
+	Quarantine *quarantine.Table
+	// MayProbe reports whether this daemon may send a quarantined request to find out whether it still crashes
+	// endpoints. At most one daemon may.
+	MayProbe func() bool
 }
 
 // backgroundWorkers is the number of workers besides those that read open streams.
@@ -111,6 +120,8 @@
 		metrics:    d.Metrics,
 		streams:    newStreamRegistry(),
 		moveRates:  d.MoveRates,
+		quarantine: d.Quarantine,
+		mayProbe:   d.MayProbe,
 		// Each open stream occupies a worker that reads from its engine; the other workers move
 		// streams and record outcomes.
 		pool: pond.NewPool(d.Settings.MaxStreams + backgroundWorkers),
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -8,6 +8,7 @@
 
 	"rattanchute/internal/engine"
 	"rattanchute/internal/outcome"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/ratelimit"
 	"rattanchute/internal/request"
 	"rattanchute/internal/resumetoken"
@@ -42,11 +43,14 @@
 
 // ChatStream is one open answer. Its methods must not be called concurrently.
 type ChatStream struct {
-	service   *Service
-	req       ChatRequest
-	opened    time.Time
-	deadline  time.Time
-	query     route.Query
+	service  *Service
+	req      ChatRequest
+	opened   time.Time
+	deadline time.Time
+	query    route.Query
+	prompt   quarantine.Prompt
+	// probe is set if the request is quarantined and is sent to find out whether it still crashes endpoints.
+	probe     bool
 	admission ratelimit.Request
 	priority  int
 
@@ -174,6 +178,9 @@
 
 func (c *ChatStream) observeChunk(chunk engine.Chunk) {
 	now := c.service.now()
+	if c.current.firstToken == 0 {
+		c.service.quarantine.Responded(now, c.current.instanceName(), c.current.started)
+	}
 	c.current.chunkArrived(now)
 	if chunk.Prefilled > 0 {
 		c.service.metrics.PrefilledTokens.Add(float64(chunk.Prefilled))
@@ -237,6 +244,7 @@
 	}
 	c.released = true
 	if c.current != nil {
+		c.observeEnd()
 		c.endAttempt(route.Result{OK: c.machine.Finished()})
 	}
 	c.removeEndHook()
--- a/internal/soak/node_test.go
+++ b/internal/soak/node_test.go
@@ -17,6 +17,7 @@
 	"rattanchute/internal/engine"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/ratelimit"
 	"rattanchute/internal/resumetoken"
 	"rattanchute/internal/route"
@@ -80,6 +81,7 @@
 		Settings: settings, Router: checkedRouter{n.router, n}, Limiter: limiter, Claims: n.claims,
 		Engines: gatedEngines{n}, Signer: signer,
 		Metrics: dispatcher.NewMetrics(prometheus.NewRegistry()), MoveRates: rates,
+		Quarantine: quarantine.NewTable(name), MayProbe: func() bool { return true },
 	})
 	return n
 }
