--- a/internal/backpressure/signal.go
+++ b/internal/backpressure/signal.go
@@ -15,6 +15,8 @@
 	Leaving bool
 	// RetryAfter is how long the endpoint wants no requests from this host; zero if it did not say.
 	RetryAfter time.Duration
+	// Limit is the rate limit that the endpoint states.
+	Limit Limit
 }
 
 // Headers are the parts of a response's header that hold a signal.
@@ -27,11 +29,16 @@
 	RetryAfter []string
 	// Date is the value of the Date header.
 	Date string
+	// Limit are the values of the header that states a rate limit.
+	Limit []string
 }
 
 // Decode returns what a response says, and an error if a part of it is malformed and says nothing.
 func Decode(h Headers) (s Signal, err error) {
 	s.Leaving, err = h.leaving()
+	var limitErr error
+	s.Limit, limitErr = ParseLimit(h.Limit)
+	err = errors.Join(err, limitErr)
 	if h.Status != http.StatusServiceUnavailable {
 		return s, err
 	}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -76,7 +76,7 @@
 	}, []string{"kind"})
 	registry.MustRegister(m.responses, m.refusals, m.attempts, m.brokenOff, m.streamEnds, m.signals, m.ejections, m.probes, m.first, m.total, m.eventInterval,
 		suppressedLines)
-	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal} {
+	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal, lineLimit} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
 	}
 	m.initLabels()
@@ -85,7 +85,7 @@
 
 // initLabels exports the counters of what may not happen for a long time, as zero.
 func (m *metrics) initLabels() {
-	for _, signal := range []string{signalLeaving, signalClosed, signalIgnored} {
+	for _, signal := range []string{signalLeaving, signalClosed, signalLimit, signalIgnored} {
 		m.signals.WithLabelValues(signal)
 	}
 	for _, progress := range []string{progressNoResponse, progressNoEvent, progressEvents} {
--- a/internal/proxy/signallog.go
+++ b/internal/proxy/signallog.go
@@ -23,6 +23,13 @@
 			Int64("opens_in_ms", change.OpensAt.Sub(clock.Now()).Milliseconds()).
 			Msg("endpoint closed")
 	}
+	if limit := info.Signal.Limit; limit.Stated {
+		t.metrics.signals.WithLabelValues(signalLimit).Inc()
+		if t.allowRoutine(clock.Now(), lineLimit) {
+			t.entry(log.InfoLevel, x).Str("endpoint", a.choice.Endpoint.ID).Int("status", a.status).
+				Float64("per_second", limit.PerSecond).Msg("endpoint states a rate limit")
+		}
+	}
 	if info.SignalErr != nil {
 		t.metrics.signals.WithLabelValues(signalIgnored).Inc()
 		if t.allowRoutine(clock.Now(), lineSignal) {
@@ -36,6 +43,7 @@
 const (
 	signalLeaving = "leaving"
 	signalClosed  = "closed"
+	signalLimit   = "limit"
 	signalIgnored = "ignored"
 )
 
