--- /dev/null
+++ b/internal/backpressure/bucket.go
@@ -0,0 +1,76 @@
+package backpressure
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minRate is the least rate, of all hosts together, at which an endpoint gets requests that states a limit
+	// of zero: they tell when that ends. In requests a second.
+	minRate = 0.1
+	// burstTime is the time in which a host may use as many requests at once.
+	burstTime = 200 * time.Millisecond
+	// retryElsewhere is when callers may return to a host that sends no requests to a limited endpoint.
+	retryElsewhere = time.Second
+)
+
+// bucket is a token bucket with this host's share of an endpoint's rate limit. The zero value limits nothing.
+type bucket struct {
+	limit Limit
+	// statedAt is when the endpoint last stated the limit or, if there is none, ended it.
+	statedAt time.Time
+	// rate is in tokens a second. A token is one request.
+	rate       float64
+	tokens     float64
+	refilledAt time.Time
+}
+
+// set puts a limit and this host's share of it in force. A bucket begins empty, and loses tokens when the
+// rate falls: the tokens of all hosts were meant for the rate before.
+func (b *bucket) set(now time.Time, l Limit, share float64) {
+	rate := max(l.PerSecond, minRate) * share
+	switch {
+	case !b.limit.Stated:
+		b.tokens, b.refilledAt = 0, now
+	case rate < b.rate:
+		b.refill(now)
+		b.tokens *= rate / b.rate
+	default:
+		b.refill(now)
+	}
+	b.limit, b.rate = l, rate
+	b.tokens = min(b.tokens, b.capacity())
+}
+
+func (b *bucket) capacity() float64 { return max(1, b.rate*burstTime.Seconds()) }
+
+func (b *bucket) refill(now time.Time) {
+	if elapsed := now.Sub(b.refilledAt); elapsed > 0 {
+		b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), b.capacity())
+		b.refilledAt = now
+	}
+}
+
+// next returns when there is a token: now or earlier if there is one.
+func (b *bucket) next(now time.Time) time.Time {
+	if !b.limit.Stated {
+		return time.Time{}
+	}
+	b.refill(now)
+	if b.tokens >= 1 {
+		return now
+	}
+	if b.rate <= 0 {
+		return now.Add(retryElsewhere)
+	}
+	wait := math.Ceil((1 - b.tokens) / b.rate * float64(time.Second))
+	return now.Add(time.Duration(min(wait, float64(MaxRetryAfter))))
+}
+
+// take takes a token if there is a limit.
+func (b *bucket) take() {
+	if b.limit.Stated {
+		b.tokens--
+	}
+}
--- a/internal/backpressure/endpoint.go
+++ b/internal/backpressure/endpoint.go
@@ -29,6 +29,8 @@
 	Leaving bool
 	// OpensAt is when requests may return to a closed endpoint; zero if it is not closed.
 	OpensAt time.Time
+	// Limited is set if the endpoint is closed only because this host's share of its rate limit is used up.
+	Limited bool
 }
 
 // Change is what a signal changed.
@@ -55,6 +57,8 @@
 	// round counts the times for which the endpoint was closed, so that a permit of an earlier one
 	// changes nothing in a later one.
 	round int
+	// bucket is this host's share of the rate limit that the endpoint states.
+	bucket bucket
 }
 
 // Observe records a signal of a response that arrived now at the host with the given name. The random
@@ -114,10 +118,12 @@
 	switch {
 	case e.leaving != nil:
 		return Verdict{Leaving: true}
-	case e.opensAt.IsZero():
-		return Verdict{Allowed: true}
 	case now.Before(e.opensAt):
 		return Verdict{OpensAt: e.opensAt}
+	case e.bucket.next(now).After(now):
+		return Verdict{OpensAt: e.bucket.next(now), Limited: true}
+	case e.opensAt.IsZero():
+		return Verdict{Allowed: true}
 	}
 	return Verdict{Allowed: e.running < max(e.limit, 1), OpensAt: e.opensAt}
 }
@@ -134,6 +140,7 @@
 	if !v.Allowed {
 		return nil, v
 	}
+	e.bucket.take()
 	if e.opensAt.IsZero() {
 		return &Permit{}, v
 	}
@@ -167,7 +174,12 @@
 	}
 	e.opensAt, e.limit, e.running = time.Time{}, 0, 0
 	e.round++
-	e.restricted.Store(e.leaving != nil)
+	e.updateRestrictedLocked()
+}
+
+// updateRestrictedLocked sets restricted from the other fields.
+func (e *Endpoint) updateRestrictedLocked() {
+	e.restricted.Store(e.leaving != nil || !e.opensAt.IsZero() || e.bucket.limit.Stated)
 }
 
 // Release records that the request has ended. It has no effect after Answered.
--- a/internal/backpressure/retryschedule.go
+++ b/internal/backpressure/retryschedule.go
@@ -12,7 +12,8 @@
 	open    bool
 }
 
-// Add adds an endpoint with a number of slots. Leaving endpoints do not count.
+// Add adds an endpoint with a number of slots. Leaving endpoints do not count. A limited endpoint has room for
+// one request at a time.
 func (o *Outlook) Add(v Verdict, slots int) {
 	if v.Leaving {
 		return
@@ -21,6 +22,9 @@
 		o.open = true
 		return
 	}
+	if v.Limited {
+		slots = 1
+	}
 	o.Slots += max(slots, 1)
 	if o.OpensAt.IsZero() || v.OpensAt.Before(o.OpensAt) {
 		o.OpensAt = v.OpensAt
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,7 +39,9 @@
 // Table holds the endpoints by run. It is safe for concurrent use.
 type Table struct {
 	// host is the name of this host.
-	host      string
+	host string
+	// hosts are those that share the endpoints' rate limits; nil before they are known.
+	hosts     atomic.Pointer[Hosts]
 	mu        sync.Mutex
 	endpoints map[Instance]*Endpoint
 }
@@ -59,6 +63,13 @@
 	return e
 }
 
+// all returns a copy of the endpoints.
+func (t *Table) all() map[Instance]*Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.endpoints)
+}
+
 // Observe records a signal of a response of an endpoint that arrived now. The random number, from 0 to
 // 1, is the jitter of a pause.
 func (t *Table) Observe(now time.Time, random float64, i Instance, s Signal) Change {
@@ -128,19 +139,30 @@
 	return infos
 }
 
-// Counts returns how many endpoints are known to leave, and how many others are closed.
-func (t *Table) Counts(now time.Time) (leaving, closed int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, e := range t.endpoints {
-		switch v := e.Verdict(now); {
+// Counts are numbers of endpoints.
+type Counts struct {
+	Leaving int
+	// Closed are the other ones that want no requests for some time, and Limited those that state a rate limit.
+	Closed  int
+	Limited int
+}
+
+// Counts counts the endpoints by what they have said.
+func (t *Table) Counts(now time.Time) Counts {
+	var c Counts
+	for _, e := range t.all() {
+		v := e.Verdict(now)
+		switch {
 		case v.Leaving:
-			leaving++
-		case now.Before(v.OpensAt):
-			closed++
+			c.Leaving++
+		case !v.Limited && now.Before(v.OpensAt):
+			c.Closed++
+		}
+		if !v.Leaving && e.Limit().Stated {
+			c.Limited++
 		}
 	}
-	return leaving, closed
+	return c
 }
 
 // Retain forgets the endpoints that are not listed, except those that leave or to which requests have not
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -79,6 +79,12 @@
 	return change
 }
 
+// ObserveLimit records what a response of the endpoint to this attempt says about its rate limit, and reports
+// whether the limit is another one now.
+func (a *Attempt) ObserveLimit(now time.Time, l backpressure.Limit) bool {
+	return a.signals.ObserveLimit(now, a.sentAt, a.instance, l)
+}
+
 // FirstEvent records that the first event of a stream has arrived.
 func (a *Attempt) FirstEvent(now time.Time) {
 	a.pool.mu.Lock()
--- a/internal/heartbeat/group.go
+++ b/internal/heartbeat/group.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
+
+	"rattanchute/internal/backpressure"
 )
 
 // Leader returns the name of the host that this host follows, or its own name if it follows
@@ -37,6 +40,50 @@
 	return true
 }
 
+// Sharing returns the hosts that share the rate limits of endpoints. A host that was heard of lately still
+// counts, because it may still send requests. A follower takes the groups and the members of its own from its
+// leader's newest digest; without one, there are none.
+func (t *Table) Sharing(now time.Time) backpressure.Hosts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.updateLeaderLocked(now)
+	h := backpressure.Hosts{Self: t.self.Name, Group: t.leader}
+	if t.leader != t.self.Name {
+		if t.leaderDigest.Name != t.leader {
+			return h
+		}
+		h.Groups = t.leaderDigest.Leaders
+		h.Members = append(slices.Collect(maps.Keys(t.leaderDigest.Acks)), t.leader)
+		return h
+	}
+	h.Groups = t.leadersLocked(now)
+	h.Members = []string{t.self.Name}
+	for _, peer := range t.followersLocked(now) {
+		h.Members = append(h.Members, peer.Name)
+	}
+	return h
+}
+
+// leadersLocked returns the names of the leaders, this host included: in a full mesh, all hosts that may be
+// running.
+func (t *Table) leadersLocked(now time.Time) []string {
+	names := []string{t.self.Name}
+	if t.fullMesh {
+		for name, s := range t.sightings {
+			if name != t.self.Name && !s.left && now.Sub(s.at) < knownTimeout {
+				names = append(names, name)
+			}
+		}
+		return names
+	}
+	for _, peer := range t.peers {
+		if peer.leader == peer.Name && !peer.leaving && !peer.lastReceivedAt.IsZero() && now.Sub(peer.lastReceivedAt) < knownTimeout {
+			names = append(names, peer.Name)
+		}
+	}
+	return names
+}
+
 // updateLeaderLocked decides which host to follow.
 func (t *Table) updateLeaderLocked(now time.Time) {
 	t.fullMesh = t.knownHostsLocked(now) <= maxFullMeshHosts
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -81,6 +81,8 @@
 
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
 	LeavingEndpoints []backpressure.LeavingReport `json:"leaving_endpoints,omitempty"`
+	// LimitedEndpoints are endpoints that state a rate limit, or have lately ceased to.
+	LimitedEndpoints []backpressure.LimitReport `json:"limited_endpoints,omitempty"`
 	// Quarantine is what is known of prompts that crash endpoints; nil if there are none.
 	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 
@@ -120,6 +122,10 @@
 	Endpoints  registry.Delta   `json:"endpoints"`
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
 	LeavingEndpoints []backpressure.LeavingReport `json:"leaving_endpoints,omitempty"`
+	// LimitedEndpoints are endpoints that state a rate limit, or have lately ceased to, and Leaders the hosts
+	// among whose groups the limits are shared.
+	LimitedEndpoints []backpressure.LimitReport `json:"limited_endpoints,omitempty"`
+	Leaders          []string                   `json:"leaders,omitempty"`
 	// Quarantine is what is known of prompts that crash endpoints; nil if there are none.
 	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 	// Levels are the remaining quota tokens by organisation, after all processed reports.
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -178,3 +178,15 @@
 		n.announceChange()
 	}
 }
+
+// applyLimitReports records and logs which rate limits of endpoints another host reports, and passes them on.
+func (n *Node) applyLimitReports(now time.Time, from string, reports []backpressure.LimitReport) {
+	news := n.signals.ApplyLimitReports(now, reports)
+	for _, l := range news {
+		n.Log.Info().Str("endpoint", l.ID).Str("peer", from).Bool("limited", !l.Ended).
+			Float64("per_second", l.PerSecond).Int64("age_ms", l.AgeMillis).Msg("endpoint stated a rate limit to a peer")
+	}
+	if len(news) > 0 {
+		n.announceChange()
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -109,16 +109,16 @@
 		})
 	gauge("rattanchute_endpoints_said_leaving", "Endpoints that have said in a response that they leave.",
 		func() float64 {
-			leaving, _ := n.signals.Counts(clock.Now())
-			return float64(leaving)
+			return float64(n.signals.Counts(clock.Now()).Leaving)
 		})
 	gauge("rattanchute_quarantined_prompts", "Combinations of prompt parts that are quarantined because they crash endpoints.",
 		func() float64 { return float64(len(n.quarantine.Entries(clock.Now()))) })
 	gauge("rattanchute_endpoints_closed", "Endpoints that want no requests from this host for some time.",
 		func() float64 {
-			_, closed := n.signals.Counts(clock.Now())
-			return float64(closed)
+			return float64(n.signals.Counts(clock.Now()).Closed)
 		})
+	gauge("rattanchute_endpoints_limited", "Endpoints that state how many requests a second they accept.",
+		func() float64 { return float64(n.signals.Counts(clock.Now()).Limited) })
 	n.restores = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rattanchute_store_restores_total", Help: "Restores of the platform's store from an older copy that this host has seen.",
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -208,6 +208,7 @@
 		Quarantine:   n.quarantine,
 		MayProbe:     n.mayProbe,
 		OnCrash:      func() { wake(n.reportNow) },
+		OnLimit:      func() { wake(n.reportNow) },
 		DenyMaxAge:   denyMaxAge,
 		MaxBodyBytes: int64(bodyMemoryFraction * float64(max(s.MemoryBytes, 64<<20))),
 	}
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -58,6 +58,7 @@
 		n.lease.OnReport(r.LeaseVersion, now)
 	}
 	n.applyLeavingReports(now, r.Name, r.LeavingEndpoints)
+	n.applyLimitReports(now, r.Name, r.LimitedEndpoints)
 	n.applyQuarantine(now, r.Name, r.Quarantine)
 	n.observeStoreOf(now, r)
 	if receipt.Role == heartbeat.RoleUnrelated {
@@ -112,6 +113,7 @@
 	}
 	// That an endpoint leaves is final, so that this holds however old the digest is.
 	n.applyLeavingReports(now, d.Name, d.LeavingEndpoints)
+	n.applyLimitReports(now, d.Name, d.LimitedEndpoints)
 	n.applyQuarantine(now, d.Name, d.Quarantine)
 	ack := d.Acks[n.Settings.Name]
 	sent, ok := n.sent.At(ack.Included)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -61,6 +61,7 @@
 		n.peers.SetHoldsLease(held)
 	}
 	n.updateLeader(now)
+	n.signals.SetHosts(now, n.peers.Sharing(now))
 	reachable, known := n.peers.HostCounts(now)
 	n.quota.SetReachableShare(now, float64(reachable)/float64(known))
 	n.retryBudget.SetHosts(known)
@@ -149,10 +150,15 @@
 	{"prefills", withoutPrefills},
 	{"loads of the less busy endpoints", withLoads(1000)},
 	{"loads of most endpoints", withLoads(250)},
+	{"rate limits of endpoints", withoutLimits},
 	{"prompts that crash endpoints", withoutQuarantine},
 	{"changes to endpoints", withoutEndpointChanges},
 }
 
+func withoutLimits(d heartbeat.Datagram) heartbeat.Datagram {
+	return edited(d, func(r *heartbeat.Report) { r.LimitedEndpoints = nil }, func(g *heartbeat.Digest) { g.LimitedEndpoints = nil })
+}
+
 func withoutQuarantine(d heartbeat.Datagram) heartbeat.Datagram {
 	return edited(d, func(r *heartbeat.Report) { r.Quarantine = nil }, func(g *heartbeat.Digest) { g.Quarantine = nil })
 }
@@ -219,6 +225,7 @@
 		r.FinalUsage = n.usage.Final(reportedUsageWindows)
 	}
 	r.LeavingEndpoints = n.signals.LeavingReports(now)
+	r.LimitedEndpoints = n.signals.LimitReports(now)
 	r.Quarantine = n.quarantine.Report(now)
 	r.Members, r.Left = n.peers.Members(now)
 	r.Usage = n.reportedUsage(now, r.Members)
@@ -277,6 +284,8 @@
 		Endpoints:      n.endpoints.Delta(now),
 
 		LeavingEndpoints: n.signals.LeavingReports(now),
+		LimitedEndpoints: n.signals.LimitReports(now),
+		Leaders:          n.peers.Sharing(now).Groups,
 		Quarantine:       n.quarantine.Report(now),
 
 		Levels:   n.quota.SpendingReport(now).Level,
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -163,6 +163,7 @@
 		x.proxy.Quarantine.Responded(clock.Now(), a.instanceName(), a.sentAt)
 	}
 	a.observeSignal(&info)
+	a.observeLimit(&info)
 	a.closed = info.Signal.RetryAfter > 0
 	if info.KeepAlive > 0 {
 		body.SetIdleTimeout(time.Duration(float64(info.KeepAlive) * idleTimeoutFraction))
@@ -194,6 +195,18 @@
 	}
 }
 
+// observeLimit records what the head of a response says about the rate limit of its endpoint. Another
+// instance at the address says nothing about the chosen one.
+func (a *attempt) observeLimit(info *ResponseInfo) {
+	if info.WrongEndpoint {
+		return
+	}
+	if a.balancerAttempt.ObserveLimit(clock.Now(), info.Signal.Limit) {
+		a.exchange.proxy.telemetry.LimitChanged(a, info.Signal.Limit)
+		a.exchange.proxy.OnLimit()
+	}
+}
+
 // observeTrailer records a signal in the trailer of a response that has been read to its end. The trailer
 // is part of the header by then, and is forwarded with it.
 func (a *attempt) observeTrailer(body *httpclient.Body) {
--- a/internal/proxy/linelimit.go
+++ b/internal/proxy/linelimit.go
@@ -15,7 +15,6 @@
 	lineAnswered = "answered"
 	lineAccept   = "accept_failed"
 	lineSignal   = "signal_ignored"
-	lineLimit    = "limit"
 )
 
 // allowRoutine reports whether a routine line may be written within the rate limit, and counts it
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -76,7 +76,7 @@
 	}, []string{"kind"})
 	registry.MustRegister(m.responses, m.refusals, m.attempts, m.brokenOff, m.streamEnds, m.signals, m.ejections, m.probes, m.first, m.total, m.eventInterval,
 		suppressedLines)
-	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal, lineLimit} {
+	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
 	}
 	m.initLabels()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -43,6 +43,8 @@
 	OnStarted func(now time.Time, organisation string)
 	// OnLeaving is called when a response says for the first time that its endpoint leaves.
 	OnLeaving func()
+	// OnLimit is called when an endpoint states another rate limit than before.
+	OnLimit func()
 	// KeyMaxAge limits the use of keys: they are refused once the configuration has not been
 	// confirmed to be the newest for this time. Zero means that they are never refused for that.
 	KeyMaxAge time.Duration
--- a/internal/proxy/signallog.go
+++ b/internal/proxy/signallog.go
@@ -23,12 +23,8 @@
 			Int64("opens_in_ms", change.OpensAt.Sub(clock.Now()).Milliseconds()).
 			Msg("endpoint closed")
 	}
-	if limit := info.Signal.Limit; limit.Stated {
+	if info.Signal.Limit.Stated {
 		t.metrics.signals.WithLabelValues(signalLimit).Inc()
-		if t.allowRoutine(clock.Now(), lineLimit) {
-			t.entry(log.InfoLevel, x).Str("endpoint", a.choice.Endpoint.ID).Int("status", a.status).
-				Float64("per_second", limit.PerSecond).Msg("endpoint states a rate limit")
-		}
 	}
 	if info.SignalErr != nil {
 		t.metrics.signals.WithLabelValues(signalIgnored).Inc()
@@ -39,6 +35,12 @@
 	}
 }
 
+// LimitChanged logs that an endpoint states another rate limit than before, or none any more.
+func (t *Telemetry) LimitChanged(a *attempt, l backpressure.Limit) {
+	t.entry(log.WarnLevel, a.exchange).Str("endpoint", a.choice.Endpoint.ID).Int("status", a.status).
+		Bool("limited", l.Stated).Float64("per_second", l.PerSecond).Msg("endpoint states a rate limit")
+}
+
 // The kinds of signals in metrics.
 const (
 	signalLeaving = "leaving"
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -222,6 +222,7 @@
 		Quarantine:   quarantine.NewTable("host"),
 		MayProbe:     p.mayProbe.Load,
 		OnCrash:      func() {},
+		OnLimit:      func() {},
 		KeyMaxAge:    maxAge,
 		DenyMaxAge:   maxAge,
 		MaxBodyBytes: 1 << 24,
