route, enginehttp: the own interface keeps the rate limits that engines state

Cause: as on the platform's interface, the statement was not read; found by looking for the same cause there. Change: X-Endpoint-Rate-Limit; the router keeps the daemon's share, the live members are those that share.

--- a/internal/adapter/enginehttp/signals.go
+++ b/internal/adapter/enginehttp/signals.go
@@ -21,6 +21,9 @@
 	// HeaderInstance identifies the run of the endpoint. An endpoint that leaves and is started again
 	// has another one.
 	HeaderInstance = "X-Endpoint-Instance"
+	// HeaderRateLimit is how many requests a second the endpoint accepts from all daemons together, a decimal
+	// number.
+	HeaderRateLimit = "X-Endpoint-Rate-Limit"
 )
 
 // Signals is asked before each request that starts new work, and told what each response says about
@@ -31,6 +34,9 @@
 	// Observe records what a response says. The instance is empty if the endpoint did not name it. The
 	// random number, from 0 to 1, is the jitter of a pause.
 	Observe(now time.Time, random float64, address, instance string, s backpressure.Signal)
+	// ObserveLimit records what a response to a request that was sent at a time says about the endpoint's rate
+	// limit.
+	ObserveLimit(now, sentAt time.Time, address, instance string, l backpressure.Limit)
 	// Malformed records that a part of what a response says was ignored.
 	Malformed(address string, err error)
 }
@@ -44,6 +50,8 @@
 
 func (noSignals) Observe(time.Time, float64, string, string, backpressure.Signal) {}
 
+func (noSignals) ObserveLimit(time.Time, time.Time, string, string, backpressure.Limit) {}
+
 func (noSignals) Malformed(string, error) {}
 
 // permission is the permit of one request.
@@ -51,11 +59,13 @@
 	client  *Client
 	address string
 	permit  *backpressure.Permit
+	sentAt  time.Time
 }
 
 // acquire is called immediately before a request is sent.
 func (p *permission) acquire() error {
-	permit, err := p.client.signals.Acquire(time.Now(), p.address)
+	p.sentAt = time.Now()
+	permit, err := p.client.signals.Acquire(p.sentAt, p.address)
 	if err != nil {
 		return fmt.Errorf("%w: %w", engine.ErrClosed, err)
 	}
@@ -66,6 +76,9 @@
 // answered records what the response to the request says, and returns it.
 func (p *permission) answered(h *fasthttp.ResponseHeader) backpressure.Signal {
 	signal := p.client.observe(p.address, h)
+	if p.permit != nil {
+		p.client.signals.ObserveLimit(time.Now(), p.sentAt, p.address, string(h.Peek(HeaderInstance)), signal.Limit)
+	}
 	if p.permit != nil && signal.RetryAfter == 0 {
 		p.permit.Answered()
 	}
@@ -97,6 +110,7 @@
 		No:         "false",
 		RetryAfter: httpclient.HeaderValues(h, fasthttp.HeaderRetryAfter),
 		Date:       string(h.Peek(fasthttp.HeaderDate)),
+		Limit:      httpclient.HeaderValues(h, HeaderRateLimit),
 	})
 	if err != nil {
 		c.signals.Malformed(address, err)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -174,6 +174,7 @@
 	for _, l := range listeners {
 		go func() { failures <- l.serve(l.listener) }()
 	}
+	a.membersChanged()
 	a.gossip.Start()
 	a.startTasks()
 	a.log.Info().Str("node", a.settings.Node).Msg("started")
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/gossip"
 	"rattanchute/internal/membership"
@@ -107,9 +108,22 @@
 }
 
 func (a *App) membersChanged() {
-	live := len(a.gossip.Members())
-	a.metrics.members.Set(float64(live))
-	a.limiter.SetMembers(time.Now(), live)
+	members := a.gossip.Members()
+	a.metrics.members.Set(float64(len(members)))
+	a.limiter.SetMembers(time.Now(), len(members))
+	a.shareLimits(members)
+}
+
+// shareLimits tells the router which daemons share the endpoints' rate limits.
+func (a *App) shareLimits(members []membership.Member) {
+	self := a.settings.Node
+	names := []string{self}
+	for _, m := range members {
+		if m.Name != self {
+			names = append(names, m.Name)
+		}
+	}
+	a.router.SetLimitSharers(time.Now(), backpressure.Hosts{Self: self, Group: self, Groups: names, Members: []string{self}})
 }
 
 // hostPort returns the part of a URL between scheme and path, such as "host:port".
--- a/internal/app/signals.go
+++ b/internal/app/signals.go
@@ -20,6 +20,12 @@
 	line.Msg("endpoint accepts no requests")
 }
 
+// LimitChanged implements route.SignalLog.
+func (l signalLog) LimitChanged(endpoint string, limit backpressure.Limit) {
+	l.log.Warn().Str("endpoint", endpoint).Bool("limited", limit.Stated).Float64("per_second", limit.PerSecond).
+		Msg("endpoint states a rate limit")
+}
+
 // SignalIgnored implements route.SignalLog.
 func (l signalLog) SignalIgnored(endpoint string, err error) {
 	l.log.Warn().Str("endpoint", endpoint).Err(err).Msg("endpoint's signal ignored")
--- a/internal/backpressure/bucket.go
+++ b/internal/backpressure/bucket.go
@@ -45,32 +45,38 @@
 
 func (b *bucket) capacity() float64 { return max(1, b.rate*burstTime.Seconds()) }
 
+// available returns the tokens at a time.
+func (b *bucket) available(now time.Time) float64 {
+	elapsed := max(now.Sub(b.refilledAt), 0)
+	return min(b.tokens+b.rate*elapsed.Seconds(), b.capacity())
+}
+
 func (b *bucket) refill(now time.Time) {
-	if elapsed := now.Sub(b.refilledAt); elapsed > 0 {
-		b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), b.capacity())
+	if now.After(b.refilledAt) {
+		b.tokens = b.available(now)
 		b.refilledAt = now
 	}
 }
 
-// next returns when there is a token: now or earlier if there is one.
-func (b *bucket) next(now time.Time) time.Time {
+// wait returns the time until there is a token; zero if there is one, or no limit.
+func (b *bucket) wait(now time.Time) time.Duration {
 	if !b.limit.Stated {
-		return time.Time{}
-	}
-	b.refill(now)
-	if b.tokens >= 1 {
-		return now
+		return 0
 	}
-	if b.rate <= 0 {
-		return now.Add(retryElsewhere)
+	missing := 1 - b.available(now)
+	switch {
+	case missing <= 0:
+		return 0
+	case b.rate <= 0:
+		return retryElsewhere
 	}
-	wait := math.Ceil((1 - b.tokens) / b.rate * float64(time.Second))
-	return now.Add(time.Duration(min(wait, float64(MaxRetryAfter))))
+	return time.Duration(min(math.Ceil(missing/b.rate*float64(time.Second)), float64(MaxRetryAfter)))
 }
 
 // take takes a token if there is a limit.
-func (b *bucket) take() {
+func (b *bucket) take(now time.Time) {
 	if b.limit.Stated {
+		b.refill(now)
 		b.tokens--
 	}
 }
--- a/internal/backpressure/endpoint.go
+++ b/internal/backpressure/endpoint.go
@@ -120,8 +120,8 @@
 		return Verdict{Leaving: true}
 	case now.Before(e.opensAt):
 		return Verdict{OpensAt: e.opensAt}
-	case e.bucket.next(now).After(now):
-		return Verdict{OpensAt: e.bucket.next(now), Limited: true}
+	case e.bucket.wait(now) > 0:
+		return Verdict{OpensAt: now.Add(e.bucket.wait(now)), Limited: true}
 	case e.opensAt.IsZero():
 		return Verdict{Allowed: true}
 	}
@@ -140,7 +140,7 @@
 	if !v.Allowed {
 		return nil, v
 	}
-	e.bucket.take()
+	e.bucket.take(now)
 	if e.opensAt.IsZero() {
 		return &Permit{}, v
 	}
--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -66,10 +66,11 @@
 	AgeMillis int64 `json:"age_ms"`
 }
 
-// observeLimit records what a response that arrived now says about the rate limit. It ends one only if its
-// request was sent after the limit was last stated: of earlier responses, it is not known which was written
-// first. It reports whether the limit is another one now.
-func (e *Endpoint) observeLimit(now, sentAt time.Time, l Limit, share func(Limit) float64) bool {
+// ObserveLimit records what a response that arrived now says about the rate limit; sentAt is when its request
+// was sent. It ends a limit only if that is after the limit was last stated: of earlier responses, it is not
+// known which was written first. It reports whether the limit is another one now. share returns this host's
+// part of a limit, from 0 to 1.
+func (e *Endpoint) ObserveLimit(now, sentAt time.Time, l Limit, share func(Limit) float64) bool {
 	if !l.Stated && !e.restricted.Load() {
 		return false
 	}
@@ -103,8 +104,8 @@
 	return e.bucket.limit
 }
 
-// updateShare works out this host's share of the limit again.
-func (e *Endpoint) updateShare(now time.Time, share func(Limit) float64) {
+// UpdateShare works out this host's share of the limit again.
+func (e *Endpoint) UpdateShare(now time.Time, share func(Limit) float64) {
 	if !e.restricted.Load() {
 		return
 	}
@@ -138,14 +139,14 @@
 func (t *Table) SetHosts(now time.Time, h Hosts) {
 	t.hosts.Store(&h)
 	for i, e := range t.all() {
-		e.updateShare(now, t.shareOf(i))
+		e.UpdateShare(now, t.shareOf(i))
 	}
 }
 
 // ObserveLimit records what a response that arrived now says about the rate limit of its endpoint, and
 // reports whether the limit is another one now. sentAt is when its request was sent.
 func (t *Table) ObserveLimit(now, sentAt time.Time, i Instance, l Limit) bool {
-	return t.Endpoint(i).observeLimit(now, sentAt, l, t.shareOf(i))
+	return t.Endpoint(i).ObserveLimit(now, sentAt, l, t.shareOf(i))
 }
 
 // ApplyLimitReports records the reports of another host, and returns those that change a limit.
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"rattanchute/internal/backpressure"
 	"rattanchute/internal/engine"
 	"rattanchute/internal/fleet"
 )
@@ -17,6 +18,8 @@
 	disabled        Mechanism
 	// signalLog may be nil.
 	signalLog SignalLog
+	// limitSharers are the daemons that share the endpoints' rate limits; nil before they are known.
+	limitSharers atomic.Pointer[backpressure.Hosts]
 
 	// mu guards the maps and the replacement of view; the states in the maps have their own
 	// locks.
--- a/internal/route/signals.go
+++ b/internal/route/signals.go
@@ -79,6 +79,34 @@
 	}
 }
 
+// ObserveLimit records what a response of the endpoint at the address says about its rate limit; sentAt is
+// when its request was sent. The instance is as for Observe.
+func (r *Router) ObserveLimit(now, sentAt time.Time, address, instance string, l backpressure.Limit) {
+	t := r.view.Load().byAddress[address]
+	if t == nil {
+		return
+	}
+	changed := t.state.signals.of(instance).ObserveLimit(now, sentAt, l, r.shareOf(t))
+	if changed && r.signalLog != nil {
+		r.signalLog.LimitChanged(t.info.endpoint.Name, l)
+	}
+}
+
+// shareOf returns the function with which this daemon's share of an endpoint's limits is worked out.
+func (r *Router) shareOf(t *target) func(backpressure.Limit) float64 {
+	return func(l backpressure.Limit) float64 {
+		return r.limitSharers.Load().Share(t.info.endpoint.Name, l.PerSecond)
+	}
+}
+
+// SetLimitSharers sets the daemons that share the endpoints' rate limits.
+func (r *Router) SetLimitSharers(now time.Time, h backpressure.Hosts) {
+	r.limitSharers.Store(&h)
+	for _, t := range r.view.Load().targets {
+		t.state.signals.current().UpdateShare(now, r.shareOf(t))
+	}
+}
+
 // Malformed records that a part of what a response of the endpoint at the address says was ignored.
 func (r *Router) Malformed(address string, err error) {
 	if t := r.view.Load().byAddress[address]; t != nil && r.signalLog != nil {
@@ -90,6 +118,8 @@
 type SignalLog interface {
 	// SignalChanged is called when an endpoint begins to leave, or is closed for a time or a longer one.
 	SignalChanged(endpoint string, c backpressure.Change)
+	// LimitChanged is called when an endpoint states another rate limit than before, or none any more.
+	LimitChanged(endpoint string, l backpressure.Limit)
 	// SignalIgnored is called when a statement of an endpoint is malformed.
 	SignalIgnored(endpoint string, err error)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -27,6 +27,8 @@
 	exports  map[engine.StreamID][]uint64
 	// crashes counts the requests that have made the engine crash.
 	crashes atomic.Int64
+	// received counts the generate requests that have arrived.
+	received atomic.Int64
 }
 
 // NewEngine returns an engine that does not listen yet.
@@ -73,6 +75,9 @@
 	})
 }
 
+// Received returns how many generate requests have arrived.
+func (e *Engine) Received() int { return int(e.received.Load()) }
+
 // Crashes returns how many requests have made the engine crash.
 func (e *Engine) Crashes() int { return int(e.crashes.Load()) }
 
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -55,6 +55,7 @@
 }
 
 func (e *Engine) handleGenerate(ctx *fasthttp.RequestCtx) {
+	e.received.Add(1)
 	faults := e.takeFaults()
 	if !faults.wait() {
 		_ = ctx.Conn().Close()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -16,6 +16,8 @@
 	Leaving bool `json:"leaving"`
 	// LeavingText is said instead of what Leaving says, unless it is empty.
 	LeavingText string `json:"leaving_text"`
+	// RateLimitText is the rate limit that every response states; empty for none.
+	RateLimitText string `json:"rate_limit_text"`
 	// RetryAfterMillis is the time for which refused requests are told to stay away; zero tells none.
 	RetryAfterMillis int `json:"retry_after_ms"`
 	// Freeze accepts requests but blocks them and the open streams until the faults are
@@ -51,7 +53,7 @@
 	Count int `json:"count"`
 }
 
-// signal sets the headers with which a response says that the endpoint leaves.
+// signal sets the headers with which a response says that the endpoint leaves or states a rate limit.
 func (f *Faults) signal(ctx *fasthttp.RequestCtx) {
 	text := f.LeavingText
 	if text == "" && f.Leaving {
@@ -60,6 +62,9 @@
 	if text != "" {
 		ctx.Response.Header.Set("X-Endpoint-Leaving", text)
 	}
+	if f.RateLimitText != "" {
+		ctx.Response.Header.Set("X-Endpoint-Rate-Limit", f.RateLimitText)
+	}
 }
 
 // refuse answers that the request has not run, and for how long further ones should stay away.
