capacity, backpressure: limited endpoints are planned for as what they still serve

Cause: the plan counted an endpoint with a rate limit as a whole one, so that nothing was ordered in place of what it no longer serves; and at a limit of 1 a second five of eight hosts had no share and refused callers while all endpoints were limited. Change: the plan adds the engines that limits take away; two senders more for each request a second instead of one, which still leaves room for membership changes (senders + 4 x limit against 6 x limit + 5 in 4 s). Test: TestEndpointsAreOrderedForWhatRateLimitsTakeAway (does not compile before).

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -135,6 +135,17 @@
 	return func(l Limit) float64 { return t.hosts.Load().Share(i.ID, l.PerSecond) }
 }
 
+// Limit returns the rate limit that an endpoint states.
+func (t *Table) Limit(i Instance) Limit {
+	t.mu.Lock()
+	e := t.endpoints[i]
+	t.mu.Unlock()
+	if e == nil {
+		return Limit{}
+	}
+	return e.Limit()
+}
+
 // SetHosts sets the hosts that share the limits.
 func (t *Table) SetHosts(now time.Time, h Hosts) {
 	t.hosts.Store(&h)
--- a/internal/backpressure/share.go
+++ b/internal/backpressure/share.go
@@ -7,10 +7,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// baseSenders is the number of hosts that send to an endpoint with a rate limit below one a second; for each
-// further request a second there is one more. Each sender may have one request ahead of its rate, and there
-// may be more of them while hosts join or leave.
-const baseSenders = 2
+const (
+	// baseSenders is the number of hosts that send to an endpoint with the lowest rate limit, and sendersPerRate
+	// how many more do for each request a second. Few hosts keep a limit better, because each may have one
+	// request ahead of its rate; more of them serve more callers.
+	baseSenders    = 2
+	sendersPerRate = 2
+	// maxSenders bounds the number of senders; it is more than the hosts of any fleet.
+	maxSenders = 1 << 16
+)
 
 // Hosts are the hosts that share the endpoints' rate limits. They form groups, each of which knows its
 // members; a host without followers is a group of its own.
@@ -29,7 +34,7 @@
 	if h == nil || len(h.Groups) == 0 || len(h.Members) == 0 {
 		return 0
 	}
-	senders := baseSenders + int(min(perSecond, maxSenders))
+	senders := baseSenders + int(min(sendersPerRate*perSecond, maxSenders))
 	groups := min(senders, len(h.Groups))
 	members := min(max(senders/groups, 1), len(h.Members))
 	if !isFirst(endpoint, h.Group, h.Groups, groups) || !isFirst(endpoint, h.Self, h.Members, members) {
@@ -38,9 +43,6 @@
 	return 1 / float64(groups*members)
 }
 
-// maxSenders bounds the number of senders; it is more than the hosts of any fleet.
-const maxSenders = 1 << 16
-
 // isFirst reports whether a name is among the first n in the rendezvous order of an endpoint.
 func isFirst(endpoint, name string, names []string, n int) bool {
 	if n >= len(names) {
--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -42,6 +42,8 @@
 	KeepOnDemand bool
 	// MinEngines is the number of engines to plan for even if the demand needs fewer.
 	MinEngines float64
+	// RateLimits are the requests a second that present endpoints accept which state a limit.
+	RateLimits []float64
 	// ReclaimablePriceRatio is the price of a reclaimable endpoint as a fraction of the
 	// on-demand price; zero if there are no reclaimable ones. From 1 on, none are planned.
 	ReclaimablePriceRatio float64
@@ -93,6 +95,21 @@
 	return d.RequestsPerSecond * millis / 1000 / targetUtilisation
 }
 
+// enginesLost returns how many engines the rate limits of present endpoints take away from those that are
+// needed.
+func enginesLost(s EndpointSnapshot) float64 {
+	needed := EnginesNeeded(s.Demand)
+	if needed <= 0 || s.Demand.RequestsPerSecond <= 0 {
+		return 0
+	}
+	perEngine := s.Demand.RequestsPerSecond / needed
+	lost := 0.0
+	for _, limit := range s.RateLimits {
+		lost += max(1-limit/perEngine, 0)
+	}
+	return lost
+}
+
 // PlanEndpointCounts decides how many endpoints each data centre should have. Reclaimable
 // endpoints carry the load and are spread so that the rest meets the need when one data centre
 // loses its own, and afterTwoLossesShare of it when two do. On-demand endpoints are given up
@@ -100,7 +117,7 @@
 // are unavailable. If reclaimable endpoints do not exist or are not cheaper, only on-demand ones
 // are planned, enough for the loss of one of several data centres. Max limits all counts.
 func PlanEndpointCounts(s EndpointSnapshot) []EndpointCount {
-	need := max(EnginesNeeded(s.Demand), s.MinEngines)
+	need := max(EnginesNeeded(s.Demand), s.MinEngines) + enginesLost(s)
 	if s.ReclaimablePriceRatio <= 0 || s.ReclaimablePriceRatio >= 1 {
 		return planOnDemand(s, need)
 	}
--- a/internal/capacity/counts_test.go
+++ b/internal/capacity/counts_test.go
@@ -29,6 +29,26 @@
 	is.True(total >= 8+4*3)
 }
 
+// TestEndpointsAreOrderedForWhatRateLimitsTakeAway has a third of the endpoints accept next to nothing.
+func TestEndpointsAreOrderedForWhatRateLimitsTakeAway(t *testing.T) {
+	is := is.New(t)
+	s := EndpointSnapshot{
+		Demand: normalDemand, PerDataCentre: fourDataCentres(0, 3), Min: 1, Max: 12, ReclaimablePriceRatio: 0.2,
+	}
+	count := func() int {
+		total := 0
+		for _, c := range PlanEndpointCounts(s) {
+			total += c.Reclaimable + c.OnDemand
+		}
+		return total
+	}
+	before := count()
+	s.RateLimits = []float64{0, 0, 0, 0}
+	is.True(count() >= before+4)
+	s.RateLimits = []float64{1000, 1000} // more than they can serve
+	is.Equal(count(), before)
+}
+
 // TestReclaimableEndpointsReplaceOnDemandOnes checks that on-demand endpoints are given up once
 // the reclaimable ones are there, and not before.
 func TestReclaimableEndpointsReplaceOnDemandOnes(t *testing.T) {
--- a/internal/duty/planner.go
+++ b/internal/duty/planner.go
@@ -43,6 +43,8 @@
 	// Configuration returns nil until a configuration is in force.
 	Configuration func() *fleet.Configuration
 	Endpoints     func() []registry.Known
+	// RateLimit returns how many requests a second an endpoint accepts; false if it states no limit.
+	RateLimit func(e *registry.Endpoint) (perSecond float64, limited bool)
 	// Demand returns the demand of all hosts by fleet.
 	Demand      func(now time.Time) map[string]heartbeat.FleetDemand
 	DataCentres []string
@@ -128,6 +130,9 @@
 			if k.Fleet != f.Name || k.DataCentre != dc || k.Leaving {
 				continue
 			}
+			if limit, limited := p.sources.RateLimit(&k.Endpoint); limited {
+				snapshot.RateLimits = append(snapshot.RateLimits, limit)
+			}
 			if k.Reclaimable {
 				endpoints.Reclaimable++
 			} else {
--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"rattanchute/internal/balancer"
 	"rattanchute/internal/duty"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/heartbeat"
+	"rattanchute/internal/registry"
 )
 
 func (n *Node) planSources() duty.Sources {
@@ -22,11 +24,18 @@
 			return t.Configuration()
 		},
 		Endpoints:   n.knownEndpoints,
+		RateLimit:   n.rateLimit,
 		Demand:      n.totalDemand,
 		DataCentres: names,
 	}
 }
 
+// rateLimit returns how many requests a second an endpoint accepts; false if it states no limit.
+func (n *Node) rateLimit(e *registry.Endpoint) (perSecond float64, limited bool) {
+	l := n.signals.Limit(balancer.InstanceOf(e))
+	return l.PerSecond, l.Stated
+}
+
 // totalDemand returns the demand over all hosts if this host is a leader, as the holder of the
 // duties' lease is.
 func (n *Node) totalDemand(now time.Time) map[string]heartbeat.FleetDemand {
