--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"rattanchute/internal/backoff"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
@@ -21,7 +22,7 @@
 		err := n.readConfiguration(ctx)
 		if err == nil {
 			retry.Reset()
-		} else if !pause(ctx, retry.Next()) {
+		} else if !backoff.Pause(ctx, retry.Next()) {
 			return
 		}
 		if !n.waitUntilStale(ctx, n.proxy.ConfirmedAt, n.configurationInterval, n.configurationStale) {
@@ -122,7 +123,7 @@
 // watchConfiguration applies new configurations as they are written, while this host is a leader
 // and has a configuration to start from.
 func (n *Node) watchConfiguration(ctx context.Context) {
-	if !pause(ctx, watchDelay) {
+	if !backoff.Pause(ctx, watchDelay) {
 		return
 	}
 	retry := newRetryBackoff()
@@ -131,7 +132,7 @@
 		from := n.configuration.version
 		n.applyMu.Unlock()
 		if from == 0 || !n.peers.IsLeader(clock.Now()) {
-			if !pause(ctx, retryDelay) {
+			if !backoff.Pause(ctx, retryDelay) {
 				return
 			}
 			continue
@@ -139,7 +140,7 @@
 		if n.watchConfigurationFrom(ctx, from) {
 			retry.Reset()
 		}
-		if !pause(ctx, retry.Next()) {
+		if !backoff.Pause(ctx, retry.Next()) {
 			return
 		}
 	}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rattanchute/internal/backoff"
 	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
@@ -19,7 +20,7 @@
 		_, err := n.listEndpoints(ctx)
 		if err == nil {
 			retry.Reset()
-		} else if !pause(ctx, retry.Next()) {
+		} else if !backoff.Pause(ctx, retry.Next()) {
 			return
 		}
 		if !n.waitUntilStale(ctx, n.endpoints.ConfirmedAt, n.endpointsInterval, n.endpointsStale) {
@@ -61,20 +62,20 @@
 // removeMissingEndpoints removes endpoints that are still missing some time after a store
 // outage.
 func (n *Node) removeMissingEndpoints(ctx context.Context) {
-	for pause(ctx, missingCheckInterval) {
+	for backoff.Pause(ctx, missingCheckInterval) {
 		n.endpointsChanged(n.endpoints.RemoveMissing(clock.Now()))
 	}
 }
 
 // watchEndpoints applies changes to endpoints as they are written, while this host is a leader.
 func (n *Node) watchEndpoints(ctx context.Context) {
-	if !pause(ctx, watchDelay) {
+	if !backoff.Pause(ctx, watchDelay) {
 		return
 	}
 	retry := newRetryBackoff()
 	for {
 		if !n.peers.IsLeader(clock.Now()) {
-			if !pause(ctx, jittered(retryDelay)) {
+			if !backoff.Pause(ctx, jittered(retryDelay)) {
 				return
 			}
 			continue
@@ -83,7 +84,7 @@
 		if err == nil && n.watchEndpointsFrom(ctx, from) {
 			retry.Reset()
 		}
-		if !pause(ctx, retry.Next()) {
+		if !backoff.Pause(ctx, retry.Next()) {
 			return
 		}
 	}
@@ -109,7 +110,7 @@
 		}
 		n.endpointsChanged(changes)
 		from = max(from, asOf)
-		if len(events) > 0 && !pause(ctx, watchPause) {
+		if len(events) > 0 && !backoff.Pause(ctx, watchPause) {
 			return responded
 		}
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"rattanchute/internal/backoff"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/heartbeat"
 	"rattanchute/internal/objectstore"
@@ -46,7 +47,7 @@
 	case <-time.After(wait):
 		return true
 	case <-n.membersStale:
-		return pause(ctx, rand.N(membersSettleTime))
+		return backoff.Pause(ctx, rand.N(membersSettleTime))
 	}
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"rattanchute/internal/backoff"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/quota"
@@ -53,7 +54,7 @@
 
 // logState periodically logs the host's view of the cluster.
 func (n *Node) logState(ctx context.Context) {
-	for pause(ctx, stateLogInterval) {
+	for backoff.Pause(ctx, stateLogInterval) {
 		now := clock.Now()
 		reachable, known := n.peers.HostCounts(now)
 		n.Log.Info().Int("peers_heard", reachable).Int("peers_known", known).
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rattanchute/internal/backoff"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quarantine/keeper"
@@ -48,7 +49,7 @@
 func (n *Node) awaitQuarantine(ctx context.Context) bool {
 	const interval = 20 * time.Millisecond
 	for waited := time.Duration(0); !n.quarantineKeeper.Loaded() && waited < quarantineLoadTimeout; waited += interval {
-		if !pause(ctx, interval) {
+		if !backoff.Pause(ctx, interval) {
 			return false
 		}
 	}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rattanchute/internal/adapter/peerudp"
+	"rattanchute/internal/backoff"
 	"rattanchute/internal/clock"
 )
 
@@ -152,11 +153,11 @@
 // the readiness checks succeed.
 func (n *Node) becomeReady(ctx context.Context) {
 	for n.proxy.Table() == nil || len(n.endpoints.Known()) == 0 {
-		if !pause(ctx, 20*time.Millisecond) {
+		if !backoff.Pause(ctx, 20*time.Millisecond) {
 			return
 		}
 	}
-	if !pause(ctx, readyDelay) || !n.awaitQuarantine(ctx) {
+	if !backoff.Pause(ctx, readyDelay) || !n.awaitQuarantine(ctx) {
 		return
 	}
 	n.ready.Store(true)
@@ -189,13 +190,3 @@
 	}
 	n.Log.Info().Int64("took_ms", clock.Now().Sub(began).Milliseconds()).Msg("stopped")
 }
-
-// pause sleeps and reports whether the context is still active.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -140,7 +140,7 @@
 // shorter. It returns false if the context ends.
 func waitForWake(ctx context.Context, maxWait, minWait time.Duration, woken <-chan struct{}) bool {
 	minWait = min(maxWait, minWait)
-	if !pause(ctx, minWait) {
+	if !backoff.Pause(ctx, minWait) {
 		return false
 	}
 	select {
@@ -158,7 +158,7 @@
 func (n *Node) waitUntilStale(
 	ctx context.Context, confirmedAt func() time.Time, maxAge func() time.Duration, woken <-chan struct{},
 ) bool {
-	if !pause(ctx, n.readInterval()) {
+	if !backoff.Pause(ctx, n.readInterval()) {
 		return false
 	}
 	for {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
-	"math/rand/v2"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -184,39 +182,6 @@
 	return a.relayBuffered(body)
 }
 
-// observeSignal records what a response says about further requests to its endpoint. If another instance
-// at the address has answered, the signal is recorded for the chosen one, which is gone: the response does
-// not say which one has answered.
-func (a *attempt) observeSignal(info *ResponseInfo) {
-	change := a.balancerAttempt.ObserveSignal(clock.Now(), rand.Float64(), info.Signal)
-	a.exchange.proxy.telemetry.SignalObserved(a, info, change)
-	if change.Left {
-		a.exchange.proxy.OnLeaving()
-	}
-}
-
-// observeLimit records what the head of a response says about the rate limit of its endpoint. Another
-// instance at the address says nothing about the chosen one.
-func (a *attempt) observeLimit(info *ResponseInfo) {
-	if info.WrongEndpoint {
-		return
-	}
-	if a.balancerAttempt.ObserveLimit(clock.Now(), info.Signal.Limit) {
-		a.exchange.proxy.telemetry.LimitChanged(a, info.Signal.Limit)
-		a.exchange.proxy.OnLimit()
-	}
-}
-
-// observeTrailer records a signal in the trailer of a response that has been read to its end. The trailer
-// is part of the header by then, and is forwarded with it.
-func (a *attempt) observeTrailer(body *httpclient.Body) {
-	if a.framing != httpclient.FramingChunked || a.closed {
-		return
-	}
-	info := a.exchange.proxy.HeaderCodec.DecodeResponse(&body.Response.Header)
-	a.observeSignal(&info)
-}
-
 // isEventStream reports whether a response is a stream of events: one with status 200 whose content
 // type says so or is missing.
 func isEventStream(h *fasthttp.ResponseHeader) bool {
@@ -229,88 +194,6 @@
 	return len(mediaType) == 0 || bytes.EqualFold(mediaType, []byte("text/event-stream"))
 }
 
-// relayBuffered forwards a response once it is complete, so that the caller never gets a truncated
-// one that looks whole.
-func (a *attempt) relayBuffered(body *httpclient.Body) (outcome, balancer.Result) {
-	x := a.exchange
-	content, err := readAll(body)
-	if err != nil {
-		a.err = err
-		if a.ctx.Err() != nil {
-			return a.contextEnded()
-		}
-		return outcomeFailed, balancer.ResultFailed
-	}
-	a.observeTrailer(body)
-	now := clock.Now()
-	x.markStarted(a.sentAt)
-	if a.shouldRetry() {
-		return outcomeFailed, a.errorResult()
-	}
-	defer body.Finish()
-	if x.headSent {
-		// The caller has part of a stream that was to resume at this endpoint; an error response
-		// cannot follow it.
-		return outcomeFailed, a.errorResult()
-	}
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	copyHeader(&resp.Header, &body.Response.Header)
-	resp.SkipBody = x.request.Header.IsHead()
-	resp.SetBodyRaw(content)
-	x.sendResponse(resp)
-	x.proxy.telemetry.Responded(x, a, now)
-	if a.status >= fasthttp.StatusInternalServerError {
-		return outcomeDone, a.errorResult()
-	}
-	return outcomeDone, balancer.ResultOK
-}
-
-// errorResult returns the result of an attempt that was answered with an error status. An endpoint that
-// closes itself for some time has not failed.
-func (a *attempt) errorResult() balancer.Result {
-	if a.closed {
-		return balancer.ResultRefused
-	}
-	return balancer.ResultError
-}
-
-// shouldRetry reports whether the request may be retried at another endpoint because of this one's
-// error status: if the route and its MaxAttempts allow it, and if more than twice the time to the
-// first event that was estimated for this endpoint is left.
-func (a *attempt) shouldRetry() bool {
-	x := a.exchange
-	if a.status < fasthttp.StatusInternalServerError || !x.route.Retryable() || x.probe {
-		return false
-	}
-	if x.sends+1 >= x.route.MaxAttempts {
-		return false
-	}
-	return x.deadline.Sub(clock.Now()) > 2*a.choice.FirstEvent
-}
-
-// readAll reads a body to its end. It returns an error for a truncated body and for one of more than
-// maxResponseBytes.
-func readAll(body *httpclient.Body) ([]byte, error) {
-	var content []byte
-	buffer := make([]byte, 4<<10)
-	for {
-		n, err := body.Read(buffer)
-		content = append(content, buffer[:n]...)
-		if err == io.EOF {
-			return content, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		if len(content) > maxResponseBytes {
-			return nil, errResponseTooLarge
-		}
-	}
-}
-
-var errResponseTooLarge = errors.New("endpoint's response exceeds the size limit")
-
 // hopHeaders are the hop-by-hop headers, which concern the endpoint's connection only.
 var hopHeaders = []string{
 	fasthttp.HeaderConnection, "Keep-Alive", fasthttp.HeaderTransferEncoding,
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -89,7 +89,7 @@
 			k.OnCall(err)
 		}
 		if err != nil {
-			if !pause(ctx, retry.Next()) {
+			if !backoff.Pause(ctx, retry.Next()) {
 				return
 			}
 			continue
@@ -110,7 +110,7 @@
 			return false
 		case <-k.changed:
 		}
-		if !pause(ctx, rand.N(writeDelay)) {
+		if !backoff.Pause(ctx, rand.N(writeDelay)) {
 			return false
 		}
 		if k.Writes() {
@@ -119,15 +119,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // sync merges the stored quarantines with those of this host, and writes the result unless it is what is
 // stored.
 func (k *Keeper) sync(ctx context.Context) error {
