--- a/internal/heartbeat/simulation_test.go
+++ b/internal/heartbeat/simulation_test.go
@@ -84,7 +84,8 @@
 		other.table.HandleReport(sim.now, r)
 	}
 	reachable, known := h.table.HostCounts(sim.now)
-	d := &Digest{Peer: h.Peer, Number: h.number, Reachable: reachable, Known: known, IntervalMillis: r.IntervalMillis}
+	d := &Digest{Peer: h.Peer, Number: h.number, Reachable: reachable, Known: known, IntervalMillis: r.IntervalMillis,
+		Acks: h.table.Acks(sim.now, time.Time{}, time.Time{}), Leaders: h.table.Sharing(sim.now).Groups}
 	for _, other := range sim.recipients(h, to.Digests) {
 		other.table.HandleDigest(sim.now, d)
 	}
