quarantine, backpressure: names and leftovers found on reading the diff

The slow start's bound is a window, since an endpoint may also state a rate limit; Table.Release had no user; a table that has forgotten everything takes no lock again.

--- a/internal/backpressure/endpoint.go
+++ b/internal/backpressure/endpoint.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// fullLimit is the number of requests in progress with which the slow start ends.
-	fullLimit = 64
+	// fullWindow is the number of requests in progress with which the slow start ends.
+	fullWindow = 64
 	// jitterShare is the largest part of a pause by which a host makes it longer; the jitter's range is
 	// between minJitter and maxJitter.
 	jitterShare = 0.25
@@ -50,9 +50,9 @@
 	leaving    *leavingInfo
 	// opensAt is the latest end of a pause; zero once the slow start after it has ended.
 	opensAt time.Time
-	// limit bounds the requests that are in progress since opensAt, of which running are. It is zero
+	// window bounds the requests that are in progress since opensAt, of which running are. It is zero
 	// until the first one is sent.
-	limit   int
+	window  int
 	running int
 	// round counts the times for which the endpoint was closed, so that a permit of an earlier one
 	// changes nothing in a later one.
@@ -98,7 +98,7 @@
 	}
 	jitter := min(max(time.Duration(jitterShare*float64(retryAfter)), minJitter), maxJitter)
 	e.opensAt = now.Add(retryAfter + time.Duration(random*float64(jitter)))
-	e.limit, e.running = 0, 0
+	e.window, e.running = 0, 0
 	e.round++
 	e.restricted.Store(true)
 	return e.opensAt
@@ -125,7 +125,7 @@
 	case e.opensAt.IsZero():
 		return Verdict{Allowed: true}
 	}
-	return Verdict{Allowed: e.running < max(e.limit, 1), OpensAt: e.opensAt}
+	return Verdict{Allowed: e.running < max(e.window, 1), OpensAt: e.opensAt}
 }
 
 // Acquire asks for permission to send a request now. The permit is nil if that is not allowed. It has to
@@ -144,8 +144,8 @@
 	if e.opensAt.IsZero() {
 		return &Permit{}, v
 	}
-	first := e.limit == 0
-	e.limit = max(e.limit, 1)
+	first := e.window == 0
+	e.window = max(e.window, 1)
 	e.running++
 	return &Permit{endpoint: e, round: e.round, First: first}, v
 }
@@ -168,11 +168,11 @@
 	}
 	defer e.mu.Unlock()
 	e.running--
-	e.limit *= 2
-	if e.limit < fullLimit {
+	e.window *= 2
+	if e.window < fullWindow {
 		return
 	}
-	e.opensAt, e.limit, e.running = time.Time{}, 0, 0
+	e.opensAt, e.window, e.running = time.Time{}, 0, 0
 	e.round++
 	e.updateRestrictedLocked()
 }
--- a/internal/backpressure/table_test.go
+++ b/internal/backpressure/table_test.go
@@ -189,7 +189,7 @@
 		return
 	}
 	s.limit[r.contact] = 2 * limit
-	if 2*limit >= fullLimit {
+	if 2*limit >= fullWindow {
 		delete(s.limit, r.contact)
 	}
 }
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -103,9 +103,9 @@
 	if r == nil {
 		return false
 	}
-	t.active.Store(true)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.active.Store(true)
 	before := t.version
 	for i := range r.Crashes {
 		t.applyCrash(now, &r.Crashes[i])
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -29,7 +29,7 @@
 
 // Table holds the crashes and the quarantines that a host knows of. It is safe for concurrent use.
 type Table struct {
-	// active is set once there was a crash or an entry. Until then, requests take no lock.
+	// active is set while anything is known. Otherwise, requests take no lock. It is changed under mu.
 	active  atomic.Bool
 	mu      sync.Mutex
 	log     crashLog
@@ -189,13 +189,6 @@
 	t.recordChanges(before, source)
 }
 
-// Release ends the quarantines whose parts are all among those of a prompt, as if it had been answered.
-func (t *Table) Release(now time.Time, p Prompt) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.clear(now, p)
-}
-
 // update works out the entries from the crashes if those have changed, and drops what is too old. The
 // source is the host whose report led to it.
 func (t *Table) update(now time.Time, source string) {
@@ -220,6 +213,7 @@
 		t.entries.merge(e, now.Sub(e.LastCrash) >= settleTime)
 	}
 	t.recordChanges(before, source)
+	t.active.Store(len(t.log.crashes)+len(t.entries)+len(t.cleared) > 0)
 }
 
 func (t *Table) expireCleared(now time.Time) {
