Operators list and release quarantines; names of the field for terminated attempts

rattanchutectl quarantines and release, GET /v1/quarantines and POST /v1/quarantines/release on the own interface; a release reaches the other daemons as a complete response does, and is logged with the operator's name. Tests: the operators' handler, the tool, two tables.

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -170,14 +170,14 @@
 	return nil
 }
 
-// sendError adds engine.ErrNotSent to an error that wraps httpclient.ErrNotSent, and engine.ErrBrokenOff to
+// sendError adds engine.ErrNotSent to an error that wraps httpclient.ErrNotSent, and engine.ErrTerminated to
 // one that means that the peer closed the connection.
 func sendError(err error) error {
 	if errors.Is(err, httpclient.ErrNotSent) {
 		return fmt.Errorf("%w: %w", engine.ErrNotSent, err)
 	}
-	if httpclient.IsBrokenOff(err) {
-		return fmt.Errorf("%w: %w", engine.ErrBrokenOff, err)
+	if httpclient.IsTerminated(err) {
+		return fmt.Errorf("%w: %w", engine.ErrTerminated, err)
 	}
 	return fmt.Errorf("enginehttp: %w", err)
 }
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -27,7 +27,7 @@
 var ErrMissingChunk = errors.New("enginehttp: gap in the stream")
 
 // errTruncated means that a stream ended without its end marker.
-var errTruncated = fmt.Errorf("enginehttp: stream without its end marker: %w", engine.ErrBrokenOff)
+var errTruncated = fmt.Errorf("enginehttp: stream without its end marker: %w", engine.ErrTerminated)
 
 var (
 	dataPrefix = []byte("data: ")
--- a/internal/adapter/httpclient/brokenoff.go
+++ b/internal/adapter/httpclient/terminated.go
@@ -7,10 +7,10 @@
 	"syscall"
 )
 
-// IsBrokenOff reports whether err means that the peer closed or reset the connection after a part of the
+// IsTerminated reports whether err means that the peer closed or reset the connection after a part of the
 // request was sent and before the response was complete. Timeouts and the end of the request's context are
 // something else.
-func IsBrokenOff(err error) bool {
+func IsTerminated(err error) bool {
 	for _, other := range []error{ErrNotSent, context.Canceled, context.DeadlineExceeded} {
 		if errors.Is(err, other) {
 			return false
--- a/internal/adapter/operators/handler.go
+++ b/internal/adapter/operators/handler.go
@@ -28,6 +28,9 @@
 	// Members returns the daemons with their status, see Gather.
 	Members(ctx context.Context) []api.Member
 	Explain(request api.ExplainRequest) api.Explanation
+	Quarantines() api.Quarantines
+	// Release ends the quarantines of the parts on all daemons.
+	Release(operator string, r api.ReleaseRequest)
 	// Drain makes a daemon fail its readiness check, so that the load balancer sends it no
 	// more requests. The daemon still serves those that arrive. Drain returns ErrUnknownNode
 	// if no daemon of that name is known.
@@ -96,6 +99,8 @@
 		{fasthttp.MethodGet, api.PathMembers, h.members},
 		{fasthttp.MethodPost, api.PathExplain, h.explain},
 		{fasthttp.MethodPost, api.PathDrain, h.drain},
+		{fasthttp.MethodGet, api.PathQuarantines, h.quarantines},
+		{fasthttp.MethodPost, api.PathRelease, h.release},
 		{fasthttp.MethodGet, api.PathAudit, h.audit},
 	}
 }
--- a/internal/adapter/operators/handler_test.go
+++ b/internal/adapter/operators/handler_test.go
@@ -32,6 +32,8 @@
 	applied []configstore.Change
 	limit   int
 	drained bool
+	// released are the requests to end quarantines, each with the operator's name.
+	released []string
 }
 
 func (b *fakeBackend) Configuration(context.Context) (api.Configuration, error) {
@@ -66,6 +68,14 @@
 	return api.Explanation{Fleet: "llm"}
 }
 
+func (b *fakeBackend) Quarantines() api.Quarantines {
+	return api.Quarantines{Quarantines: []api.Quarantine{{Fleet: "llm", Parts: []string{"p"}, Crashes: 3}}}
+}
+
+func (b *fakeBackend) Release(operator string, r api.ReleaseRequest) {
+	b.released = append(b.released, fmt.Sprint(operator, " ", r.Fleet, " ", r.Parts))
+}
+
 func (b *fakeBackend) Drain(_ context.Context, node string) (api.Status, error) {
 	if node != "n1" {
 		return api.Status{}, fmt.Errorf("drain %s: %w", node, ErrUnknownNode)
@@ -125,6 +135,8 @@
 		{method: "POST", path: api.PathExplain, body: `{"organisation": "o", "model": "m"}`},
 		{method: "GET", path: api.PathAudit + "?limit=5"},
 		{method: "POST", path: api.PathDrain, body: `{"node": "n1"}`},
+		{method: "GET", path: api.PathQuarantines},
+		{method: "POST", path: api.PathRelease, body: `{"fleet": "llm", "parts": ["p"]}`},
 	} {
 		e.key = "test"
 		status, _, _ := serveRequest(b, e)
@@ -132,6 +144,7 @@
 	}
 	is.Equal(b.limit, 5)
 	is.True(b.drained)
+	is.Equal(b.released, []string{"ana llm [p]"})
 	status, _, body := serveRequest(b, testRequest{method: "GET", path: api.PathReady})
 	is.Equal(status, 503)
 	is.Equal(body, "not ready: draining\n")
@@ -187,6 +200,7 @@
 		{testRequest{method: "POST", path: api.PathExplain, body: `{"mdoel": 1}`}, 400, ""},
 		{testRequest{method: "POST", path: api.PathDrain, body: `{}`}, 400, ""},
 		{testRequest{method: "POST", path: api.PathDrain, body: `{"node": "n9"}`}, 404, ""},
+		{testRequest{method: "POST", path: api.PathRelease, body: `{"fleet": "llm"}`}, 400, ""},
 		{testRequest{method: "POST", path: api.PathStatus}, 405, ""},
 		{testRequest{method: "GET", path: "/v1/other"}, 404, ""},
 	}
--- a/internal/adapter/operators/responses.go
+++ b/internal/adapter/operators/responses.go
@@ -48,6 +48,24 @@
 	writeOK(ctx, status)
 }
 
+func (h *handler) quarantines(ctx *fasthttp.RequestCtx, _ string) {
+	writeOK(ctx, h.backend.Quarantines())
+}
+
+func (h *handler) release(ctx *fasthttp.RequestCtx, operator string) {
+	var request api.ReleaseRequest
+	document := jsonc.Parse("request", ctx.PostBody())
+	document.Decode(&request)
+	if len(request.Parts) == 0 {
+		document.Add(jsonc.Path{}.Key("parts"), "there are no parts", "accepted are the parts of a quarantine")
+	}
+	if writeBodyFindings(ctx, document) {
+		return
+	}
+	h.backend.Release(operator, request)
+	writeOK(ctx, h.backend.Quarantines())
+}
+
 func (h *handler) explain(ctx *fasthttp.RequestCtx, _ string) {
 	var request api.ExplainRequest
 	document := jsonc.Parse("request", ctx.PostBody())
--- a/internal/app/backend.go
+++ b/internal/app/backend.go
@@ -8,6 +8,7 @@
 	"rattanchute/internal/configstore"
 	"rattanchute/internal/ctl/api"
 	"rattanchute/internal/fleet"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/route"
 )
 
@@ -79,6 +80,23 @@
 	}
 }
 
+// Quarantines implements operators.Backend.
+func (b *backend) Quarantines() api.Quarantines {
+	list := api.Quarantines{Quarantines: []api.Quarantine{}}
+	for _, e := range b.app.quarantine.Entries(time.Now()) {
+		list.Quarantines = append(list.Quarantines, api.Quarantine{
+			Fleet: e.Fleet, Parts: e.Parts, Crashes: e.Crashes, LastCrash: e.LastCrash, ProbeAt: e.ProbeAt(),
+		})
+	}
+	return list
+}
+
+// Release implements operators.Backend. The other daemons hear of it as of a complete response.
+func (b *backend) Release(operator string, r api.ReleaseRequest) {
+	b.app.quarantine.Release(time.Now(), quarantine.Prompt{Fleet: r.Fleet, Parts: r.Parts})
+	b.app.log.Warn().Str("operator", operator).Str("fleet", r.Fleet).Strs("parts", r.Parts).Msg("quarantine released by an operator")
+}
+
 // Explain implements operators.Backend.
 func (b *backend) Explain(r api.ExplainRequest) api.Explanation {
 	table := b.app.router.Table()
--- a/internal/ctl/api/api.go
+++ b/internal/ctl/api/api.go
@@ -25,6 +25,10 @@
 	PathExplain = "/v1/explain"
 	// PathDrain responds to POST of DrainRequest with the Status of the drained daemon.
 	PathDrain = "/v1/drain"
+	// PathQuarantines responds to GET with Quarantines.
+	PathQuarantines = "/v1/quarantines"
+	// PathRelease responds to POST of ReleaseRequest with the Quarantines that are left.
+	PathRelease = "/v1/quarantines/release"
 	// PathAudit responds to GET with Audit. QueryLimit bounds the number of entries.
 	PathAudit = "/v1/audit"
 	// PathMetrics responds to GET with metrics in the Prometheus text format.
@@ -118,6 +122,29 @@
 	Node string `json:"node"`
 }
 
+// Quarantine says that requests with all of some parts in their prompts are refused, because they crash
+// endpoints of a fleet.
+type Quarantine struct {
+	Fleet string   `json:"fleet"`
+	Parts []string `json:"parts"`
+	// Crashes is the number of occasions of crashes, and LastCrash the time of the last one.
+	Crashes   int       `json:"crashes"`
+	LastCrash time.Time `json:"last_crash"`
+	// ProbeAt is when a request may be sent to find out whether it still crashes endpoints.
+	ProbeAt time.Time `json:"probe_at"`
+}
+
+// Quarantines lists the quarantines that the responding daemon knows, those with the latest crash first.
+type Quarantines struct {
+	Quarantines []Quarantine `json:"quarantines"`
+}
+
+// ReleaseRequest names the quarantine to end.
+type ReleaseRequest struct {
+	Fleet string   `json:"fleet"`
+	Parts []string `json:"parts"`
+}
+
 // ExplainRequest describes a hypothetical request: either the model, or the method and
 // path of a service call.
 type ExplainRequest struct {
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -191,6 +191,24 @@
 	return response, err
 }
 
+// Quarantines returns the quarantines that a daemon knows.
+func (c *Client) Quarantines() (api.Quarantines, error) {
+	var response api.Quarantines
+	err := c.do(call{method: fasthttp.MethodGet, path: api.PathQuarantines}, &response)
+	return response, err
+}
+
+// Release ends a quarantine on all daemons and returns those that are left.
+func (c *Client) Release(request api.ReleaseRequest) (api.Quarantines, error) {
+	var response api.Quarantines
+	body, err := json.Marshal(request)
+	if err != nil {
+		return response, fmt.Errorf("encode the request: %w", err)
+	}
+	err = c.do(call{method: fasthttp.MethodPost, path: api.PathRelease, body: body}, &response)
+	return response, err
+}
+
 // Explain returns where a request would be routed and why.
 func (c *Client) Explain(request api.ExplainRequest) (api.Explanation, error) {
 	var response api.Explanation
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -67,6 +67,8 @@
 	limit        int
 	request      string
 	logs         string
+	fleet        string
+	parts        string
 }
 
 // command is one invocation of the tool.
@@ -154,6 +156,12 @@
 	drain := add("drain", "let a daemon fail its readiness and finish its open requests")
 	drain.AddPositionalValue(&c.opts.node, "node", 1, true, "name of the daemon")
 
+	quarantines := add("quarantines", "list the prompts that are refused because they crash endpoints")
+
+	release := add("release", "end a quarantine on all daemons")
+	release.AddPositionalValue(&c.opts.fleet, "fleet", 1, true, "name of the fleet")
+	release.AddPositionalValue(&c.opts.parts, "parts", 2, true, "parts of the quarantine, part[,part]")
+
 	audit := add("audit", "list accepted changes, newest first")
 	audit.Int(&c.opts.limit, "n", "limit", "greatest number of changes")
 
@@ -171,6 +179,8 @@
 		{status, false, (*command).status},
 		{explain, false, (*command).explain},
 		{drain, false, (*command).drain},
+		{quarantines, false, (*command).quarantines},
+		{release, false, (*command).release},
 		{audit, false, (*command).audit},
 		{traced, true, (*command).trace},
 		{version, true, (*command).version},
--- a/internal/ctl/run_test.go
+++ b/internal/ctl/run_test.go
@@ -178,6 +178,9 @@
 	}})
 	d.setResponses("POST "+api.PathDrain, api.Status{Node: "n1"})
 	d.setResponses("POST "+api.PathExplain, api.Explanation{Fleet: "llm", Endpoints: []api.EndpointDecision{{Endpoint: "e1"}}})
+	quarantines := api.Quarantines{Quarantines: []api.Quarantine{{Fleet: "llm", Parts: []string{"p", "q"}, Crashes: 3}}}
+	d.setResponses("GET "+api.PathQuarantines, quarantines)
+	d.setResponses("POST "+api.PathRelease, api.Quarantines{})
 	d.setResponses("GET "+api.PathAudit, api.Audit{Entries: []configstore.Entry{{Operator: "ana", To: 3}}})
 	for _, c := range []struct{ args, want string }{
 		{"get", `"name": "a"`},
@@ -185,6 +188,8 @@
 		{"status", "reachable"},
 		{"drain n1", "n1 is draining"},
 		{"explain --organisation o --model m", "e1"},
+		{"quarantines", "p,q"},
+		{"release llm p,q", "no quarantines"},
 		{"audit --limit 1", "ana: generation 0 -> 3"},
 		{"version", "\n"},
 	} {
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -35,8 +35,8 @@
 
 // observeFailure records what the failure of the current attempt says about the prompt.
 func (c *ChatStream) observeFailure(err error) {
-	if errors.Is(err, engine.ErrBrokenOff) {
-		c.service.quarantine.BrokenOff(c.service.now(), c.current.instanceName(), c.prompt)
+	if errors.Is(err, engine.ErrTerminated) {
+		c.service.quarantine.Terminated(c.service.now(), c.current.instanceName(), c.prompt)
 	}
 }
 
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -56,7 +56,7 @@
 	for i := range 8 {
 		s.Standin.Engine(fmt.Sprint("engine-", i)).SetFaults(standin.Faults{CrashOnText: badMessage, CrashMillis: 1000})
 	}
-	var sound, served atomic.Int64
+	var good, served atomic.Int64
 	var sending sync.WaitGroup
 	ended := make(chan struct{})
 	sending.Go(func() {
@@ -72,7 +72,7 @@
 					_, _ = caller.Call(t.Context(), http.MethodPost, "/v1/chat/completions", documentBody(badMessage, i))
 					return
 				}
-				sound.Add(1)
+				good.Add(1)
 				resp, err := caller.Call(t.Context(), http.MethodPost, "/v1/chat/completions", documentBody(fmt.Sprint("document ", i%5), i))
 				if err == nil && resp.Status == http.StatusOK {
 					served.Add(1)
@@ -81,14 +81,14 @@
 		}
 	})
 	time.Sleep(learningTime)
-	before, soundBefore, servedBefore := crashes(), sound.Load(), served.Load()
+	before, goodBefore, servedBefore := crashes(), good.Load(), served.Load()
 	time.Sleep(countedTime)
 	if late := crashes() - before; late > maxLateCrashes || before == 0 {
 		t.Errorf("%d engines crashed after %d had, want at most %d", late, before, maxLateCrashes)
 	}
-	soundCount, servedCount := sound.Load()-soundBefore, served.Load()-servedBefore
-	if servedCount*10 < soundCount*9 {
-		t.Errorf("%d of %d sound requests were served", servedCount, soundCount)
+	goodCount, servedCount := good.Load()-goodBefore, served.Load()-servedBefore
+	if servedCount*10 < goodCount*9 {
+		t.Errorf("%d of %d good requests were served", servedCount, goodCount)
 	}
 	close(ended)
 	sending.Wait()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -132,9 +132,9 @@
 // requests for some time. It is wrapped together with ErrNotSent, and is no failure of the endpoint.
 var ErrClosed = errors.New("engine: accepts no requests")
 
-// ErrBrokenOff means that the endpoint closed the connection before its response was complete. It may have
+// ErrTerminated means that the endpoint closed the connection before its response was complete. It may have
 // crashed.
-var ErrBrokenOff = errors.New("engine: connection closed before the response was complete")
+var ErrTerminated = errors.New("engine: connection closed before the response was complete")
 
 // ErrNoStream means that the engine has no stream with the id that Generate asked to attach to.
 var ErrNoStream = errors.New("engine: no such stream")
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -38,8 +38,8 @@
 	framing httpclient.Framing
 	// events is the number of complete events received.
 	events int
-	// brokenOff is set if the endpoint closed or reset the connection before its response was complete.
-	brokenOff bool
+	// terminated is set if the endpoint closed or reset the connection before its response was complete.
+	terminated bool
 	// partialBytes is the size of the incomplete event that a stream ended with.
 	partialBytes int
 	// firstEventAt is when a stream's first event arrived, and lastEventAt when events were last
@@ -50,13 +50,13 @@
 
 func (a *attempt) run() (outcome, balancer.Result) {
 	out, result := a.exchangeWithEndpoint()
-	a.brokenOff = out == outcomeFailed && isBrokenOff(a.err)
+	a.terminated = out == outcomeFailed && isTerminated(a.err)
 	return out, result
 }
 
-// isBrokenOff reports whether err means that the endpoint did not finish its response.
-func isBrokenOff(err error) bool {
-	return httpclient.IsBrokenOff(err) || errors.Is(err, errCutInsideEvent) || errors.Is(err, errNoEvent)
+// isTerminated reports whether err means that the endpoint did not finish its response.
+func isTerminated(err error) bool {
+	return httpclient.IsTerminated(err) || errors.Is(err, errCutInsideEvent) || errors.Is(err, errNoEvent)
 }
 
 func (a *attempt) exchangeWithEndpoint() (outcome, balancer.Result) {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -13,7 +13,7 @@
 	responses     *prometheus.CounterVec
 	refusals      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
-	brokenOff     *prometheus.CounterVec
+	terminated    *prometheus.CounterVec
 	streamEnds    *prometheus.CounterVec
 	signals       *prometheus.CounterVec
 	ejections     prometheus.Counter
@@ -40,8 +40,8 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_attempts_total", Help: "Sendings to endpoints, by outcome.",
 		}, []string{"outcome"}),
-		brokenOff: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "rattanchute_gateway_attempts_broken_off_total",
+		terminated: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_attempts_terminated_total",
 			Help: "Sendings whose connection the endpoint closed or reset, by what had arrived.",
 		}, []string{"progress"}),
 		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -74,7 +74,7 @@
 	suppressedLines := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rattanchute_gateway_log_lines_left_out_total", Help: "Lines of ordinary requests beyond the bound, by kind.",
 	}, []string{"kind"})
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.brokenOff, m.streamEnds, m.signals, m.ejections, m.probes, m.first, m.total, m.eventInterval,
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.terminated, m.streamEnds, m.signals, m.ejections, m.probes, m.first, m.total, m.eventInterval,
 		suppressedLines)
 	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
@@ -89,7 +89,7 @@
 		m.signals.WithLabelValues(signal)
 	}
 	for _, progress := range []string{progressNoResponse, progressNoEvent, progressEvents} {
-		m.brokenOff.WithLabelValues(progress)
+		m.terminated.WithLabelValues(progress)
 	}
 	for _, framing := range []httpclient.Framing{httpclient.FramingLength, httpclient.FramingChunked, httpclient.FramingClose} {
 		for _, end := range []string{endWhole, endInsideEvent, endNoEvent, endCut} {
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -64,8 +64,8 @@
 func (a *attempt) observePrompt(out outcome, result balancer.Result) {
 	x, q, now := a.exchange, a.exchange.proxy.Quarantine, clock.Now()
 	switch {
-	case a.brokenOff:
-		q.BrokenOff(now, a.instanceName(), x.prompt)
+	case a.terminated:
+		q.Terminated(now, a.instanceName(), x.prompt)
 		x.proxy.OnCrash()
 	case out == outcomeNotSent && result == balancer.ResultUnreachable:
 		q.Unreachable(now, a.instanceName())
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -73,8 +73,8 @@
 // A failed write of a response that is not a stream is not logged.
 func (t *Telemetry) Attempted(x *exchange, a *attempt, out outcome, result balancer.Result) {
 	t.metrics.attempts.WithLabelValues(out.String()).Inc()
-	if a.brokenOff {
-		t.metrics.brokenOff.WithLabelValues(a.progress()).Inc()
+	if a.terminated {
+		t.metrics.terminated.WithLabelValues(a.progress()).Inc()
 	}
 	if out == outcomeDone && result != balancer.ResultCancelled {
 		return
@@ -83,7 +83,7 @@
 		Str("endpoint", a.choice.Endpoint.ID).
 		Str("outcome", out.String()).
 		Int("sends", x.sends).
-		Bool("broken_off", a.brokenOff).
+		Bool("terminated", a.terminated).
 		Str("prompt_parts", partsLabel(x.info.Parts)).
 		Int("status", a.status).
 		Str("framing", string(a.framing)).
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// mergeWindow is the time within which all broken off responses of one endpoint are of one crash.
+	// mergeWindow is the time within which all terminated responses of one endpoint are of one crash.
 	mergeWindow = time.Second
 	// survivalWindow is the time within which an endpoint that answers a later request has not crashed. It is
 	// shorter than the restart of any endpoint.
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -36,7 +36,7 @@
 func quarantinePart(k *Keeper, now *time.Time, part string) {
 	for i := range 3 {
 		*now = now.Add(time.Second)
-		k.Table.BrokenOff(*now, fmt.Sprint(part, i), prompt(part))
+		k.Table.Terminated(*now, fmt.Sprint(part, i), prompt(part))
 	}
 	*now = now.Add(2 * time.Second)
 }
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -20,7 +20,7 @@
 	maxLate     = 3
 )
 
-// simulation plays hosts that send sound and bad requests to endpoints, which the bad ones crash.
+// simulation plays hosts that send good and bad requests to endpoints, which the bad ones crash.
 type simulation struct {
 	random    *rand.Rand
 	hosts     []*Table
@@ -33,8 +33,8 @@
 	fifthCrash      time.Time
 	// late counts the bad requests that arrive contactTime after the fifth crash.
 	late int
-	// sound and refused count the sound requests from that time on.
-	sound, refused int
+	// good and refused count the good requests from that time on.
+	good, refused int
 }
 
 type simulatedEndpoint struct {
@@ -69,7 +69,7 @@
 	host := s.hosts[probing]
 	allowed := host.Check(s.now, p, func() bool { return probing == 0 }).Allowed
 	if !bad && s.judged() {
-		s.sound++
+		s.good++
 		if !allowed {
 			s.refused++
 		}
@@ -90,7 +90,7 @@
 
 func (s *simulation) crash(e *simulatedEndpoint) {
 	for _, r := range e.running {
-		r.host.BrokenOff(s.now, e.instance(), r.prompt)
+		r.host.Terminated(s.now, e.instance(), r.prompt)
 	}
 	e.running = nil
 	e.downTo = s.now.Add(2 * time.Second)
@@ -143,7 +143,7 @@
 }
 
 // TestBadPartIsToldFromItsCompanions plays a minute of requests. Bad ones share the first part and the
-// organisation's part with sound ones.
+// organisation's part with good ones.
 func TestBadPartIsToldFromItsCompanions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &simulation{
@@ -159,14 +159,14 @@
 			s.endpoints = append(s.endpoints, &simulatedEndpoint{name: fmt.Sprint("e", i)})
 		}
 		badRate := rapid.Float64Range(.2, 4).Draw(t, "bad requests a second")
-		soundRate := rapid.Float64Range(20, 80).Draw(t, "sound requests a second")
+		goodRate := rapid.Float64Range(20, 80).Draw(t, "good requests a second")
 		for i := 0; s.now.Before(epoch.Add(time.Minute)); i++ {
 			s.now = s.now.Add(simulationStep)
 			organisation := fmt.Sprint("o", s.random.IntN(4))
 			if s.random.Float64() < badRate*simulationStep.Seconds() {
 				s.send(true, prompt("first", organisation, "bad"))
 			}
-			if s.random.Float64() < soundRate*simulationStep.Seconds() {
+			if s.random.Float64() < goodRate*simulationStep.Seconds() {
 				s.send(false, prompt("first", organisation, fmt.Sprint("good", s.random.IntN(30))))
 			}
 			for _, e := range s.endpoints {
@@ -180,8 +180,8 @@
 		if s.late > maxLate {
 			t.Fatalf("%d bad requests arrived after %d crashes", s.late, s.crashes)
 		}
-		if s.refused*20 > s.sound {
-			t.Fatalf("%d of %d sound requests were refused", s.refused, s.sound)
+		if s.refused*20 > s.good {
+			t.Fatalf("%d of %d good requests were refused", s.refused, s.good)
 		}
 	})
 }
@@ -201,7 +201,7 @@
 			case 1:
 				host.Apply(now, "h", hosts[0].Report(now))
 			default:
-				host.BrokenOff(now, fmt.Sprint("e", rapid.IntRange(0, 9).Draw(t, "endpoint")), p)
+				host.Terminated(now, fmt.Sprint("e", rapid.IntRange(0, 9).Draw(t, "endpoint")), p)
 			}
 		}
 		for range 2 {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -84,8 +84,8 @@
 	return Verdict{Allowed: true, Probe: true, Entry: &entry}
 }
 
-// BrokenOff records that an endpoint closed the connection of a request before its response was complete.
-func (t *Table) BrokenOff(now time.Time, endpoint string, p Prompt) {
+// Terminated records that an endpoint closed the connection of a request before its response was complete.
+func (t *Table) Terminated(now time.Time, endpoint string, p Prompt) {
 	if len(p.Parts) == 0 {
 		return
 	}
@@ -189,6 +189,13 @@
 	t.recordChanges(before, source)
 }
 
+// Release ends the quarantines of the parts of a prompt, as a complete response does.
+func (t *Table) Release(now time.Time, p Prompt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clear(now, p)
+}
+
 // update works out the entries from the crashes if those have changed, and drops what is too old. The
 // source is the host whose report led to it.
 func (t *Table) update(now time.Time, source string) {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -20,7 +20,7 @@
 func crashes(t *Table, n int, prompts ...Prompt) {
 	for i := range n {
 		for _, p := range prompts {
-			t.BrokenOff(at(float64(i)), fmt.Sprint("e", i), p)
+			t.Terminated(at(float64(i)), fmt.Sprint("e", i), p)
 		}
 	}
 }
@@ -28,16 +28,16 @@
 func TestPartThatIsAtEachCrashIsQuarantined(t *testing.T) {
 	is := is.New(t)
 	table := NewTable("h")
-	bad, sound := prompt("first", "bad"), prompt("first", "good")
+	bad, good := prompt("first", "bad"), prompt("first", "good")
 	for i := range minOccasions {
 		is.True(table.Check(at(float64(i)), bad, nil).Allowed)
-		crashes(table, i+1, bad, sound)
-		table.Completed(at(float64(i)+.5), "other", sound, false)
+		crashes(table, i+1, bad, good)
+		table.Completed(at(float64(i)+.5), "other", good, false)
 	}
 	v := table.Check(at(minOccasions), bad, nil)
 	is.True(!v.Allowed)
 	is.Equal(v.Entry.Parts, []string{"bad"})
-	is.True(table.Check(at(minOccasions), sound, nil).Allowed)
+	is.True(table.Check(at(minOccasions), good, nil).Allowed)
 	is.True(table.Check(at(minOccasions), prompt("first", "new"), nil).Allowed)
 	is.True(table.Check(at(minOccasions), Prompt{"other fleet", bad.Parts}, nil).Allowed)
 	is.True(!table.Check(at(minOccasions), prompt("other", "bad", "more"), nil).Allowed)
@@ -47,7 +47,7 @@
 	is := is.New(t)
 	table := NewTable("h")
 	for i := range minOccasions {
-		table.BrokenOff(at(float64(i)), fmt.Sprint("e", i), prompt("bad", fmt.Sprint("p", i)))
+		table.Terminated(at(float64(i)), fmt.Sprint("e", i), prompt("bad", fmt.Sprint("p", i)))
 	}
 	is.True(!table.Check(at(5), prompt("bad", "new"), nil).Allowed)
 	is.True(table.Check(at(5), prompt("p1"), nil).Allowed)
@@ -71,7 +71,7 @@
 	is := is.New(t)
 	table := NewTable("h")
 	for i := range 2 * minOccasions {
-		table.BrokenOff(at(float64(i)), fmt.Sprint("e", i), prompt([]string{"bad", "worse"}[i%2], fmt.Sprint("p", i)))
+		table.Terminated(at(float64(i)), fmt.Sprint("e", i), prompt([]string{"bad", "worse"}[i%2], fmt.Sprint("p", i)))
 	}
 	is.True(!table.Check(at(9), prompt("bad"), nil).Allowed)
 	is.True(!table.Check(at(9), prompt("worse"), nil).Allowed)
@@ -81,7 +81,7 @@
 	is := is.New(t)
 	table := NewTable("h")
 	crashes(table, minOccasions, prompt("bad"), prompt("rare"))
-	table.BrokenOff(at(3), "e3", prompt("bad"))
+	table.Terminated(at(3), "e3", prompt("bad"))
 	is.True(!table.Check(at(4), prompt("bad"), nil).Allowed)
 	is.True(table.Check(at(4), prompt("rare"), nil).Allowed)
 }
@@ -90,7 +90,7 @@
 	is := is.New(t)
 	table := NewTable("h")
 	for i := range 100 {
-		table.BrokenOff(at(float64(i)*.002), fmt.Sprint("e", i), prompt("popular"))
+		table.Terminated(at(float64(i)*.002), fmt.Sprint("e", i), prompt("popular"))
 	}
 	is.True(table.Check(at(1), prompt("popular"), nil).Allowed)
 }
@@ -100,7 +100,7 @@
 	table := NewTable("h")
 	for i := range 3 * minOccasions {
 		began := float64(i)
-		table.BrokenOff(at(began), "flaky", prompt("rare"))
+		table.Terminated(at(began), "flaky", prompt("rare"))
 		table.Responded(at(began+.1), "flaky", at(began-.1)) // sent before
 		table.Responded(at(began+.2), "flaky", at(began+.1))
 	}
@@ -108,7 +108,7 @@
 	// An answer after a restart under the same name says nothing.
 	for i := range minOccasions {
 		began := 100 + 2*float64(i)
-		table.BrokenOff(at(began), "again", prompt("bad"))
+		table.Terminated(at(began), "again", prompt("bad"))
 		table.Responded(at(began+1.5), "again", at(began+1.4))
 	}
 	is.True(!table.Check(at(110), prompt("bad"), nil).Allowed)
@@ -124,7 +124,7 @@
 			if i == 0 {
 				table.Unreachable(at(began+.4), fmt.Sprint("e", i))
 			} else {
-				table.BrokenOff(at(began+.001), fmt.Sprint("e", i), prompt("other", fmt.Sprint("p", i)))
+				table.Terminated(at(began+.001), fmt.Sprint("e", i), prompt("other", fmt.Sprint("p", i)))
 			}
 		}
 		is.True(!table.Check(at(9), prompt("bad"), nil).Allowed)
@@ -132,11 +132,11 @@
 	t.Run("no crash", func(t *testing.T) {
 		is := is.New(t)
 		table := NewTable("h")
-		crashes(table, 2, prompt("sound"))
-		table.Completed(at(3), "e", prompt("sound"), true)
+		crashes(table, 2, prompt("good"))
+		table.Completed(at(3), "e", prompt("good"), true)
 		table.Responded(at(3.2), "e", at(3.1))
-		table.BrokenOff(at(4), "e4", prompt("sound"))
-		is.True(table.Check(at(5), prompt("sound"), nil).Allowed)
+		table.Terminated(at(4), "e4", prompt("good"))
+		is.True(table.Check(at(5), prompt("good"), nil).Allowed)
 	})
 }
 
@@ -150,11 +150,11 @@
 	v := table.Check(now, prompt("bad"), yes)
 	is.True(v.Allowed && v.Probe)
 	is.True(!table.Check(now, prompt("bad"), yes).Allowed)
-	table.BrokenOff(now, "e", prompt("bad"))
+	table.Terminated(now, "e", prompt("bad"))
 	v = table.Check(now, prompt("bad"), yes)
 	is.True(!v.Allowed)
 	is.Equal(v.RetryAfter, probeDelayFactor*firstProbeDelay)
-	table.BrokenOff(now.Add(time.Hour), "e", prompt("bad")) // long after the others were forgotten
+	table.Terminated(now.Add(time.Hour), "e", prompt("bad")) // long after the others were forgotten
 	v = table.Check(now.Add(time.Hour), prompt("bad"), yes)
 	is.Equal(v.RetryAfter, probeDelayFactor*probeDelayFactor*firstProbeDelay)
 	now = now.Add(2 * time.Hour)
@@ -181,11 +181,22 @@
 	is.Equal(changes[0].Source, "other")
 }
 
+func TestReleaseEndsAQuarantineOnAllHosts(t *testing.T) {
+	is := is.New(t)
+	one, other := NewTable("one"), NewTable("other")
+	crashes(one, minOccasions, prompt("bad"))
+	other.Apply(at(5), "one", one.Report(at(5)))
+	is.True(!other.Check(at(5), prompt("bad"), nil).Allowed)
+	other.Release(at(6), prompt("bad"))
+	one.Apply(at(6), "other", other.Report(at(6)))
+	is.True(one.Check(at(6), prompt("bad"), nil).Allowed)
+}
+
 func TestReportsAreBounded(t *testing.T) {
 	is := is.New(t)
 	table := NewTable("h")
 	for i := range 10_000 {
-		table.BrokenOff(at(float64(i)*.3), fmt.Sprint("e", i), prompt(fmt.Sprint("p", i%1000), fmt.Sprint("q", i)))
+		table.Terminated(at(float64(i)*.3), fmt.Sprint("e", i), prompt(fmt.Sprint("p", i%1000), fmt.Sprint("q", i)))
 	}
 	now := at(3000)
 	is.True(len(table.log.crashes) <= maxCrashes)
