--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -42,8 +42,7 @@
 	return body
 }
 
-// TestMessageThatCrashesEnginesIsNotSentOn sends requests about several documents to two daemons. One of
-// the documents crashes engines.
+// TestMessageThatCrashesEnginesIsNotSentOn sends requests about several documents to two daemons.
 func TestMessageThatCrashesEnginesIsNotSentOn(t *testing.T) {
 	s := startSite(t, testsite.Options{Daemons: 2, Engines: 8, Engine: smallEngine})
 	crashes := func() int {
