proxy: a call without a prompt makes no name of its endpoint's run

Change: it is made only where it is used; a crash without a prompt no longer asks for a report to the peers.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -157,7 +157,7 @@
 	info := x.proxy.HeaderCodec.DecodeResponse(header)
 	a.status = header.StatusCode()
 	a.framing = body.Framing()
-	if !info.WrongEndpoint {
+	if !info.WrongEndpoint && x.proxy.Quarantine.Active() {
 		x.proxy.Quarantine.Responded(clock.Now(), a.instanceName(), a.sentAt)
 	}
 	a.observeSignal(&info)
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -63,13 +63,14 @@
 // observePrompt records what the end of the attempt says about the prompt.
 func (a *attempt) observePrompt(out outcome, result balancer.Result) {
 	x, q, now := a.exchange, a.exchange.proxy.Quarantine, clock.Now()
+	hasParts := len(x.prompt.Parts) > 0
 	switch {
-	case a.terminated:
+	case a.terminated && hasParts:
 		q.Terminated(now, a.instanceName(), x.prompt)
 		x.proxy.OnCrash()
 	case out == outcomeNotSent && result == balancer.ResultUnreachable:
 		q.Unreachable(now, a.instanceName())
-	case out == outcomeDone && result == balancer.ResultOK && a.answersPrompt():
+	case out == outcomeDone && result == balancer.ResultOK && hasParts && a.answersPrompt():
 		q.Completed(now, a.instanceName(), x.prompt, a.framing == httpclient.FramingClose)
 	}
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -59,6 +59,9 @@
 	return &Table{host: host, entries: entryTable{}, cleared: map[partKey]clearing{}}
 }
 
+// Active reports whether anything is known. If not, Responded has no effect.
+func (t *Table) Active() bool { return t.active.Load() }
+
 // Check returns whether a request may be sent. When a probe is due, it is one if mayProbe returns true; a nil
 // function stands for false.
 func (t *Table) Check(now time.Time, p Prompt, mayProbe func() bool) Verdict {
