--- a/internal/app/backend.go
+++ b/internal/app/backend.go
@@ -91,7 +91,7 @@
 	return list
 }
 
-// Release implements operators.Backend. The other daemons hear of it as of a complete response.
+// Release implements operators.Backend. The other daemons are told of it as they are of a complete response.
 func (b *backend) Release(operator string, r api.ReleaseRequest) {
 	b.app.quarantine.Release(time.Now(), quarantine.Prompt{Fleet: r.Fleet, Parts: r.Parts})
 	b.app.log.Warn().Str("operator", operator).Str("fleet", r.Fleet).Strs("parts", r.Parts).Msg("quarantine released by an operator")
--- a/internal/backpressure/bucket.go
+++ b/internal/backpressure/bucket.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// minRate is the least rate, of all hosts together, at which an endpoint gets requests that states a limit
-	// of zero: they tell when that ends. In requests a second.
+	// minRate is the rate, of all hosts together and in requests a second, at which an endpoint that states a
+	// limit of zero still gets requests. Its responses tell when that ends.
 	minRate = 0.1
-	// burstTime is the time in which a host may use as many requests at once.
+	// burstTime bounds a host's burst: what its rate allows in this time, but at least one request.
 	burstTime = 200 * time.Millisecond
 	// retryElsewhere is when callers may return to a host that sends no requests to a limited endpoint.
 	retryElsewhere = time.Second
--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -46,8 +46,8 @@
 }
 
 const (
-	// limitRefresh is how much later a host must have stated the same limit for the report to be news. Times of
-	// one statement differ by the delays of messages.
+	// limitRefresh is how much later a limit must have been stated again for a host to record it. Reports of one
+	// statement differ by less, by the delays of messages.
 	limitRefresh = time.Second
 	// endedRetention is how long hosts tell each other that a limit has ended, and statedRetention how long
 	// after its last statement that there is one.
--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -42,7 +42,7 @@
 	KeepOnDemand bool
 	// MinEngines is the number of engines to plan for even if the demand needs fewer.
 	MinEngines float64
-	// RateLimits are the requests a second that present endpoints accept which state a limit.
+	// RateLimits are the limits that present endpoints state, in requests a second.
 	RateLimits []float64
 	// ReclaimablePriceRatio is the price of a reclaimable endpoint as a fraction of the
 	// on-demand price; zero if there are no reclaimable ones. From 1 on, none are planned.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,7 +37,7 @@
 	// MayProbe reports whether this host may send a quarantined request to find out whether it still crashes
 	// endpoints. At most one host may.
 	MayProbe func() bool
-	// OnCrash is called when an endpoint has supposedly crashed.
+	// OnCrash is called when an endpoint may have crashed.
 	OnCrash func()
 	// OnStarted is called once for each request of an organisation that may have started to run.
 	OnStarted func(now time.Time, organisation string)
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -52,10 +52,11 @@
 	if v.Allowed {
 		return nil
 	}
-	e := newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonPromptQuarantined, max(v.RetryAfter, minRetryAfter))
+	status, reason, retryAfter := fasthttp.StatusServiceUnavailable, ReasonPromptQuarantined, max(v.RetryAfter, minRetryAfter)
 	if x.started {
-		e = newErrorResponse(fasthttp.StatusBadGateway, ReasonEndpointFailed, 0)
+		status, reason, retryAfter = fasthttp.StatusBadGateway, ReasonEndpointFailed, 0
 	}
+	e := newErrorResponse(status, reason, retryAfter)
 	e.quarantine = v.Entry
 	return e
 }
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -16,8 +16,8 @@
 // occasionInterval is longer than the time within which crashes are of one occasion.
 const occasionInterval = 300 * time.Millisecond
 
-// crashOnBad answers with a stream, but closes the connection during the first event if the prompt has the
-// part "bad", as a crash does.
+// crashOnBad answers with a stream. If the prompt has the part "bad", it closes the connection inside the first
+// event, as a crash does.
 func crashOnBad(r *receivedRequest) bool {
 	if !strings.Contains(r.Header.Get("Parts"), "bad") {
 		r.writeEvents(1, 3)
@@ -57,7 +57,7 @@
 	is.Equal(totalReceived(endpoints), 3)
 }
 
-// quarantineBad has the part "bad" found to crash endpoints a time ago.
+// quarantineBad puts the part "bad" under quarantine. The last crash was the given time ago.
 func (p *testProxy) quarantineBad(age time.Duration) {
 	for i := range 3 {
 		at := clock.Now().Add(-age - time.Duration(2-i)*time.Second)
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -95,7 +95,7 @@
 		Msg("attempt ended without an answer")
 }
 
-// The progress of an attempt when its endpoint broke it off, in metrics.
+// The progress of an attempt when its endpoint terminated it, in metrics.
 const (
 	progressNoResponse = "no_response"
 	progressNoEvent    = "no_event"
--- a/internal/quarantine/endings.go
+++ b/internal/quarantine/endings.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// endingRetention is how long it may take until a crash is noticed that cut off a response which ended
-	// with its connection.
+	// endingRetention is how long after a response that ended with its connection a crash of its endpoint may
+	// still show that it was cut off.
 	endingRetention = time.Second
 	// maxEndings bounds the remembered endings.
 	maxEndings = 256
