--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -221,3 +221,18 @@
 	is.True(table.Check(epoch, prompt("p"), nil).Allowed)
 	is.Equal(len(table.log.crashes), 0)
 }
+
+// TestCloseCrashesOfOneEndpointAreTheSameOnAllHosts has an endpoint of one name crash twice within two seconds.
+func TestCloseCrashesOfOneEndpointAreTheSameOnAllHosts(t *testing.T) {
+	is := is.New(t)
+	one, other := NewTable("one"), NewTable("other")
+	other.Terminated(at(0), "e0", prompt("a"))
+	one.Terminated(at(.445), "e0", prompt("b"))
+	other.Terminated(at(1), "e0", prompt("a"))
+	one.Terminated(at(1), "e1", prompt("a"))
+	for range 2 {
+		one.Apply(at(1), "other", other.Report(at(1)))
+		other.Apply(at(1), "one", one.Report(at(1)))
+	}
+	is.Equal(one.Check(at(1), prompt("a"), nil).Allowed, other.Check(at(1), prompt("a"), nil).Allowed)
+}
