Logs: a request and its repetitions have a fingerprint in common

'request sent' and 'attempt ended without an answer' now have a digest of caller, method, host, URI and body.

Ruled out: logging path and body (callers' data, unbounded).

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -40,6 +40,8 @@
 	fleet           string
 	balancerRequest balancer.Request
 	prompt          quarantine.Prompt
+	// fingerprintText is empty until fingerprint is called.
+	fingerprintText string
 	priority        int
 	// probe is set if the request is quarantined and is sent to find out whether it still crashes endpoints.
 	probe bool
@@ -185,6 +187,20 @@
 	return nil
 }
 
+// fingerprint returns the text that this request and its repetitions have in common. It is worked out when it
+// is first needed.
+func (x *exchange) fingerprint() string {
+	if x.fingerprintText == "" {
+		caller := ""
+		if x.organisation != nil {
+			caller = x.organisation.Name
+		}
+		h := &x.request.Header
+		x.fingerprintText = quarantine.Fingerprint(caller, string(h.Method()), hostName(h.Host()), string(h.RequestURI()), x.request.Body())
+	}
+	return x.fingerprintText
+}
+
 // recordDemand records the demand for endpoints. It never refuses the request.
 func (x *exchange) recordDemand() *errorResponse {
 	x.proxy.demand.record(x.arrived, x.fleet, x.info.PromptTokens, x.balancerRequest.OutputTokens)
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -62,6 +62,7 @@
 		Int("in_flight", c.InFlight).
 		Int("uncached_tokens", c.UncachedTokens).
 		Str("prompt_parts", partsLabel(x.info.Parts)).
+		Str("fingerprint", x.fingerprint()).
 		Int("fetched_tokens", c.FetchTokens).
 		Int64("expected_ms", c.FirstEvent.Milliseconds()).
 		Int64("likely_ms", c.CorrectedFirstEvent.Milliseconds()).
@@ -85,6 +86,7 @@
 		Int("sends", x.sends).
 		Bool("terminated", a.terminated).
 		Str("prompt_parts", partsLabel(x.info.Parts)).
+		Str("fingerprint", x.fingerprint()).
 		Int("status", a.status).
 		Str("framing", string(a.framing)).
 		Int("events", a.events).
