--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -55,6 +55,26 @@
 	for i := range 8 {
 		s.Standin.Engine(fmt.Sprint("engine-", i)).SetFaults(standin.Faults{CrashOnText: badMessage, CrashMillis: 1000})
 	}
+	judgeCrashes(t, crashes, func(i int) bool {
+		body := documentBody(fmt.Sprint("document ", i%5), i)
+		if i%9 == 0 {
+			body = documentBody(badMessage, i)
+		}
+		return callDaemon(t, s, i, "/v1/chat/completions", body)
+	})
+}
+
+// callDaemon sends a request to the daemons in turn and reports whether it was served.
+func callDaemon(t *testing.T, s *testsite.Site, i int, path string, body []byte, headers ...testsite.Header) bool {
+	caller := testsite.NewCaller(testsite.CallerKey, s.Daemons[i%len(s.Daemons)].Callers)
+	resp, err := caller.Call(t.Context(), http.MethodPost, path, body, headers...)
+	return err == nil && resp.Status == http.StatusOK
+}
+
+// judgeCrashes sends requests, every ninth of which crashes endpoints, and counts the crashes and the other
+// requests that are served. The function send sends one and reports whether it was served.
+func judgeCrashes(t *testing.T, crashes func() int, send func(i int) bool) {
+	t.Helper()
 	var good, served atomic.Int64
 	var sending sync.WaitGroup
 	ended := make(chan struct{})
@@ -65,15 +85,13 @@
 				return
 			case <-time.After(30 * time.Millisecond):
 			}
-			caller := testsite.NewCaller(testsite.CallerKey, s.Daemons[i%2].Callers)
 			sending.Go(func() {
+				ok := send(i)
 				if i%9 == 0 {
-					_, _ = caller.Call(t.Context(), http.MethodPost, "/v1/chat/completions", documentBody(badMessage, i))
 					return
 				}
 				good.Add(1)
-				resp, err := caller.Call(t.Context(), http.MethodPost, "/v1/chat/completions", documentBody(fmt.Sprint("document ", i%5), i))
-				if err == nil && resp.Status == http.StatusOK {
+				if ok {
 					served.Add(1)
 				}
 			})
@@ -83,7 +101,7 @@
 	before, goodBefore, servedBefore := crashes(), good.Load(), served.Load()
 	time.Sleep(countedTime)
 	if late := crashes() - before; late > maxLateCrashes || before == 0 {
-		t.Errorf("%d engines crashed after %d had, want at most %d", late, before, maxLateCrashes)
+		t.Errorf("%d endpoints crashed after %d had, want at most %d", late, before, maxLateCrashes)
 	}
 	goodCount, servedCount := good.Load()-goodBefore, served.Load()-servedBefore
 	if servedCount*10 < goodCount*9 {
@@ -92,3 +110,42 @@
 	close(ended)
 	sending.Wait()
 }
+
+// TestCallThatCrashesServicesIsNotSentOn sends one call again and again to two daemons, among others.
+func TestCallThatCrashesServicesIsNotSentOn(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		// keyed sends each repetition with an idempotency key of its own.
+		keyed bool
+	}{
+		{name: "idempotent", path: "/app/search"},
+		{name: "not idempotent", path: "/app/book"},
+		{name: "keyed", path: "/app/book", keyed: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, testsite.Options{Daemons: 2, Engines: 1, Services: 4})
+			crashes := func() int {
+				n := 0
+				for i := range 4 {
+					n += s.Standin.Service(fmt.Sprint("service-", i)).Crashes()
+				}
+				return n
+			}
+			for i := range 4 {
+				s.Standin.Service(fmt.Sprint("service-", i)).SetFaults(standin.Faults{CrashOnText: badMessage, CrashMillis: 1000})
+			}
+			judgeCrashes(t, crashes, func(i int) bool {
+				var headers []testsite.Header
+				if c.keyed {
+					headers = append(headers, testsite.Header{Name: "Idempotency-Key", Value: fmt.Sprint("key-", i)})
+				}
+				body := fmt.Sprint("call ", i%5)
+				if i%9 == 0 {
+					body = badMessage
+				}
+				return callDaemon(t, s, i, c.path, []byte(body), headers...)
+			})
+		})
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -25,8 +25,6 @@
 	ledger   map[engine.StreamID]*LedgerEntry
 	load     engine.Load
 	exports  map[engine.StreamID][]uint64
-	// crashes counts the requests that have made the engine crash.
-	crashes atomic.Int64
 	// received counts the generate requests that have arrived.
 	received atomic.Int64
 }
@@ -63,24 +61,9 @@
 	e.exports = map[engine.StreamID][]uint64{}
 }
 
-// crashDelay is how long an engine that is to crash still writes the first chunk.
-const crashDelay = 20 * time.Millisecond
-
-// crash closes the engine soon, and has it listen again after a time.
-func (e *Engine) crash(down time.Duration) {
-	e.crashes.Add(1)
-	time.AfterFunc(crashDelay, func() {
-		e.Close()
-		time.AfterFunc(down, func() { _ = e.Listen() })
-	})
-}
-
 // Received returns how many generate requests have arrived.
 func (e *Engine) Received() int { return int(e.received.Load()) }
 
-// Crashes returns how many requests have made the engine crash.
-func (e *Engine) Crashes() int { return int(e.crashes.Load()) }
-
 // LedgerEntry records what an engine executed for one stream.
 type LedgerEntry struct {
 	Stream engine.StreamID `json:"stream"`
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"net"
@@ -81,7 +80,7 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "bad_request")
 		return
 	}
-	if faults.CrashOnText != "" && bytes.Contains(g.Body, []byte(faults.CrashOnText)) {
+	if faults.crashesOn(g.Body) {
 		faults.CutAfterChunks = 1
 		defer e.crash(millis(faults.CrashMillis))
 	}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"strconv"
 	"time"
 
@@ -38,8 +39,9 @@
 	// CutAfterChunks closes the connection of a stream after this many chunks; zero
 	// disables it.
 	CutAfterChunks int `json:"cut_after_chunks"`
-	// CrashOnText makes an engine crash after the first chunk of a stream whose request contains the text, as
-	// Die does, and listen again after CrashMillis. Empty disables it.
+	// CrashOnText makes the endpoint crash because of a request whose body contains the text, as Die does, and
+	// listen again after CrashMillis: an engine after the first chunk, a service before the response. Empty
+	// disables it.
 	CrashOnText string `json:"crash_on_text"`
 	CrashMillis int    `json:"crash_ms"`
 	// DuplicateChunks sends each chunk twice.
@@ -53,6 +55,11 @@
 	Count int `json:"count"`
 }
 
+// crashesOn reports whether a request with the body crashes the endpoint.
+func (f *Faults) crashesOn(body []byte) bool {
+	return f.CrashOnText != "" && bytes.Contains(body, []byte(f.CrashOnText))
+}
+
 // signal sets the headers with which a response says that the endpoint leaves or states a rate limit.
 func (f *Faults) signal(ctx *fasthttp.RequestCtx) {
 	text := f.LeavingText
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -31,6 +32,8 @@
 	stopped chan struct{}
 	// faultsReplaced is closed when the faults are replaced, which unblocks frozen requests.
 	faultsReplaced chan struct{}
+	// crashes counts the requests that have made the server crash.
+	crashes atomic.Int64
 }
 
 func newFaultServer(address string, h fasthttp.RequestHandler) *faultServer {
@@ -91,6 +94,21 @@
 	}
 }
 
+// crashDelay is how long a server that is to crash still writes what it has answered.
+const crashDelay = 20 * time.Millisecond
+
+// crash kills the fake soon, and has it listen again after a time.
+func (s *faultServer) crash(down time.Duration) {
+	s.crashes.Add(1)
+	time.AfterFunc(crashDelay, func() {
+		s.die()
+		time.AfterFunc(down, func() { _ = s.Listen() })
+	})
+}
+
+// Crashes returns how many requests have made the server crash.
+func (s *faultServer) Crashes() int { return int(s.crashes.Load()) }
+
 // Running reports whether the listener is open.
 func (s *faultServer) Running() bool {
 	s.mu.Lock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -105,6 +105,12 @@
 		return
 	}
 	echo := s.run(ctx)
+	if faults.crashesOn(ctx.PostBody()) {
+		s.crash(millis(faults.CrashMillis))
+		<-faults.stopped
+		_ = ctx.Conn().Close()
+		return
+	}
 	time.Sleep(millis(s.config.DelayMillis))
 	s.end()
 	if faults.CutAfterRun {
