--- a/internal/adapter/enginehttp/call.go
+++ b/internal/adapter/enginehttp/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/engine"
 )
 
@@ -76,7 +77,10 @@
 }
 
 func newResponse(resp *fasthttp.Response) engine.Response {
-	response := engine.Response{Status: resp.StatusCode()}
+	response := engine.Response{
+		Status:              resp.StatusCode(),
+		EndedWithConnection: httpclient.FramingOf(&resp.Header) == httpclient.FramingClose,
+	}
 	for name, value := range resp.Header.All() {
 		if !isHopByHop(string(name)) {
 			response.Headers = append(response.Headers, engine.Header{Name: string(name), Value: string(value)})
--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -40,9 +40,10 @@
 )
 
 // Framing returns how the response marks the end of its body.
-func (b *Body) Framing() Framing { return framingOf(&b.Response.Header) }
+func (b *Body) Framing() Framing { return FramingOf(&b.Response.Header) }
 
-func framingOf(h *fasthttp.ResponseHeader) Framing {
+// FramingOf returns how the response with a header marks the end of its body.
+func FramingOf(h *fasthttp.ResponseHeader) Framing {
 	switch length := h.ContentLength(); {
 	case length >= 0:
 		return FramingLength
--- a/internal/adapter/httpclient/exchange.go
+++ b/internal/adapter/httpclient/exchange.go
@@ -22,7 +22,7 @@
 	if stream == nil {
 		return nil
 	}
-	framing := framingOf(&resp.Header)
+	framing := FramingOf(&resp.Header)
 	body, err := io.ReadAll(io.LimitReader(stream, MaxResponseBytes+1))
 	_ = resp.CloseBodyStream()
 	switch {
--- a/internal/adapter/operators/responses.go
+++ b/internal/adapter/operators/responses.go
@@ -56,8 +56,9 @@
 	var request api.ReleaseRequest
 	document := jsonc.Parse("request", ctx.PostBody())
 	document.Decode(&request)
-	if len(request.Parts) == 0 {
-		document.Add(jsonc.Path{}.Key("parts"), "there are no parts", "accepted are the parts of a quarantine")
+	if (len(request.Parts) == 0) == (request.Fingerprint == "") {
+		document.Add(jsonc.Path{}.Key("parts"), "the request names no quarantine",
+			`accepted is either "fleet" and "parts" or "fingerprint"`)
 	}
 	if writeBodyFindings(ctx, document) {
 		return
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -51,7 +51,7 @@
 	claims     *claim.Service
 	service    *dispatcher.Service
 	gossip     *gossip.Runner
-	// quarantine knows the prompts that crash endpoints.
+	// quarantine knows the requests and the prompts that crash endpoints.
 	quarantine       *quarantine.Table
 	quarantineKeeper *keeper.Keeper
 	quarantineRound  int
--- a/internal/app/backend.go
+++ b/internal/app/backend.go
@@ -85,7 +85,8 @@
 	list := api.Quarantines{Quarantines: []api.Quarantine{}}
 	for _, e := range b.app.quarantine.Entries(time.Now()) {
 		list.Quarantines = append(list.Quarantines, api.Quarantine{
-			Fleet: e.Fleet, Parts: e.Parts, Crashes: e.Crashes, LastCrash: e.LastCrash, ProbeAt: e.ProbeAt(),
+			Fleet: e.Fleet, Parts: e.Parts, Fingerprint: e.Fingerprint,
+			Crashes: e.Crashes, LastCrash: e.LastCrash, ProbeAt: e.ProbeAt(),
 		})
 	}
 	return list
@@ -93,8 +94,9 @@
 
 // Release implements operators.Backend. The other daemons are told of it as they are of a complete response.
 func (b *backend) Release(operator string, r api.ReleaseRequest) {
-	b.app.quarantine.Release(time.Now(), quarantine.Prompt{Fleet: r.Fleet, Parts: r.Parts})
-	b.app.log.Warn().Str("operator", operator).Str("fleet", r.Fleet).Strs("parts", r.Parts).Msg("quarantine released by an operator")
+	b.app.quarantine.Release(time.Now(), quarantine.Request{Fleet: r.Fleet, Parts: r.Parts, Fingerprint: r.Fingerprint})
+	b.app.log.Warn().Str("operator", operator).Str("fleet", r.Fleet).Strs("parts", r.Parts).
+		Str("fingerprint", r.Fingerprint).Msg("quarantine released by an operator")
 }
 
 // Explain implements operators.Backend.
--- a/internal/app/quarantine.go
+++ b/internal/app/quarantine.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// pathQuarantine is the path of messages about prompts that crash endpoints.
+	// pathQuarantine is the path of messages about requests that crash endpoints.
 	pathQuarantine = "/peer/v1/quarantine"
 	// quarantineInterval is the time between two rounds of such messages.
 	quarantineInterval = 250 * time.Millisecond
@@ -26,7 +26,7 @@
 	quarantineDuty = membership.Duty("quarantine")
 )
 
-// quarantineMessage tells a daemon what another one knows of prompts that crash endpoints.
+// quarantineMessage tells a daemon what another one knows of requests that crash endpoints.
 type quarantineMessage struct {
 	From   string             `json:"from"`
 	Report *quarantine.Report `json:"report,omitempty"`
--- a/internal/ctl/api/api.go
+++ b/internal/ctl/api/api.go
@@ -122,11 +122,13 @@
 	Node string `json:"node"`
 }
 
-// Quarantine says that requests with all of some parts in their prompts are refused, because they crash
-// endpoints of a fleet.
+// Quarantine says that requests are refused because they crash endpoints: either those to a fleet with all of
+// some parts in their prompts, or a request and its repetitions.
 type Quarantine struct {
-	Fleet string   `json:"fleet"`
-	Parts []string `json:"parts"`
+	// Fleet and Parts are empty if a request is quarantined, and Fingerprint is empty if not.
+	Fleet       string   `json:"fleet,omitempty"`
+	Parts       []string `json:"parts,omitempty"`
+	Fingerprint string   `json:"fingerprint,omitempty"`
 	// Crashes is the number of occasions of crashes, and LastCrash the time of the last one.
 	Crashes   int       `json:"crashes"`
 	LastCrash time.Time `json:"last_crash"`
@@ -139,10 +141,11 @@
 	Quarantines []Quarantine `json:"quarantines"`
 }
 
-// ReleaseRequest names the quarantine to end.
+// ReleaseRequest names the quarantine to end: a fleet and parts, or a fingerprint.
 type ReleaseRequest struct {
-	Fleet string   `json:"fleet"`
-	Parts []string `json:"parts"`
+	Fleet       string   `json:"fleet,omitempty"`
+	Parts       []string `json:"parts,omitempty"`
+	Fingerprint string   `json:"fingerprint,omitempty"`
 }
 
 // ExplainRequest describes a hypothetical request: either the model, or the method and
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -69,6 +69,7 @@
 	logs         string
 	fleet        string
 	parts        string
+	fingerprint  string
 }
 
 // command is one invocation of the tool.
@@ -156,11 +157,13 @@
 	drain := add("drain", "let a daemon fail its readiness and finish its open requests")
 	drain.AddPositionalValue(&c.opts.node, "node", 1, true, "name of the daemon")
 
-	quarantines := add("quarantines", "list the prompts that are refused because they crash endpoints")
+	quarantines := add("quarantines", "list the requests and the prompts that are refused because they crash endpoints")
 
-	release := add("release", "end a quarantine on all daemons")
+	release := add("release", "end the quarantine of parts of prompts on all daemons")
 	release.AddPositionalValue(&c.opts.fleet, "fleet", 1, true, "name of the fleet")
 	release.AddPositionalValue(&c.opts.parts, "parts", 2, true, "parts of the quarantine, part[,part]")
+	releaseRequest := add("release-request", "end the quarantine of a request on all daemons")
+	releaseRequest.AddPositionalValue(&c.opts.fingerprint, "fingerprint", 1, true, "what the request and its repetitions have in common")
 
 	audit := add("audit", "list accepted changes, newest first")
 	audit.Int(&c.opts.limit, "n", "limit", "greatest number of changes")
@@ -181,6 +184,7 @@
 		{drain, false, (*command).drain},
 		{quarantines, false, (*command).quarantines},
 		{release, false, (*command).release},
+		{releaseRequest, false, (*command).releaseRequest},
 		{audit, false, (*command).audit},
 		{traced, true, (*command).trace},
 		{version, true, (*command).version},
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -20,9 +20,10 @@
 		return
 	}
 	table := newTable(w)
-	fmt.Fprintln(table, "FLEET\tPARTS\tCRASHES\tLAST CRASH\tPROBE AT")
+	fmt.Fprintln(table, "FLEET\tPARTS\tREQUEST\tCRASHES\tLAST CRASH\tPROBE AT")
 	for _, e := range q.Quarantines.Quarantines {
-		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\n", e.Fleet, strings.Join(e.Parts, ","), e.Crashes,
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\n", orDash(e.Fleet), orDash(strings.Join(e.Parts, ",")),
+			orDash(e.Fingerprint), e.Crashes,
 			e.LastCrash.UTC().Format(time.RFC3339), e.ProbeAt.UTC().Format(time.RFC3339))
 	}
 	_ = table.Flush()
@@ -36,8 +37,24 @@
 	return quarantinesResult{list}, nil
 }
 
+// orDash returns the text, and a dash for an empty one.
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
 func (c *command) release() (result, error) {
-	left, err := c.client.Release(api.ReleaseRequest{Fleet: c.opts.fleet, Parts: strings.Split(c.opts.parts, ",")})
+	return c.endQuarantine(api.ReleaseRequest{Fleet: c.opts.fleet, Parts: strings.Split(c.opts.parts, ",")})
+}
+
+func (c *command) releaseRequest() (result, error) {
+	return c.endQuarantine(api.ReleaseRequest{Fingerprint: c.opts.fingerprint})
+}
+
+func (c *command) endQuarantine(request api.ReleaseRequest) (result, error) {
+	left, err := c.client.Release(request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ctl/run_test.go
+++ b/internal/ctl/run_test.go
@@ -190,6 +190,7 @@
 		{"explain --organisation o --model m", "e1"},
 		{"quarantines", "p,q"},
 		{"release llm p,q", "no quarantines"},
+		{"release-request Zm9v", "no quarantines"},
 		{"audit --limit 1", "ana: generation 0 -> 3"},
 		{"version", "\n"},
 	} {
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -8,7 +8,9 @@
 
 	"rattanchute/internal/claim"
 	"rattanchute/internal/engine"
+	"rattanchute/internal/fleet"
 	"rattanchute/internal/outcome"
+	"rattanchute/internal/quarantine"
 	"rattanchute/internal/ratelimit"
 	"rattanchute/internal/request"
 	"rattanchute/internal/route"
@@ -49,6 +51,7 @@
 	admission ratelimit.Request
 	machine   *request.Call
 	next      *route.Choice
+	crash     crashSubject
 	claimed   bool
 	key       claim.Key
 }
@@ -78,6 +81,13 @@
 			"no service answers this path").withField("path")
 	}
 	c.query = route.Query{Organisation: c.req.Organisation, Fleet: target.Name}
+	c.crash = crashSubject{service: c.service, request: quarantine.Request{
+		Fleet:       target.Name,
+		Fingerprint: quarantine.Fingerprint(c.req.Organisation, c.req.Method, "", c.req.URI, c.req.Body),
+	}}
+	if refusal := c.crash.check(c.service.now(), c.req.RequestID); refusal != nil {
+		return CallResponse{}, refusal
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.service.timeout(c.req.Timeout))
 	defer cancel()
 	return c.serve(ctx)
@@ -135,6 +145,9 @@
 		if err != nil {
 			return CallResponse{}, c.service.refuseRoute(c.req.RequestID, err, c.query).withOutcome(c.machine.Outcome())
 		}
+		if err := c.crash.recheck(attempt > 1); err != nil {
+			return CallResponse{}, c.refuseFailure(err)
+		}
 		answer, err := c.runAttempt(ctx, choice)
 		if err == nil {
 			return CallResponse{Response: answer, Outcome: outcome.Completed}, nil
@@ -178,6 +191,7 @@
 		AttemptID: c.req.RequestID,
 	})
 	now := c.service.now()
+	c.observeCrash(choice.Endpoint, started, answer, err)
 	result := route.Result{OK: true}
 	if err != nil {
 		result = resultOf(err)
@@ -191,6 +205,21 @@
 	return answer, err
 }
 
+// observeCrash records what the end of an attempt says about what crashes endpoints. A response that reports
+// an error may have been given without running the call.
+func (c *call) observeCrash(endpoint fleet.Endpoint, started time.Time, answer engine.Response, err error) {
+	instance := instanceName(endpoint.Name, endpoint.Address)
+	switch {
+	case err != nil:
+		c.crash.observeFailure(instance, started, err)
+	case answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices:
+		c.crash.observeCompletion(instance, started, answer.EndedWithConnection)
+	}
+	if err == nil {
+		c.service.quarantine.Responded(c.service.now(), instance, started)
+	}
+}
+
 func (c *call) refuseFailure(err error) *Refusal {
 	o := c.machine.Outcome()
 	status := http.StatusServiceUnavailable
--- a/internal/dispatcher/chat.go
+++ b/internal/dispatcher/chat.go
@@ -16,6 +16,9 @@
 	"rattanchute/internal/route"
 )
 
+// chatURI stands for the path of chat requests, which all have the same, in fingerprints.
+const chatURI = "chat"
+
 // PriorityUnset means that the caller did not request a priority.
 const PriorityUnset = -1
 
@@ -83,9 +86,12 @@
 		deadline: now.Add(s.timeout(req.Timeout)),
 		query:    newQuery(req, target.Name),
 		moves:    make(chan Move, 1),
-		prompt:   quarantine.Prompt{Fleet: target.Name, Parts: req.Request.Parts()},
 	}
-	if refusal := c.checkQuarantine(now); refusal != nil {
+	c.crash = crashSubject{service: s, request: quarantine.Request{
+		Fleet: target.Name, Parts: req.Request.Parts(),
+		Fingerprint: quarantine.Fingerprint(req.Organisation, http.MethodPost, "", chatURI, req.Body),
+	}}
+	if refusal := c.crash.check(now, req.RequestID); refusal != nil {
 		return nil, refusal
 	}
 	c.progress.prompt = c.query.PromptTokens
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -1,51 +1,70 @@
 package dispatcher
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
 
 	"rattanchute/internal/engine"
+	"rattanchute/internal/quarantine"
 )
 
-// errQuarantined ends a stream whose prompt has been found to crash endpoints.
-var errQuarantined = errors.New("requests with this prompt crash endpoints")
+// errQuarantined ends a request that has been found to crash endpoints, by itself or by its prompt.
+var errQuarantined = errors.New("this request crashes endpoints")
 
-// checkQuarantine refuses a request whose prompt crashes endpoints, unless it is sent as a probe.
-func (c *ChatStream) checkQuarantine(now time.Time) *Refusal {
-	v := c.service.quarantine.Check(now, c.prompt, c.service.mayProbe)
-	c.probe = v.Probe
+// crashSubject is what of a request may crash endpoints, with what the quarantine says about it. Chat requests
+// and calls each have one.
+type crashSubject struct {
+	service *Service
+	request quarantine.Request
+	// probe is set if the request is quarantined and is sent to find out whether it still crashes endpoints.
+	probe bool
+}
+
+// check refuses a request that crashes endpoints, unless it is sent as a probe.
+func (s *crashSubject) check(now time.Time, requestID string) *Refusal {
+	v := s.service.quarantine.Check(now, s.request, s.service.mayProbe)
+	s.probe = v.Probe
 	if v.Allowed {
 		return nil
 	}
-	return NewRefusal(http.StatusServiceUnavailable, c.req.RequestID, "prompt_quarantined",
-		errQuarantined.Error()).withRetryAfter(v.RetryAfter)
+	code := "prompt_quarantined"
+	if v.Entry.Fingerprint != "" {
+		code = "request_quarantined"
+	}
+	return NewRefusal(http.StatusServiceUnavailable, requestID, code, errQuarantined.Error()).withRetryAfter(v.RetryAfter)
 }
 
-// recheckQuarantine returns an error if the request may not be sent. A probe is sent once.
-func (c *ChatStream) recheckQuarantine() error {
-	if c.probe && !c.mayHaveRun {
+// recheck returns an error if the request may not be sent. A probe is sent once.
+func (s *crashSubject) recheck(mayHaveRun bool) error {
+	if s.probe && !mayHaveRun {
 		return nil
 	}
-	if v := c.service.quarantine.Check(c.service.now(), c.prompt, nil); !v.Allowed {
+	if v := s.service.quarantine.Check(s.service.now(), s.request, nil); !v.Allowed {
 		return errQuarantined
 	}
 	return nil
 }
 
-// observeFailure records what the failure of the current attempt says about the prompt.
-func (c *ChatStream) observeFailure(err error) {
-	if errors.Is(err, engine.ErrTerminated) {
-		c.service.quarantine.Terminated(c.service.now(), c.current.instanceName(), c.prompt)
+// observeFailure records what the failure of an attempt that was sent at a time says about the request.
+func (s *crashSubject) observeFailure(instance string, sentAt time.Time, err error) {
+	switch {
+	case errors.Is(err, engine.ErrTerminated):
+		s.service.quarantine.Terminated(s.service.now(), instance, sentAt, s.request)
+	case errors.Is(err, engine.ErrNotSent):
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded), errors.Is(err, errChunkTimeout):
+		s.service.quarantine.Abandoned(s.service.now(), instance, sentAt, s.request)
 	}
 }
 
-// observeEnd records that the answer is complete, if it is. Its end is marked, however the connection ends.
-func (c *ChatStream) observeEnd() {
-	if c.machine.Finished() {
-		c.service.quarantine.Completed(c.service.now(), c.current.instanceName(), c.prompt, false)
-	}
+// observeCompletion records that an attempt that was sent at a time has a complete answer.
+func (s *crashSubject) observeCompletion(instance string, sentAt time.Time, endedWithConnection bool) {
+	s.service.quarantine.Completed(s.service.now(), instance, sentAt, s.request, endedWithConnection)
 }
 
+// instanceName names an endpoint in the quarantine.
+func instanceName(name, address string) string { return name + "@" + address }
+
 // instanceName names the endpoint of the attempt.
-func (a *attempt) instanceName() string { return a.endpoint.Name + "@" + a.endpoint.Address }
+func (a *attempt) instanceName() string { return instanceName(a.endpoint.Name, a.endpoint.Address) }
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -52,7 +52,7 @@
 // beginNext starts an attempt at the next chosen endpoint. If there is none, it waits or returns an
 // error, as waitForEndpoint decides.
 func (c *ChatStream) beginNext() error {
-	if err := c.recheckQuarantine(); err != nil {
+	if err := c.crash.recheck(c.mayHaveRun); err != nil {
 		return err
 	}
 	choice, err := c.choose()
@@ -104,7 +104,7 @@
 	if c.interrupted.IsZero() {
 		c.interrupted = c.service.now()
 	}
-	c.observeFailure(err)
+	c.crash.observeFailure(c.current.instanceName(), c.current.started, err)
 	endpoint := c.current.endpoint.Name
 	c.endAttempt(resultOf(err))
 	if !errors.Is(err, engine.ErrNoStream) {
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -68,7 +68,7 @@
 	engines  engine.Client
 	signer   *resumetoken.Signer
 	metrics  *Metrics
-	// quarantine knows the prompts that crash endpoints; mayProbe reports whether this daemon may probe them.
+	// quarantine knows the requests and the prompts that crash endpoints; mayProbe reports whether this daemon may probe them.
 	quarantine *quarantine.Table
 	mayProbe   func() bool
 	streams    *streamRegistry
@@ -93,7 +93,7 @@
 	Signer    *resumetoken.Signer
 	Metrics   *Metrics
 	MoveRates MoveRates
-	// Quarantine knows the prompts that crash endpoints.
+	// Quarantine knows the requests and the prompts that crash endpoints.
 	Quarantine *quarantine.Table
 	// MayProbe reports whether this daemon may send a quarantined request to find out whether it still crashes
 	// endpoints. At most one daemon may.
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -8,7 +8,6 @@
 
 	"rattanchute/internal/engine"
 	"rattanchute/internal/outcome"
-	"rattanchute/internal/quarantine"
 	"rattanchute/internal/ratelimit"
 	"rattanchute/internal/request"
 	"rattanchute/internal/resumetoken"
@@ -43,14 +42,12 @@
 
 // ChatStream is one open answer. Its methods must not be called concurrently.
 type ChatStream struct {
-	service  *Service
-	req      ChatRequest
-	opened   time.Time
-	deadline time.Time
-	query    route.Query
-	prompt   quarantine.Prompt
-	// probe is set if the request is quarantined and is sent to find out whether it still crashes endpoints.
-	probe     bool
+	service   *Service
+	req       ChatRequest
+	opened    time.Time
+	deadline  time.Time
+	query     route.Query
+	crash     crashSubject
 	admission ratelimit.Request
 	priority  int
 
@@ -244,7 +241,10 @@
 	}
 	c.released = true
 	if c.current != nil {
-		c.observeEnd()
+		if c.machine.Finished() {
+			// Its end is marked, however the connection ends.
+			c.crash.observeCompletion(c.current.instanceName(), c.current.started, false)
+		}
 		c.endAttempt(route.Result{OK: c.machine.Finished()})
 	}
 	c.removeEndHook()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -86,6 +86,8 @@
 	Status  int
 	Headers []Header
 	Body    []byte
+	// EndedWithConnection is set if nothing but the end of its connection marked the end of the body.
+	EndedWithConnection bool
 }
 
 // CacheEvent reports that an engine has cached or dropped a prompt prefix.
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -83,7 +83,7 @@
 	LeavingEndpoints []backpressure.LeavingReport `json:"leaving_endpoints,omitempty"`
 	// LimitedEndpoints are endpoints that state a rate limit, or have lately ceased to.
 	LimitedEndpoints []backpressure.LimitReport `json:"limited_endpoints,omitempty"`
-	// Quarantine is what is known of prompts that crash endpoints; nil if there are none.
+	// Quarantine is what is known of requests that crash endpoints; nil if there are none.
 	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 
 	Quota quota.SpendingReport `json:"quota"`
@@ -126,7 +126,7 @@
 	// among whose groups the limits are shared.
 	LimitedEndpoints []backpressure.LimitReport `json:"limited_endpoints,omitempty"`
 	Leaders          []string                   `json:"leaders,omitempty"`
-	// Quarantine is what is known of prompts that crash endpoints; nil if there are none.
+	// Quarantine is what is known of requests that crash endpoints; nil if there are none.
 	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 	// Levels are the remaining quota tokens by organisation, after all processed reports.
 	Levels map[string]float64 `json:"levels,omitempty"`
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -112,7 +112,7 @@
 		func() float64 {
 			return float64(n.signals.Counts(clock.Now()).Leaving)
 		})
-	gauge("rattanchute_quarantined_prompts", "Combinations of prompt parts that are quarantined because they crash endpoints.",
+	gauge("rattanchute_quarantines", "Requests and combinations of prompt parts that are quarantined because they crash endpoints.",
 		func() float64 { return float64(len(n.quarantine.Entries(clock.Now()))) })
 	gauge("rattanchute_endpoints_closed", "Endpoints that want no requests from this host for some time.",
 		func() float64 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,7 +94,7 @@
 	endpoints    *registry.View
 	// signals is what endpoints said in their responses about further requests.
 	signals *backpressure.Table
-	// quarantine knows the prompts that crash endpoints.
+	// quarantine knows the requests and the prompts that crash endpoints.
 	quarantine       *quarantine.Table
 	quarantineKeeper *keeper.Keeper
 	peers            *heartbeat.Table
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -37,7 +37,7 @@
 	return held
 }
 
-// applyQuarantine records what a peer knows of prompts that crash endpoints, and passes on what is new.
+// applyQuarantine records what a peer knows of requests that crash endpoints, and passes on what is new.
 func (n *Node) applyQuarantine(now time.Time, from string, r *quarantine.Report) {
 	if n.quarantine.Apply(now, from, r) {
 		n.announceChange()
--- a/internal/node/truncate.go
+++ b/internal/node/truncate.go
@@ -37,7 +37,7 @@
 	{"loads of the less busy endpoints", withLoads(1000)},
 	{"loads of most endpoints", withLoads(250)},
 	{"rate limits of endpoints", withoutLimits},
-	{"prompts that crash endpoints", withoutQuarantine},
+	{"requests that crash endpoints", withoutQuarantine},
 	{"changes to endpoints", withoutEndpointChanges},
 }
 
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -27,7 +27,7 @@
 	KindUsage Kind = "usage"
 	// KindDesired objects hold the numbers of endpoints that were ordered.
 	KindDesired Kind = "desired"
-	// KindQuarantine objects hold the prompts that crash endpoints.
+	// KindQuarantine objects hold the requests and the prompts that crash endpoints.
 	KindQuarantine Kind = "quarantine"
 )
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -78,7 +78,7 @@
 // before it is sent.
 func (a *attempt) permit() error {
 	if a.exchange.recheckQuarantine(clock.Now()) != nil {
-		return errPromptQuarantined
+		return errQuarantined
 	}
 	first, err := a.balancerAttempt.Permit(clock.Now())
 	if first {
@@ -127,7 +127,7 @@
 	switch {
 	case errors.Is(err, httpclient.ErrNotSent) && a.ctx.Err() != nil:
 		return outcomeNotSent, balancer.ResultCancelled
-	case errors.Is(err, errPromptQuarantined):
+	case errors.Is(err, errQuarantined):
 		return outcomeWithdrawn, balancer.ResultCancelled
 	case errors.Is(err, balancer.ErrEndpointClosed), errors.Is(err, balancer.ErrEndpointLeaving):
 		return outcomeWithdrawn, balancer.ResultRefused
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -189,7 +189,7 @@
 	x.recordPrefill(now, choice.Endpoint.ID)
 	p.telemetry.Sent(x, &choice)
 	out, result := a.run()
-	a.observePrompt(out, result)
+	a.observeCrash(out, result)
 	p.telemetry.HealthChanged(choice.Endpoint.ID, a.balancerAttempt.End(clock.Now(), result))
 	if out != outcomeNotSent && out != outcomeWithdrawn {
 		x.sends++
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -39,7 +39,6 @@
 	organisation    *fleet.Organisation
 	fleet           string
 	balancerRequest balancer.Request
-	prompt          quarantine.Prompt
 	// fingerprintText is empty until fingerprint is called.
 	fingerprintText string
 	priority        int
@@ -157,7 +156,7 @@
 	return nil
 }
 
-// prepare sets the deadline, the fleet, the priority, the prompt and the request to the balancer. It never
+// prepare sets the deadline, the fleet, the priority and the request to the balancer. It never
 // refuses the request.
 func (x *exchange) prepare() *errorResponse {
 	timeout := x.info.CallerTimeout
@@ -183,7 +182,6 @@
 		prefix = balancer.AppendPrefix(prefix, part.ID, part.Tokens)
 		x.balancerRequest.Prefixes = append(x.balancerRequest.Prefixes, prefix)
 	}
-	x.prompt = x.sharedPrompt()
 	return nil
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -32,7 +32,7 @@
 	Quota       *quota.Ledger
 	RetryBudget *retrybudget.Budget
 	Telemetry   *Telemetry
-	// Quarantine knows the prompts that crash endpoints.
+	// Quarantine knows the requests and the prompts that crash endpoints.
 	Quarantine *quarantine.Table
 	// MayProbe reports whether this host may send a quarantined request to find out whether it still crashes
 	// endpoints. At most one host may.
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,26 +15,26 @@
 	"rattanchute/internal/quarantine"
 )
 
-// errPromptQuarantined means that a request was not sent because its prompt has been found to crash
+// errQuarantined means that a request was not sent because it, or its prompt, has been found to crash
 // endpoints since an endpoint was chosen.
-var errPromptQuarantined = errors.New("the prompt is quarantined")
+var errQuarantined = errors.New("the request is quarantined")
 
-// sharedPrompt returns the parts of the prompt that other requests may have too: all but the last.
-func (x *exchange) sharedPrompt() quarantine.Prompt {
-	p := quarantine.Prompt{Fleet: x.fleet}
+// crashSubject returns what of the request may crash endpoints. Of its prompt that is what other requests may
+// have too: all parts but the last.
+func (x *exchange) crashSubject() quarantine.Request {
+	r := quarantine.Request{Fleet: x.fleet, Fingerprint: x.fingerprint()}
 	for _, part := range x.info.Parts[:max(len(x.info.Parts)-1, 0)] {
-		p.Parts = append(p.Parts, part.ID)
+		r.Parts = append(r.Parts, part.ID)
 	}
-	return p
+	return r
 }
 
-// checkQuarantine refuses a request whose prompt crashes endpoints, unless it is sent as a probe.
+// checkQuarantine refuses a request that crashes endpoints, unless it is sent as a probe.
 func (x *exchange) checkQuarantine() *errorResponse {
-	p := x.proxy
-	v := p.Quarantine.Check(clock.Now(), x.prompt, p.MayProbe)
+	v := x.quarantineVerdict(clock.Now(), x.proxy.MayProbe)
 	x.probe = v.Probe
 	if v.Probe {
-		p.telemetry.Probing(x, v.Entry)
+		x.proxy.telemetry.Probing(x, v.Entry)
 	}
 	return x.quarantineError(v)
 }
@@ -44,7 +45,15 @@
 	if x.probe && x.sends == 0 {
 		return nil
 	}
-	return x.quarantineError(x.proxy.Quarantine.Check(now, x.prompt, nil))
+	return x.quarantineError(x.quarantineVerdict(now, nil))
+}
+
+func (x *exchange) quarantineVerdict(now time.Time, mayProbe func() bool) quarantine.Verdict {
+	q := x.proxy.Quarantine
+	if !q.Active() {
+		return quarantine.Verdict{Allowed: true}
+	}
+	return q.Check(now, x.crashSubject(), mayProbe)
 }
 
 // quarantineError returns the error response to a request that may not be sent; nil if it may.
@@ -52,33 +61,50 @@
 	if v.Allowed {
 		return nil
 	}
-	status, reason, retryAfter := fasthttp.StatusServiceUnavailable, ReasonPromptQuarantined, max(v.RetryAfter, minRetryAfter)
+	e := newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonPromptQuarantined, max(v.RetryAfter, minRetryAfter))
+	if v.Entry.Fingerprint != "" {
+		e.reason = ReasonRequestQuarantined
+	}
 	if x.started {
-		status, reason, retryAfter = fasthttp.StatusBadGateway, ReasonEndpointFailed, 0
+		e = newErrorResponse(fasthttp.StatusBadGateway, ReasonEndpointFailed, 0)
 	}
-	e := newErrorResponse(status, reason, retryAfter)
 	e.quarantine = v.Entry
 	return e
 }
 
-// observePrompt records what the end of the attempt says about the prompt.
-func (a *attempt) observePrompt(out outcome, result balancer.Result) {
+// observeCrash records what the end of the attempt says about what crashes endpoints.
+func (a *attempt) observeCrash(out outcome, result balancer.Result) {
 	x, q, now := a.exchange, a.exchange.proxy.Quarantine, clock.Now()
-	hasParts := len(x.prompt.Parts) > 0
 	switch {
-	case a.terminated && hasParts:
-		q.Terminated(now, a.instanceName(), x.prompt)
+	case a.terminated:
+		q.Terminated(now, a.instanceName(), a.sentAt, x.crashSubject())
 		x.proxy.OnCrash()
-	case out == outcomeNotSent && result == balancer.ResultUnreachable:
+	case errors.Is(a.err, syscall.ECONNREFUSED):
 		q.Unreachable(now, a.instanceName())
-	case out == outcomeDone && result == balancer.ResultOK && hasParts && a.answersPrompt():
-		q.Completed(now, a.instanceName(), x.prompt, a.framing == httpclient.FramingClose)
+	case out == outcomeDone && result == balancer.ResultOK:
+		if unframed := a.framing == httpclient.FramingClose; a.answersRequest() && (unframed || q.Active()) {
+			q.Completed(now, a.instanceName(), a.sentAt, x.crashSubject(), unframed)
+		}
+	case a.isAbandoned(out, result):
+		q.Abandoned(now, a.instanceName(), a.sentAt, x.crashSubject())
+	}
+}
+
+// isAbandoned reports whether the attempt was given up while its endpoint may have worked on it: its caller
+// has left, or its time was up.
+func (a *attempt) isAbandoned(out outcome, result balancer.Result) bool {
+	switch out {
+	case outcomeDone:
+		return result == balancer.ResultCancelled
+	case outcomeFailed:
+		return a.ctx.Err() != nil
 	}
+	return false
 }
 
-// answersPrompt reports whether the complete response is an answer to the prompt, and not one that an
-// endpoint can give without it.
-func (a *attempt) answersPrompt() bool {
+// answersRequest reports whether the complete response is an answer to the request, and not one that an
+// endpoint can give without running it.
+func (a *attempt) answersRequest() bool {
 	if a.exchange.route.Kind == fleet.RouteStream && a.events == 0 {
 		return false
 	}
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -61,7 +61,7 @@
 func (p *testProxy) quarantineBad(age time.Duration) {
 	for i := range 3 {
 		at := clock.Now().Add(-age - time.Duration(2-i)*time.Second)
-		p.proxy.Quarantine.Terminated(at, fmt.Sprint("crashed", i), quarantine.Prompt{Fleet: testFleet, Parts: []string{"bad"}})
+		p.proxy.Quarantine.Terminated(at, fmt.Sprint("crashed", i), at, quarantine.Request{Fleet: testFleet, Parts: []string{"bad"}})
 	}
 }
 
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -29,6 +29,7 @@
 	ReasonOutOfMemory              Reason = "out_of_memory"
 	ReasonNotSentInTime            Reason = "not_sent_in_time"
 	ReasonPromptQuarantined        Reason = "prompt_quarantined"
+	ReasonRequestQuarantined       Reason = "request_quarantined"
 )
 
 // Reasons for other error responses. After ReasonEndpointFailed and ReasonTimeout the request may
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -118,8 +118,8 @@
 // Probing logs that a quarantined request is sent to find out whether it still crashes endpoints.
 func (t *Telemetry) Probing(x *exchange, e *quarantine.Entry) {
 	t.metrics.probes.Inc()
-	t.entry(log.WarnLevel, x).Strs("quarantined_parts", e.Parts).Int("crashes", e.Crashes).
-		Msg("quarantined prompt probed")
+	t.entry(log.WarnLevel, x).Strs("quarantined_parts", e.Parts).Str("fingerprint", e.Fingerprint).Int("crashes", e.Crashes).
+		Msg("quarantined request probed")
 }
 
 // maxLoggedParts limits the parts of a prompt that a line names.
@@ -185,7 +185,8 @@
 			Float64("quota_per_second", e.quota.PerSecond)
 	}
 	if e.quarantine != nil {
-		line = line.Strs("quarantined_parts", e.quarantine.Parts).Int("crashes", e.quarantine.Crashes)
+		line = line.Strs("quarantined_parts", e.quarantine.Parts).Str("fingerprint", e.quarantine.Fingerprint).
+			Int("crashes", e.quarantine.Crashes)
 	}
 	if e.estimate != nil {
 		line = line.Str("endpoint", e.estimate.Endpoint.ID).Int("in_flight", e.estimate.InFlight).
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -14,14 +14,13 @@
 	survivalWindow = 300 * time.Millisecond
 	// crashRetention is how long a crash counts.
 	crashRetention = time.Hour
-	// maxCrashes and maxCrashParts bound the crashes that are remembered and the parts of one of them.
-	maxCrashes    = 256
-	maxCrashParts = 64
+	// maxCrashes bounds the crashes that are remembered, maxCrashParts and maxCrashRequests what was in progress
+	// at one of them.
+	maxCrashes       = 256
+	maxCrashParts    = 64
+	maxCrashRequests = 128
 )
 
-// partKey identifies a part of prompts for the endpoints of one fleet.
-type partKey struct{ fleet, part string }
-
 // crash is one supposed crash of an endpoint.
 type crash struct {
 	fleet string
@@ -30,17 +29,37 @@
 	at       time.Time
 	// parts are the parts of prompts that were in progress, sorted.
 	parts []string
+	// requests are the requests that were in progress, sorted by fingerprint.
+	requests []requestInProgress
 	// survived is set if the endpoint has answered a later request: it has not crashed.
 	survived bool
 }
 
-func (c *crash) has(part string) bool {
-	_, found := slices.BinarySearch(c.parts, part)
-	return found
+// requestInProgress is a request that was in progress at a crash.
+type requestInProgress struct {
+	fingerprint string
+	// ran is how long before the crash it was sent; of repetitions at the same time, that of the last one.
+	ran time.Duration
+}
+
+// has reports whether a possible cause was in progress.
+func (c *crash) has(by cause) bool {
+	if by.isRequest() {
+		_, found := c.findRequest(by.fingerprint)
+		return found
+	}
+	_, found := slices.BinarySearch(c.parts, by.part)
+	return found && c.fleet == by.fleet
+}
+
+func (c *crash) findRequest(fingerprint string) (int, bool) {
+	return slices.BinarySearchFunc(c.requests, fingerprint, func(r requestInProgress, fingerprint string) int {
+		return cmp.Compare(r.fingerprint, fingerprint)
+	})
 }
 
-// add adds a part, and reports whether it is new.
-func (c *crash) add(part string) bool {
+// addPart adds a part, and reports whether it is new.
+func (c *crash) addPart(part string) bool {
 	i, found := slices.BinarySearch(c.parts, part)
 	if found || len(c.parts) >= maxCrashParts {
 		return false
@@ -49,13 +68,41 @@
 	return true
 }
 
-// remove removes a part, and reports whether it was there.
-func (c *crash) remove(part string) bool {
-	i, found := slices.BinarySearch(c.parts, part)
-	if found {
-		c.parts = slices.Delete(c.parts, i, i+1)
+// addRequest adds a request that was sent some time before the crash, and reports whether that is new.
+func (c *crash) addRequest(fingerprint string, ran time.Duration) bool {
+	i, found := c.findRequest(fingerprint)
+	switch {
+	case found && c.requests[i].ran <= ran:
+		return false
+	case found:
+		c.requests[i].ran = ran
+		return true
+	case len(c.requests) >= maxCrashRequests:
+		return false
 	}
-	return found
+	c.requests = slices.Insert(c.requests, i, requestInProgress{fingerprint, ran})
+	return true
+}
+
+// remove removes a possible cause, and reports whether it was there.
+func (c *crash) remove(by cause) bool {
+	if !c.has(by) {
+		return false
+	}
+	if by.isRequest() {
+		i, _ := c.findRequest(by.fingerprint)
+		c.requests = slices.Delete(c.requests, i, i+1)
+		return true
+	}
+	i, _ := slices.BinarySearch(c.parts, by.part)
+	c.parts = slices.Delete(c.parts, i, i+1)
+	return true
+}
+
+// sentAt returns when the last of the repetitions of a request in progress was sent.
+func (c *crash) sentAt(fingerprint string) time.Time {
+	i, _ := c.findRequest(fingerprint)
+	return c.at.Add(-c.requests[i].ran)
 }
 
 // crashLog holds the crashes, the earliest first.
@@ -102,7 +149,7 @@
 	return len(l.crashes) < before
 }
 
-// hasPart reports whether a part was in progress at a crash.
-func (l *crashLog) hasPart(key partKey) bool {
-	return slices.ContainsFunc(l.crashes, func(c *crash) bool { return c.fleet == key.fleet && c.has(key.part) })
+// has reports whether a possible cause was in progress at a crash.
+func (l *crashLog) has(by cause) bool {
+	return slices.ContainsFunc(l.crashes, func(c *crash) bool { return c.has(by) })
 }
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -1,11 +1,13 @@
-// Package quarantine finds out which parts of prompts crash endpoints, and decides whether a request with
-// such a part may be sent.
+// Package quarantine finds out which requests, and which parts of prompts, crash endpoints, and decides
+// whether a request may be sent.
 //
 // When an endpoint closes the connections of its requests before their responses are complete, it may have
-// crashed, and any part of their prompts may be the reason. A part of which a later response is complete is
-// not. So the reason is among the parts that were in progress at several crashes and in no complete response
-// since. Parts that cannot be told apart are quarantined together: a request is refused only if it has all of
-// them, and a request with some of them soon tells which it is.
+// crashed, and any of them may be the reason: the request as a whole, which its caller may repeat, or a part
+// of its prompt, which other requests may have too. What a later response is complete for is not the reason.
+// So the reason is among what was in progress at several crashes and in no complete response since. A request
+// is suspected rather than the parts of its prompt as long as no other request with them has been in progress
+// at a crash. Parts that cannot be told apart are quarantined together: a request is refused only if it has
+// all of them, and a request with some of them soon tells which it is.
 //
 // A quarantined request is refused until it may be probed. Then one host sends one such request: a complete
 // response ends the quarantine, a crash prolongs it.
--- a/internal/quarantine/endings.go
+++ b/internal/quarantine/endings.go
@@ -6,26 +6,28 @@
 )
 
 const (
-	// endingRetention is how long after a response that ended with its connection a crash of its endpoint may
-	// still show that it was cut off.
+	// endingRetention is how long after the end of an attempt a crash of its endpoint may still show that the
+	// attempt was in progress at it.
 	endingRetention = time.Second
 	// maxEndings bounds the remembered endings.
 	maxEndings = 256
 )
 
-// ending is a response that ended with its connection.
+// ending is the end of an attempt that may have been in progress at a crash: its response ended with its
+// connection, or it was given up.
 type ending struct {
-	endpoint string
-	prompt   Prompt
-	at       time.Time
+	attempt
+	at time.Time
+	// abandoned is set if the attempt was given up, so that nothing clears its request.
+	abandoned bool
 }
 
-// endings are the last responses that ended with their connections, the earliest first.
+// endings are the last such endings, the earliest first.
 type endings struct{ list []ending }
 
-func (s *endings) add(now time.Time, endpoint string, p Prompt) {
-	s.list = slices.DeleteFunc(s.list, func(e ending) bool { return now.Sub(e.at) >= endingRetention })
-	s.list = append(s.list, ending{endpoint, p, now})
+func (s *endings) add(e ending) {
+	s.list = slices.DeleteFunc(s.list, func(old ending) bool { return e.at.Sub(old.at) >= endingRetention })
+	s.list = append(s.list, e)
 	s.list = s.list[max(len(s.list)-maxEndings, 0):]
 }
 
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -12,6 +12,10 @@
 	firstProbeDelay  = 15 * time.Second
 	probeDelayFactor = 3
 	maxProbeDelay    = 24 * time.Hour
+	// firstRequestProbeDelay and requestProbeDelayFactor are those of a request. Each probe of it may cost an
+	// endpoint, and nobody but its caller waits for the result.
+	firstRequestProbeDelay  = time.Minute
+	requestProbeDelayFactor = 10
 	// probeTimeout is how long a host waits for the result of a probe before it may send another.
 	probeTimeout = 30 * time.Second
 	// entryRetention is how long after the last crash an entry is kept.
@@ -23,34 +27,62 @@
 	maxEntries = 256
 )
 
-// Entry is a quarantine: requests to a fleet whose prompts have all of the parts crash its endpoints.
+// Entry is a quarantine. Either requests to a fleet whose prompts have all of some parts crash its endpoints,
+// or a request and its repetitions do, at any fleet.
 type Entry struct {
+	// Fleet and Parts are empty if the cause is a request. Parts are sorted.
 	Fleet string
-	// Parts are sorted.
 	Parts []string
+	// Fingerprint is that of the request; empty if the cause is parts of prompts.
+	Fingerprint string
 	// Crashes is the number of occasions of crashes, and LastCrash the time of the last one.
 	Crashes   int
 	LastCrash time.Time
 }
 
 // key identifies the entry among others.
-func (e *Entry) key() string { return e.Fleet + "\x00" + strings.Join(e.Parts, "\x00") }
+func (e *Entry) key() string {
+	return e.Fingerprint + "\x00" + e.Fleet + "\x00" + strings.Join(e.Parts, "\x00")
+}
+
+// isRequest reports whether the cause is a request.
+func (e *Entry) isRequest() bool { return e.Fingerprint != "" }
 
 // ProbeAt returns when a request may be probed.
 func (e *Entry) ProbeAt() time.Time {
-	delay := firstProbeDelay
+	delay, factor := firstProbeDelay, time.Duration(probeDelayFactor)
+	if e.isRequest() {
+		delay, factor = firstRequestProbeDelay, requestProbeDelayFactor
+	}
 	for i := minOccasions; i < e.Crashes && delay < maxProbeDelay; i++ {
-		delay *= probeDelayFactor
+		delay *= factor
 	}
 	return e.LastCrash.Add(min(delay, maxProbeDelay))
 }
 
-// covers reports whether a prompt has all parts of the entry.
-func (e *Entry) covers(p Prompt) bool {
-	if e.Fleet != p.Fleet {
-		return false
+// covers reports whether the request is the one of the entry, or has all parts of it.
+func (e *Entry) covers(r *Request) bool {
+	if e.isRequest() {
+		return e.Fingerprint == r.Fingerprint
+	}
+	return e.Fleet == r.Fleet && isSubset(e.Parts, r.Parts)
+}
+
+// inProgressAt reports whether everything that the entry names was in progress at a crash.
+func (e *Entry) inProgressAt(c *crash) bool {
+	if e.isRequest() {
+		return c.has(cause{fingerprint: e.Fingerprint})
+	}
+	return c.fleet == e.Fleet && isSubset(e.Parts, c.parts)
+}
+
+// has reports whether a possible cause is among what the entry names.
+func (e *Entry) has(by cause) bool {
+	if by.isRequest() || e.isRequest() {
+		return e.Fingerprint == by.fingerprint
 	}
-	return isSubset(e.Parts, p.Parts)
+	_, found := slices.BinarySearch(e.Parts, by.part)
+	return found && e.Fleet == by.fleet
 }
 
 func isSubset(parts, of []string) bool {
@@ -79,7 +111,7 @@
 	}
 	for key, known := range t {
 		switch {
-		case known.Fleet != e.Fleet:
+		case known.isRequest() || e.isRequest() || known.Fleet != e.Fleet:
 		case isSubset(known.Parts, e.Parts):
 			return
 		case settled && isSubset(e.Parts, known.Parts):
@@ -117,9 +149,9 @@
 	}
 }
 
-// observe counts a crash at which all parts of the entry were in progress, if it is a new occasion.
+// observe counts a crash at which everything that the entry names was in progress, if it is a new occasion.
 func (e *Entry) observe(c *crash) {
-	if c.survived || c.fleet != e.Fleet || c.at.Sub(e.LastCrash) < occasionGap || !isSubset(e.Parts, c.parts) {
+	if c.survived || !e.inProgressAt(c) || !c.isNewOccasion(cause{fingerprint: e.Fingerprint}, e.LastCrash) {
 		return
 	}
 	e.Crashes++
@@ -148,43 +180,41 @@
 	}
 }
 
-// clear removes a part, which does not crash endpoints, from the entries.
-func (t entryTable) clear(key partKey) {
+// clear removes a possible cause, which does not crash endpoints, from the entries.
+func (t entryTable) clear(by cause) {
 	for k, e := range t {
-		i, found := slices.BinarySearch(e.Parts, key.part)
-		if e.Fleet != key.fleet || !found {
+		if !e.has(by) {
 			continue
 		}
 		delete(t, k)
-		if len(e.Parts) == 1 {
+		if len(e.Parts) <= 1 {
 			continue
 		}
 		rest := e.Entry
-		rest.Parts = slices.Delete(slices.Clone(e.Parts), i, i+1)
+		rest.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(part string) bool { return part == by.part })
 		t.merge(rest, e.settled)
 	}
 }
 
-// find returns the entry that covers a prompt and can be probed last; nil if there is none.
-func (t entryTable) find(p Prompt) *entryState {
+// find returns the entry that covers a request and can be probed last; nil if there is none.
+func (t entryTable) find(r *Request) *entryState {
 	var found *entryState
 	for _, e := range t {
-		if e.covers(p) && (found == nil || found.ProbeAt().Before(e.ProbeAt())) {
+		if e.covers(r) && (found == nil || found.ProbeAt().Before(e.ProbeAt())) {
 			found = e
 		}
 	}
 	return found
 }
 
-// has reports whether a part is among those of an entry.
-func (t entryTable) has(key partKey) bool { return t.newest(key) != nil }
+// has reports whether a possible cause is among those of an entry.
+func (t entryTable) has(by cause) bool { return t.newest(by) != nil }
 
-// newest returns the entry with the part and the latest crash; nil if there is none.
-func (t entryTable) newest(key partKey) *entryState {
+// newest returns the entry with the possible cause and the latest crash; nil if there is none.
+func (t entryTable) newest(by cause) *entryState {
 	var newest *entryState
 	for _, e := range t {
-		_, found := slices.BinarySearch(e.Parts, key.part)
-		if e.Fleet == key.fleet && found && (newest == nil || newest.LastCrash.Before(e.LastCrash)) {
+		if e.has(by) && (newest == nil || newest.LastCrash.Before(e.LastCrash)) {
 			newest = e
 		}
 	}
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -71,9 +71,9 @@
 	changes := k.Table.TakeChanges(now)
 	for _, c := range changes {
 		k.Log.Warn().Str("change", string(c.Kind)).Str("fleet", c.Entry.Fleet).Strs("parts", c.Entry.Parts).
-			Int("crashes", c.Entry.Crashes).Int64("last_crash_ms_ago", now.Sub(c.Entry.LastCrash).Milliseconds()).
+			Str("fingerprint", c.Entry.Fingerprint).Int("crashes", c.Entry.Crashes).Int64("last_crash_ms_ago", now.Sub(c.Entry.LastCrash).Milliseconds()).
 			Int64("probe_in_ms", c.Entry.ProbeAt().Sub(now).Milliseconds()).Str("source", c.Source).
-			Msg("prompt quarantine changed")
+			Msg("quarantine changed")
 	}
 	if len(changes) > 0 {
 		k.Wake()
@@ -166,7 +166,8 @@
 	s := stored{Entries: []storedEntry{}}
 	for _, e := range k.Table.Entries(now) {
 		s.Entries = append(s.Entries, storedEntry{
-			Fleet: e.Fleet, Parts: e.Parts, Crashes: e.Crashes, LastCrashMillis: k.WallClock(e.LastCrash).UnixMilli(),
+			Fleet: e.Fleet, Parts: e.Parts, Fingerprint: e.Fingerprint, Crashes: e.Crashes,
+			LastCrashMillis: k.WallClock(e.LastCrash).UnixMilli(),
 		})
 	}
 	return s
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -28,15 +28,15 @@
 	})
 }
 
-func prompt(part string) quarantine.Prompt {
-	return quarantine.Prompt{Fleet: "f", Parts: []string{part}}
+func prompt(part string) quarantine.Request {
+	return quarantine.Request{Fleet: "f", Parts: []string{part}}
 }
 
 // quarantinePart has three endpoints crash because of a part, and lets the quarantine settle.
 func quarantinePart(k *Keeper, now *time.Time, part string) {
 	for i := range 3 {
 		*now = now.Add(time.Second)
-		k.Table.Terminated(*now, fmt.Sprint(part, i), prompt(part))
+		k.Table.Terminated(*now, fmt.Sprint(part, i), *now, prompt(part))
 	}
 	*now = now.Add(2 * time.Second)
 }
@@ -62,7 +62,7 @@
 	one := newKeeper(store, &now)
 	quarantinePart(one, &now, "bad")
 	is.NoErr(one.sync(context.Background()))
-	one.Table.Completed(now, "e", prompt("bad"), false)
+	one.Table.Completed(now, "e", now, prompt("bad"), false)
 	is.NoErr(one.sync(context.Background()))
 	started := newKeeper(store, &now)
 	is.NoErr(started.sync(context.Background()))
--- a/internal/quarantine/keeper/stored.go
+++ b/internal/quarantine/keeper/stored.go
@@ -14,16 +14,17 @@
 
 // storedEntry is a quarantine.Entry.
 type storedEntry struct {
-	Fleet   string   `json:"fleet"`
-	Parts   []string `json:"parts"`
-	Crashes int      `json:"crashes"`
+	Fleet       string   `json:"fleet,omitempty"`
+	Parts       []string `json:"parts,omitempty"`
+	Fingerprint string   `json:"fingerprint,omitempty"`
+	Crashes     int      `json:"crashes"`
 	// LastCrashMillis is the wall-clock time of the last crash in Unix milliseconds.
 	LastCrashMillis int64 `json:"last_crash_ms"`
 }
 
-// key is equal for entries of the same fleet and parts.
+// key is equal for entries of the same request, or of the same fleet and parts.
 func (e *storedEntry) key() string {
-	name, err := json.Marshal([]any{e.Fleet, e.Parts})
+	name, err := json.Marshal([]any{e.Fingerprint, e.Fleet, e.Parts})
 	if err != nil {
 		panic("keeper: " + err.Error()) // strings can always be encoded
 	}
@@ -50,7 +51,9 @@
 	r := &quarantine.Report{}
 	for _, e := range s.Entries {
 		age := max(wall.UnixMilli()-e.LastCrashMillis, 0)
-		r.Entries = append(r.Entries, quarantine.EntryReport{Fleet: e.Fleet, Parts: e.Parts, Crashes: e.Crashes, AgeMillis: age})
+		r.Entries = append(r.Entries, quarantine.EntryReport{
+			Fleet: e.Fleet, Parts: e.Parts, Fingerprint: e.Fingerprint, Crashes: e.Crashes, AgeMillis: age,
+		})
 	}
 	return r
 }
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -9,10 +9,12 @@
 	// reportRetention is how long hosts tell each other of a crash or of a part that does not crash endpoints.
 	// Messages are repeated, because they may be lost.
 	reportRetention = 10 * time.Second
-	// maxReportedCrashes, maxReportedCleared and maxReportedEntries bound a message.
-	maxReportedCrashes = 24
-	maxReportedCleared = 64
-	maxReportedEntries = 32
+	// maxReportedCrashes, maxReportedRequests (of all crashes together), maxReportedCleared and
+	// maxReportedEntries bound a message.
+	maxReportedCrashes  = 24
+	maxReportedRequests = 256
+	maxReportedCleared  = 64
+	maxReportedEntries  = 32
 )
 
 // Report is what a host tells others. Ages are in milliseconds.
@@ -22,31 +24,42 @@
 	Entries []EntryReport   `json:"entries,omitempty"`
 }
 
-// CrashReport says that an endpoint has supposedly crashed, and which parts of prompts were in progress.
+// CrashReport says that an endpoint has supposedly crashed, and which parts of prompts and which requests were
+// in progress.
 type CrashReport struct {
-	Fleet     string   `json:"fleet"`
-	Endpoint  string   `json:"endpoint"`
-	Parts     []string `json:"parts,omitempty"`
-	AgeMillis int64    `json:"age_ms"`
+	Fleet     string          `json:"fleet"`
+	Endpoint  string          `json:"endpoint"`
+	Parts     []string        `json:"parts,omitempty"`
+	Requests  []RequestReport `json:"requests,omitempty"`
+	AgeMillis int64           `json:"age_ms"`
 	// Survived is set if the endpoint has answered since.
 	Survived bool `json:"survived,omitempty"`
 }
 
-// ClearedReport says that a part which was in progress at a crash was in a complete response later.
+// RequestReport is a request that was in progress at a crash, and for how long it had been.
+type RequestReport struct {
+	Fingerprint string `json:"fingerprint"`
+	RanMillis   int64  `json:"ran_ms"`
+}
+
+// ClearedReport says that a part or a request which was in progress at a crash has had a complete response
+// later.
 type ClearedReport struct {
-	Fleet     string `json:"fleet"`
-	Part      string `json:"part"`
-	AgeMillis int64  `json:"age_ms"`
+	Fleet       string `json:"fleet,omitempty"`
+	Part        string `json:"part,omitempty"`
+	Fingerprint string `json:"fingerprint,omitempty"`
+	AgeMillis   int64  `json:"age_ms"`
 	// ID identifies the response.
 	ID string `json:"id"`
 }
 
 // EntryReport is an entry; the age is that of its last crash.
 type EntryReport struct {
-	Fleet     string   `json:"fleet"`
-	Parts     []string `json:"parts"`
-	Crashes   int      `json:"crashes"`
-	AgeMillis int64    `json:"age_ms"`
+	Fleet       string   `json:"fleet,omitempty"`
+	Parts       []string `json:"parts,omitempty"`
+	Fingerprint string   `json:"fingerprint,omitempty"`
+	Crashes     int      `json:"crashes"`
+	AgeMillis   int64    `json:"age_ms"`
 }
 
 // Report returns what to tell the other hosts, the newest of each kind first; nil if there is nothing.
@@ -66,23 +79,31 @@
 
 func (t *Table) crashReports(now time.Time) []CrashReport {
 	var reports []CrashReport
+	requests := 0
 	for _, c := range slices.Backward(t.log.crashes) {
 		age := now.Sub(c.at)
 		if age >= reportRetention || len(reports) == maxReportedCrashes {
 			break
 		}
-		if len(c.parts) > 0 || c.survived {
-			reports = append(reports, CrashReport{c.fleet, c.endpoint, slices.Clone(c.parts), age.Milliseconds(), c.survived})
+		if len(c.parts)+len(c.requests) == 0 && !c.survived {
+			continue
+		}
+		r := CrashReport{Fleet: c.fleet, Endpoint: c.endpoint, AgeMillis: age.Milliseconds(), Survived: c.survived}
+		r.Parts = slices.Clone(c.parts)
+		for _, q := range c.requests[:min(len(c.requests), maxReportedRequests-requests)] {
+			r.Requests = append(r.Requests, RequestReport{q.fingerprint, q.ran.Milliseconds()})
 		}
+		requests += len(r.Requests)
+		reports = append(reports, r)
 	}
 	return reports
 }
 
 func (t *Table) clearedReports(now time.Time) []ClearedReport {
 	var reports []ClearedReport
-	for key, c := range t.cleared {
+	for by, c := range t.cleared {
 		if age := now.Sub(c.at); age < reportRetention {
-			reports = append(reports, ClearedReport{key.fleet, key.part, age.Milliseconds(), c.id})
+			reports = append(reports, ClearedReport{by.fleet, by.part, by.fingerprint, age.Milliseconds(), c.id})
 		}
 	}
 	slices.SortFunc(reports, func(a, b ClearedReport) int { return int(a.AgeMillis - b.AgeMillis) })
@@ -93,7 +114,8 @@
 	list := t.entries.settledList()
 	reports := make([]EntryReport, 0, len(list))
 	for _, e := range list[:min(len(list), maxReportedEntries)] {
-		reports = append(reports, EntryReport{e.Fleet, e.Parts, e.Crashes, now.Sub(e.LastCrash).Milliseconds()})
+		age := now.Sub(e.LastCrash).Milliseconds()
+		reports = append(reports, EntryReport{e.Fleet, e.Parts, e.Fingerprint, e.Crashes, age})
 	}
 	return reports
 }
@@ -113,7 +135,7 @@
 	changed := t.stale
 	for _, c := range r.Cleared {
 		if at, ok := timeOf(now, c.AgeMillis); ok {
-			t.applyCleared(clearing{at, c.ID}, partKey{c.Fleet, c.Part}, source)
+			t.applyCleared(clearing{at, c.ID}, cause{c.Fleet, c.Part, c.Fingerprint}, source)
 		}
 	}
 	for i := range r.Entries {
@@ -142,32 +164,40 @@
 		t.stale = true
 	}
 	t.addParts(c, r.Parts)
+	for _, q := range r.Requests {
+		if q.Fingerprint != "" {
+			t.addRequest(c, q.Fingerprint, time.Duration(max(q.RanMillis, 0))*time.Millisecond)
+		}
+	}
 }
 
-// applyCleared keeps a part that was cleared elsewhere, also one that this host does not know to be in
-// progress at a crash: the report of the crash may arrive later.
-func (t *Table) applyCleared(c clearing, key partKey, source string) {
-	known, ok := t.cleared[key]
+// applyCleared keeps what was cleared elsewhere, also what this host does not know to be in progress at a
+// crash: the report of the crash may arrive later.
+func (t *Table) applyCleared(c clearing, by cause, source string) {
+	known, ok := t.cleared[by]
 	if ok && (c.id == known.id || !c.at.After(known.at)) || !ok && len(t.cleared) >= maxCleared {
 		return
 	}
-	t.clearPart(c, key, source)
+	t.clearCause(c, by, source)
 }
 
-// maxCleared bounds the parts that are remembered as cleared.
+// maxCleared bounds the causes that are remembered as cleared.
 const maxCleared = 4096
 
 func (t *Table) applyEntry(now time.Time, r *EntryReport, source string) {
 	at, ok := timeOf(now, r.AgeMillis)
-	if !ok || len(r.Parts) == 0 || len(r.Parts) > maxCrashParts || r.Crashes < minOccasions {
+	if !ok || len(r.Parts) > maxCrashParts || r.Crashes < minOccasions {
 		return
 	}
-	e := Entry{Fleet: r.Fleet, Parts: slices.Clone(r.Parts), Crashes: r.Crashes, LastCrash: at}
+	e := Entry{Fleet: r.Fleet, Parts: slices.Clone(r.Parts), Fingerprint: r.Fingerprint, Crashes: r.Crashes, LastCrash: at}
+	if e.isRequest() {
+		e.Fleet, e.Parts = "", nil
+	}
 	slices.Sort(e.Parts)
 	e.Parts = slices.DeleteFunc(slices.Compact(e.Parts), func(part string) bool {
-		return t.isClearedSince(at, partKey{e.Fleet, part})
+		return t.isClearedSince(at, cause{fleet: e.Fleet, part: part})
 	})
-	if len(e.Parts) == 0 {
+	if len(e.Parts) == 0 && (!e.isRequest() || t.isClearedSince(at, cause{fingerprint: e.Fingerprint})) {
 		return
 	}
 	before := t.entries.list()
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -14,10 +14,12 @@
 	// reportEvery and messageDelay are those of hosts that form a full mesh.
 	reportEvery  = 250 * time.Millisecond
 	messageDelay = 25 * time.Millisecond
-	// contactTime is how long after the fifth crash hosts may still send bad requests, and maxLate how many
-	// may arrive later, those of probes included.
-	contactTime = 3 * time.Second
-	maxLate     = 3
+	// contactTime is how long after toleratedCrashes of a part, or toleratedRequestCrashes of a request, hosts
+	// may still send it, and maxLate how many may arrive later, those of probes included.
+	contactTime             = 3 * time.Second
+	toleratedCrashes        = 5
+	toleratedRequestCrashes = 3
+	maxLate                 = 3
 )
 
 // simulation plays hosts that send good and bad requests to endpoints, which the bad ones crash.
@@ -29,9 +31,13 @@
 	now       time.Time
 	// loss is the share of messages lost, and crashRate that of ordinary crashes in a second.
 	loss, crashRate float64
-	crashes         int
-	fifthCrash      time.Time
-	// late counts the bad requests that arrive contactTime after the fifth crash.
+	// tolerated is the number of crashes after which bad requests are judged, and lastTolerated the time of
+	// the last of them.
+	tolerated, crashes int
+	lastTolerated      time.Time
+	// resends has hosts send a bad request to a second endpoint when the first has crashed.
+	resends bool
+	// late counts the bad requests that arrive contactTime after lastTolerated.
 	late int
 	// good and refused count the good requests from that time on.
 	good, refused int
@@ -47,10 +53,12 @@
 func (e *simulatedEndpoint) instance() string { return fmt.Sprint(e.name, ".", e.run) }
 
 type simulatedRequest struct {
-	host   *Table
-	prompt Prompt
-	bad    bool
-	endsAt time.Time
+	host    *Table
+	request Request
+	bad     bool
+	resent  bool
+	sentAt  time.Time
+	endsAt  time.Time
 }
 
 type simulatedMessage struct {
@@ -60,41 +68,55 @@
 }
 
 func (s *simulation) judged() bool {
-	return !s.fifthCrash.IsZero() && s.now.Sub(s.fifthCrash) >= contactTime
+	return !s.lastTolerated.IsZero() && s.now.Sub(s.lastTolerated) >= contactTime
 }
 
-// send sends a request through a random host to a random endpoint that is up.
-func (s *simulation) send(bad bool, p Prompt) {
+// send sends a request through a random host.
+func (s *simulation) send(bad bool, r Request) {
 	probing := s.random.IntN(len(s.hosts))
 	host := s.hosts[probing]
-	allowed := host.Check(s.now, p, func() bool { return probing == 0 }).Allowed
+	allowed := host.Check(s.now, r, func() bool { return probing == 0 }).Allowed
 	if !bad && s.judged() {
 		s.good++
 		if !allowed {
 			s.refused++
 		}
 	}
+	if allowed {
+		s.dispatch(simulatedRequest{host: host, request: r, bad: bad, sentAt: s.now})
+	}
+}
+
+// dispatch sends a request to a random endpoint, which may be down.
+func (s *simulation) dispatch(r simulatedRequest) {
 	e := s.endpoints[s.random.IntN(len(s.endpoints))]
-	if !allowed || s.now.Before(e.downTo) {
+	if s.now.Before(e.downTo) {
 		return
 	}
-	if bad && s.judged() {
+	if r.bad && s.judged() {
 		s.late++
 	}
 	duration := time.Duration(200+s.random.IntN(1500)) * time.Millisecond
-	if bad {
+	if r.bad {
 		duration = time.Duration(50+s.random.IntN(100)) * time.Millisecond
 	}
-	e.running = append(e.running, simulatedRequest{host, p, bad, s.now.Add(duration)})
+	r.endsAt = s.now.Add(duration)
+	e.running = append(e.running, r)
 }
 
 func (s *simulation) crash(e *simulatedEndpoint) {
-	for _, r := range e.running {
-		r.host.Terminated(s.now, e.instance(), r.prompt)
-	}
+	running := e.running
 	e.running = nil
+	for _, r := range running {
+		r.host.Terminated(s.now, e.instance(), r.sentAt, r.request)
+	}
 	e.downTo = s.now.Add(2 * time.Second)
 	e.run++
+	for _, r := range running {
+		if r.bad && s.resends && !r.resent && r.host.Check(s.now, r.request, nil).Allowed {
+			s.dispatch(simulatedRequest{host: r.host, request: r.request, bad: true, resent: true, sentAt: s.now})
+		}
+	}
 }
 
 func (s *simulation) runEndpoint(e *simulatedEndpoint) {
@@ -108,13 +130,13 @@
 			left = append(left, r)
 		case r.bad:
 			s.crashes++
-			if s.crashes == 5 {
-				s.fifthCrash = s.now
+			if s.crashes == s.tolerated {
+				s.lastTolerated = s.now
 			}
 			s.crash(e)
 			return
 		default:
-			r.host.Completed(s.now, e.instance(), r.prompt, false)
+			r.host.Completed(s.now, e.instance(), r.sentAt, r.request, false)
 		}
 	}
 	e.running = left
@@ -142,47 +164,84 @@
 	s.messages = left
 }
 
-// TestBadPartIsToldFromItsCompanions plays a minute of requests. Bad ones share the first part and the
-// organisation's part with good ones.
-func TestBadPartIsToldFromItsCompanions(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		s := &simulation{
-			random:    rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)),
-			now:       epoch,
-			loss:      rapid.Float64Range(0, .3).Draw(t, "loss"),
-			crashRate: rapid.Float64Range(0, .2).Draw(t, "ordinary crashes a second"),
+// newSimulation draws hosts, endpoints, losses and ordinary crashes.
+func newSimulation(t *rapid.T) *simulation {
+	s := &simulation{
+		random:    rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)),
+		now:       epoch,
+		loss:      rapid.Float64Range(0, .3).Draw(t, "loss"),
+		crashRate: rapid.Float64Range(0, .2).Draw(t, "ordinary crashes a second"),
+	}
+	for i := range rapid.IntRange(1, 12).Draw(t, "hosts") {
+		s.hosts = append(s.hosts, NewTable(fmt.Sprint("h", i)))
+	}
+	for i := range rapid.IntRange(6, 40).Draw(t, "endpoints") {
+		s.endpoints = append(s.endpoints, &simulatedEndpoint{name: fmt.Sprint("e", i)})
+	}
+	return s
+}
+
+// run plays a minute of requests, which the functions return, and judges them.
+func (s *simulation) run(t *rapid.T, bad, good func(i int) Request) {
+	badRate := rapid.Float64Range(.2, 4).Draw(t, "bad requests a second")
+	goodRate := rapid.Float64Range(20, 80).Draw(t, "good requests a second")
+	for i := 0; s.now.Before(epoch.Add(time.Minute)); i++ {
+		s.now = s.now.Add(simulationStep)
+		if s.random.Float64() < badRate*simulationStep.Seconds() {
+			s.send(true, bad(i))
 		}
-		for i := range rapid.IntRange(1, 12).Draw(t, "hosts") {
-			s.hosts = append(s.hosts, NewTable(fmt.Sprint("h", i)))
+		if s.random.Float64() < goodRate*simulationStep.Seconds() {
+			s.send(false, good(i))
 		}
-		for i := range rapid.IntRange(6, 40).Draw(t, "endpoints") {
-			s.endpoints = append(s.endpoints, &simulatedEndpoint{name: fmt.Sprint("e", i)})
+		for _, e := range s.endpoints {
+			s.runEndpoint(e)
 		}
-		badRate := rapid.Float64Range(.2, 4).Draw(t, "bad requests a second")
-		goodRate := rapid.Float64Range(20, 80).Draw(t, "good requests a second")
-		for i := 0; s.now.Before(epoch.Add(time.Minute)); i++ {
-			s.now = s.now.Add(simulationStep)
-			organisation := fmt.Sprint("o", s.random.IntN(4))
-			if s.random.Float64() < badRate*simulationStep.Seconds() {
-				s.send(true, prompt("first", organisation, "bad"))
-			}
-			if s.random.Float64() < goodRate*simulationStep.Seconds() {
-				s.send(false, prompt("first", organisation, fmt.Sprint("good", s.random.IntN(30))))
-			}
-			for _, e := range s.endpoints {
-				s.runEndpoint(e)
-			}
-			for h := range s.hosts {
-				s.exchange(h)
-			}
-			s.deliver()
+		for h := range s.hosts {
+			s.exchange(h)
 		}
-		if s.late > maxLate {
-			t.Fatalf("%d bad requests arrived after %d crashes", s.late, s.crashes)
+		s.deliver()
+	}
+	if s.late > maxLate {
+		t.Fatalf("%d bad requests arrived after %d crashes", s.late, s.crashes)
+	}
+	if s.refused*20 > s.good {
+		t.Fatalf("%d of %d good requests were refused", s.refused, s.good)
+	}
+}
+
+// TestBadPartIsToldFromItsCompanions has bad requests share the first part and the organisation's part with
+// good ones.
+func TestBadPartIsToldFromItsCompanions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t)
+		s.tolerated = toleratedCrashes
+		request := func(i int, part string) Request {
+			return named(fmt.Sprint("request ", i), "first", fmt.Sprint("o", s.random.IntN(4)), part)
 		}
-		if s.refused*20 > s.good {
-			t.Fatalf("%d of %d good requests were refused", s.refused, s.good)
+		s.run(t,
+			func(i int) Request { return request(i, "bad") },
+			func(i int) Request { return request(i, fmt.Sprint("good", s.random.IntN(30))) })
+	})
+}
+
+// TestBadRequestIsToldFromItsCompanions has one request come again and again. Good requests, of which some
+// come again too, have the same prompt or none.
+func TestBadRequestIsToldFromItsCompanions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t)
+		s.tolerated, s.resends = toleratedRequestCrashes, true
+		var parts []string
+		if rapid.Bool().Draw(t, "with a prompt") {
+			parts = []string{"first", "second"}
 		}
+		s.run(t,
+			func(int) Request { return named("bad", parts...) },
+			func(i int) Request {
+				if s.random.IntN(2) == 0 {
+					return named(fmt.Sprint("popular ", s.random.IntN(5)), parts...)
+				}
+				return named(fmt.Sprint("request ", i), parts...)
+			})
 	})
 }
 
@@ -195,13 +254,14 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
 			host := hosts[rapid.IntRange(0, 2).Draw(t, "host")]
 			p := prompt(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "part"))
+			p.Fingerprint = rapid.SampledFrom([]string{"x", "y"}).Draw(t, "request")
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0:
-				host.Completed(now, "e", p, false)
+				host.Completed(now, "e", longBefore, p, false)
 			case 1:
 				host.Apply(now, "h", hosts[0].Report(now))
 			default:
-				host.Terminated(now, fmt.Sprint("e", rapid.IntRange(0, 9).Draw(t, "endpoint")), p)
+				host.Terminated(now, fmt.Sprint("e", rapid.IntRange(0, 9).Draw(t, "endpoint")), longBefore, p)
 			}
 		}
 		for range 2 {
@@ -212,17 +272,16 @@
 			}
 		}
 		for _, host := range hosts[1:] {
-			compareParts(t, now, hosts[0], host)
+			compareVerdicts(t, now, hosts[0], host)
 		}
 	})
 }
 
-// compareParts checks that two hosts refuse the same prompts.
-func compareParts(t *rapid.T, now time.Time, one, other *Table) {
-	for _, part := range []string{"a", "b", "c"} {
-		p := prompt(part)
-		if one.Check(now, p, nil).Allowed != other.Check(now, p, nil).Allowed {
-			t.Fatalf("hosts differ about %q", part)
+// compareVerdicts checks that two hosts refuse the same requests.
+func compareVerdicts(t *rapid.T, now time.Time, one, other *Table) {
+	for _, r := range []Request{prompt("a"), prompt("b"), prompt("c"), named("x"), named("y")} {
+		if one.Check(now, r, nil).Allowed != other.Check(now, r, nil).Allowed {
+			t.Fatalf("hosts differ about %v", r)
 		}
 	}
 }
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -2,25 +2,27 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// minOccasions is the number of separate occasions of crashes after which parts are quarantined.
+	// minOccasions is the number of separate occasions of crashes after which a cause is quarantined.
 	minOccasions = 3
 	// occasionGap separates occasions. Endpoints that crash together, as when a rack loses power, tell no more
-	// about the prompts than one does.
+	// about what they ran than one does.
 	occasionGap = 250 * time.Millisecond
+	// resendTolerance is how much earlier than a crash a request may seem to be sent that was sent because of
+	// it: hosts learn of crashes with ages in whole milliseconds.
+	resendTolerance = 5 * time.Millisecond
 )
 
-// suspect is a part of prompts with the crashes at which it was in progress, the earliest first.
+// suspect is a possible cause with the crashes at which it was in progress, the earliest first.
 type suspect struct {
-	key     partKey
+	cause   cause
 	crashes []*crash
-	// occasions is the number of separate occasions of the crashes.
-	occasions int
+	// weight is the number of occasions apart by occasionGap, by which suspects are compared.
+	weight int
 }
 
 // occasions counts the separate occasions of crashes, the earliest first.
@@ -36,65 +38,102 @@
 	return n
 }
 
-// suspects returns the parts with their crashes: those with the most occasions first, and else in an order
-// that is the same on all hosts.
+// occasionsOf counts the separate occasions of crashes for one possible cause. A request that was sent after
+// one crash and was in progress at the next was there on two occasions, however close they are: what took the
+// first endpoint down had not taken the second.
+func occasionsOf(by cause, crashes []*crash) int {
+	if !by.isRequest() {
+		return occasions(crashes)
+	}
+	n := 0
+	var began time.Time
+	for _, c := range crashes {
+		if n == 0 || c.isNewOccasion(by, began) {
+			n++
+			began = c.at
+		}
+	}
+	return n
+}
+
+// isNewOccasion reports whether the crash is separate from an earlier one for a possible cause.
+func (c *crash) isNewOccasion(by cause, earlier time.Time) bool {
+	if c.at.Sub(earlier) >= occasionGap {
+		return true
+	}
+	return by.isRequest() && c.at.After(earlier) && !c.sentAt(by.fingerprint).Before(earlier.Add(-resendTolerance))
+}
+
+// suspects returns the possible causes with their crashes: those with the most weight first, of equal weight
+// requests before parts, and else in an order that is the same on all hosts.
 func suspects(crashes []*crash) []suspect {
-	byKey := map[partKey]*suspect{}
+	byCause := map[cause]*suspect{}
 	for _, c := range crashes {
 		if c.survived {
 			continue
 		}
 		for _, part := range c.parts {
-			key := partKey{c.fleet, part}
-			if byKey[key] == nil {
-				byKey[key] = &suspect{key: key}
-			}
-			byKey[key].crashes = append(byKey[key].crashes, c)
+			addCrash(byCause, cause{fleet: c.fleet, part: part}, c)
+		}
+		for _, r := range c.requests {
+			addCrash(byCause, cause{fingerprint: r.fingerprint}, c)
 		}
 	}
-	list := make([]suspect, 0, len(byKey))
-	for s := range maps.Values(byKey) {
-		s.occasions = occasions(s.crashes)
+	list := make([]suspect, 0, len(byCause))
+	for _, s := range byCause {
+		if len(s.crashes) < minOccasions {
+			continue
+		}
+		s.weight = occasions(s.crashes)
 		list = append(list, *s)
 	}
 	slices.SortFunc(list, func(a, b suspect) int {
 		return cmp.Or(
-			cmp.Compare(b.occasions, a.occasions),
-			cmp.Compare(a.key.fleet, b.key.fleet),
-			cmp.Compare(a.key.part, b.key.part),
+			cmp.Compare(b.weight, a.weight),
+			cmp.Compare(b.cause.fingerprint, a.cause.fingerprint), // that of a part is empty
+			cmp.Compare(a.cause.fleet, b.cause.fleet),
+			cmp.Compare(a.cause.part, b.cause.part),
 		)
 	})
 	return list
 }
 
-// decide returns the parts to quarantine because of the crashes. A part is among them if it was in progress
-// on minOccasions occasions that parts with more occasions do not explain. All parts that were in progress
-// at each of its crashes are quarantined together with it, because nothing tells them apart.
+func addCrash(byCause map[cause]*suspect, by cause, c *crash) {
+	s := byCause[by]
+	if s == nil {
+		s = &suspect{cause: by}
+		byCause[by] = s
+	}
+	s.crashes = append(s.crashes, c)
+}
+
+// decide returns what to quarantine because of the crashes: what was in progress on minOccasions occasions
+// that weightier suspects do not explain. All parts that were in progress at each of a part's crashes are
+// quarantined together with it, because nothing tells them apart.
 func decide(crashes []*crash) []Entry {
 	list := suspects(crashes)
 	var entries []Entry
 	for i, s := range list {
-		if s.occasions < minOccasions {
-			break
-		}
-		if occasions(s.unexplained(list[:i])) < minOccasions {
+		if occasionsOf(s.cause, s.unexplained(list[:i])) < minOccasions {
 			continue
 		}
 		last := s.crashes[len(s.crashes)-1]
-		entries = append(entries, Entry{
-			Fleet: s.key.fleet, Parts: s.inseparable(), Crashes: s.occasions, LastCrash: last.at,
-		})
+		e := Entry{Crashes: occasionsOf(s.cause, s.crashes), LastCrash: last.at}
+		if s.cause.isRequest() {
+			e.Fingerprint = s.cause.fingerprint
+		} else {
+			e.Fleet, e.Parts = s.cause.fleet, s.inseparable()
+		}
+		entries = append(entries, e)
 	}
 	return entries
 }
 
-// unexplained returns the crashes at which none of the others that has more occasions was in progress.
+// unexplained returns the crashes at which none of the others that explain a crash was in progress.
 func (s *suspect) unexplained(others []suspect) []*crash {
 	var left []*crash
 	for _, c := range s.crashes {
-		explained := slices.ContainsFunc(others, func(o suspect) bool {
-			return o.key.fleet == s.key.fleet && c.has(o.key.part) && o.occasions > s.occasions
-		})
+		explained := slices.ContainsFunc(others, func(o suspect) bool { return o.outweighs(s) && c.has(o.cause) })
 		if !explained {
 			left = append(left, c)
 		}
@@ -102,11 +141,21 @@
 	return left
 }
 
+// outweighs reports whether the suspect explains crashes rather than another one. A request does so already
+// with the same weight as a part of its prompt: other requests with the part have not crashed an endpoint.
+func (s *suspect) outweighs(other *suspect) bool {
+	if s.weight == other.weight {
+		return s.cause.isRequest() && !other.cause.isRequest()
+	}
+	return s.weight > other.weight
+}
+
 // inseparable returns the parts that were in progress at each of the suspect's crashes, itself included.
 func (s *suspect) inseparable() []string {
 	var parts []string
 	for _, part := range s.crashes[0].parts {
-		if !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !c.has(part) }) {
+		by := cause{fleet: s.cause.fleet, part: part}
+		if !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !c.has(by) }) {
 			parts = append(parts, part)
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -9,17 +9,10 @@
 	"time"
 )
 
-// Prompt is what of a request may crash endpoints: the fleet that serves it, and the parts of its prompt that
-// other requests may have too.
-type Prompt struct {
-	Fleet string
-	Parts []string
-}
-
 // Verdict says whether a request may be sent.
 type Verdict struct {
 	Allowed bool
-	// Probe is set if the request is sent to find out whether its prompt still crashes endpoints.
+	// Probe is set if the request is sent to find out whether it still crashes endpoints.
 	Probe bool
 	// Entry is the quarantine that covers the request; nil if none does.
 	Entry *Entry
@@ -34,8 +27,8 @@
 	mu      sync.Mutex
 	log     crashLog
 	entries entryTable
-	// cleared holds the parts that were in progress at a crash and in a complete response later.
-	cleared map[partKey]clearing
+	// cleared holds what was in progress at a crash and has had a complete response later.
+	cleared map[cause]clearing
 	// host is the name of this host, and clearings counts what it has cleared.
 	host      string
 	clearings uint64
@@ -47,7 +40,7 @@
 	changes []Change
 }
 
-// clearing is the last time that a part was in a complete response. The ID is the same on all hosts that
+// clearing is the last complete response to a request with a possible cause. The ID is the same on all hosts that
 // have heard of it, whose times differ by the delays of messages.
 type clearing struct {
 	at time.Time
@@ -56,7 +49,7 @@
 
 // NewTable returns a table without any crash for the host with the given name.
 func NewTable(host string) *Table {
-	return &Table{host: host, entries: entryTable{}, cleared: map[partKey]clearing{}}
+	return &Table{host: host, entries: entryTable{}, cleared: map[cause]clearing{}}
 }
 
 // Active reports whether anything is known. If not, Responded has no effect.
@@ -64,14 +57,14 @@
 
 // Check returns whether a request may be sent. When a probe is due, it is one if mayProbe returns true; a nil
 // function stands for false.
-func (t *Table) Check(now time.Time, p Prompt, mayProbe func() bool) Verdict {
-	if !t.active.Load() || len(p.Parts) == 0 {
+func (t *Table) Check(now time.Time, r Request, mayProbe func() bool) Verdict {
+	if !t.active.Load() {
 		return Verdict{Allowed: true}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.update(now, "")
-	e := t.entries.find(p)
+	e := t.entries.find(&r)
 	if e == nil {
 		return Verdict{Allowed: true}
 	}
@@ -87,56 +80,74 @@
 	return Verdict{Allowed: true, Probe: true, Entry: &entry}
 }
 
-// Terminated records that an endpoint closed the connection of a request before its response was complete.
-func (t *Table) Terminated(now time.Time, endpoint string, p Prompt) {
-	if len(p.Parts) == 0 {
-		return
-	}
+// Terminated records that an endpoint closed the connection of a request, sent at a time, before its response
+// was complete.
+func (t *Table) Terminated(now time.Time, endpoint string, sentAt time.Time, r Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addCrash(now, endpoint, p)
+	t.addCrash(now, attempt{Request: r, endpoint: endpoint, ran: now.Sub(sentAt)})
 }
 
-func (t *Table) addCrash(now time.Time, endpoint string, p Prompt) {
+func (t *Table) addCrash(at time.Time, a attempt) {
 	t.active.Store(true)
-	c := t.log.findOrAdd(p.Fleet, endpoint, now)
-	t.addParts(c, p.Parts)
-	for _, e := range t.endings.take(now, endpoint) {
-		t.addParts(c, e.prompt.Parts)
+	c := t.log.findOrAdd(a.Fleet, a.endpoint, at)
+	t.addAttempt(c, &a, at)
+	for _, e := range t.endings.take(at, a.endpoint) {
+		t.addAttempt(c, &e.attempt, e.at)
+	}
+}
+
+// addAttempt adds an attempt that ended at a time to a crash.
+func (t *Table) addAttempt(c *crash, a *attempt, endedAt time.Time) {
+	t.addParts(c, a.Parts)
+	if a.Fingerprint != "" {
+		t.addRequest(c, a.Fingerprint, max(a.ran+c.at.Sub(endedAt), 0))
 	}
 }
 
 // addParts adds parts to a crash, except those that were in a complete response since.
 func (t *Table) addParts(c *crash, parts []string) {
 	for _, part := range parts {
-		if t.isClearedSince(c.at, partKey{c.fleet, part}) {
-			continue
-		}
-		if c.add(part) {
+		if !t.isClearedSince(c.at, cause{fleet: c.fleet, part: part}) && c.addPart(part) {
 			t.stale = true
 		}
 	}
 }
 
-// isClearedSince reports whether a part was in a complete response at or after a time.
-func (t *Table) isClearedSince(at time.Time, key partKey) bool {
-	c, cleared := t.cleared[key]
+// addRequest adds a request to a crash, unless it has had a complete response since.
+func (t *Table) addRequest(c *crash, fingerprint string, ran time.Duration) {
+	if !t.isClearedSince(c.at, cause{fingerprint: fingerprint}) && c.addRequest(fingerprint, ran) {
+		t.stale = true
+	}
+}
+
+// isClearedSince reports whether a possible cause has had a complete response at or after a time.
+func (t *Table) isClearedSince(at time.Time, by cause) bool {
+	c, cleared := t.cleared[by]
 	return cleared && !at.After(c.at)
 }
 
-// Completed records that the response to a request is complete. A response that ended with its connection
-// may have been cut off by a crash: it counts once its endpoint answers a later request.
-func (t *Table) Completed(now time.Time, endpoint string, p Prompt, endedWithConnection bool) {
-	if len(p.Parts) == 0 || !endedWithConnection && !t.active.Load() {
+// Completed records that the response to a request, sent at a time, is complete. A response that ended with
+// its connection may have been cut off by a crash: it counts once its endpoint answers a later request.
+func (t *Table) Completed(now time.Time, endpoint string, sentAt time.Time, r Request, endedWithConnection bool) {
+	if !endedWithConnection && !t.active.Load() {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if endedWithConnection {
-		t.endings.add(now, endpoint, p)
+		t.endings.add(ending{attempt: attempt{r, endpoint, now.Sub(sentAt)}, at: now})
 		return
 	}
-	t.clear(now, p)
+	t.clear(now, r)
+}
+
+// Abandoned records that a request, sent at a time, was given up while its endpoint may have worked on it. If
+// the endpoint crashes soon, the request may be the reason.
+func (t *Table) Abandoned(now time.Time, endpoint string, sentAt time.Time, r Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endings.add(ending{attempt: attempt{r, endpoint, now.Sub(sentAt)}, at: now, abandoned: true})
 }
 
 // Responded records that an endpoint has begun to answer a request that was sent at a time.
@@ -147,7 +158,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.endings.takeBefore(now, endpoint, sentAt) {
-		t.clear(now, e.prompt)
+		if !e.abandoned {
+			t.clear(now, e.Request)
+		}
 	}
 	c := t.log.find(endpoint, sentAt)
 	if c != nil && !c.survived && sentAt.After(c.at) && now.Sub(c.at) < survivalWindow {
@@ -156,47 +169,46 @@
 	}
 }
 
-// Unreachable records that an endpoint accepts no connections. If a response of it has just ended with its
+// Unreachable records that an endpoint refuses connections. If a response of it has just ended with its
 // connection, it was cut off.
 func (t *Table) Unreachable(now time.Time, endpoint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.endings.take(now, endpoint) {
-		t.addCrash(e.at, endpoint, e.prompt)
+		t.addCrash(e.at, e.attempt)
 	}
 }
 
-// clear records that the parts of a prompt do not crash endpoints.
-func (t *Table) clear(at time.Time, p Prompt) {
-	for _, part := range p.Parts {
-		key := partKey{p.Fleet, part}
-		if t.log.hasPart(key) || t.entries.has(key) {
+// clear records that a request does not crash endpoints.
+func (t *Table) clear(at time.Time, r Request) {
+	for _, by := range r.causes() {
+		if t.log.has(by) || t.entries.has(by) {
 			t.clearings++
-			t.clearPart(clearing{at: at, id: fmt.Sprint(t.host, "#", t.clearings)}, key, "")
+			t.clearCause(clearing{at: at, id: fmt.Sprint(t.host, "#", t.clearings)}, by, "")
 		}
 	}
 }
 
-func (t *Table) clearPart(by clearing, key partKey, source string) {
-	t.cleared[key] = by
-	for _, c := range t.log.crashes {
-		if c.fleet == key.fleet && !c.at.After(by.at) && c.remove(key.part) {
+func (t *Table) clearCause(c clearing, by cause, source string) {
+	t.cleared[by] = c
+	for _, crashed := range t.log.crashes {
+		if !crashed.at.After(c.at) && crashed.remove(by) {
 			t.stale = true
 		}
 	}
-	if e := t.entries.newest(key); e == nil || e.LastCrash.After(by.at) {
+	if e := t.entries.newest(by); e == nil || e.LastCrash.After(c.at) {
 		return
 	}
 	before := t.entries.list()
-	t.entries.clear(key)
+	t.entries.clear(by)
 	t.recordChanges(before, source)
 }
 
-// Release ends the quarantines of the parts of a prompt, as a complete response does.
-func (t *Table) Release(now time.Time, p Prompt) {
+// Release ends the quarantines of the parts of a prompt, or of a request, as a complete response does.
+func (t *Table) Release(now time.Time, r Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clear(now, p)
+	t.clear(now, r)
 }
 
 // update works out the entries from the crashes if those have changed, and drops what is too old. The
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -10,17 +10,20 @@
 
 var epoch = time.Unix(1_800_000_000, 0)
 
+// longBefore is when requests were sent of which it does not matter when.
+var longBefore = epoch.Add(-time.Hour)
+
 func at(seconds float64) time.Time { return epoch.Add(time.Duration(seconds * float64(time.Second))) }
 
-func prompt(parts ...string) Prompt { return Prompt{Fleet: "f", Parts: parts} }
+func prompt(parts ...string) Request { return Request{Fleet: "f", Parts: parts} }
 
 func yes() bool { return true }
 
 // crashes records a crash each second at which the prompts were in progress.
-func crashes(t *Table, n int, prompts ...Prompt) {
+func crashes(t *Table, n int, prompts ...Request) {
 	for i := range n {
 		for _, p := range prompts {
-			t.Terminated(at(float64(i)), fmt.Sprint("e", i), p)
+			t.Terminated(at(float64(i)), fmt.Sprint("e", i), longBefore, p)
 		}
 	}
 }
@@ -32,14 +35,14 @@
 	for i := range minOccasions {
 		is.True(table.Check(at(float64(i)), bad, nil).Allowed)
 		crashes(table, i+1, bad, good)
-		table.Completed(at(float64(i)+.5), "other", good, false)
+		table.Completed(at(float64(i)+.5), "other", longBefore, good, false)
 	}
 	v := table.Check(at(minOccasions), bad, nil)
 	is.True(!v.Allowed)
 	is.Equal(v.Entry.Parts, []string{"bad"})
 	is.True(table.Check(at(minOccasions), good, nil).Allowed)
 	is.True(table.Check(at(minOccasions), prompt("first", "new"), nil).Allowed)
-	is.True(table.Check(at(minOccasions), Prompt{"other fleet", bad.Parts}, nil).Allowed)
+	is.True(table.Check(at(minOccasions), Request{Fleet: "other fleet", Parts: bad.Parts}, nil).Allowed)
 	is.True(!table.Check(at(minOccasions), prompt("other", "bad", "more"), nil).Allowed)
 }
 
@@ -47,7 +50,7 @@
 	is := is.New(t)
 	table := NewTable("h")
 	for i := range minOccasions {
-		table.Terminated(at(float64(i)), fmt.Sprint("e", i), prompt("bad", fmt.Sprint("p", i)))
+		table.Terminated(at(float64(i)), fmt.Sprint("e", i), longBefore, prompt("bad", fmt.Sprint("p", i)))
 	}
 	is.True(!table.Check(at(5), prompt("bad", "new"), nil).Allowed)
 	is.True(table.Check(at(5), prompt("p1"), nil).Allowed)
@@ -59,10 +62,10 @@
 	crashes(table, minOccasions, prompt("bad", "companion"), prompt("bystander"))
 	// Three parts at each crash: no request has all of them yet.
 	is.True(table.Check(at(3), prompt("bad", "companion"), nil).Allowed)
-	table.Completed(at(3), "e", prompt("bystander"), false)
+	table.Completed(at(3), "e", longBefore, prompt("bystander"), false)
 	is.True(!table.Check(at(3), prompt("bad", "companion"), nil).Allowed)
 	is.True(table.Check(at(3), prompt("companion"), nil).Allowed)
-	table.Completed(at(4), "e", prompt("companion"), false)
+	table.Completed(at(4), "e", longBefore, prompt("companion"), false)
 	is.True(!table.Check(at(4), prompt("bad", "other"), nil).Allowed)
 	is.True(table.Check(at(4), prompt("companion"), nil).Allowed)
 }
@@ -71,7 +74,7 @@
 	is := is.New(t)
 	table := NewTable("h")
 	for i := range 2 * minOccasions {
-		table.Terminated(at(float64(i)), fmt.Sprint("e", i), prompt([]string{"bad", "worse"}[i%2], fmt.Sprint("p", i)))
+		table.Terminated(at(float64(i)), fmt.Sprint("e", i), longBefore, prompt([]string{"bad", "worse"}[i%2], fmt.Sprint("p", i)))
 	}
 	is.True(!table.Check(at(9), prompt("bad"), nil).Allowed)
 	is.True(!table.Check(at(9), prompt("worse"), nil).Allowed)
@@ -81,7 +84,7 @@
 	is := is.New(t)
 	table := NewTable("h")
 	crashes(table, minOccasions, prompt("bad"), prompt("rare"))
-	table.Terminated(at(3), "e3", prompt("bad"))
+	table.Terminated(at(3), "e3", longBefore, prompt("bad"))
 	is.True(!table.Check(at(4), prompt("bad"), nil).Allowed)
 	is.True(table.Check(at(4), prompt("rare"), nil).Allowed)
 }
@@ -90,7 +93,7 @@
 	is := is.New(t)
 	table := NewTable("h")
 	for i := range 100 {
-		table.Terminated(at(float64(i)*.002), fmt.Sprint("e", i), prompt("popular"))
+		table.Terminated(at(float64(i)*.002), fmt.Sprint("e", i), longBefore, prompt("popular"))
 	}
 	is.True(table.Check(at(1), prompt("popular"), nil).Allowed)
 }
@@ -100,7 +103,7 @@
 	table := NewTable("h")
 	for i := range 3 * minOccasions {
 		began := float64(i)
-		table.Terminated(at(began), "flaky", prompt("rare"))
+		table.Terminated(at(began), "flaky", longBefore, prompt("rare"))
 		table.Responded(at(began+.1), "flaky", at(began-.1)) // sent before
 		table.Responded(at(began+.2), "flaky", at(began+.1))
 	}
@@ -108,7 +111,7 @@
 	// An answer after a restart under the same name says nothing.
 	for i := range minOccasions {
 		began := 100 + 2*float64(i)
-		table.Terminated(at(began), "again", prompt("bad"))
+		table.Terminated(at(began), "again", longBefore, prompt("bad"))
 		table.Responded(at(began+1.5), "again", at(began+1.4))
 	}
 	is.True(!table.Check(at(110), prompt("bad"), nil).Allowed)
@@ -120,11 +123,11 @@
 		table := NewTable("h")
 		for i := range minOccasions {
 			began := 2 * float64(i)
-			table.Completed(at(began), fmt.Sprint("e", i), prompt("bad"), true)
+			table.Completed(at(began), fmt.Sprint("e", i), longBefore, prompt("bad"), true)
 			if i == 0 {
 				table.Unreachable(at(began+.4), fmt.Sprint("e", i))
 			} else {
-				table.Terminated(at(began+.001), fmt.Sprint("e", i), prompt("other", fmt.Sprint("p", i)))
+				table.Terminated(at(began+.001), fmt.Sprint("e", i), longBefore, prompt("other", fmt.Sprint("p", i)))
 			}
 		}
 		is.True(!table.Check(at(9), prompt("bad"), nil).Allowed)
@@ -133,9 +136,9 @@
 		is := is.New(t)
 		table := NewTable("h")
 		crashes(table, 2, prompt("good"))
-		table.Completed(at(3), "e", prompt("good"), true)
+		table.Completed(at(3), "e", longBefore, prompt("good"), true)
 		table.Responded(at(3.2), "e", at(3.1))
-		table.Terminated(at(4), "e4", prompt("good"))
+		table.Terminated(at(4), "e4", longBefore, prompt("good"))
 		is.True(table.Check(at(5), prompt("good"), nil).Allowed)
 	})
 }
@@ -150,16 +153,16 @@
 	v := table.Check(now, prompt("bad"), yes)
 	is.True(v.Allowed && v.Probe)
 	is.True(!table.Check(now, prompt("bad"), yes).Allowed)
-	table.Terminated(now, "e", prompt("bad"))
+	table.Terminated(now, "e", longBefore, prompt("bad"))
 	v = table.Check(now, prompt("bad"), yes)
 	is.True(!v.Allowed)
 	is.Equal(v.RetryAfter, probeDelayFactor*firstProbeDelay)
-	table.Terminated(now.Add(time.Hour), "e", prompt("bad")) // long after the others were forgotten
+	table.Terminated(now.Add(time.Hour), "e", longBefore, prompt("bad")) // long after the others were forgotten
 	v = table.Check(now.Add(time.Hour), prompt("bad"), yes)
 	is.Equal(v.RetryAfter, probeDelayFactor*probeDelayFactor*firstProbeDelay)
 	now = now.Add(2 * time.Hour)
 	is.True(table.Check(now, prompt("bad"), yes).Probe)
-	table.Completed(now, "e", prompt("bad"), false)
+	table.Completed(now, "e", longBefore, prompt("bad"), false)
 	is.True(table.Check(now, prompt("bad"), nil).Allowed)
 }
 
@@ -174,7 +177,7 @@
 	is.True(other.Apply(at(3), "one", one.Report(at(3))))
 	is.True(!other.Apply(at(3), "one", one.Report(at(3))))
 	is.Equal(other.TakeChanges(at(3))[0].Source, "one")
-	other.Completed(at(4), "e", prompt("bad"), false)
+	other.Completed(at(4), "e", longBefore, prompt("bad"), false)
 	is.True(one.Apply(at(4), "other", other.Report(at(4))))
 	changes = one.TakeChanges(at(4))
 	is.Equal(changes[0].Kind, Released)
@@ -196,7 +199,7 @@
 	is := is.New(t)
 	table := NewTable("h")
 	for i := range 10_000 {
-		table.Terminated(at(float64(i)*.3), fmt.Sprint("e", i), prompt(fmt.Sprint("p", i%1000), fmt.Sprint("q", i)))
+		table.Terminated(at(float64(i)*.3), fmt.Sprint("e", i), longBefore, prompt(fmt.Sprint("p", i%1000), fmt.Sprint("q", i)))
 	}
 	now := at(3000)
 	is.True(len(table.log.crashes) <= maxCrashes)
@@ -226,10 +229,10 @@
 func TestCloseCrashesOfOneEndpointAreTheSameOnAllHosts(t *testing.T) {
 	is := is.New(t)
 	one, other := NewTable("one"), NewTable("other")
-	other.Terminated(at(0), "e0", prompt("a"))
-	one.Terminated(at(.445), "e0", prompt("b"))
-	other.Terminated(at(1), "e0", prompt("a"))
-	one.Terminated(at(1), "e1", prompt("a"))
+	other.Terminated(at(0), "e0", longBefore, prompt("a"))
+	one.Terminated(at(.445), "e0", longBefore, prompt("b"))
+	other.Terminated(at(1), "e0", longBefore, prompt("a"))
+	one.Terminated(at(1), "e1", longBefore, prompt("a"))
 	for range 2 {
 		other.Apply(at(1), "one", one.Report(at(1)))
 		one.Apply(at(1), "other", other.Report(at(1)))
