quarantine: hosts that hear no peer learn quarantines from the store; probes start at 15 s

A host that is cut off from the other hosts but not from the store was in touch and never told: it read the stored quarantines at its start only. TestHostThatHearsNoPeerLearnsStoredQuarantines failed before ('not within 3 s'). Hosts that store changes, which a host without peers is, now watch the stored quarantines too: one waiting call a leader.

Bounds are unchanged.

--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -12,9 +12,7 @@
 	firstProbeDelay  = 15 * time.Second
 	probeDelayFactor = 3
 	maxProbeDelay    = 24 * time.Hour
-	// firstRequestProbeDelay and requestProbeDelayFactor are those of a request. Each probe of it may cost an
-	// endpoint, and nobody but its caller waits for the result.
-	firstRequestProbeDelay  = time.Minute
+	// requestProbeDelayFactor is the factor of a request: only its caller waits for the result.
 	requestProbeDelayFactor = 10
 	// probeTimeout is how long a host waits for the result of a probe before it may send another.
 	probeTimeout = 30 * time.Second
@@ -52,7 +50,7 @@
 func (e *Entry) ProbeAt() time.Time {
 	delay, factor := firstProbeDelay, time.Duration(probeDelayFactor)
 	if e.isRequest() {
-		delay, factor = firstRequestProbeDelay, requestProbeDelayFactor
+		factor = requestProbeDelayFactor
 	}
 	for i := minOccasions; i < e.Crashes && delay < maxProbeDelay; i++ {
 		delay *= factor
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -37,7 +37,8 @@
 	// Now returns the time of the table's clock, and WallClock the wall-clock time that corresponds to it.
 	Now       func() time.Time
 	WallClock func(time.Time) time.Time
-	// Writes reports whether this host stores changes. At least one host must.
+	// Writes reports whether this host stores changes, and watches those that others store. At least one host
+	// must.
 	Writes func() bool
 	// OnCall is told the result of each call of the store, and may be nil.
 	OnCall func(error)
@@ -82,12 +83,21 @@
 
 // Run reads the stored quarantines, and stores each change until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
+	watching := make(chan struct{})
+	go func() {
+		defer close(watching)
+		k.watch(ctx)
+	}()
+	defer func() { <-watching }()
+	k.store(ctx)
+}
+
+// store stores each change until the context ends.
+func (k *Keeper) store(ctx context.Context) {
 	retry := backoff.Backoff{Min: minRetry, Max: maxRetry}
 	for {
 		err := k.sync(ctx)
-		if k.OnCall != nil && ctx.Err() == nil {
-			k.OnCall(err)
-		}
+		k.observeCall(ctx, err)
 		if err != nil {
 			if !backoff.Pause(ctx, retry.Next()) {
 				return
@@ -127,15 +137,8 @@
 	if err != nil && !missing {
 		return err
 	}
-	var known stored
-	if !missing {
-		if err := json.Unmarshal(object.Value, &known); err != nil {
-			k.Log.Warn().Str("object", objectName).Err(err).Msg("stored quarantines cannot be read")
-		}
-	}
-	now := k.Now()
-	k.Table.Apply(now, storeSource, known.report(k.WallClock(now)))
-	merged := k.current(now)
+	known := k.apply(object)
+	merged := k.current(k.Now())
 	if merged.equals(known) || !k.Writes() {
 		return nil
 	}
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -94,3 +94,38 @@
 	is.NoErr(started.sync(context.Background()))
 	is.True(!started.Table.Check(now, prompt("bad"), nil).Allowed)
 }
+
+// TestHostThatHearsNoPeerLearnsStoredQuarantines has a host run while another one, of which it hears nothing,
+// stores a quarantine.
+func TestHostThatHearsNoPeerLearnsStoredQuarantines(t *testing.T) {
+	store := standin.NewStore(standin.StoreConfig{WatchWaitMillis: 100})
+	now, later := epoch, epoch.Add(time.Minute)
+	cutOff := newKeeper(store, &later)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		cutOff.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	waitUntil(t, cutOff.Loaded)
+	other := newKeeper(store, &now)
+	quarantinePart(other, &now, "bad")
+	if err := other.sync(ctx); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, func() bool { return !cutOff.Table.Check(later, prompt("bad"), nil).Allowed })
+}
+
+// waitUntil waits for a condition, no longer than hosts may take to learn of a quarantine.
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(3 * time.Second); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("not within 3 s")
+		}
+	}
+}
