--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -30,6 +30,9 @@
 	// LastEventID is the id of the last event of the stream that the caller received; empty if
 	// none.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream that the caller takes up;
+	// empty if it names none.
+	Resumes string
 }
 
 // Part is one part of a prompt. An engine can reuse its cached state only if all parts before it
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -57,6 +57,9 @@
 	}
 	t.entry(log.InfoLevel, x).
 		Str("endpoint", c.Endpoint.ID).
+		Str("endpoint_version", c.Endpoint.Version).
+		Str("after_event", x.info.LastEventID).
+		Str("resumes", x.info.Resumes).
 		Int("sends", x.sends).
 		Float64("quota_tokens", x.tokenCost).
 		Int("in_flight", c.InFlight).
--- a/internal/registry/endpoint.go
+++ b/internal/registry/endpoint.go
@@ -12,7 +12,9 @@
 	Fleet      string `json:"fleet"`
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
-	Slots      int    `json:"slots"`
+	// Version is that of its software. Streams do not continue at another one.
+	Version string `json:"version,omitempty"`
+	Slots   int    `json:"slots"`
 	// Leaving is set once the endpoint accepts no new requests.
 	Leaving bool `json:"leaving,omitempty"`
 	// LeavesIn is the time that a leaving endpoint had left when it reported this; zero if
