quarantine: a quarantined request is first probed after 10 s

The first probe, which releases it, now comes after 10 s instead of 15; later ones stay ten times as late each.

--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -12,7 +12,10 @@
 	firstProbeDelay  = 15 * time.Second
 	probeDelayFactor = 3
 	maxProbeDelay    = 24 * time.Hour
-	// requestProbeDelayFactor is the factor of a request: only its caller waits for the result.
+	// firstRequestProbeDelay and requestProbeDelayFactor are those of a request. The first probe is early, because
+	// a sound request that was in progress at the same crashes is quarantined too; the next ones are late, because
+	// only its caller waits for the result.
+	firstRequestProbeDelay  = 10 * time.Second
 	requestProbeDelayFactor = 10
 	// probeTimeout is how long a host waits for the result of a probe before it may send another.
 	probeTimeout = 30 * time.Second
@@ -50,7 +53,7 @@
 func (e *Entry) ProbeAt() time.Time {
 	delay, factor := firstProbeDelay, time.Duration(probeDelayFactor)
 	if e.isRequest() {
-		factor = requestProbeDelayFactor
+		delay, factor = firstRequestProbeDelay, requestProbeDelayFactor
 	}
 	for i := minOccasions; i < e.Crashes && delay < maxProbeDelay; i++ {
 		delay *= factor
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -119,12 +119,12 @@
 	bad := named("bad")
 	crashInTurn(table, at(0), minOccasions, bad)
 	last := at(.18)
-	is.Equal(table.Check(at(1), bad, yes).RetryAfter, last.Add(firstProbeDelay).Sub(at(1)))
-	now := last.Add(firstProbeDelay)
+	is.Equal(table.Check(at(1), bad, yes).RetryAfter, last.Add(firstRequestProbeDelay).Sub(at(1)))
+	now := last.Add(firstRequestProbeDelay)
 	is.True(!table.Check(now, bad, nil).Allowed) // not the host that probes
 	is.True(table.Check(now, bad, yes).Probe)
 	table.Terminated(now, "e", now.Add(-time.Millisecond), bad)
-	is.Equal(table.Check(now, bad, yes).RetryAfter, requestProbeDelayFactor*firstProbeDelay)
+	is.Equal(table.Check(now, bad, yes).RetryAfter, requestProbeDelayFactor*firstRequestProbeDelay)
 }
 
 func TestHostsShareQuarantinedRequests(t *testing.T) {
