Streams go on only at the software version that began them

Callers saw: 37 streams held events of two software versions of their fleet.

Cause: placement knew no versions. A host to which a caller came back with its last event chose any endpoint, as did the continuation of a cut stream within one answer; endpoints do not check what began a stream.

Change: package origin remembers at which fleet and version each stream began and hosts tell each other in their usual messages. A stream goes on only there, in one answer and over a caller's tries; where its origin is unknown and not certain, it is refused at once, truthfully as not run.

Why it works: the host that began a stream is mostly the one that is gone, so the others must know before.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -42,7 +42,7 @@
 		if e.known.Leaving || slices.Contains(r.Exclude, e.known.ID) || e.ejected(now) && !includeEjected {
 			continue
 		}
-		if !e.signals.Verdict(now).Allowed {
+		if r.Version != "" && e.known.Version != r.Version || !e.signals.Verdict(now).Allowed {
 			continue
 		}
 		eligible = append(eligible, e)
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -27,6 +27,8 @@
 // Request is what a choice depends on.
 type Request struct {
 	Fleet string
+	// Version restricts the choice to endpoints with this software; empty for any.
+	Version string
 	// Prefixes are the prefixes of the prompt, the shortest first; the last one is the whole
 	// prompt.
 	Prefixes     []Prefix
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -5,6 +5,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
+	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/registry"
@@ -85,6 +86,8 @@
 	LimitedEndpoints []backpressure.LimitReport `json:"limited_endpoints,omitempty"`
 	// Quarantine is what is known of requests that crash endpoints; nil if there are none.
 	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
+	// Origins says where streams of the group began; nil if there are none.
+	Origins *origin.Report `json:"origins,omitempty"`
 
 	Quota quota.SpendingReport `json:"quota"`
 	Usage []HostUsage          `json:"usage,omitempty"`
@@ -128,6 +131,8 @@
 	Leaders          []string                   `json:"leaders,omitempty"`
 	// Quarantine is what is known of requests that crash endpoints; nil if there are none.
 	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
+	// Origins says where streams began, those of all hosts; nil if there are none.
+	Origins *origin.Report `json:"origins,omitempty"`
 	// Levels are the remaining quota tokens by organisation, after all processed reports.
 	Levels map[string]float64 `json:"levels,omitempty"`
 	// Loads are the loads of all hosts, including the follower's own. If the digest would be too large,
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -30,6 +30,8 @@
 		OnLeaving:    func() { wake(n.reportNow) },
 		Quarantine:   n.quarantine,
 		MayProbe:     n.mayProbe,
+		Origins:      n.origins,
+		OnlyVersion:  n.onlyVersion,
 		OnCrash:      func() { wake(n.reportNow) },
 		OnLimit:      func() { wake(n.reportNow) },
 		DenyMaxAge:   denyMaxAge,
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -137,7 +137,7 @@
 	}
 	for _, c := range changes {
 		n.Log.Info().Str("endpoint", c.Endpoint.ID).Str("fleet", c.Endpoint.Fleet).
-			Str("change", string(c.Kind)).Str("address", c.Endpoint.Address).
+			Str("change", string(c.Kind)).Str("address", c.Endpoint.Address).Str("endpoint_version", c.Endpoint.Version).
 			Str("data_centre", c.Endpoint.DataCentre).Bool("reclaimable", c.Endpoint.Reclaimable).
 			Int64("leaves_in_ms", c.Endpoint.LeavesIn.Milliseconds()).
 			Uint64("version", c.Version.Revision()).Msg("endpoint changed")
@@ -150,6 +150,7 @@
 func (n *Node) setEndpoints() {
 	known := n.endpoints.Known()
 	n.balancer.SetEndpoints(known)
+	n.origins.SetEndpoints(clock.Now(), known)
 	listed := make([]backpressure.Instance, 0, len(known))
 	for i := range known {
 		listed = append(listed, balancer.InstanceOf(&known[i].Endpoint))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"rattanchute/internal/heartbeat"
 	"rattanchute/internal/lease"
 	"rattanchute/internal/objectstore"
+	"rattanchute/internal/origin"
 	"rattanchute/internal/proxy"
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quarantine/keeper"
@@ -95,7 +96,9 @@
 	// signals is what endpoints said in their responses about further requests.
 	signals *backpressure.Table
 	// quarantine knows the requests and the prompts that crash endpoints.
-	quarantine       *quarantine.Table
+	quarantine *quarantine.Table
+	// origins knows where streams began.
+	origins          *origin.Table
 	quarantineKeeper *keeper.Keeper
 	peers            *heartbeat.Table
 	sent             *heartbeat.History
@@ -160,6 +163,7 @@
 		endpoints:    registry.NewView(),
 		signals:      signals,
 		quarantine:   quarantine.NewTable(s.Name),
+		origins:      origin.NewTable(clock.Now(), s.FirstStart),
 
 		configurationStale: make(chan struct{}, 1),
 		endpointsStale:     make(chan struct{}, 1),
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -42,6 +42,7 @@
 // updates what depends on the number of hosts.
 func (n *Node) handlePeerJoined(now time.Time, p *heartbeat.Peer) {
 	n.Log.Info().Str("peer", p.Name).Int64("incarnation", p.Incarnation).Msg("peer heard")
+	n.origins.Repeat(now)
 	n.updatePeerState(now)
 }
 
@@ -60,6 +61,7 @@
 	n.applyLeavingReports(now, r.Name, r.LeavingEndpoints)
 	n.applyLimitReports(now, r.Name, r.LimitedEndpoints)
 	n.applyQuarantine(now, r.Name, r.Quarantine)
+	n.origins.Apply(now, r.Origins, receipt.Role == heartbeat.RoleFollower)
 	n.observeStoreOf(now, r)
 	if receipt.Role == heartbeat.RoleUnrelated {
 		// The host that it follows reports what it spends.
@@ -115,6 +117,7 @@
 	n.applyLeavingReports(now, d.Name, d.LeavingEndpoints)
 	n.applyLimitReports(now, d.Name, d.LimitedEndpoints)
 	n.applyQuarantine(now, d.Name, d.Quarantine)
+	n.origins.Apply(now, d.Origins, false)
 	ack := d.Acks[n.Settings.Name]
 	sent, ok := n.sent.At(ack.Included)
 	if !ok || now.Sub(sent.At) > maxAckAge {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -144,6 +144,7 @@
 	r.LeavingEndpoints = n.signals.LeavingReports(now)
 	r.LimitedEndpoints = n.signals.LimitReports(now)
 	r.Quarantine = n.quarantine.Report(now)
+	r.Origins = n.origins.Report(now, n.originsSince(now), true)
 	r.Members, r.Left = n.peers.Members(now)
 	r.Usage = n.reportedUsage(now, r.Members)
 	r.Generation = n.activeGeneration()
@@ -204,6 +205,7 @@
 		LimitedEndpoints: n.signals.LimitReports(now),
 		Leaders:          n.peers.Sharing(now).Groups,
 		Quarantine:       n.quarantine.Report(now),
+		Origins:          n.origins.Report(now, n.originsSince(now), false),
 
 		Levels:   n.quota.SpendingReport(now).Level,
 		Loads:    n.balancer.Loads(now, balancer.ScopeAll),
--- a/internal/node/truncate.go
+++ b/internal/node/truncate.go
@@ -38,6 +38,7 @@
 	{"loads of most endpoints", withLoads(250)},
 	{"rate limits of endpoints", withoutLimits},
 	{"requests that crash endpoints", withoutQuarantine},
+	{"origins of streams", withoutOrigins},
 	{"changes to endpoints", withoutEndpointChanges},
 }
 
@@ -49,6 +50,10 @@
 	return edited(d, func(r *heartbeat.Report) { r.Quarantine = nil }, func(g *heartbeat.Digest) { g.Quarantine = nil })
 }
 
+func withoutOrigins(d heartbeat.Datagram) heartbeat.Datagram {
+	return edited(d, func(r *heartbeat.Report) { r.Origins = nil }, func(g *heartbeat.Digest) { g.Origins = nil })
+}
+
 func withoutPrefills(d heartbeat.Datagram) heartbeat.Datagram {
 	return edited(d, func(r *heartbeat.Report) { r.Prefills = nil }, func(g *heartbeat.Digest) { g.Prefills = nil })
 }
--- /dev/null
+++ b/internal/origin/report.go
@@ -0,0 +1,110 @@
+package origin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxReported bounds the streams in a message; the newest are included.
+	maxReported = 1500
+	// repeatTime is how long all streams are repeated after a host has joined.
+	repeatTime = time.Second
+)
+
+// Report is what a host tells others. Ages are in milliseconds.
+type Report struct {
+	Streams []StreamsReport `json:"streams,omitempty"`
+	Only    []OnlyReport    `json:"only,omitempty"`
+}
+
+// StreamsReport lists streams with the same origin.
+type StreamsReport struct {
+	Fleet   string `json:"fleet"`
+	Version string `json:"version"`
+	Keys    []Key  `json:"keys"`
+}
+
+// OnlyReport says that a fleet has had only one version for some time, at most as long as streams may be taken
+// up.
+type OnlyReport struct {
+	Fleet     string `json:"fleet"`
+	Version   string `json:"version"`
+	AgeMillis int64  `json:"age_ms"`
+}
+
+// Repeat has all streams reported again for a while, because a host has joined that does not know them.
+func (t *Table) Repeat(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.repeatUntil = now.Add(repeatTime)
+}
+
+// Report returns what to tell other hosts: the streams heard of after a time. With own set, only those that
+// this host or its followers served are included.
+func (t *Table) Report(now, after time.Time, own bool) *Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Before(t.repeatUntil) {
+		after = now.Add(-retention)
+	}
+	r := &Report{Streams: t.streamReports(after, own), Only: t.onlyReports(now)}
+	if len(r.Streams)+len(r.Only) == 0 {
+		return nil
+	}
+	return r
+}
+
+func (t *Table) streamReports(after time.Time, own bool) []StreamsReport {
+	keys := map[Origin][]Key{}
+	count := 0
+	for _, s := range slices.Backward(t.streams) {
+		if !s.heardAt.After(after) || count == maxReported {
+			break
+		}
+		if s.fromGroup || !own {
+			keys[s.origin] = append(keys[s.origin], s.key)
+			count++
+		}
+	}
+	reports := make([]StreamsReport, 0, len(keys))
+	for o, list := range keys {
+		reports = append(reports, StreamsReport{o.Fleet, o.Version, list})
+	}
+	slices.SortFunc(reports, func(a, b StreamsReport) int {
+		return cmp.Or(cmp.Compare(a.Fleet, b.Fleet), cmp.Compare(a.Version, b.Version))
+	})
+	return reports
+}
+
+func (t *Table) onlyReports(now time.Time) []OnlyReport {
+	var reports []OnlyReport
+	for fleet := range t.versions.fleets {
+		version, since := t.versions.only(now, fleet)
+		if age := now.Sub(since); version != "" && age > 0 {
+			reports = append(reports, OnlyReport{fleet, version, min(age, retention).Milliseconds()})
+		}
+	}
+	slices.SortFunc(reports, func(a, b OnlyReport) int { return cmp.Compare(a.Fleet, b.Fleet) })
+	return reports
+}
+
+// Apply records what another host tells; fromGroup is set if that host is a follower of this one.
+func (t *Table) Apply(now time.Time, r *Report, fromGroup bool) {
+	if r == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range r.Streams {
+		for _, key := range s.Keys {
+			t.add(stream{key, Origin{s.Fleet, s.Version}, now, fromGroup})
+		}
+	}
+	for _, o := range r.Only {
+		if o.AgeMillis > 0 && o.AgeMillis <= retention.Milliseconds() {
+			t.versions.hear(o.Fleet, o.Version, now.Add(-time.Duration(o.AgeMillis)*time.Millisecond))
+		}
+	}
+}
--- /dev/null
+++ b/internal/origin/table.go
@@ -0,0 +1,121 @@
+package origin
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"sync"
+	"time"
+
+	"rattanchute/internal/registry"
+)
+
+const (
+	// retention is how long after its begin a stream may be taken up.
+	retention = 30 * time.Second
+	// maxStreams bounds the streams that are remembered; the earliest are forgotten first.
+	maxStreams = 40_000
+	// keyBytes is the length of the digest in a key: long enough that no caller finds a request whose key is
+	// that of another organisation's stream.
+	keyBytes = 8
+)
+
+// Origin is where a stream began. The zero value stands for an unknown origin.
+type Origin struct {
+	Fleet string
+	// Version is that of the software of the endpoint that wrote its first event.
+	Version string
+}
+
+// Key identifies a stream.
+type Key string
+
+// KeyOf returns the key of the stream that a request of an organisation began.
+func KeyOf(organisation, requestID string) Key {
+	digest := sha256.Sum256([]byte(organisation + "\x00" + requestID))
+	return Key(base64.RawURLEncoding.EncodeToString(digest[:keyBytes]))
+}
+
+// Table holds the origins that a host knows. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	origins map[Key]Origin
+	// streams are those in origins, the one heard of first at the start.
+	streams []stream
+	// repeatUntil is until when all streams are reported, and not only the new ones.
+	repeatUntil time.Time
+	versions    versionLog
+}
+
+// stream is the begin of a stream.
+type stream struct {
+	key    Key
+	origin Origin
+	// heardAt is when this host learned of it.
+	heardAt time.Time
+	// fromGroup is set if this host or one of its followers served it.
+	fromGroup bool
+}
+
+// NewTable returns a table of a host that starts now. If first is set, the whole system starts for the first
+// time, so that no stream has begun before.
+func NewTable(now time.Time, first bool) *Table {
+	knownSince := now
+	if first {
+		knownSince = now.Add(-retention)
+	}
+	return &Table{origins: map[Key]Origin{}, versions: newVersionLog(knownSince)}
+}
+
+// Began records that a stream has begun at this host, or that it goes on there.
+func (t *Table) Began(now time.Time, key Key, o Origin) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.add(stream{key, o, now, true})
+}
+
+// add adds a stream unless it is known. Of two origins, nobody can say which is right.
+func (t *Table) add(s stream) {
+	if known, found := t.origins[s.key]; found {
+		if known != s.origin {
+			t.origins[s.key] = Origin{}
+		}
+		return
+	}
+	t.expire(s.heardAt)
+	t.origins[s.key] = s.origin
+	t.streams = append(t.streams, s)
+}
+
+// expire forgets the streams that are too old or too many.
+func (t *Table) expire(now time.Time) {
+	old := 0
+	for old < len(t.streams) && (now.Sub(t.streams[old].heardAt) > retention || len(t.streams)-old >= maxStreams) {
+		delete(t.origins, t.streams[old].key)
+		old++
+	}
+	t.streams = t.streams[old:]
+}
+
+// Find returns where a stream began; false if that is not known.
+func (t *Table) Find(key Key) (Origin, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.origins[key]
+	return o, o != Origin{}
+}
+
+// SetEndpoints records the versions of the endpoints that are there now.
+func (t *Table) SetEndpoints(now time.Time, known []registry.Known) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.versions.set(now, known)
+}
+
+// OnlyVersion returns the version at which all streams of a fleet that may still be taken up began; false if
+// they may have begun at several, or at one that this host does not know.
+func (t *Table) OnlyVersion(now time.Time, fleet string) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	version, since := t.versions.only(now, fleet)
+	return version, version != "" && now.Sub(since) >= retention
+}
--- /dev/null
+++ b/internal/origin/versions.go
@@ -0,0 +1,87 @@
+package origin
+
+import (
+	"time"
+
+	"rattanchute/internal/registry"
+)
+
+// versionLog remembers which versions the fleets had lately.
+type versionLog struct {
+	// knownSince is since when this host has known all endpoints.
+	knownSince time.Time
+	fleets     map[string]*fleetVersions
+}
+
+// fleetVersions are the versions of one fleet.
+type fleetVersions struct {
+	// lastSeen is when an endpoint of each version was last there; those of listed versions are there now.
+	lastSeen map[string]time.Time
+	listed   map[string]bool
+	// heardSince is since when the fleet has had one version according to another host, and heardVersion that
+	// version; empty if none has said so.
+	heardVersion string
+	heardSince   time.Time
+}
+
+func newVersionLog(knownSince time.Time) versionLog {
+	return versionLog{knownSince: knownSince, fleets: map[string]*fleetVersions{}}
+}
+
+func (l *versionLog) fleet(name string) *fleetVersions {
+	f := l.fleets[name]
+	if f == nil {
+		f = &fleetVersions{lastSeen: map[string]time.Time{}, listed: map[string]bool{}}
+		l.fleets[name] = f
+	}
+	return f
+}
+
+// set records the endpoints that are there now.
+func (l *versionLog) set(now time.Time, known []registry.Known) {
+	for _, f := range l.fleets {
+		for version := range f.listed {
+			f.lastSeen[version] = now
+		}
+		clear(f.listed)
+	}
+	for _, k := range known {
+		f := l.fleet(k.Fleet)
+		f.listed[k.Version] = true
+		f.lastSeen[k.Version] = now
+	}
+}
+
+// only returns the one version that a fleet has, and since when it has had no other; an empty version if it
+// has several or none.
+func (l *versionLog) only(now time.Time, fleet string) (version string, since time.Time) {
+	f := l.fleets[fleet]
+	if f == nil || len(f.listed) != 1 {
+		return "", time.Time{}
+	}
+	for v := range f.listed {
+		version = v
+	}
+	since = l.knownSince
+	if f.heardVersion == version && f.heardSince.Before(since) {
+		since = f.heardSince
+	}
+	for v, seenAt := range f.lastSeen {
+		switch {
+		case v == version:
+		case now.Sub(seenAt) > retention:
+			delete(f.lastSeen, v)
+		case seenAt.After(since):
+			since = seenAt
+		}
+	}
+	return version, since
+}
+
+// hear records that another host knows of only one version of a fleet since a time.
+func (l *versionLog) hear(fleet, version string, since time.Time) {
+	f := l.fleet(fleet)
+	if f.heardVersion != version || since.Before(f.heardSince) {
+		f.heardVersion, f.heardSince = version, since
+	}
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -11,6 +11,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
+	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/route"
 )
@@ -33,11 +34,13 @@
 	request *fasthttp.Request
 	arrived time.Time
 
-	info            RequestInfo
-	table           *route.Table
-	route           *fleet.Route
-	organisation    *fleet.Organisation
-	fleet           string
+	info         RequestInfo
+	table        *route.Table
+	route        *fleet.Route
+	organisation *fleet.Organisation
+	fleet        string
+	// origin is where the stream began; zero before its first event.
+	origin          origin.Origin
 	balancerRequest balancer.Request
 	// fingerprintText is empty until fingerprint is called.
 	fingerprintText string
@@ -89,7 +92,9 @@
 
 // admit decides whether the request is accepted, and returns the error response if it is not.
 func (x *exchange) admit() *errorResponse {
-	steps := []func() *errorResponse{x.readInfo, x.findRoute, x.checkKey, x.prepare, x.checkQuarantine, x.recordDemand, x.checkQuota}
+	steps := []func() *errorResponse{
+		x.readInfo, x.findRoute, x.checkKey, x.findOrigin, x.prepare, x.checkQuarantine, x.recordDemand, x.checkQuota,
+	}
 	for _, step := range steps {
 		if e := step(); e != nil {
 			return e
@@ -167,13 +172,17 @@
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.arrived.Add(timeout)
-	x.fleet = pickFleet(x.route)
+	x.fleet = x.origin.Fleet
+	if x.fleet == "" {
+		x.fleet = pickFleet(x.route)
+	}
 	x.priority = x.route.Priority
 	if x.organisation != nil && x.organisation.Priority != nil {
 		x.priority = *x.organisation.Priority
 	}
 	x.balancerRequest = balancer.Request{
 		Fleet:        x.fleet,
+		Version:      x.origin.Version,
 		PromptTokens: x.info.PromptTokens,
 		OutputTokens: x.expectedOutput(),
 	}
--- /dev/null
+++ b/internal/proxy/origin.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/clock"
+	"rattanchute/internal/fleet"
+	"rattanchute/internal/origin"
+)
+
+// unknownOriginRetryAfter is the Retry-After value for a caller that takes up a stream of which this host has
+// not heard yet. Other hosts tell it about as soon.
+const unknownOriginRetryAfter = 500 * time.Millisecond
+
+// findOrigin finds out where the stream began that the caller takes up, if it does. The request is refused if
+// that is unknown or if its route no longer leads there.
+func (x *exchange) findOrigin() *errorResponse {
+	if x.route.Kind != fleet.RouteStream || !x.info.takesUp() {
+		return nil
+	}
+	known, found := x.proxy.Origins.Find(x.streamKey())
+	if !found {
+		known, found = x.onlyOrigin()
+	}
+	if !found {
+		return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonOriginUnknown, withJitter(unknownOriginRetryAfter))
+	}
+	if !slices.ContainsFunc(x.route.Split, func(w fleet.WeightedFleet) bool { return w.Fleet == known.Fleet }) {
+		return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonNoEndpoint, withJitter(minRetryAfter))
+	}
+	x.origin = known
+	return nil
+}
+
+// onlyOrigin returns the only possible origin of a stream that this host has not heard of; false if there are
+// several.
+func (x *exchange) onlyOrigin() (origin.Origin, bool) {
+	if len(x.route.Split) != 1 {
+		return origin.Origin{}, false
+	}
+	name := x.route.Split[0].Fleet
+	version, only := x.proxy.OnlyVersion(clock.Now(), name)
+	return origin.Origin{Fleet: name, Version: version}, only
+}
+
+// takesUp reports whether the caller has events of the stream already.
+func (i *RequestInfo) takesUp() bool {
+	last, err := strconv.ParseInt(i.LastEventID, 10, 64)
+	return i.LastEventID != "" && (err != nil || last > 0)
+}
+
+// streamKey identifies the stream, over all requests of its caller for it.
+func (x *exchange) streamKey() origin.Key {
+	organisation, id := "", x.info.ID
+	if x.organisation != nil {
+		organisation = x.organisation.Name
+	}
+	if x.info.Resumes != "" {
+		id = x.info.Resumes
+	}
+	return origin.KeyOf(organisation, id)
+}
+
+// recordOrigin records where the stream began, at its first event. From then on it continues only there.
+func (a *attempt) recordOrigin(now time.Time) {
+	x := a.exchange
+	if x.origin == (origin.Origin{}) {
+		x.origin = origin.Origin{Fleet: x.fleet, Version: a.choice.Endpoint.Version}
+		x.balancerRequest.Version = x.origin.Version
+	}
+	x.proxy.Origins.Began(now, x.streamKey(), x.origin)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/fleet"
+	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/retrybudget"
@@ -34,6 +35,11 @@
 	Telemetry   *Telemetry
 	// Quarantine knows the requests and the prompts that crash endpoints.
 	Quarantine *quarantine.Table
+	// Origins knows where streams began.
+	Origins *origin.Table
+	// OnlyVersion returns the version at which all streams of a fleet began that callers may still take up;
+	// false if there may be several.
+	OnlyVersion func(now time.Time, fleet string) (string, bool)
 	// MayProbe reports whether this host may send a quarantined request to find out whether it still crashes
 	// endpoints. At most one host may.
 	MayProbe func() bool
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -30,6 +30,7 @@
 	ReasonNotSentInTime            Reason = "not_sent_in_time"
 	ReasonPromptQuarantined        Reason = "prompt_quarantined"
 	ReasonRequestQuarantined       Reason = "request_quarantined"
+	ReasonOriginUnknown            Reason = "stream_origin_unknown"
 )
 
 // Reasons for other error responses. After ReasonEndpointFailed and ReasonTimeout the request may
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -138,6 +138,7 @@
 	now := clock.Now()
 	a.firstEventAt = now
 	a.balancerAttempt.FirstEvent(now)
+	a.recordOrigin(now)
 	a.exchange.markStarted(now)
 }
 
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -60,6 +60,7 @@
 		Str("endpoint_version", c.Endpoint.Version).
 		Str("after_event", x.info.LastEventID).
 		Str("resumes", x.info.Resumes).
+		Str("stream_version", x.origin.Version).
 		Int("sends", x.sends).
 		Float64("quota_tokens", x.tokenCost).
 		Int("in_flight", c.InFlight).
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -23,6 +23,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
+	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/registry"
@@ -34,7 +35,8 @@
 type testCodec struct{}
 
 func (testCodec) DecodeRequest(h *fasthttp.RequestHeader) (RequestInfo, error) {
-	a := RequestInfo{ID: string(h.Peek("Id")), KeyHash: string(h.Peek("Key")), LastEventID: string(h.Peek("After"))}
+	a := RequestInfo{ID: string(h.Peek("Id")), KeyHash: string(h.Peek("Key")),
+		LastEventID: string(h.Peek("After")), Resumes: string(h.Peek("Resumes"))}
 	if a.ID == "" {
 		return a, errors.New("no id")
 	}
@@ -220,6 +222,8 @@
 		OnStarted:    func(time.Time, string) { p.counted.Add(1) },
 		OnLeaving:    func() { p.leaving.Add(1) },
 		Quarantine:   quarantine.NewTable("host"),
+		Origins:      origin.NewTable(clock.Now(), true),
+		OnlyVersion:  func(time.Time, string) (string, bool) { return "", true },
 		MayProbe:     p.mayProbe.Load,
 		OnCrash:      func() {},
 		OnLimit:      func() {},
@@ -292,6 +296,14 @@
 	return readResponse(t, bufio.NewReader(conn))
 }
 
+// takeUp sends a request with the id for the rest of a stream, after an event, that an earlier request began.
+func (p *testProxy) takeUp(t *testing.T, id, after, resumes string) callerResponse {
+	t.Helper()
+	conn := p.dial(t)
+	_, _ = fmt.Fprintf(conn, "%sId: %s\r\nAfter: %s\r\nResumes: %s\r\nContent-Length: 4\r\n\r\nbody", testRequestHead, id, after, resumes)
+	return readResponse(t, bufio.NewReader(conn))
+}
+
 func readResponse(t *testing.T, r *bufio.Reader) callerResponse {
 	t.Helper()
 	resp, err := http.ReadResponse(r, nil)
