quarantine: an endpoint that accepts connections after it closed one has not crashed

The first host that sees an endpoint close a connection before a response is complete now opens one to it 30 ms later: if that succeeds, the endpoint has survived, as after a later answer. Tests: TestEndpointThatAcceptsAConnectionHasNotCrashed, TestRequestIsRetriedAtEndpointsThatOnlyCloseConnections. The proxy's tests of crashes had endpoints that closed connections only; they now find that no connection is accepted, and their bounds are unchanged.

Ruled out: asking the health path (it waits for a slot).

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -84,6 +84,11 @@
 // RepeatedChunks returns the number of dropped chunks that had been delivered already.
 func (c *Client) RepeatedChunks() uint64 { return c.repeatedChunks.Load() }
 
+// Accepts reports whether an endpoint accepts a connection before the context ends.
+func (c *Client) Accepts(ctx context.Context, address string) bool {
+	return c.httpClient.Accepts(ctx, address)
+}
+
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() { c.httpClient.CloseIdle() }
 
--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -128,6 +128,16 @@
 	return p
 }
 
+// Accepts reports whether an address accepts a connection before the context ends. It closes the connection.
+func (c *Client) Accepts(ctx context.Context, address string) bool {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 func (c *Client) dial(address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: c.options.DialTimeout, ControlContext: setTCPUserTimeout(c.options.TCPUserTimeout)}
 	conn, err := dialer.Dial("tcp", address)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -23,7 +23,6 @@
 	"rattanchute/internal/claim"
 	"rattanchute/internal/cloud"
 	"rattanchute/internal/dispatcher"
-	"rattanchute/internal/engine"
 	"rattanchute/internal/gossip"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/quarantine"
@@ -45,7 +44,7 @@
 	// lastNotice is the highest sequence number of the notices read, zero before the first.
 	// Only readNotices uses it.
 	lastNotice uint64
-	engines    engine.Client
+	engines    *enginehttp.Client
 	router     *route.Router
 	limiter    *ratelimit.Limiter
 	claims     *claim.Service
@@ -141,6 +140,7 @@
 
 		Quarantine: a.quarantine,
 		MayProbe:   a.mayProbe,
+		Accepts:    a.engines.Accepts,
 	})
 	a.callers = callers.New(a.service, a.router, callerLimits(a.settings.Limits))
 	return nil
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -208,15 +208,13 @@
 // observeCrash records what the end of an attempt says about what crashes endpoints. A response that reports
 // an error may have been given without running the call.
 func (c *call) observeCrash(endpoint fleet.Endpoint, started time.Time, answer engine.Response, err error) {
-	instance := instanceName(endpoint.Name, endpoint.Address)
-	switch {
-	case err != nil:
-		c.crash.observeFailure(instance, started, err)
-	case answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices:
-		c.crash.observeCompletion(instance, started, answer.EndedWithConnection)
-	}
-	if err == nil {
-		c.service.quarantine.Responded(c.service.now(), instance, started)
+	if err != nil {
+		c.crash.observeFailure(endpoint, started, err)
+		return
+	}
+	c.service.quarantine.Responded(c.service.now(), instanceName(endpoint), started)
+	if answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
+		c.crash.observeCompletion(endpoint, started, answer.EndedWithConnection)
 	}
 }
 
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rattanchute/internal/engine"
+	"rattanchute/internal/fleet"
 	"rattanchute/internal/quarantine"
 )
 
@@ -48,10 +49,13 @@
 }
 
 // observeFailure records what the failure of an attempt that was sent at a time says about the request.
-func (s *crashSubject) observeFailure(instance string, sentAt time.Time, err error) {
+func (s *crashSubject) observeFailure(endpoint fleet.Endpoint, sentAt time.Time, err error) {
+	instance := instanceName(endpoint)
 	switch {
 	case errors.Is(err, engine.ErrTerminated):
-		s.service.quarantine.Terminated(s.service.now(), instance, sentAt, s.request)
+		if s.service.quarantine.Terminated(s.service.now(), instance, sentAt, s.request) {
+			s.service.crashes.Start(instance, endpoint.Address)
+		}
 	case errors.Is(err, engine.ErrNotSent):
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded), errors.Is(err, errChunkTimeout):
 		s.service.quarantine.Abandoned(s.service.now(), instance, sentAt, s.request)
@@ -59,12 +63,9 @@
 }
 
 // observeCompletion records that an attempt that was sent at a time has a complete answer.
-func (s *crashSubject) observeCompletion(instance string, sentAt time.Time, endedWithConnection bool) {
-	s.service.quarantine.Completed(s.service.now(), instance, sentAt, s.request, endedWithConnection)
+func (s *crashSubject) observeCompletion(endpoint fleet.Endpoint, sentAt time.Time, endedWithConnection bool) {
+	s.service.quarantine.Completed(s.service.now(), instanceName(endpoint), sentAt, s.request, endedWithConnection)
 }
 
 // instanceName names an endpoint in the quarantine.
-func instanceName(name, address string) string { return name + "@" + address }
-
-// instanceName names the endpoint of the attempt.
-func (a *attempt) instanceName() string { return instanceName(a.endpoint.Name, a.endpoint.Address) }
+func instanceName(e fleet.Endpoint) string { return e.Name + "@" + e.Address }
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -104,7 +104,7 @@
 	if c.interrupted.IsZero() {
 		c.interrupted = c.service.now()
 	}
-	c.crash.observeFailure(c.current.instanceName(), c.current.started, err)
+	c.crash.observeFailure(c.current.endpoint, c.current.started, err)
 	endpoint := c.current.endpoint.Name
 	c.endAttempt(resultOf(err))
 	if !errors.Is(err, engine.ErrNoStream) {
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -11,6 +11,7 @@
 
 	"rattanchute/internal/engine"
 	"rattanchute/internal/quarantine"
+	"rattanchute/internal/quarantine/verify"
 	"rattanchute/internal/ratelimit"
 	"rattanchute/internal/resumetoken"
 	"rattanchute/internal/route"
@@ -71,6 +72,7 @@
 	// quarantine knows the requests and the prompts that crash endpoints; mayProbe reports whether this daemon may probe them.
 	quarantine *quarantine.Table
 	mayProbe   func() bool
+	crashes    verify.Verifier
 	streams    *streamRegistry
 	moveRates  MoveRates
 	pool       pond.Pool
@@ -98,6 +100,8 @@
 	// MayProbe reports whether this daemon may send a quarantined request to find out whether it still crashes
 	// endpoints. At most one daemon may.
 	MayProbe func() bool
+	// Accepts reports whether an endpoint's address accepts a connection before the context ends.
+	Accepts func(ctx context.Context, address string) bool
 }
 
 // backgroundWorkers is the number of workers besides those that read open streams.
@@ -122,6 +126,7 @@
 		moveRates:  d.MoveRates,
 		quarantine: d.Quarantine,
 		mayProbe:   d.MayProbe,
+		crashes:    verify.Verifier{Table: d.Quarantine, Accepts: d.Accepts, Now: time.Now},
 		// Each open stream occupies a worker that reads from its engine; the other workers move
 		// streams and record outcomes.
 		pool: pond.NewPool(d.Settings.MaxStreams + backgroundWorkers),
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -176,7 +176,7 @@
 func (c *ChatStream) observeChunk(chunk engine.Chunk) {
 	now := c.service.now()
 	if c.current.firstToken == 0 {
-		c.service.quarantine.Responded(now, c.current.instanceName(), c.current.started)
+		c.service.quarantine.Responded(now, instanceName(c.current.endpoint), c.current.started)
 	}
 	c.current.chunkArrived(now)
 	if chunk.Prefilled > 0 {
@@ -243,7 +243,7 @@
 	if c.current != nil {
 		if c.machine.Finished() {
 			// Its end is marked, however the connection ends.
-			c.crash.observeCompletion(c.current.instanceName(), c.current.started, false)
+			c.crash.observeCompletion(c.current.endpoint, c.current.started, false)
 		}
 		c.endAttempt(route.Result{OK: c.machine.Finished()})
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,9 +10,11 @@
 
 	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/balancer"
+	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
+	"rattanchute/internal/quarantine/verify"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/retrybudget"
 	"rattanchute/internal/route"
@@ -23,6 +25,8 @@
 	// OpenTarget sends a request and returns its response, of which the body is still to be read.
 	OpenTarget(ctx context.Context, target httpclient.Target, req *fasthttp.Request,
 		o httpclient.OpenOptions) (*httpclient.Body, error)
+	// Accepts reports whether an address accepts a connection before the context ends.
+	Accepts(ctx context.Context, address string) bool
 }
 
 // Dependencies are the parts and limits that a Proxy is built from.
@@ -72,12 +76,16 @@
 	confirmedAt atomic.Int64
 	bodyBytes   atomic.Int64
 	demand      *demandMeter
+	crashes     verify.Verifier
 	prefills    *recentPrefills
 }
 
 // New returns a proxy that refuses all requests until a table is set.
 func New(d Dependencies) *Proxy {
-	return &Proxy{Dependencies: d, telemetry: d.Telemetry, demand: newDemandMeter(), prefills: newRecentPrefills()}
+	return &Proxy{
+		Dependencies: d, telemetry: d.Telemetry, demand: newDemandMeter(), prefills: newRecentPrefills(),
+		crashes: verify.Verifier{Table: d.Quarantine, Accepts: d.Upstream.Accepts, Now: clock.Now},
+	}
 }
 
 // SetTable puts a configuration in force. A request uses the same table from its start to its end.
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -77,7 +77,9 @@
 	x, q, now := a.exchange, a.exchange.proxy.Quarantine, clock.Now()
 	switch {
 	case a.terminated:
-		q.Terminated(now, a.instanceName(), a.sentAt, x.crashSubject())
+		if q.Terminated(now, a.instanceName(), a.sentAt, x.crashSubject()) {
+			x.proxy.crashes.Start(a.instanceName(), a.choice.Endpoint.Address)
+		}
 		x.proxy.OnCrash()
 	case errors.Is(a.err, syscall.ECONNREFUSED):
 		q.Unreachable(now, a.instanceName())
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -39,6 +40,14 @@
 	return endpoints
 }
 
+// newCrashingProxy returns a proxy that finds the endpoints to accept no connections after they have closed one.
+func newCrashingProxy(t *testing.T, endpoints ...*testEndpoint) *testProxy {
+	t.Helper()
+	p := newTestProxy(t, crashRoute, endpoints...)
+	p.proxy.crashes.Accepts = func(context.Context, string) bool { return false }
+	return p
+}
+
 func totalReceived(endpoints []*testEndpoint) int {
 	n := 0
 	for _, e := range endpoints {
@@ -52,7 +61,7 @@
 func TestRequestIsNotRetriedOnceItsPromptIsFoundToCrashEndpoints(t *testing.T) {
 	is := is.New(t)
 	endpoints := newCrashingEndpoints(t, 8)
-	p := newTestProxy(t, crashRoute, endpoints...)
+	p := newCrashingProxy(t, endpoints...)
 	is.Equal(p.sendPrompt(t, "1", "first bad own").status, 502)
 	is.Equal(totalReceived(endpoints), 3)
 }
@@ -83,10 +92,19 @@
 	}
 }
 
+func TestRequestIsRetriedAtEndpointsThatOnlyCloseConnections(t *testing.T) {
+	is := is.New(t)
+	endpoints := newCrashingEndpoints(t, 8)
+	p := newTestProxy(t, crashRoute, endpoints...)
+	is.Equal(p.sendPrompt(t, "1", "first bad own").status, 502)
+	is.Equal(totalReceived(endpoints), 8)
+	is.Equal(p.sendPrompt(t, "2", "first bad own").status, 502)
+}
+
 func TestProbeIsSentOnceAndNotRetried(t *testing.T) {
 	is := is.New(t)
 	endpoints := newCrashingEndpoints(t, 4)
-	p := newTestProxy(t, crashRoute, endpoints...)
+	p := newCrashingProxy(t, endpoints...)
 	p.quarantineBad(16 * time.Second)
 	is.Equal(p.sendPrompt(t, "1", "first bad own").status, 503) // not at this host
 	p.mayProbe.Store(true)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -81,11 +81,13 @@
 }
 
 // Terminated records that an endpoint closed the connection of a request, sent at a time, before its response
-// was complete.
-func (t *Table) Terminated(now time.Time, endpoint string, sentAt time.Time, r Request) {
+// was complete. It reports whether this host knew of no crash of the endpoint at about that time.
+func (t *Table) Terminated(now time.Time, endpoint string, sentAt time.Time, r Request) (first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	first = t.log.find(endpoint, now) == nil
 	t.addCrash(now, attempt{Request: r, endpoint: endpoint, ran: now.Sub(sentAt)})
+	return first
 }
 
 func (t *Table) addCrash(at time.Time, a attempt) {
@@ -150,7 +152,8 @@
 	t.endings.add(ending{attempt: attempt{r, endpoint, now.Sub(sentAt)}, at: now, abandoned: true})
 }
 
-// Responded records that an endpoint has begun to answer a request that was sent at a time.
+// Responded records that an endpoint has begun to answer a request that was sent at a time, or has accepted a
+// connection that was requested then.
 func (t *Table) Responded(now time.Time, endpoint string, sentAt time.Time) {
 	if !t.active.Load() {
 		return
--- /dev/null
+++ b/internal/quarantine/verify/verify_test.go
@@ -0,0 +1,39 @@
+package verify
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rattanchute/internal/quarantine"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// refused reports whether a request is refused that three endpoints have terminated, each of which was then
+// checked.
+func refused(accepts bool) bool {
+	table, now := quarantine.NewTable("h"), epoch
+	v := Verifier{
+		Table: table, Now: func() time.Time { return now },
+		Accepts: func(context.Context, string) bool { return accepts },
+	}
+	r := quarantine.Request{Fleet: "f", Fingerprint: "r"}
+	for i := range 3 {
+		now = now.Add(time.Second)
+		instance := fmt.Sprint("e", i)
+		table.Terminated(now, instance, now.Add(-time.Millisecond), r)
+		now = now.Add(delay)
+		v.check(instance, "address")
+	}
+	return !table.Check(now, r, nil).Allowed
+}
+
+func TestEndpointThatAcceptsAConnectionHasNotCrashed(t *testing.T) {
+	is := is.New(t)
+	is.True(!refused(true))
+	is.True(refused(false))
+}
--- a/internal/soak/node_test.go
+++ b/internal/soak/node_test.go
@@ -82,6 +82,7 @@
 		Engines: gatedEngines{n}, Signer: signer,
 		Metrics: dispatcher.NewMetrics(prometheus.NewRegistry()), MoveRates: rates,
 		Quarantine: quarantine.NewTable(name), MayProbe: func() bool { return true },
+		Accepts: func(context.Context, string) bool { return true },
 	})
 	return n
 }
