dispatcher, route: chats of the own interface go on only at the version that began them

Endpoints can now declare one; a chat is bound to that of its first chunk, and resume tokens carry it. A token of an earlier release is bound to the version of the engine that it names, or refused.

--- a/internal/dispatcher/chat.go
+++ b/internal/dispatcher/chat.go
@@ -138,22 +138,34 @@
 		return NewRefusal(http.StatusConflict, c.req.RequestID, "resume_body_differs",
 			"a resumed request must repeat the body of the first").withField("body")
 	}
-	c.restoreFrom(t)
-	return nil
+	return c.restoreFrom(t)
 }
 
-func (c *ChatStream) restoreFrom(t resumetoken.Token) {
+// restoreFrom creates the state machine from a valid token. It refuses a stream of which nothing says at which
+// version it began.
+func (c *ChatStream) restoreFrom(t resumetoken.Token) *Refusal {
 	offset := t.Offset
 	if c.req.ResumeOffset >= 0 {
 		offset = c.req.ResumeOffset
 	}
 	c.req.RequestID = t.RequestID
+	c.attach = &t
 	if offset == 0 {
 		c.machine = request.NewStream(t.RequestID, c.service.session)
-	} else {
-		c.machine = request.ResumeStream(t.RequestID, c.service.session, offset, t.Offset, t.Hash)
+		return nil
 	}
-	c.attach = &t
+	c.machine = request.ResumeStream(t.RequestID, c.service.session, offset, t.Offset, t.Hash)
+	if c.query.Version = t.Version; c.query.Version != nil {
+		return nil
+	}
+	// A daemon of an earlier release has signed the token.
+	e, ok := c.service.router.Table().Endpoint(t.Endpoint)
+	if !ok {
+		return NewRefusal(http.StatusServiceUnavailable, t.RequestID, "stream_origin_unknown",
+			"it is not known which version of the engines began the stream").withRetryAfter(retryAfterFailure)
+	}
+	c.query.Version = &e.Version
+	return nil
 }
 
 // ratelimit chooses the first endpoint and asks the limiter whether the request is accepted; nil
--- a/internal/dispatcher/mover.go
+++ b/internal/dispatcher/mover.go
@@ -60,7 +60,7 @@
 	for _, e := range s.router.Table().EndpointsOn(state.Host) {
 		share = max(share, s.ownShare(now, e.Name))
 		for _, c := range s.streams.at(e.Name) {
-			g := moveGroup{organisation: c.req.Organisation, fleet: c.query.Fleet}
+			g := moveGroup{organisation: c.req.Organisation, fleet: c.query.Fleet, version: e.Version}
 			byGroup[g] = append(byGroup[g], c)
 		}
 	}
@@ -89,6 +89,8 @@
 type moveGroup struct {
 	organisation string
 	fleet        string
+	// version is that of the endpoints that they leave.
+	version string
 }
 
 func (s *Service) moveGroup(now, deadline time.Time, g moveGroup, streams []*ChatStream, share float64) {
@@ -114,7 +116,9 @@
 func (s *Service) moveTargets(now time.Time, g moveGroup) []reclaim.Target {
 	var list []reclaim.Target
 	for _, r := range s.router.FreeCapacity(now, g.organisation, g.fleet) {
-		list = append(list, reclaim.Target(r))
+		if e, ok := s.router.Table().Endpoint(r.Endpoint); ok && e.Version == g.version {
+			list = append(list, reclaim.Target(r))
+		}
 	}
 	return list
 }
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -158,6 +158,10 @@
 
 // recordProgress records that the current attempt has added to what the caller gets.
 func (c *ChatStream) recordProgress() {
+	if c.query.Version == nil {
+		version := c.current.endpoint.Version
+		c.query.Version = &version
+	}
 	c.progress.advance(c.machine.Offset())
 	c.interrupted = time.Time{}
 	c.attempts = 0
@@ -208,6 +212,7 @@
 		t.Endpoint = c.current.endpoint.Name
 		t.Stream = c.current.stream
 	}
+	t.Version = c.query.Version
 	return c.service.signer.Sign(t)
 }
 
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -121,6 +121,9 @@
 	// Address is "ip:port" of the endpoint's HTTP listener.
 	Address string `json:"address"`
 	Labels  Labels `json:"labels"`
+	// Version is that of the endpoint's software. A stream does not continue at another one; endpoints
+	// without a declared version have the same.
+	Version string `json:"version,omitempty"`
 	// ChecksFencing states that the endpoint rejects control orders, such as to load a model, with
 	// an outdated fencing token.
 	ChecksFencing bool `json:"checks_fencing"`
--- a/internal/resumetoken/resumetoken.go
+++ b/internal/resumetoken/resumetoken.go
@@ -23,6 +23,8 @@
 	// Endpoint is the name of the endpoint that was generating the stream.
 	Endpoint string          `json:"ep"`
 	Stream   engine.StreamID `json:"sid"`
+	// Version is that of the endpoints at which the stream may continue; nil before its first chunk.
+	Version *string `json:"ver,omitempty"`
 	// Offset is the index of the next chunk; Hash is the hash of the text before it. Both are zero
 	// if the hash is not known.
 	Offset int    `json:"off"`
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -40,8 +40,13 @@
 	MaxTokens    int
 	// Exclude names endpoints that must not be chosen, such as those that were already tried.
 	Exclude []string
+	// Version restricts the choice to endpoints with this software; nil for any.
+	Version *string
 }
 
+// allowsVersion reports whether the query allows endpoints with a version.
+func (q *Query) allowsVersion(version string) bool { return q.Version == nil || *q.Version == version }
+
 // Choice is the endpoint chosen for a request.
 type Choice struct {
 	Endpoint fleet.Endpoint
@@ -143,7 +148,7 @@
 
 func (d *decision) eligible(index int) bool {
 	t := d.list.targets[index]
-	return t.available(d.now) && !t.excluded(d.query.Exclude)
+	return t.available(d.now) && !t.excluded(d.query.Exclude) && d.query.allowsVersion(t.info.endpoint.Version)
 }
 
 func (d *decision) evaluate(index int) option {
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -49,6 +49,8 @@
 	MaxOpenStreams int
 	// TLS is the value of the daemons' settings key "tls"; empty means none.
 	TLS string
+	// EngineVersions are the software versions of the engines, in turn; empty means none.
+	EngineVersions []string
 	// CallerTLS is the TLS configuration of callers; nil means plain HTTP.
 	CallerTLS *tls.Config
 }
@@ -116,10 +118,14 @@
 	for i := range max(o.DataCentres, 1) {
 		cfg.DataCentres = append(cfg.DataCentres, fleet.DataCentre{Name: o.dataCentre(i), Region: "region"})
 	}
-	for _, e := range m.Endpoints {
+	for i, e := range m.Endpoints {
+		version := ""
+		if n := len(o.EngineVersions); n > 0 {
+			version = o.EngineVersions[i%n]
+		}
 		cfg.Hosts = append(cfg.Hosts, fleet.Host{Name: e.Host, DataCentre: e.DataCentre, Class: "small",
 			Kind: fleet.HostReclaimable, PricePerHour: 100})
-		cfg.Endpoints = append(cfg.Endpoints, fleet.Endpoint{Name: e.Name, Host: e.Host, Fleet: e.Fleet, Address: e.Address})
+		cfg.Endpoints = append(cfg.Endpoints, fleet.Endpoint{Name: e.Name, Host: e.Host, Fleet: e.Fleet, Address: e.Address, Version: version})
 	}
 	text, err := json.MarshalIndent(cfg, "", "  ")
 	if err != nil {
