quarantine: hosts bring sightings to crashes only when all are looked at

Cause: each sighting was merged into the first known crash within a second as it arrived, so that the result depended on the order.

Each host's sighting now has an ID and keeps its own time and contents; all sightings of an endpoint within a second of the first are one crash, worked out when the table decides. What has been cleared of everything counts for no crash.

Ruled out: merging intervals (chains of crashes of one name would count as one), and coalescing sightings of several hosts (a clearing between two of them is then lost on one host).

--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// mergeWindow is the time within which all terminated responses of one endpoint are of one crash.
-	mergeWindow = time.Second
+	// sightingWindow is the time within which responses of one endpoint that are terminated at one host are one
+	// sighting of a crash, and mergeWindow the time within which all sightings of one endpoint are of one crash.
+	sightingWindow = 100 * time.Millisecond
+	mergeWindow    = time.Second
 	// survivalWindow is the time within which an endpoint that answers a later request has not crashed. It is
 	// shorter than the restart of any endpoint.
 	survivalWindow = 300 * time.Millisecond
@@ -16,14 +18,17 @@
 	crashRetention = time.Hour
 	// maxCrashes bounds the crashes that are remembered, maxCrashParts and maxCrashRequests what was in progress
 	// at one of them.
-	maxCrashes       = 256
+	maxCrashes       = 512
 	maxCrashParts    = 64
 	maxCrashRequests = 128
 )
 
-// crash is one supposed crash of an endpoint.
+// crash is one supposed crash of an endpoint, or one sighting of it by a host.
 type crash struct {
-	fleet string
+	// id is that of the sighting, which is the same on all hosts; author is the host that saw it, empty if that
+	// is another one.
+	id, author string
+	fleet      string
 	// endpoint names one run of an endpoint. A run whose successor has the same name may crash again.
 	endpoint string
 	at       time.Time
@@ -42,6 +47,9 @@
 	ran time.Duration
 }
 
+// isEmpty reports whether all that was in progress has been cleared.
+func (c *crash) isEmpty() bool { return len(c.parts)+len(c.requests) == 0 }
+
 // has reports whether a possible cause was in progress.
 func (c *crash) has(by cause) bool {
 	if by.isRequest() {
@@ -105,40 +113,79 @@
 	return c.at.Add(-c.requests[i].ran)
 }
 
-// crashLog holds the crashes, the earliest first.
+// crashLog holds the sightings of crashes, the earliest first. Hosts learn of them in different orders, so that
+// they are brought together to crashes only when all are looked at.
 type crashLog struct{ crashes []*crash }
 
-// find returns the crash of an endpoint at about a time, or nil.
-func (l *crashLog) find(endpoint string, at time.Time) *crash {
+// find returns a sighting of an endpoint's crash at about a time, or nil. With an author, only sightings of
+// that host are found.
+func (l *crashLog) find(author, endpoint string, at time.Time, apart time.Duration) *crash {
 	for _, c := range slices.Backward(l.crashes) {
-		if c.endpoint == endpoint && c.at.Sub(at).Abs() < mergeWindow {
+		if c.endpoint == endpoint && c.at.Sub(at).Abs() < apart && (author == "" || c.author == author) {
 			return c
 		}
 	}
 	return nil
 }
 
-// findOrAdd returns the crash of an endpoint at about a time, and adds it if there is none. A known crash
-// keeps the earlier time.
-func (l *crashLog) findOrAdd(fleet, endpoint string, at time.Time) *crash {
-	if c := l.find(endpoint, at); c != nil {
-		if at.Before(c.at) {
-			c.at = at
-			l.sort()
-		}
-		return c
+// byID returns the sighting with an ID, or nil.
+func (l *crashLog) byID(id string) *crash {
+	i := slices.IndexFunc(l.crashes, func(c *crash) bool { return c.id == id })
+	if i < 0 {
+		return nil
 	}
-	c := &crash{fleet: fleet, endpoint: endpoint, at: at}
+	return l.crashes[i]
+}
+
+// add adds a sighting.
+func (l *crashLog) add(c *crash) {
 	l.crashes = append(l.crashes, c)
 	l.sort()
 	l.crashes = l.crashes[max(len(l.crashes)-maxCrashes, 0):]
-	return c
+}
+
+// setEarlier sets the time of a sighting if that is earlier: the delays of messages make times later.
+func (l *crashLog) setEarlier(c *crash, at time.Time) {
+	if at.Before(c.at) {
+		c.at = at
+		l.sort()
+	}
+}
+
+// merged returns the crashes that endpoints did not survive, the earliest first, each with all that its
+// sightings have.
+func (l *crashLog) merged() []*crash {
+	var list []*crash
+	latest := map[string]*crash{}
+	for _, c := range l.crashes {
+		if c.survived || c.isEmpty() {
+			continue
+		}
+		m := latest[c.endpoint]
+		if m == nil || c.at.Sub(m.at) >= mergeWindow {
+			m = &crash{fleet: c.fleet, endpoint: c.endpoint, at: c.at}
+			latest[c.endpoint] = m
+			list = append(list, m)
+		}
+		m.merge(c)
+	}
+	return list
+}
+
+// merge adds what another sighting of the crash has.
+func (c *crash) merge(other *crash) {
+	for _, part := range other.parts {
+		c.addPart(part)
+	}
+	for _, r := range other.requests {
+		c.addRequest(r.fingerprint, r.ran-other.at.Sub(c.at))
+	}
 }
 
 // sort sorts the crashes, of equal times in an order that is the same on all hosts.
 func (l *crashLog) sort() {
 	slices.SortStableFunc(l.crashes, func(a, b *crash) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.endpoint, b.endpoint))
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.endpoint, b.endpoint), cmp.Compare(a.id, b.id))
 	})
 }
 
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -152,7 +152,7 @@
 
 // observe counts a crash at which everything that the entry names was in progress, if it is a new occasion.
 func (e *Entry) observe(c *crash) {
-	if c.survived || !e.inProgressAt(c) || !c.isNewOccasion(cause{fingerprint: e.Fingerprint}, e.LastCrash) {
+	if !e.inProgressAt(c) || !c.isNewOccasion(cause{fingerprint: e.Fingerprint}, e.LastCrash) {
 		return
 	}
 	e.Crashes++
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -11,7 +11,7 @@
 	reportRetention = 10 * time.Second
 	// maxReportedCrashes, maxReportedRequests (of all crashes together), maxReportedCleared and
 	// maxReportedEntries bound a message.
-	maxReportedCrashes  = 24
+	maxReportedCrashes  = 64
 	maxReportedRequests = 256
 	maxReportedCleared  = 64
 	maxReportedEntries  = 32
@@ -24,9 +24,11 @@
 	Entries []EntryReport   `json:"entries,omitempty"`
 }
 
-// CrashReport says that an endpoint has supposedly crashed, and which parts of prompts and which requests were
-// in progress.
+// CrashReport says that a host has seen a supposed crash of an endpoint, and which parts of prompts and which
+// requests of that host were in progress.
 type CrashReport struct {
+	// ID identifies the sighting.
+	ID        string          `json:"id"`
 	Fleet     string          `json:"fleet"`
 	Endpoint  string          `json:"endpoint"`
 	Parts     []string        `json:"parts,omitempty"`
@@ -85,10 +87,10 @@
 		if age >= reportRetention || len(reports) == maxReportedCrashes {
 			break
 		}
-		if len(c.parts)+len(c.requests) == 0 && !c.survived {
+		if c.isEmpty() && !c.survived {
 			continue
 		}
-		r := CrashReport{Fleet: c.fleet, Endpoint: c.endpoint, AgeMillis: age.Milliseconds(), Survived: c.survived}
+		r := CrashReport{ID: c.id, Fleet: c.fleet, Endpoint: c.endpoint, AgeMillis: age.Milliseconds(), Survived: c.survived}
 		r.Parts = slices.Clone(c.parts)
 		for _, q := range c.requests[:min(len(c.requests), maxReportedRequests-requests)] {
 			r.Requests = append(r.Requests, RequestReport{q.fingerprint, q.ran.Milliseconds()})
@@ -155,10 +157,15 @@
 
 func (t *Table) applyCrash(now time.Time, r *CrashReport) {
 	at, ok := timeOf(now, r.AgeMillis)
-	if !ok || r.Endpoint == "" || now.Sub(at) >= crashRetention {
+	if !ok || r.Endpoint == "" || r.ID == "" || now.Sub(at) >= crashRetention {
 		return
 	}
-	c := t.log.findOrAdd(r.Fleet, r.Endpoint, at)
+	c := t.log.byID(r.ID)
+	if c == nil {
+		c = &crash{id: r.ID, fleet: r.Fleet, endpoint: r.Endpoint, at: at}
+		t.log.add(c)
+	}
+	t.log.setEarlier(c, at)
 	if r.Survived && !c.survived {
 		c.survived = true
 		t.stale = true
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -255,8 +255,12 @@
 func TestMessagesInAnyOrderLeadToTheSameEntries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := []*Table{NewTable("h0"), NewTable("h1"), NewTable("h2")}
-		now := epoch
+		now, exchangedAt := epoch, epoch
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if now.Sub(exchangedAt) > reportRetention/2 {
+				exchangeAll(now, hosts)
+				exchangedAt = now
+			}
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
 			host := hosts[rapid.IntRange(0, 2).Draw(t, "host")]
 			p := prompt(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "part"))
@@ -270,19 +274,24 @@
 				host.Terminated(now, fmt.Sprint("e", rapid.IntRange(0, 9).Draw(t, "endpoint")), longBefore, p)
 			}
 		}
-		for range 2 {
-			for _, from := range hosts {
-				for _, to := range hosts {
-					to.Apply(now, "h", from.Report(now))
-				}
-			}
-		}
+		exchangeAll(now, hosts)
 		for _, host := range hosts[1:] {
 			compareVerdicts(t, now, hosts[0], host)
 		}
 	})
 }
 
+// exchangeAll has hosts tell each other all that they know.
+func exchangeAll(now time.Time, hosts []*Table) {
+	for range 2 {
+		for _, from := range hosts {
+			for _, to := range hosts {
+				to.Apply(now, "h", from.Report(now))
+			}
+		}
+	}
+}
+
 // compareVerdicts checks that two hosts refuse the same requests.
 func compareVerdicts(t *rapid.T, now time.Time, one, other *Table) {
 	for _, r := range []Request{prompt("a"), prompt("b"), prompt("c"), named("x"), named("y")} {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -69,9 +69,6 @@
 func suspects(crashes []*crash) []suspect {
 	byCause := map[cause]*suspect{}
 	for _, c := range crashes {
-		if c.survived {
-			continue
-		}
 		for _, part := range c.parts {
 			addCrash(byCause, cause{fleet: c.fleet, part: part}, c)
 		}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -29,9 +29,11 @@
 	entries entryTable
 	// cleared holds what was in progress at a crash and has had a complete response later.
 	cleared map[cause]clearing
-	// host is the name of this host, and clearings counts what it has cleared.
+	// host is the name of this host. clearings counts what it has cleared, and sightings the crashes that it
+	// has seen.
 	host      string
 	clearings uint64
+	sightings uint64
 	endings   endings
 	// stale is set if the crashes have changed since the entries were worked out.
 	stale bool
@@ -85,20 +87,33 @@
 func (t *Table) Terminated(now time.Time, endpoint string, sentAt time.Time, r Request) (first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	first = t.log.find(endpoint, now) == nil
+	first = t.log.find("", endpoint, now, mergeWindow) == nil
 	t.addCrash(now, attempt{Request: r, endpoint: endpoint, ran: now.Sub(sentAt)})
 	return first
 }
 
 func (t *Table) addCrash(at time.Time, a attempt) {
 	t.active.Store(true)
-	c := t.log.findOrAdd(a.Fleet, a.endpoint, at)
+	c := t.ownSighting(a.Fleet, a.endpoint, at)
 	t.addAttempt(c, &a, at)
 	for _, e := range t.endings.take(at, a.endpoint) {
 		t.addAttempt(c, &e.attempt, e.at)
 	}
 }
 
+// ownSighting returns this host's sighting of an endpoint's crash at about a time, and adds it if there is
+// none.
+func (t *Table) ownSighting(fleet, endpoint string, at time.Time) *crash {
+	if c := t.log.find(t.host, endpoint, at, sightingWindow); c != nil {
+		t.log.setEarlier(c, at)
+		return c
+	}
+	t.sightings++
+	c := &crash{id: fmt.Sprint(t.host, "#", t.sightings), author: t.host, fleet: fleet, endpoint: endpoint, at: at}
+	t.log.add(c)
+	return c
+}
+
 // addAttempt adds an attempt that ended at a time to a crash.
 func (t *Table) addAttempt(c *crash, a *attempt, endedAt time.Time) {
 	t.addParts(c, a.Parts)
@@ -165,10 +180,11 @@
 			t.clear(now, e.Request)
 		}
 	}
-	c := t.log.find(endpoint, sentAt)
-	if c != nil && !c.survived && sentAt.After(c.at) && now.Sub(c.at) < survivalWindow {
-		c.survived = true
-		t.stale = true
+	for _, c := range t.log.crashes {
+		if c.endpoint == endpoint && !c.survived && sentAt.After(c.at) && now.Sub(c.at) < survivalWindow {
+			c.survived = true
+			t.stale = true
+		}
 	}
 }
 
@@ -229,12 +245,13 @@
 	t.expireCleared(now)
 	before := t.entries.list()
 	t.entries.dropUnsettled()
+	crashes := t.log.merged()
 	for _, e := range t.entries {
-		for _, c := range t.log.crashes {
+		for _, c := range crashes {
 			e.observe(c)
 		}
 	}
-	for _, e := range decide(t.log.crashes) {
+	for _, e := range decide(crashes) {
 		t.entries.merge(e, now.Sub(e.LastCrash) >= settleTime)
 	}
 	t.recordChanges(before, source)
