quarantine: a refusal waits until the last endpoint is checked; keys of the configuration

The new key 'version' has the same tag as the others. Ruled out: counting crashes only once checked (the next attempt of the same request would be sent meanwhile).

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -85,7 +85,7 @@
 		Fleet:       target.Name,
 		Fingerprint: quarantine.Fingerprint(c.req.Organisation, c.req.Method, "", c.req.URI, c.req.Body),
 	}}
-	if refusal := c.crash.check(c.service.now(), c.req.RequestID); refusal != nil {
+	if refusal := c.crash.check(c.req.RequestID); refusal != nil {
 		return CallResponse{}, refusal
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.service.timeout(c.req.Timeout))
--- a/internal/dispatcher/chat.go
+++ b/internal/dispatcher/chat.go
@@ -91,7 +91,7 @@
 		Fleet: target.Name, Parts: req.Request.Parts(),
 		Fingerprint: quarantine.Fingerprint(req.Organisation, http.MethodPost, "", chatURI, req.Body),
 	}}
-	if refusal := c.crash.check(now, req.RequestID); refusal != nil {
+	if refusal := c.crash.check(req.RequestID); refusal != nil {
 		return nil, refusal
 	}
 	c.progress.prompt = c.query.PromptTokens
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -24,8 +24,8 @@
 }
 
 // check refuses a request that crashes endpoints, unless it is sent as a probe.
-func (s *crashSubject) check(now time.Time, requestID string) *Refusal {
-	v := s.service.quarantine.Check(now, s.request, s.service.mayProbe)
+func (s *crashSubject) check(requestID string) *Refusal {
+	v := s.service.crashes.Verdict(s.request, s.service.mayProbe)
 	s.probe = v.Probe
 	if v.Allowed {
 		return nil
@@ -42,7 +42,7 @@
 	if s.probe && !mayHaveRun {
 		return nil
 	}
-	if v := s.service.quarantine.Check(s.service.now(), s.request, nil); !v.Allowed {
+	if v := s.service.crashes.Verdict(s.request, nil); !v.Allowed {
 		return errQuarantined
 	}
 	return nil
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -123,7 +123,7 @@
 	Labels  Labels `json:"labels"`
 	// Version is that of the endpoint's software. A stream does not continue at another one; endpoints
 	// without a declared version have the same.
-	Version string `json:"version,omitempty"`
+	Version string `json:"version"`
 	// ChecksFencing states that the endpoint rejects control orders, such as to load a model, with
 	// an outdated fencing token.
 	ChecksFencing bool `json:"checks_fencing"`
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -77,7 +77,7 @@
 // permit reports whether the request may still be sent and the endpoint still accepts requests, immediately
 // before it is sent.
 func (a *attempt) permit() error {
-	if a.exchange.recheckQuarantine(clock.Now()) != nil {
+	if a.exchange.recheckQuarantine() != nil {
 		return errQuarantined
 	}
 	first, err := a.balancerAttempt.Permit(clock.Now())
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -84,7 +84,7 @@
 	if ctx.Err() != nil || left < minTimeLeft {
 		return balancer.Choice{}, x.finalError(ctx)
 	}
-	if e := x.recheckQuarantine(now); e != nil {
+	if e := x.recheckQuarantine(); e != nil {
 		return balancer.Choice{}, e
 	}
 	if unreachable > maxUnreachable {
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"syscall"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -31,7 +30,7 @@
 
 // checkQuarantine refuses a request that crashes endpoints, unless it is sent as a probe.
 func (x *exchange) checkQuarantine() *errorResponse {
-	v := x.quarantineVerdict(clock.Now(), x.proxy.MayProbe)
+	v := x.quarantineVerdict(x.proxy.MayProbe)
 	x.probe = v.Probe
 	if v.Probe {
 		x.proxy.telemetry.Probing(x, v.Entry)
@@ -41,19 +40,18 @@
 
 // recheckQuarantine is checkQuarantine for a request that was accepted and is about to be sent. A probe is
 // sent once.
-func (x *exchange) recheckQuarantine(now time.Time) *errorResponse {
+func (x *exchange) recheckQuarantine() *errorResponse {
 	if x.probe && x.sends == 0 {
 		return nil
 	}
-	return x.quarantineError(x.quarantineVerdict(now, nil))
+	return x.quarantineError(x.quarantineVerdict(nil))
 }
 
-func (x *exchange) quarantineVerdict(now time.Time, mayProbe func() bool) quarantine.Verdict {
-	q := x.proxy.Quarantine
-	if !q.Active() {
+func (x *exchange) quarantineVerdict(mayProbe func() bool) quarantine.Verdict {
+	if !x.proxy.Quarantine.Active() {
 		return quarantine.Verdict{Allowed: true}
 	}
-	return q.Check(now, x.crashSubject(), mayProbe)
+	return x.proxy.crashes.Verdict(x.crashSubject(), mayProbe)
 }
 
 // quarantineError returns the error response to a request that may not be sent; nil if it may.
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -117,11 +117,10 @@
 // they are brought together to crashes only when all are looked at.
 type crashLog struct{ crashes []*crash }
 
-// find returns a sighting of an endpoint's crash at about a time, or nil. With an author, only sightings of
-// that host are found.
-func (l *crashLog) find(author, endpoint string, at time.Time, apart time.Duration) *crash {
+// find returns a host's sighting of an endpoint's crash at about a time, or nil.
+func (l *crashLog) find(author, endpoint string, at time.Time) *crash {
 	for _, c := range slices.Backward(l.crashes) {
-		if c.endpoint == endpoint && c.at.Sub(at).Abs() < apart && (author == "" || c.author == author) {
+		if c.author == author && c.endpoint == endpoint && c.at.Sub(at).Abs() < sightingWindow {
 			return c
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -83,11 +83,11 @@
 }
 
 // Terminated records that an endpoint closed the connection of a request, sent at a time, before its response
-// was complete. It reports whether this host knew of no crash of the endpoint at about that time.
+// was complete. It reports whether this is the first one at about that time at this host.
 func (t *Table) Terminated(now time.Time, endpoint string, sentAt time.Time, r Request) (first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	first = t.log.find("", endpoint, now, mergeWindow) == nil
+	first = t.log.find(t.host, endpoint, now) == nil
 	t.addCrash(now, attempt{Request: r, endpoint: endpoint, ran: now.Sub(sentAt)})
 	return first
 }
@@ -104,7 +104,7 @@
 // ownSighting returns this host's sighting of an endpoint's crash at about a time, and adds it if there is
 // none.
 func (t *Table) ownSighting(fleet, endpoint string, at time.Time) *crash {
-	if c := t.log.find(t.host, endpoint, at, sightingWindow); c != nil {
+	if c := t.log.find(t.host, endpoint, at); c != nil {
 		t.log.setEarlier(c, at)
 		return c
 	}
--- a/internal/quarantine/verify/verify_test.go
+++ b/internal/quarantine/verify/verify_test.go
@@ -37,3 +37,19 @@
 	is.True(!refused(true))
 	is.True(refused(false))
 }
+
+func TestRefusalWaitsUntilTheLastEndpointIsChecked(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable("h")
+	v := Verifier{Table: table, Now: time.Now, Accepts: func(context.Context, string) bool { return true }}
+	r := quarantine.Request{Fleet: "f", Fingerprint: "r"}
+	for i := range 3 {
+		sentAt := time.Now()
+		time.Sleep(time.Millisecond)
+		instance := fmt.Sprint("e", i)
+		table.Terminated(time.Now(), instance, sentAt, r)
+		v.Start(instance, "address")
+	}
+	is.True(!table.Check(time.Now(), r, nil).Allowed)
+	is.True(v.Verdict(r, nil).Allowed)
+}
