quarantine: sightings of a host's next run are told from those of the last

Found on reading the diff: sightings are numbered by host from 1, so that after a restart the first ones had the IDs of the run before, and other hosts added them to what they still knew under these IDs: with its time, or as survived. TestCrashesSeenByTheNextRunOfAHostAreNew fails with host names alone (trial) and passes; IDs, those of clearings too, now name the run.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -81,7 +81,7 @@
 		pool:     pond.NewPool(controlWorkers),
 		stop:     make(chan struct{}),
 
-		quarantine: quarantine.NewTable(s.Node),
+		quarantine: quarantine.NewTable(s.Node, time.Now().UnixMilli()),
 	}
 	a.engines = enginehttp.New(enginehttp.Options{Signals: a.router})
 	a.router.SetSignalLog(signalLog{a.log})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,7 +162,7 @@
 		clusterClock: clock.NewClusterClock(now, wall),
 		endpoints:    registry.NewView(),
 		signals:      signals,
-		quarantine:   quarantine.NewTable(s.Name),
+		quarantine:   quarantine.NewTable(s.Name, wall.UnixMilli()),
 		origins:      origin.NewTable(clock.Now(), s.FirstStart),
 
 		configurationStale: make(chan struct{}, 1),
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -221,7 +221,7 @@
 		Telemetry:    NewTelemetry(logger, prometheus.NewRegistry()),
 		OnStarted:    func(time.Time, string) { p.counted.Add(1) },
 		OnLeaving:    func() { p.leaving.Add(1) },
-		Quarantine:   quarantine.NewTable("host"),
+		Quarantine:   quarantine.NewTable("host", 1),
 		Origins:      origin.NewTable(clock.Now(), true),
 		OnlyVersion:  func(time.Time, string) (string, bool) { return "", true },
 		MayProbe:     p.mayProbe.Load,
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -20,7 +20,7 @@
 // newKeeper returns the keeper of a host whose table and wall clock show the same time.
 func newKeeper(store objectstore.Store, now *time.Time) *Keeper {
 	return New(Config{
-		Table: quarantine.NewTable("h"), Store: store,
+		Table: quarantine.NewTable("h", 1), Store: store,
 		Now:       func() time.Time { return *now },
 		WallClock: func(t time.Time) time.Time { return t },
 		Writes:    func() bool { return true },
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -23,7 +23,7 @@
 
 func TestRequestThatCrashesThreeEndpointsInTurnIsQuarantined(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	bad := named("bad", "first", "second")
 	crashInTurn(table, at(0), 2, bad)
 	is.True(table.Check(at(.2), bad, nil).Allowed)
@@ -40,7 +40,7 @@
 
 func TestRequestThatWasSentBeforeAnotherEndpointCrashedCountsThemOnce(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	popular := named("popular")
 	for i := range 20 {
 		table.Terminated(at(float64(i)*.01), fmt.Sprint("e", i), at(-1), popular)
@@ -50,7 +50,7 @@
 
 func TestPartThatCrashesUnderSeveralRequestsIsQuarantined(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	for i := range minOccasions {
 		crashInTurn(table, at(float64(i)), 2, named(fmt.Sprint("r", i), "first", "bad"))
 		table.Completed(at(float64(i)+.5), "other", at(float64(i)), named("sound", "first"), false)
@@ -62,7 +62,7 @@
 
 func TestSoundRequestInProgressAtSomeCrashesOfAnotherIsNotQuarantined(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	for i := range minOccasions + 1 {
 		now := at(float64(i))
 		table.Terminated(now, fmt.Sprint("e", i), now.Add(-50*time.Millisecond), named("bad"))
@@ -76,7 +76,7 @@
 
 func TestCompleteResponseClearsARequest(t *testing.T) {
 	is := is.New(t)
-	table, other := NewTable("h"), NewTable("other")
+	table, other := NewTable("h", 1), NewTable("other", 1)
 	crashInTurn(table, at(0), 2, named("r"))
 	table.Completed(at(.2), "e9", at(.19), named("r"), false)
 	crashInTurn(table, at(.3), 2, named("r"))
@@ -87,7 +87,7 @@
 
 func TestRequestGivenUpJustBeforeItsEndpointCrashesIsSuspected(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	for i := range minOccasions {
 		now, endpoint := at(2*float64(i)), fmt.Sprint("e", i)
 		table.Abandoned(now, endpoint, now.Add(-50*time.Millisecond), named("bad"))
@@ -104,7 +104,7 @@
 
 func TestRequestGivenUpAtAnEndpointThatGoesOnIsNotSuspected(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	for i := range 2 * minOccasions {
 		now := at(float64(i))
 		table.Abandoned(now, "e", now.Add(-50*time.Millisecond), named("impatient"))
@@ -115,7 +115,7 @@
 
 func TestRequestIsProbedMoreSeldomAfterEachCrash(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	bad := named("bad")
 	crashInTurn(table, at(0), minOccasions, bad)
 	last := at(.18)
@@ -129,7 +129,7 @@
 
 func TestHostsShareQuarantinedRequests(t *testing.T) {
 	is := is.New(t)
-	one, other, late := NewTable("one"), NewTable("other"), NewTable("late")
+	one, other, late := NewTable("one", 1), NewTable("other", 1), NewTable("late", 1)
 	crashInTurn(one, at(0), 2, named("bad"))
 	crashInTurn(other, at(1), 1, named("bad"))
 	one.Apply(at(1.2), "other", other.Report(at(1.2)))
@@ -144,7 +144,7 @@
 
 func TestRequestsInReportsAreBounded(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	for i := range 10 {
 		for n := range 1000 {
 			table.Terminated(at(float64(i)), fmt.Sprint("e", i), at(0), named(fmt.Sprint("r", i, "-", n)))
@@ -157,3 +157,16 @@
 	is.Equal(reported, maxReportedRequests)
 	is.True(len(table.log.crashes[0].requests) <= maxCrashRequests)
 }
+
+func TestCrashesSeenByTheNextRunOfAHostAreNew(t *testing.T) {
+	is := is.New(t)
+	earlier, other, later := NewTable("h", 1), NewTable("other", 1), NewTable("h", 2)
+	for i := range minOccasions {
+		earlier.Terminated(at(float64(i)), fmt.Sprint("e", i), longBefore, named("sound"))
+		earlier.Responded(at(float64(i)+.2), fmt.Sprint("e", i), at(float64(i)+.1)) // not a crash
+		later.Terminated(at(4+float64(i)), fmt.Sprint("e", i), longBefore, named("bad"))
+	}
+	other.Apply(at(3), "h", earlier.Report(at(3)))
+	other.Apply(at(7), "h", later.Report(at(7)))
+	is.True(!other.Check(at(7), named("bad"), nil).Allowed)
+}
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -179,7 +179,7 @@
 		crashRate: rapid.Float64Range(0, .2).Draw(t, "ordinary crashes a second"),
 	}
 	for i := range rapid.IntRange(1, 12).Draw(t, "hosts") {
-		s.hosts = append(s.hosts, NewTable(fmt.Sprint("h", i)))
+		s.hosts = append(s.hosts, NewTable(fmt.Sprint("h", i), 1))
 	}
 	for i := range rapid.IntRange(6, 40).Draw(t, "endpoints") {
 		s.endpoints = append(s.endpoints, &simulatedEndpoint{name: fmt.Sprint("e", i)})
@@ -254,7 +254,7 @@
 // TestMessagesInAnyOrderLeadToTheSameEntries plays random observations at two hosts that exchange them.
 func TestMessagesInAnyOrderLeadToTheSameEntries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		hosts := []*Table{NewTable("h0"), NewTable("h1"), NewTable("h2")}
+		hosts := []*Table{NewTable("h0", 1), NewTable("h1", 1), NewTable("h2", 1)}
 		now, exchangedAt := epoch, epoch
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if now.Sub(exchangedAt) > reportRetention/2 {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -29,7 +29,7 @@
 	entries entryTable
 	// cleared holds what was in progress at a crash and has had a complete response later.
 	cleared map[cause]clearing
-	// host is the name of this host. clearings counts what it has cleared, and sightings the crashes that it
+	// host names this run of this host. clearings counts what it has cleared, and sightings the crashes that it
 	// has seen.
 	host      string
 	clearings uint64
@@ -49,9 +49,10 @@
 	id string
 }
 
-// NewTable returns a table without any crash for the host with the given name.
-func NewTable(host string) *Table {
-	return &Table{host: host, entries: entryTable{}, cleared: map[cause]clearing{}}
+// NewTable returns a table without any crash for a run of a host. Other hosts still know what earlier runs, which
+// have other numbers, have told.
+func NewTable(host string, run int64) *Table {
+	return &Table{host: fmt.Sprint(host, "/", run), entries: entryTable{}, cleared: map[cause]clearing{}}
 }
 
 // Active reports whether anything is known. If not, Responded has no effect.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -30,7 +30,7 @@
 
 func TestPartThatIsAtEachCrashIsQuarantined(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	bad, good := prompt("first", "bad"), prompt("first", "good")
 	for i := range minOccasions {
 		is.True(table.Check(at(float64(i)), bad, nil).Allowed)
@@ -48,7 +48,7 @@
 
 func TestFirstPartCanBeTheOne(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	for i := range minOccasions {
 		table.Terminated(at(float64(i)), fmt.Sprint("e", i), longBefore, prompt("bad", fmt.Sprint("p", i)))
 	}
@@ -58,7 +58,7 @@
 
 func TestPartsThatNothingTellsApartAreRefusedOnlyTogether(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	crashes(table, minOccasions, prompt("bad", "companion"), prompt("bystander"))
 	// Three parts at each crash: no request has all of them yet.
 	is.True(table.Check(at(3), prompt("bad", "companion"), nil).Allowed)
@@ -72,7 +72,7 @@
 
 func TestTwoBadParts(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	for i := range 2 * minOccasions {
 		table.Terminated(at(float64(i)), fmt.Sprint("e", i), longBefore, prompt([]string{"bad", "worse"}[i%2], fmt.Sprint("p", i)))
 	}
@@ -82,7 +82,7 @@
 
 func TestBystanderOfAnExplainedCrashIsNotQuarantined(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	crashes(table, minOccasions, prompt("bad"), prompt("rare"))
 	table.Terminated(at(3), "e3", longBefore, prompt("bad"))
 	is.True(!table.Check(at(4), prompt("bad"), nil).Allowed)
@@ -91,7 +91,7 @@
 
 func TestEndpointsThatCrashTogetherAreOneOccasion(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	for i := range 100 {
 		table.Terminated(at(float64(i)*.002), fmt.Sprint("e", i), longBefore, prompt("popular"))
 	}
@@ -100,7 +100,7 @@
 
 func TestEndpointThatAnswersHasNotCrashed(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	for i := range 3 * minOccasions {
 		began := float64(i)
 		table.Terminated(at(began), "flaky", longBefore, prompt("rare"))
@@ -120,7 +120,7 @@
 func TestResponseThatEndsWithItsConnectionMayBeACrash(t *testing.T) {
 	t.Run("crash", func(t *testing.T) {
 		is := is.New(t)
-		table := NewTable("h")
+		table := NewTable("h", 1)
 		for i := range minOccasions {
 			began := 2 * float64(i)
 			table.Completed(at(began), fmt.Sprint("e", i), longBefore, prompt("bad"), true)
@@ -134,7 +134,7 @@
 	})
 	t.Run("no crash", func(t *testing.T) {
 		is := is.New(t)
-		table := NewTable("h")
+		table := NewTable("h", 1)
 		crashes(table, 2, prompt("good"))
 		table.Completed(at(3), "e", longBefore, prompt("good"), true)
 		table.Responded(at(3.2), "e", at(3.1))
@@ -145,7 +145,7 @@
 
 func TestOneProbeAtATimeAndLaterAfterEachCrash(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	crashes(table, minOccasions, prompt("bad"))
 	now := at(minOccasions - 1).Add(firstProbeDelay)
 	is.True(!table.Check(now.Add(-1), prompt("bad"), yes).Allowed)
@@ -168,7 +168,7 @@
 
 func TestChangesTellWhoFoundOut(t *testing.T) {
 	is := is.New(t)
-	one, other := NewTable("one"), NewTable("other")
+	one, other := NewTable("one", 1), NewTable("other", 1)
 	crashes(one, minOccasions, prompt("bad"))
 	changes := one.TakeChanges(at(3))
 	is.Equal(len(changes), 1)
@@ -186,7 +186,7 @@
 
 func TestReleaseEndsAQuarantineOnAllHosts(t *testing.T) {
 	is := is.New(t)
-	one, other := NewTable("one"), NewTable("other")
+	one, other := NewTable("one", 1), NewTable("other", 1)
 	crashes(one, minOccasions, prompt("bad"))
 	other.Apply(at(5), "one", one.Report(at(5)))
 	is.True(!other.Check(at(5), prompt("bad"), nil).Allowed)
@@ -197,7 +197,7 @@
 
 func TestReportsAreBounded(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	for i := range 10_000 {
 		table.Terminated(at(float64(i)*.3), fmt.Sprint("e", i), longBefore, prompt(fmt.Sprint("p", i%1000), fmt.Sprint("q", i)))
 	}
@@ -211,7 +211,7 @@
 
 func TestMalformedReportsAreIgnored(t *testing.T) {
 	is := is.New(t)
-	table := NewTable("h")
+	table := NewTable("h", 1)
 	table.Apply(epoch, "h", nil)
 	table.Apply(epoch, "h", &Report{
 		Crashes: []CrashReport{{}, {Endpoint: "e", AgeMillis: -1}, {Endpoint: "e", AgeMillis: 1 << 62}},
@@ -228,7 +228,7 @@
 // TestCloseCrashesOfOneEndpointAreTheSameOnAllHosts has an endpoint of one name crash twice within two seconds.
 func TestCloseCrashesOfOneEndpointAreTheSameOnAllHosts(t *testing.T) {
 	is := is.New(t)
-	one, other := NewTable("one"), NewTable("other")
+	one, other := NewTable("one", 1), NewTable("other", 1)
 	other.Terminated(at(0), "e0", longBefore, prompt("a"))
 	one.Terminated(at(.445), "e0", longBefore, prompt("b"))
 	other.Terminated(at(1), "e0", longBefore, prompt("a"))
--- a/internal/quarantine/verify/verify_test.go
+++ b/internal/quarantine/verify/verify_test.go
@@ -16,7 +16,7 @@
 // refused reports whether a request is refused that three endpoints have terminated, each of which was then
 // checked.
 func refused(accepts bool) bool {
-	table, now := quarantine.NewTable("h"), epoch
+	table, now := quarantine.NewTable("h", 1), epoch
 	v := Verifier{
 		Table: table, Now: func() time.Time { return now },
 		Accepts: func(context.Context, string) bool { return accepts },
@@ -40,7 +40,7 @@
 
 func TestRefusalWaitsUntilTheLastEndpointIsChecked(t *testing.T) {
 	is := is.New(t)
-	table := quarantine.NewTable("h")
+	table := quarantine.NewTable("h", 1)
 	v := Verifier{Table: table, Now: time.Now, Accepts: func(context.Context, string) bool { return true }}
 	r := quarantine.Request{Fleet: "f", Fingerprint: "r"}
 	for i := range 3 {
--- a/internal/soak/node_test.go
+++ b/internal/soak/node_test.go
@@ -81,7 +81,7 @@
 		Settings: settings, Router: checkedRouter{n.router, n}, Limiter: limiter, Claims: n.claims,
 		Engines: gatedEngines{n}, Signer: signer,
 		Metrics: dispatcher.NewMetrics(prometheus.NewRegistry()), MoveRates: rates,
-		Quarantine: quarantine.NewTable(name), MayProbe: func() bool { return true },
+		Quarantine: quarantine.NewTable(name, 1), MayProbe: func() bool { return true },
 		Accepts: func(context.Context, string) bool { return true },
 	})
 	return n
