Names: callers resume streams, and streams continue

Read as a newcomer: 'take up' and 'go on' are no terms of the field. Comments, unexported names, tests and pages of package origin and what uses it now say resume and continue; tests are renamed with their pages. Behaviour, bounds and assertions are unchanged.

--- a/internal/e2e/versions_test.go
+++ b/internal/e2e/versions_test.go
@@ -11,9 +11,9 @@
 	"rattanchute/internal/testsite"
 )
 
-// TestChatGoesOnOnlyAtTheVersionThatBeganIt has engines of two versions, of which none checks which version
+// TestChatResumesOnlyAtItsVersion has engines of two versions, of which none checks which version
 // began a stream.
-func TestChatGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+func TestChatResumesOnlyAtItsVersion(t *testing.T) {
 	versions := []string{"v1", "v1", "v2"}
 	cases := []struct {
 		name    string
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -15,7 +15,7 @@
 	return now.Add(-originsReportedIntervals * n.peers.Interval(now))
 }
 
-// onlyVersion returns the version at which all streams of a fleet began that callers may still take up; false
+// onlyVersion returns the version at which all streams of a fleet began that callers may still resume; false
 // if there may be several.
 func (n *Node) onlyVersion(now time.Time, fleet string) (string, bool) {
 	if now.Sub(n.endpoints.ConfirmedAt()) > originsMaxEndpointsAge {
--- a/internal/origin/report.go
+++ b/internal/origin/report.go
@@ -26,8 +26,8 @@
 	Keys    []Key  `json:"keys"`
 }
 
-// OnlyReport says that a fleet has had only one version for some time, at most as long as streams may be taken
-// up.
+// OnlyReport says that a fleet has had only one version for some time, at most as long as streams may be
+// resumed.
 type OnlyReport struct {
 	Fleet     string `json:"fleet"`
 	Version   string `json:"version"`
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// retention is how long after its begin a stream may be taken up.
+	// retention is how long after its begin a stream may be resumed.
 	retention = 30 * time.Second
 	// maxStreams bounds the streams that are remembered; the earliest are forgotten first.
 	maxStreams = 40_000
@@ -66,7 +66,7 @@
 	return &Table{origins: map[Key]Origin{}, versions: newVersionLog(knownSince)}
 }
 
-// Began records that a stream has begun at this host, or that it goes on there.
+// Began records that a stream has begun, or has been resumed, at this host.
 func (t *Table) Began(now time.Time, key Key, o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,7 +111,7 @@
 	t.versions.set(now, known)
 }
 
-// OnlyVersion returns the version at which all streams of a fleet that may still be taken up began; false if
+// OnlyVersion returns the version at which all streams of a fleet that may still be resumed began; false if
 // they may have begun at several, or at one that this host does not know.
 func (t *Table) OnlyVersion(now time.Time, fleet string) (string, bool) {
 	t.mu.Lock()
--- a/internal/origin/table_test.go
+++ b/internal/origin/table_test.go
@@ -134,9 +134,9 @@
 	is.True(!certain)
 }
 
-// TestNoHostNamesAnotherVersionThanTheOneThatBeganAStream plays hosts that start and stop hearing each other
+// TestNoHostNamesAnotherVersionThanThatOfTheStream plays hosts that start and stop hearing each other
 // while versions come and go.
-func TestNoHostNamesAnotherVersionThanTheOneThatBeganAStream(t *testing.T) {
+func TestNoHostNamesAnotherVersionThanThatOfTheStream(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		loss := rapid.Float64Range(0, 1).Draw(t, "loss")
@@ -179,7 +179,7 @@
 	}
 }
 
-// named returns the version at which a host lets a stream go on; false if it does not.
+// named returns the version at which a host lets a stream continue; false if it does not.
 func named(h *Table, now time.Time, key Key) (string, bool) {
 	if o, known := h.Find(key); known {
 		return o.Version, true
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -30,7 +30,7 @@
 	// LastEventID is the id of the last event of the stream that the caller received; empty if
 	// none.
 	LastEventID string
-	// Resumes is the ID of the request that brought the first event of the stream that the caller takes up;
+	// Resumes is the ID of the request that brought the first event of the stream that the caller resumes;
 	// empty if it names none.
 	Resumes string
 }
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -12,14 +12,14 @@
 	"rattanchute/internal/origin"
 )
 
-// unknownOriginRetryAfter is the Retry-After value for a caller that takes up a stream of which this host has
-// not heard yet. Other hosts tell it about as soon.
+// unknownOriginRetryAfter is the Retry-After value for a caller that resumes a stream of which this host has not heard
+// yet. Other hosts tell it about as soon.
 const unknownOriginRetryAfter = 500 * time.Millisecond
 
-// findOrigin finds out where the stream began that the caller takes up, if it does. The request is refused if
+// findOrigin finds out where the stream began, if the caller resumes one. The request is refused if
 // that is unknown or if its route no longer leads there.
 func (x *exchange) findOrigin() *errorResponse {
-	if x.route.Kind != fleet.RouteStream || !x.info.takesUp() {
+	if x.route.Kind != fleet.RouteStream || !x.info.isResumption() {
 		return nil
 	}
 	known, found := x.proxy.Origins.Find(x.streamKey())
@@ -47,8 +47,8 @@
 	return origin.Origin{Fleet: name, Version: version}, only
 }
 
-// takesUp reports whether the caller has events of the stream already.
-func (i *RequestInfo) takesUp() bool {
+// isResumption reports whether the caller has events of the stream already.
+func (i *RequestInfo) isResumption() bool {
 	last, err := strconv.ParseInt(i.LastEventID, 10, 64)
 	return i.LastEventID != "" && (err != nil || last > 0)
 }
--- a/internal/proxy/origin_test.go
+++ b/internal/proxy/origin_test.go
@@ -26,29 +26,29 @@
 	endpoint := newTestEndpoint(t, writeRest)
 	p := newTestProxy(t, resumableRoute, endpoint)
 	p.proxy.OnlyVersion = func(time.Time, string) (string, bool) { return "", false }
-	r := p.takeUp(t, "1", "2", "first")
+	r := p.resume(t, "1", "2", "first")
 	is.Equal(r.status, 503)
 	is.Equal(r.body, `{"error":"stream_origin_unknown"}`)
 	is.True(r.header.Get("Retry-After") != "")
-	is.Equal(p.takeUp(t, "2", "0", "").status, 200) // the caller has no event yet
+	is.Equal(p.resume(t, "2", "0", "").status, 200) // the caller has no event yet
 	is.Equal(p.send(t, "3").status, 200)
 	is.Equal(len(endpoint.receivedRequests()), 2)
 }
 
-func TestStreamIsTakenUpOnlyWhereItBegan(t *testing.T) {
+func TestStreamResumesOnlyAtItsOrigin(t *testing.T) {
 	is := is.New(t)
 	endpoint := newTestEndpoint(t, writeRest)
 	p := newTestProxy(t, resumableRoute, endpoint)
 	p.proxy.OnlyVersion = func(time.Time, string) (string, bool) { return "", false }
 	is.Equal(p.send(t, "first").status, 200)
-	is.Equal(p.takeUp(t, "second", "2", "first").status, 200)
-	is.Equal(p.takeUp(t, "third", "2", "first").status, 200)
-	is.Equal(p.takeUp(t, "4", "2", "second").status, 503) // it brought no first event
+	is.Equal(p.resume(t, "second", "2", "first").status, 200)
+	is.Equal(p.resume(t, "third", "2", "first").status, 200)
+	is.Equal(p.resume(t, "4", "2", "second").status, 503) // it brought no first event
 	p.proxy.Origins.Began(clock.Now(), origin.KeyOf("o", "elsewhere"), origin.Origin{Fleet: testFleet, Version: "gone"})
-	r := p.takeUp(t, "5", "2", "elsewhere")
+	r := p.resume(t, "5", "2", "elsewhere")
 	is.Equal(r.body, `{"error":"no_endpoint"}`)
 	p.proxy.Origins.Began(clock.Now(), origin.KeyOf("o", "moved"), origin.Origin{Fleet: "another"})
-	r = p.takeUp(t, "6", "2", "moved")
+	r = p.resume(t, "6", "2", "moved")
 	is.Equal(r.body, `{"error":"no_endpoint"}`)
 	is.Equal(len(endpoint.receivedRequests()), 3)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -41,7 +41,7 @@
 	Quarantine *quarantine.Table
 	// Origins knows where streams began.
 	Origins *origin.Table
-	// OnlyVersion returns the version at which all streams of a fleet began that callers may still take up;
+	// OnlyVersion returns the version at which all streams of a fleet began that callers may still resume;
 	// false if there may be several.
 	OnlyVersion func(now time.Time, fleet string) (string, bool)
 	// MayProbe reports whether this host may send a quarantined request to find out whether it still crashes
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -296,8 +296,8 @@
 	return readResponse(t, bufio.NewReader(conn))
 }
 
-// takeUp sends a request with the id for the rest of a stream, after an event, that an earlier request began.
-func (p *testProxy) takeUp(t *testing.T, id, after, resumes string) callerResponse {
+// resume sends a request with the id for the rest of a stream, after an event, that an earlier request began.
+func (p *testProxy) resume(t *testing.T, id, after, resumes string) callerResponse {
 	t.Helper()
 	conn := p.dial(t)
 	_, _ = fmt.Fprintf(conn, "%sId: %s\r\nAfter: %s\r\nResumes: %s\r\nContent-Length: 4\r\n\r\nbody", testRequestHead, id, after, resumes)
