dispatcher: a refusal while endpoints are closed always says when to come back

If closed endpoints open between the choice and the refusal, the time left is zero and was left out. It now says 100 ms at least. TestRefusalWhileEndpointsAreClosedSaysWhenToComeBack failed before.

--- a/internal/dispatcher/refusal.go
+++ b/internal/dispatcher/refusal.go
@@ -20,7 +20,9 @@
 	retryAfterNoEndpoint = 2 * time.Second
 	retryAfterShutdown   = time.Second
 	retryAfterFailure    = time.Second
-	retryAfterStreams    = time.Second
+	// minRetryAfter is the least delay while endpoints are closed, also if they open at this moment.
+	minRetryAfter     = 100 * time.Millisecond
+	retryAfterStreams = time.Second
 )
 
 // NewRefusal returns the refusal of a request that has not run.
@@ -66,7 +68,7 @@
 	}
 	if returnIn, closed := s.router.Opening(s.now(), q.Organisation, q.Fleet); closed {
 		return NewRefusal(http.StatusServiceUnavailable, requestID, "endpoints_closed",
-			"all endpoints are closed for some time").withRetryAfter(returnIn)
+			"all endpoints are closed for some time").withRetryAfter(max(returnIn, minRetryAfter))
 	}
 	return NewRefusal(http.StatusServiceUnavailable, requestID, "no_endpoint",
 		"no endpoint can take the request now").withRetryAfter(retryAfterNoEndpoint)
