--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -36,7 +36,7 @@
 
 func (testCodec) DecodeRequest(h *fasthttp.RequestHeader) (RequestInfo, error) {
 	a := RequestInfo{ID: string(h.Peek("Id")), KeyHash: string(h.Peek("Key")),
-		LastEventID: string(h.Peek("After")), Resumes: string(h.Peek("Resumes"))}
+		LastEventID: string(h.Peek("After")), Resumes: string(h.Peek("First-Id"))}
 	if a.ID == "" {
 		return a, errors.New("no id")
 	}
@@ -300,7 +300,7 @@
 func (p *testProxy) resume(t *testing.T, id, after, resumes string) callerResponse {
 	t.Helper()
 	conn := p.dial(t)
-	_, _ = fmt.Fprintf(conn, "%sId: %s\r\nAfter: %s\r\nResumes: %s\r\nContent-Length: 4\r\n\r\nbody", testRequestHead, id, after, resumes)
+	_, _ = fmt.Fprintf(conn, "%sId: %s\r\nAfter: %s\r\nFirst-Id: %s\r\nContent-Length: 4\r\n\r\nbody", testRequestHead, id, after, resumes)
 	return readResponse(t, bufio.NewReader(conn))
 }
 
