--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -34,6 +34,8 @@
 	// TCPUserTimeout bounds how long sent bytes may stay unacknowledged before the
 	// connection fails. Zero keeps the default of the operating system.
 	TCPUserTimeout time.Duration
+	// Dial opens connections; nil for those of the operating system.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Target identifies the receiver of a request. Only requests with the same target share
@@ -130,7 +132,7 @@
 
 // Accepts reports whether an address accepts a connection before the context ends. It closes the connection.
 func (c *Client) Accepts(ctx context.Context, address string) bool {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := c.dialContext(ctx, net.Dialer{}, address)
 	if err != nil {
 		return false
 	}
@@ -140,9 +142,22 @@
 
 func (c *Client) dial(address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: c.options.DialTimeout, ControlContext: setTCPUserTimeout(c.options.TCPUserTimeout)}
-	conn, err := dialer.Dial("tcp", address)
+	conn, err := c.dialContext(context.Background(), dialer, address)
 	if err != nil {
 		return nil, err
 	}
 	return &countingConn{Conn: conn}, nil
 }
+
+// dialContext opens a connection as the options say.
+func (c *Client) dialContext(ctx context.Context, dialer net.Dialer, address string) (net.Conn, error) {
+	if c.options.Dial == nil {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	if dialer.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, dialer.Timeout)
+		defer cancel()
+	}
+	return c.options.Dial(ctx, "tcp", address)
+}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -21,6 +21,7 @@
 			DialTimeout:    endpointDialTimeout,
 			IdleTimeout:    endpointIdleTimeout,
 			TCPUserTimeout: endpointUserTimeout,
+			Dial:           n.DialEndpoint,
 		}),
 		Balancer:     n.balancer,
 		Quota:        n.quota,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,8 @@
 	HeaderCodec proxy.HeaderCodec
 	Decode      Decoders
 	Log         *log.Logger
+	// DialEndpoint opens connections to endpoints; nil for those of the operating system.
+	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
 	// LogDropped returns the number of log lines that were dropped.
 	LogDropped func() uint64
 	// ReloadSettings reads the settings file again.
