reachability: a host notices and logs that it has lost its links to a fleet

Package reachability (pure) keeps which endpoints could not be reached since one was last heard, and says when a silent fleet is to be tested with connections. The host logs 'endpoints out of reach' and 'endpoints in reach again', and exports rattanchute_fleets_out_of_reach.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -15,14 +15,16 @@
 
 func (n *Node) buildProxy() {
 	s := &n.Settings
+	n.upstream = httpclient.New(httpclient.Options{
+		DialTimeout:    endpointDialTimeout,
+		IdleTimeout:    endpointIdleTimeout,
+		TCPUserTimeout: endpointUserTimeout,
+		Dial:           n.DialEndpoint,
+	})
 	deps := proxy.Dependencies{
-		HeaderCodec: n.HeaderCodec,
-		Upstream: httpclient.New(httpclient.Options{
-			DialTimeout:    endpointDialTimeout,
-			IdleTimeout:    endpointIdleTimeout,
-			TCPUserTimeout: endpointUserTimeout,
-			Dial:           n.DialEndpoint,
-		}),
+		HeaderCodec:  n.HeaderCodec,
+		Upstream:     n.upstream,
+		Links:        proxy.Links{Table: n.links, Up: n.linkUp, Failed: n.linkFailed},
 		Balancer:     n.balancer,
 		Quota:        n.quota,
 		RetryBudget:  n.retryBudget,
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -84,6 +84,8 @@
 		})
 	gauge("rattanchute_endpoints", "Endpoints known, those that leave included.",
 		func() float64 { return float64(len(n.endpoints.Known())) })
+	gauge("rattanchute_fleets_out_of_reach", "Fleets of which this host reaches no endpoint.",
+		func() float64 { return float64(len(n.links.LostFleets())) })
 	gauge("rattanchute_peers_heard", "Entry hosts heard of late, this one included.",
 		func() float64 {
 			reachable, _ := n.peers.HostCounts(clock.Now())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/adapter/peerudp"
 	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
@@ -26,6 +27,7 @@
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quarantine/keeper"
 	"rattanchute/internal/quota"
+	"rattanchute/internal/reachability"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/retrybudget"
 	"rattanchute/internal/usage"
@@ -88,9 +90,12 @@
 	startedAt   time.Time
 	registry    *prometheus.Registry
 
-	proxy        *proxy.Proxy
-	server       *proxy.Server
-	balancer     *balancer.Table
+	proxy    *proxy.Proxy
+	server   *proxy.Server
+	balancer *balancer.Table
+	// links knows which fleets this host reaches, and upstream connects to endpoints.
+	links        *reachability.Table
+	upstream     *httpclient.Client
 	quota        *quota.Ledger
 	retryBudget  *retrybudget.Budget
 	usage        *usage.Ledger
@@ -158,6 +163,7 @@
 		startedAt:    now,
 		registry:     prometheus.NewRegistry(),
 		balancer:     balancer.NewTable(s.DataCentre, signals),
+		links:        reachability.NewTable(),
 		quota: quota.NewLedger(quota.Tolerance{
 			Window: s.Bounds.QuotaWindow, Overrun: s.Bounds.QuotaOverrun, Slack: s.Bounds.QuotaSlack,
 		}, !s.FirstStart),
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -136,6 +136,7 @@
 	n.start(ctx, n.removeMissingEndpoints)
 	n.start(ctx, n.maintainMembership)
 	n.start(ctx, n.sendReports)
+	n.start(ctx, n.watchLinks)
 	n.start(ctx, n.becomeReady)
 	n.start(ctx, n.quarantineKeeper.Run)
 	n.start(ctx, n.logState)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -49,7 +49,10 @@
 }
 
 func (a *attempt) run() (outcome, balancer.Result) {
+	wait := a.beginWait()
 	out, result := a.exchangeWithEndpoint()
+	wait.End()
+	a.observeLink(result)
 	a.terminated = out == outcomeFailed && isTerminated(a.err)
 	return out, result
 }
@@ -71,6 +74,7 @@
 		return a.errorOutcome(err)
 	}
 	defer body.Close()
+	a.heard()
 	return a.relay(body)
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,6 +37,7 @@
 	Quota       *quota.Ledger
 	RetryBudget *retrybudget.Budget
 	Telemetry   *Telemetry
+	Links       Links
 	// Quarantine knows the requests and the prompts that crash endpoints.
 	Quarantine *quarantine.Table
 	// Origins knows where streams began.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -37,6 +37,9 @@
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := body.Read(buffer)
+		if n > 0 {
+			a.heard()
+		}
 		if addErr := events.add(buffer[:n]); addErr != nil {
 			a.err = addErr
 			return outcomeFailed, balancer.ResultFailed
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -26,6 +26,7 @@
 	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
+	"rattanchute/internal/reachability"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/retrybudget"
 	"rattanchute/internal/route"
@@ -219,6 +220,7 @@
 		Quota:        p.quota,
 		RetryBudget:  retrybudget.NewBudget(retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}),
 		Telemetry:    NewTelemetry(logger, prometheus.NewRegistry()),
+		Links:        Links{Table: reachability.NewTable(), Up: func(string) {}, Failed: func(string, string) {}},
 		OnStarted:    func(time.Time, string) { p.counted.Add(1) },
 		OnLeaving:    func() { p.leaving.Add(1) },
 		Quarantine:   quarantine.NewTable("host", 1),
