proxy, relay: a host that cannot reach endpoints passes requests on to a peer

It took 'connection refused' and time-outs for failures of endpoints, set them aside one after the other and refused, while its peers reached the same endpoints. Class: what a partitioned host sees is taken for the state of the others.

Change: package relay (messages, choice of the peer; pure), a listener for peers on the first port of the range, one hop at most. A request goes to a peer while its fleet is out of reach, or once two endpoints could not be reached. The first host counts it (quota, usage, demand, retry budget, origin), the peer applies what concerns the endpoint. Reports name fleets out of reach; leaders name a dozen hosts with links while a host has lost some. Ejections end when a link is back. Ruled out: readiness, closing connections, refusing at once (docs/design/unreachable-endpoints.md).

--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -34,6 +34,8 @@
 	// TCPUserTimeout bounds how long sent bytes may stay unacknowledged before the
 	// connection fails. Zero keeps the default of the operating system.
 	TCPUserTimeout time.Duration
+	// LocalIP is the address that connections come from; empty for that of the operating system's choice.
+	LocalIP string
 	// Dial opens connections; nil for those of the operating system.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -151,6 +153,9 @@
 
 // dialContext opens a connection as the options say.
 func (c *Client) dialContext(ctx context.Context, dialer net.Dialer, address string) (net.Conn, error) {
+	if ip := net.ParseIP(c.options.LocalIP); ip != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
 	if c.options.Dial == nil {
 		return dialer.DialContext(ctx, "tcp", address)
 	}
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -77,6 +77,19 @@
 	h.ejectedUntil = now.Add(h.ejectionTime)
 }
 
+// ForgetFailures ends the ejections of a fleet's endpoints and forgets their failures, which were those of this
+// host's links.
+func (t *Table) ForgetFailures(fleetName string) {
+	p := t.pool(fleetName)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failureRate = 0
+	for _, e := range p.ordered {
+		slow := e.slowness
+		e.health = health{slowness: slow}
+	}
+}
+
 // observe records the ratio of a measured to an expected answer time.
 func (s *slowness) observe(now time.Time, ratio float64) {
 	current := s.factor(now)
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -9,6 +9,7 @@
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/registry"
+	"rattanchute/internal/relay"
 	"rattanchute/internal/usage"
 )
 
@@ -89,6 +90,13 @@
 	// Origins says where streams of the group began; nil if there are none.
 	Origins *origin.Report `json:"origins,omitempty"`
 
+	// LostFleets are the fleets of which the sender reaches no endpoint.
+	LostFleets []string `json:"lost_fleets,omitempty"`
+	// GroupLostLinks is set if a host of the sender's group has lost its links to a fleet.
+	GroupLostLinks bool `json:"group_lost_links,omitempty"`
+	// RelayPeers are some hosts of the sender's group that have not, while another host has.
+	RelayPeers []relay.Peer `json:"relay_peers,omitempty"`
+
 	Quota quota.SpendingReport `json:"quota"`
 	Usage []HostUsage          `json:"usage,omitempty"`
 	// FinalUsage holds the totals of the last windows that the sender may have reported to the platform.
@@ -123,6 +131,8 @@
 	// Generation is that of the active configuration.
 	Generation fleet.Generation `json:"generation,omitempty"`
 	Endpoints  registry.Delta   `json:"endpoints"`
+	// RelayPeers are some hosts that have lost no links to endpoints, while another host has.
+	RelayPeers []relay.Peer `json:"relay_peers,omitempty"`
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
 	LeavingEndpoints []backpressure.LeavingReport `json:"leaving_endpoints,omitempty"`
 	// LimitedEndpoints are endpoints that state a rate limit, or have lately ceased to, and Leaders the hosts
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -55,6 +55,8 @@
 	// probes counts the probes of hosts that may not respond. The probed hosts are chosen in
 	// rotation by this count.
 	probes int
+	// lostFleets are the fleets of which this host reaches no endpoint.
+	lostFleets []string
 	// holdsLease is set while this host holds the duties' lease. It then follows no other host.
 	holdsLease bool
 	// leaderDigest is the newest digest from the host that was the leader then, and leaderDigestAt is
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -25,6 +25,7 @@
 		HeaderCodec:  n.HeaderCodec,
 		Upstream:     n.upstream,
 		Links:        proxy.Links{Table: n.links, Up: n.linkUp, Failed: n.linkFailed},
+		Peers:        n.buildPeers(),
 		Balancer:     n.balancer,
 		Quota:        n.quota,
 		RetryBudget:  n.retryBudget,
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -64,12 +64,15 @@
 	return accepted.Load()
 }
 
-// linkUp records that an endpoint of a fleet was heard.
+// linkUp records that an endpoint of a fleet was heard. What attempts showed of its endpoints while they were out
+// of reach is forgotten.
 func (n *Node) linkUp(fleetName string) {
 	lostFor := n.links.Heard(clock.Now(), fleetName)
 	if lostFor == 0 {
 		return
 	}
+	n.balancer.ForgetFailures(fleetName)
+	n.linksChanged()
 	n.Log.Info().Str("fleet", fleetName).Int64("lost_ms", lostFor.Milliseconds()).Msg("endpoints in reach again")
 }
 
@@ -79,6 +82,13 @@
 	if !n.links.Unreached(clock.Now(), fleetName, endpoint, usable) {
 		return
 	}
+	n.linksChanged()
 	n.Log.Warn().Str("fleet", fleetName).Str("endpoint", endpoint).Int("endpoints", usable).
 		Msg("endpoints out of reach")
 }
+
+// linksChanged tells the peers which fleets this host reaches.
+func (n *Node) linksChanged() {
+	n.peers.SetLostFleets(n.links.LostFleets())
+	wake(n.reportNow)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,8 +94,11 @@
 	server   *proxy.Server
 	balancer *balancer.Table
 	// links knows which fleets this host reaches, and upstream connects to endpoints.
-	links        *reachability.Table
-	upstream     *httpclient.Client
+	links    *reachability.Table
+	upstream *httpclient.Client
+	// peerClient passes requests on to peers, and relayServer takes theirs.
+	peerClient   *httpclient.Client
+	relayServer  *proxy.Server
 	quota        *quota.Ledger
 	retryBudget  *retrybudget.Budget
 	usage        *usage.Ledger
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -145,6 +146,8 @@
 	r.LimitedEndpoints = n.signals.LimitReports(now)
 	r.Quarantine = n.quarantine.Report(now)
 	r.Origins = n.origins.Report(now, n.originsSince(now), true)
+	r.LostFleets = n.links.LostFleets()
+	r.RelayPeers, r.GroupLostLinks = n.peers.ReportedRelayPeers(now, rand.Uint64())
 	r.Members, r.Left = n.peers.Members(now)
 	r.Usage = n.reportedUsage(now, r.Members)
 	r.Generation = n.activeGeneration()
@@ -204,6 +207,7 @@
 		LeavingEndpoints: n.signals.LeavingReports(now),
 		LimitedEndpoints: n.signals.LimitReports(now),
 		Leaders:          n.peers.Sharing(now).Groups,
+		RelayPeers:       n.peers.DigestRelayPeers(now, rand.Uint64()),
 		Quarantine:       n.quarantine.Report(now),
 		Origins:          n.origins.Report(now, n.originsSince(now), false),
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -43,6 +43,7 @@
 	duties, endDuties := context.WithCancel(work)
 	defer endDuties()
 	go n.server.Serve()
+	go n.relayServer.Serve()
 	n.startTasks(work)
 	n.startDuties(duties)
 	for {
@@ -76,6 +77,9 @@
 		return err
 	}
 	n.server = server
+	if n.relayServer, err = n.proxy.ListenRelay(n.peerAddress(), n.peers.IsPeerAddress); err != nil {
+		return err
+	}
 	if err := n.serveReady(); err != nil {
 		return err
 	}
@@ -175,10 +179,12 @@
 	n.Log.Info().Msg("stopping")
 	grace := max(n.Settings.Bounds.StopGrace-exitMargin, exitMargin)
 	n.server.Drain()
+	n.relayServer.Drain()
 	time.Sleep(min(drainDelay, grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-clock.Now().Sub(began))
 	defer cancel()
 	n.server.Close(ctx)
+	n.relayServer.Close(ctx)
 	endWork()
 	// The host is reported as leaving only now: until its last request ended it spent quota and
 	// counted usage like the others, and its reports had to reach them.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -12,6 +12,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
+	"rattanchute/internal/relay"
 )
 
 // maxResponseBytes bounds a response that is buffered before it is relayed.
@@ -28,6 +29,10 @@
 	ctx             context.Context
 	balancerAttempt *balancer.Attempt
 	sentAt          time.Time
+	// peer is the host that the request is passed on to; nil if it is sent to the endpoint itself.
+	peer *relay.Peer
+	// refusal is the final answer that the peer gave; nil if there is none.
+	refusal *errorResponse
 	// err is why the attempt failed; nil if it has not failed or if the response is the reason.
 	err error
 	// status is the HTTP status that the endpoint returned; zero before there is a response.
@@ -49,6 +54,9 @@
 }
 
 func (a *attempt) run() (outcome, balancer.Result) {
+	if a.peer != nil {
+		return a.exchangeWithPeer()
+	}
 	wait := a.beginWait()
 	out, result := a.exchangeWithEndpoint()
 	wait.End()
@@ -180,7 +188,12 @@
 		}
 		return outcomeNotExecuted, balancer.ResultRefused
 	}
-	if x.route.Kind == fleet.RouteStream && isEventStream(header) {
+	return a.relayBody(body)
+}
+
+// relayBody relays a response of which the header has been read.
+func (a *attempt) relayBody(body *httpclient.Body) (outcome, balancer.Result) {
+	if a.exchange.route.Kind == fleet.RouteStream && isEventStream(&body.Response.Header) {
 		return a.relayStream(body)
 	}
 	return a.relayBuffered(body)
--- a/internal/proxy/attemptsignals.go
+++ b/internal/proxy/attemptsignals.go
@@ -33,7 +33,7 @@
 // observeTrailer records a signal in the trailer of a response that has been read to its end. The trailer
 // is part of the header by then, and is forwarded with it.
 func (a *attempt) observeTrailer(body *httpclient.Body) {
-	if a.framing != httpclient.FramingChunked || a.closed {
+	if a.framing != httpclient.FramingChunked || a.closed || a.peer != nil {
 		return
 	}
 	info := a.exchange.proxy.HeaderCodec.DecodeResponse(&body.Response.Header)
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -38,6 +38,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	copyHeader(&resp.Header, &body.Response.Header)
+	a.markAnswered(&resp.Header)
 	resp.SkipBody = x.request.Header.IsHead()
 	resp.SetBodyRaw(content)
 	x.sendResponse(resp)
@@ -62,7 +63,7 @@
 // first event that was estimated for this endpoint is left.
 func (a *attempt) shouldRetry() bool {
 	x := a.exchange
-	if a.status < fasthttp.StatusInternalServerError || !x.route.Retryable() || x.probe {
+	if a.status < fasthttp.StatusInternalServerError || !x.route.Retryable() || x.probe || x.relayed != nil {
 		return false
 	}
 	if x.sends+1 >= x.route.MaxAttempts {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -118,10 +118,18 @@
 		return false
 	}
 	x.close = x.request.Header.ConnectionClose() || c.server.isStopping()
+	serve := x.serve
+	if c.server.relay {
+		if err := x.takeRelayed(); err != nil {
+			c.server.proxy.telemetry.RelayRejected(err)
+			return false
+		}
+		serve = x.serveRelayed
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	watch := c.watchCaller(cancel)
-	x.serve(ctx)
+	serve(ctx)
 	stillThere := watch.stop()
 	return stillThere && !x.close && !x.broken
 }
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -50,64 +50,118 @@
 	outcomeFailed
 )
 
-// dispatch sends the request to endpoints until one answers it or it may not be sent again.
+// dispatch sends the request to endpoints, or passes it on to peers, until one answers it or it may not be sent
+// again.
 func (x *exchange) dispatch(ctx context.Context) {
 	unreachable := 0
 	for {
-		choice, e := x.choose(ctx, unreachable)
+		a, e := x.nextAttempt(ctx, unreachable)
 		if e != nil {
 			x.sendFailure(ctx, e)
 			return
 		}
-		switch x.attempt(ctx, choice) {
-		case outcomeDone:
+		out := x.run(a)
+		if x.endsWith(ctx, a, out) {
 			return
-		case outcomeNotSent:
+		}
+		switch {
+		case out != outcomeNotSent:
+		case a.peer != nil:
+			x.uselessPeers = append(x.uselessPeers, a.peer.Name)
+		default:
 			unreachable++
-		case outcomeFailed:
-			if !x.route.Retryable() || ctx.Err() != nil {
-				x.sendFailure(ctx, x.finalError(ctx))
-				return
-			}
-		case outcomeNotExecuted, outcomeWithdrawn:
 		}
-		x.balancerRequest.Exclude = append(x.balancerRequest.Exclude, choice.Endpoint.ID)
+		x.exclude(a, out)
 	}
 }
 
-// choose chooses the next endpoint, or returns the error response if there is none or the request
-// may not be sent. Load shedding applies until an attempt may have reached an endpoint; after that,
-// the retry budget applies instead.
-func (x *exchange) choose(ctx context.Context, unreachable int) (balancer.Choice, *errorResponse) {
+// endsWith answers the caller if no attempt may follow this one, and reports whether that is so.
+func (x *exchange) endsWith(ctx context.Context, a *attempt, out outcome) bool {
+	mayHaveReached := out == outcomeFailed || out == outcomeNotExecuted
+	switch {
+	case out == outcomeDone:
+	case a.refusal != nil:
+		x.sendFailure(ctx, a.refusal)
+	case x.relayed != nil && mayHaveReached:
+		x.endRelayed(a, out)
+	case out == outcomeFailed && (!x.route.Retryable() || ctx.Err() != nil):
+		x.sendFailure(ctx, x.finalError(ctx))
+	default:
+		return false
+	}
+	return true
+}
+
+// exclude keeps further attempts from the endpoint of this one. Peers are told only of endpoints that the request
+// may have reached: they may reach the others.
+func (x *exchange) exclude(a *attempt, out outcome) {
+	id := a.choice.Endpoint.ID
+	if id == "" {
+		return
+	}
+	x.balancerRequest.Exclude = append(x.balancerRequest.Exclude, id)
+	if out == outcomeFailed || out == outcomeNotExecuted {
+		x.tried = append(x.tried, id)
+	}
+}
+
+// nextAttempt chooses the next endpoint or peer, or returns the error response if there is none or the request
+// may not be sent.
+func (x *exchange) nextAttempt(ctx context.Context, unreachable int) (*attempt, *errorResponse) {
 	now := clock.Now()
 	left := x.deadline.Sub(now)
 	if ctx.Err() != nil || left < minTimeLeft {
-		return balancer.Choice{}, x.finalError(ctx)
+		return nil, x.finalError(ctx)
 	}
 	if e := x.recheckQuarantine(); e != nil {
-		return balancer.Choice{}, e
-	}
-	if unreachable > maxUnreachable {
-		return balancer.Choice{}, x.refusalOrFailure(ReasonEndpointsUnreachable, minRetryAfter)
+		return nil, e
 	}
 	if x.sends >= x.route.MaxAttempts {
-		return balancer.Choice{}, x.noRoom(now, ReasonEndpointsRefused)
+		return nil, x.noRoom(now, ReasonEndpointsRefused)
+	}
+	peer := x.pickPeer(now, unreachable, false)
+	if peer == nil && unreachable > x.maxUnreachable() {
+		return nil, x.refusalOrFailure(ReasonEndpointsUnreachable, minRetryAfter)
 	}
-	choice, ok := x.proxy.Balancer.Choose(now, rand.Uint64(), x.balancerRequest)
-	if !ok {
-		return choice, x.noRoom(now, ReasonNoEndpoint)
+	var choice balancer.Choice
+	if peer == nil {
+		var found bool
+		choice, found = x.proxy.Balancer.Choose(now, rand.Uint64(), x.balancerRequest)
+		if !found {
+			peer = x.pickPeer(now, unreachable, true)
+		}
+		if !found && peer == nil {
+			return nil, x.noRoom(now, ReasonNoEndpoint)
+		}
 	}
-	if x.sends == 0 {
+	if peer == nil && x.sends == 0 {
 		if d := loadshed.Decide(x.loadshedRequest(left), estimate(&choice)); !d.Admit {
 			e := x.refusalOrFailure(ReasonOverloaded, d.RetryAfter)
 			e.estimate = &choice
-			return choice, e
+			return nil, e
 		}
 	}
-	if x.sends > 0 && !x.proxy.RetryBudget.Allow(now, x.fleet) {
-		return choice, x.noRoom(now, ReasonEndpointsRefused)
+	if x.sends > 0 && x.relayed == nil && !x.proxy.RetryBudget.Allow(now, x.fleet) {
+		return nil, x.noRoom(now, ReasonEndpointsRefused)
+	}
+	if peer != nil {
+		return x.newPeerAttempt(ctx, peer), nil
 	}
-	return choice, nil
+	return x.newAttempt(ctx, choice), nil
+}
+
+// maxUnreachable is the number of unreachable endpoints above which the request is sent to no further one. If
+// this host reaches none of the fleet and no peer does, one try is enough.
+func (x *exchange) maxUnreachable() int {
+	switch {
+	case x.proxy.Links.Table.Lost(x.fleet) && (x.relayed != nil || len(x.uselessPeers) > 0):
+		return -1
+	case x.proxy.Links.Table.Lost(x.fleet):
+		return 0
+	case x.relayed != nil:
+		return maxUnreachableAlone
+	}
+	return maxUnreachable
 }
 
 // noRoom returns the error response to a request that no endpoint takes now. While all endpoints are
@@ -177,20 +231,27 @@
 	x.sendError(e)
 }
 
-// attempt sends the request to one endpoint and relays its response.
-func (x *exchange) attempt(ctx context.Context, choice balancer.Choice) outcome {
+// newAttempt returns an attempt at an endpoint, which it counts there.
+func (x *exchange) newAttempt(ctx context.Context, choice balancer.Choice) *attempt {
 	now := clock.Now()
-	p := x.proxy
-	if x.sends == 0 {
-		p.RetryBudget.RecordRequest(now, x.fleet)
-	}
 	a := &attempt{exchange: x, choice: choice, ctx: ctx, sentAt: now}
-	a.balancerAttempt = p.Balancer.Begin(now, x.balancerRequest, choice)
+	a.balancerAttempt = x.proxy.Balancer.Begin(now, x.balancerRequest, choice)
 	x.recordPrefill(now, choice.Endpoint.ID)
-	p.telemetry.Sent(x, &choice)
+	return a
+}
+
+// run makes an attempt and records its end.
+func (x *exchange) run(a *attempt) outcome {
+	p := x.proxy
+	if x.sends == 0 && x.relayed == nil {
+		p.RetryBudget.RecordRequest(a.sentAt, x.fleet)
+	}
+	p.telemetry.Sent(x, a)
 	out, result := a.run()
-	a.observeCrash(out, result)
-	p.telemetry.HealthChanged(choice.Endpoint.ID, a.balancerAttempt.End(clock.Now(), result))
+	if a.peer == nil {
+		a.observeCrash(out, result)
+	}
+	p.telemetry.HealthChanged(a.choice.Endpoint.ID, a.balancerAttempt.End(clock.Now(), result))
 	if out != outcomeNotSent && out != outcomeWithdrawn {
 		x.sends++
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -13,6 +13,7 @@
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
+	"rattanchute/internal/relay"
 	"rattanchute/internal/route"
 )
 
@@ -56,8 +57,14 @@
 	started bool
 	// counted is set once the request is counted towards usage.
 	counted bool
-	// sends counts the finished attempts in which the request may have reached the endpoint.
+	// sends counts the finished attempts in which the request may have reached the endpoint, and tried names the
+	// endpoints of these.
 	sends int
+	tried []string
+	// uselessPeers are the peers that the request was passed on to and that could not send it.
+	uselessPeers []string
+	// relayed is what the host that has passed the request on says; nil if it comes from its caller.
+	relayed *relay.Request
 
 	// close ends the connection after the response; broken marks it as unusable.
 	close  bool
@@ -80,7 +87,11 @@
 		return
 	}
 	defer p.bodyBytes.Add(-size)
-	if e := x.admit(); e != nil {
+	admit := x.admit
+	if x.relayed != nil {
+		admit = x.admitRelayed
+	}
+	if e := admit(); e != nil {
 		x.sendError(e)
 		return
 	}
@@ -253,7 +264,7 @@
 		return
 	}
 	x.counted = true
-	if x.organisation != nil {
+	if x.organisation != nil && x.relayed == nil {
 		x.proxy.OnStarted(now, x.organisation.Name)
 	}
 }
@@ -279,6 +290,9 @@
 	defer fasthttp.ReleaseResponse(resp)
 	fillErrorResponse(resp, e)
 	x.proxy.HeaderCodec.EncodeRefusal(&resp.Header, x.info.ID)
+	if x.relayed != nil {
+		resp.Header.Set(relay.Header, relay.Encode(x.relayRefusal(e)))
+	}
 	// Counted first, so that whoever has the response finds it in the metrics.
 	x.proxy.telemetry.Refused(x, e)
 	x.sendResponse(resp)
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -18,6 +18,7 @@
 	signals       *prometheus.CounterVec
 	ejections     prometheus.Counter
 	probes        prometheus.Counter
+	passedOn      prometheus.Counter
 	first         *prometheus.HistogramVec
 	total         *prometheus.HistogramVec
 	eventInterval prometheus.Histogram
@@ -57,6 +58,9 @@
 		probes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_quarantine_probes_total", Help: "Quarantined requests sent to find out whether they still crash endpoints.",
 		}),
+		passedOn: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_passed_on_total", Help: "Times that a request was passed on to a peer that reaches its endpoints.",
+		}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "rattanchute_gateway_first_event_seconds", Help: "Time to the first event or the whole plain answer.",
 			Buckets: secondsBuckets,
@@ -74,7 +78,7 @@
 	suppressedLines := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rattanchute_gateway_log_lines_left_out_total", Help: "Lines of ordinary requests beyond the bound, by kind.",
 	}, []string{"kind"})
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.terminated, m.streamEnds, m.signals, m.ejections, m.probes, m.first, m.total, m.eventInterval,
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.terminated, m.streamEnds, m.signals, m.ejections, m.probes, m.passedOn, m.first, m.total, m.eventInterval,
 		suppressedLines)
 	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -65,9 +65,13 @@
 	return origin.KeyOf(organisation, id)
 }
 
-// recordOrigin records where the stream began, at its first event. From then on it continues only there.
+// recordOrigin records where the stream began, at its first event. From then on it continues only there. Of a
+// relayed stream, the host that has passed it on does that.
 func (a *attempt) recordOrigin(now time.Time) {
 	x := a.exchange
+	if x.relayed != nil {
+		return
+	}
 	if x.origin == (origin.Origin{}) {
 		x.origin = origin.Origin{Fleet: x.fleet, Version: a.choice.Endpoint.Version}
 		x.balancerRequest.Version = x.origin.Version
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -38,6 +38,8 @@
 	RetryBudget *retrybudget.Budget
 	Telemetry   *Telemetry
 	Links       Links
+	// Peers are the hosts that requests are passed on to.
+	Peers Peers
 	// Quarantine knows the requests and the prompts that crash endpoints.
 	Quarantine *quarantine.Table
 	// Origins knows where streams began.
@@ -76,9 +78,11 @@
 	// clock of package clock; zero if that was never known.
 	confirmedAt atomic.Int64
 	bodyBytes   atomic.Int64
-	demand      *demandMeter
-	crashes     verify.Verifier
-	prefills    *recentPrefills
+	// relayed is the number of requests of peers that are being served.
+	relayed  atomic.Int64
+	demand   *demandMeter
+	crashes  verify.Verifier
+	prefills *recentPrefills
 }
 
 // New returns a proxy that refuses all requests until a table is set.
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -20,10 +20,14 @@
 // descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
-// Server accepts callers' connections.
+// Server accepts connections of callers, or of peers that pass requests on.
 type Server struct {
 	proxy    *Proxy
 	listener net.Listener
+	// relay is set if the connections are those of peers; allowed then tells whether an IP address is that of a
+	// peer.
+	relay   bool
+	allowed func(ip string) bool
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -32,6 +36,19 @@
 	wg       sync.WaitGroup
 }
 
+// maxRelayConns bounds the connections of peers.
+const maxRelayConns = 1024
+
+// ListenRelay opens the listener for peers that pass requests on. It serves only hosts that are allowed.
+func (p *Proxy) ListenRelay(address string, allowed func(ip string) bool) (*Server, error) {
+	s, err := p.Listen(address)
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	s.relay, s.allowed = true, allowed
+	return s, nil
+}
+
 // Listen opens the listener for callers. No connection is served before Serve is called.
 func (p *Proxy) Listen(address string) (*Server, error) {
 	config := net.ListenConfig{Control: setUserTimeout}
@@ -68,10 +85,32 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		if !s.admits(accepted) {
+			_ = accepted.Close()
+			continue
+		}
 		s.start(accepted)
 	}
 }
 
+// admits reports whether a connection is served.
+func (s *Server) admits(accepted net.Conn) bool {
+	if !s.relay {
+		return true
+	}
+	ip, _, err := net.SplitHostPort(accepted.RemoteAddr().String())
+	if err != nil || !s.allowed(ip) {
+		s.proxy.telemetry.RelayRejected(fmt.Errorf("%w: %s", errNoPeer, accepted.RemoteAddr()))
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) < maxRelayConns
+}
+
+// errNoPeer means that a connection to the relay listener comes from no known host.
+var errNoPeer = errors.New("not a known host")
+
 func (s *Server) start(accepted net.Conn) {
 	c := newConn(s, accepted)
 	s.mu.Lock()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -37,7 +37,7 @@
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := body.Read(buffer)
-		if n > 0 {
+		if n > 0 && a.peer == nil {
 			a.heard()
 		}
 		if addErr := events.add(buffer[:n]); addErr != nil {
@@ -114,7 +114,7 @@
 				continue
 			}
 		}
-		x.beginStream(&body.Response.Header)
+		a.beginStream(&body.Response.Header)
 		x.writeChunk(e.text)
 		wrote = true
 	}
@@ -165,7 +165,8 @@
 
 // beginStream writes the head of a streamed response, unless that was done before. If the stream
 // continues at another endpoint, the caller therefore keeps the header of the first one.
-func (x *exchange) beginStream(header *fasthttp.ResponseHeader) {
+func (a *attempt) beginStream(header *fasthttp.ResponseHeader) {
+	x := a.exchange
 	if x.headSent {
 		return
 	}
@@ -173,6 +174,7 @@
 	x.status = header.StatusCode()
 	var head fasthttp.ResponseHeader
 	copyHeader(&head, header)
+	a.markAnswered(&head)
 	head.SetContentLength(-1)
 	if x.close {
 		head.SetConnectionClose()
@@ -212,7 +214,7 @@
 	x := a.exchange
 	x.markStarted(a.sentAt)
 	defer body.Finish()
-	x.beginStream(&body.Response.Header)
+	a.beginStream(&body.Response.Header)
 	if _, err := x.conn.writer.WriteString("0\r\n\r\n"); err != nil {
 		x.broken = true
 	}
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -43,6 +43,9 @@
 	if x.organisation != nil {
 		line = line.Str("organisation", x.organisation.Name)
 	}
+	if x.relayed != nil {
+		line = line.Str("relayed_from", x.from())
+	}
 	if x.table != nil {
 		line = line.Uint64("generation", uint64(x.table.Generation()))
 	}
@@ -51,7 +54,12 @@
 
 // Sent logs which endpoint was chosen and why. It falls under the rate limit for routine lines
 // until an attempt has reached an endpoint; later attempts are always logged.
-func (t *Telemetry) Sent(x *exchange, c *balancer.Choice) {
+func (t *Telemetry) Sent(x *exchange, a *attempt) {
+	c := &a.choice
+	if a.peer != nil {
+		t.passedOn(x, a)
+		return
+	}
 	if x.sends == 0 && !t.allowRoutine(clock.Now(), lineSent) {
 		return
 	}
@@ -86,6 +94,7 @@
 	}
 	t.entry(log.WarnLevel, x).
 		Str("endpoint", a.choice.Endpoint.ID).
+		Str("peer", a.via()).
 		Str("outcome", out.String()).
 		Int("sends", x.sends).
 		Bool("terminated", a.terminated).
@@ -165,6 +174,7 @@
 	}
 	t.entry(log.InfoLevel, x).
 		Str("endpoint", a.choice.Endpoint.ID).
+		Str("peer", a.via()).
 		Int("status", a.status).
 		Str("framing", string(a.framing)).
 		Int("events", a.events).
