verify: a connection that a host loses is no crash if a peer reaches the endpoint

Cause: the check whether an endpoint still accepts connections used only the links of the host that had lost them. Now two peers are asked at the same time (a test over the listener for peers); a host that says it has survived tells the others at once. Ruled out: counting only hosts that reach other endpoints - a host may have lost the links to some of them only.

--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -9,6 +9,7 @@
 	"rattanchute/internal/engine"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/quarantine"
+	"rattanchute/internal/quarantine/verify"
 )
 
 // errQuarantined ends a request that has been found to crash endpoints, by itself or by its prompt.
@@ -54,7 +55,7 @@
 	switch {
 	case errors.Is(err, engine.ErrTerminated):
 		if s.service.quarantine.Terminated(s.service.now(), instance, sentAt, s.request) {
-			s.service.crashes.Start(instance, endpoint.Address)
+			s.service.crashes.Start(verify.Endpoint{Instance: instance, Address: endpoint.Address})
 		}
 	case errors.Is(err, engine.ErrNotSent):
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded), errors.Is(err, errChunkTimeout):
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -26,6 +26,8 @@
 		Upstream:     n.upstream,
 		Links:        proxy.Links{Table: n.links, Up: n.linkUp, Failed: n.linkFailed},
 		Peers:        n.buildPeers(),
+		Reaches:      n.reaches,
+		PeerReaches:  n.peerReaches,
 		Balancer:     n.balancer,
 		Quota:        n.quota,
 		RetryBudget:  n.retryBudget,
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -1,9 +1,14 @@
 package node
 
 import (
+	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rattanchute/internal/adapter/httpclient"
+	"rattanchute/internal/clock"
 	"rattanchute/internal/proxy"
 	"rattanchute/internal/relay"
 )
@@ -13,6 +18,10 @@
 	peerDialTimeout = 200 * time.Millisecond
 	// peerUserTimeout closes connections to peers that no longer acknowledge data.
 	peerUserTimeout = time.Second
+	// reachTimeout bounds a connection to an endpoint that a peer asks for.
+	reachTimeout = 150 * time.Millisecond
+	// maxPeersTested is how many peers are asked whether they reach an endpoint.
+	maxPeersTested = 2
 )
 
 // buildPeers returns what the proxy needs to pass requests on. Connections come from the address by which peers
@@ -28,3 +37,58 @@
 		Candidates: n.peers.RelayPeers,
 	}
 }
+
+// reaches reports whether a listed endpoint accepts a connection of this host.
+func (n *Node) reaches(id string) bool {
+	for _, e := range n.endpoints.Known() {
+		if e.ID == id {
+			ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
+			defer cancel()
+			return n.upstream.Accepts(ctx, e.Address)
+		}
+	}
+	return false
+}
+
+// peerReaches reports whether one of two peers reaches an endpoint.
+func (n *Node) peerReaches(ctx context.Context, id string) bool {
+	candidates := n.peers.RelayPeers(clock.Now(), n.fleetOf(id))
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	candidates = candidates[:min(len(candidates), maxPeersTested)]
+	results := make(chan bool, len(candidates))
+	for _, peer := range candidates {
+		go func() { results <- n.askReaches(ctx, peer, id) }()
+	}
+	for range candidates {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
+// fleetOf returns the fleet of a listed endpoint; empty if it is not listed.
+func (n *Node) fleetOf(id string) string {
+	for _, e := range n.endpoints.Known() {
+		if e.ID == id {
+			return e.Fleet
+		}
+	}
+	return ""
+}
+
+// askReaches asks a peer whether it reaches an endpoint. A peer that does not answer counts as one that does not.
+func (n *Node) askReaches(ctx context.Context, peer relay.Peer, id string) bool {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("/")
+	req.Header.SetHost(peer.Address)
+	req.Header.Set(relay.Header, relay.Encode(relay.Request{From: n.Settings.Name, Test: id}))
+	if err := n.peerClient.Do(ctx, peer.Address, req, resp); err != nil {
+		n.Log.Info().Str("peer", peer.Name).Str("endpoint", id).Err(err).Msg("peer does not say whether it reaches an endpoint")
+		return false
+	}
+	told, err := relay.DecodeResponse(resp.Header.Peek(relay.Header))
+	return err == nil && told.Result == relay.Reached
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -40,6 +40,10 @@
 	Links       Links
 	// Peers are the hosts that requests are passed on to.
 	Peers Peers
+	// Reaches reports whether a listed endpoint, by its ID, accepts a connection of this host, and PeerReaches
+	// whether one of a peer.
+	Reaches     func(id string) bool
+	PeerReaches func(ctx context.Context, id string) bool
 	// Quarantine knows the requests and the prompts that crash endpoints.
 	Quarantine *quarantine.Table
 	// Origins knows where streams began.
@@ -89,7 +93,9 @@
 func New(d Dependencies) *Proxy {
 	return &Proxy{
 		Dependencies: d, telemetry: d.Telemetry, demand: newDemandMeter(), prefills: newRecentPrefills(),
-		crashes: verify.Verifier{Table: d.Quarantine, Accepts: d.Upstream.Accepts, Now: clock.Now},
+		crashes: verify.Verifier{
+			Table: d.Quarantine, Accepts: d.Upstream.Accepts, PeerReaches: d.PeerReaches, OnSurvived: d.OnCrash, Now: clock.Now,
+		},
 	}
 }
 
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -12,6 +12,7 @@
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/quarantine"
+	"rattanchute/internal/quarantine/verify"
 )
 
 // errQuarantined means that a request was not sent because it, or its prompt, has been found to crash
@@ -76,7 +77,8 @@
 	switch {
 	case a.terminated:
 		if q.Terminated(now, a.instanceName(), a.sentAt, x.crashSubject()) {
-			x.proxy.crashes.Start(a.instanceName(), a.choice.Endpoint.Address)
+			e := &a.choice.Endpoint
+			x.proxy.crashes.Start(verify.Endpoint{Instance: a.instanceName(), ID: e.ID, Address: e.Address})
 		}
 		x.proxy.OnCrash()
 	case errors.Is(a.err, syscall.ECONNREFUSED):
--- a/internal/proxy/relayed.go
+++ b/internal/proxy/relayed.go
@@ -125,5 +125,18 @@
 		x.sendError(newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonOutOfMemory, startingRetryAfter))
 		return
 	}
+	if x.relayed.Test != "" {
+		x.testRelayed()
+		return
+	}
 	x.serve(ctx)
 }
+
+// testRelayed answers a test: whether an endpoint accepts a connection of this host.
+func (x *exchange) testRelayed() {
+	result := relay.Unreached
+	if x.proxy.Reaches(x.relayed.Test) {
+		result = relay.Reached
+	}
+	x.sendRelayResult(relay.Response{Result: result})
+}
--- a/internal/quarantine/verify/verify.go
+++ b/internal/quarantine/verify/verify.go
@@ -1,5 +1,6 @@
 // Package verify finds out whether an endpoint that closed a connection has crashed: one that accepts a new
-// connection immediately afterwards has not.
+// connection immediately afterwards, of this host or of a peer, has not. A host that has lost its links sees all
+// endpoints close their connections, and is no witness.
 package verify
 
 import (
@@ -24,15 +25,27 @@
 	Table *quarantine.Table
 	// Accepts reports whether an address accepts a connection before the context ends.
 	Accepts func(ctx context.Context, address string) bool
+	// PeerReaches reports whether a peer reaches an endpoint, by its ID; nil if there are no peers.
+	PeerReaches func(ctx context.Context, id string) bool
+	// OnSurvived is called when an endpoint has not crashed; nil for nothing.
+	OnSurvived func()
 	// Now returns the time of the table's clock.
 	Now func() time.Time
 }
 
-// Start checks an endpoint in the background: a run of it, by the name that the table knows, and its address.
-func (v *Verifier) Start(instance, address string) {
+// Endpoint is an endpoint to check.
+type Endpoint struct {
+	// Instance names the run of the endpoint, as the table does.
+	Instance string
+	ID       string
+	Address  string
+}
+
+// Start checks an endpoint in the background.
+func (v *Verifier) Start(e Endpoint) {
 	go func() {
 		time.Sleep(delay)
-		v.check(instance, address)
+		v.check(e)
 	}()
 }
 
@@ -47,11 +60,27 @@
 	return v.Table.Check(v.Now(), r, mayProbe)
 }
 
-func (v *Verifier) check(instance, address string) {
+func (v *Verifier) check(e Endpoint) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	began := v.Now()
-	if v.Accepts(ctx, address) {
-		v.Table.Responded(v.Now(), instance, began)
+	if !v.isReached(ctx, e) {
+		return
+	}
+	v.Table.Responded(v.Now(), e.Instance, began)
+	if v.OnSurvived != nil {
+		v.OnSurvived()
+	}
+}
+
+// isReached reports whether this host or a peer reaches an endpoint. Both are asked at the same time, because a
+// lost link may let a connection hang.
+func (v *Verifier) isReached(ctx context.Context, e Endpoint) bool {
+	if v.PeerReaches == nil {
+		return v.Accepts(ctx, e.Address)
 	}
+	results := make(chan bool, 2)
+	go func() { results <- v.Accepts(ctx, e.Address) }()
+	go func() { results <- v.PeerReaches(ctx, e.ID) }()
+	return <-results || <-results
 }
--- a/internal/quarantine/verify/verify_test.go
+++ b/internal/quarantine/verify/verify_test.go
@@ -27,7 +27,7 @@
 		instance := fmt.Sprint("e", i)
 		table.Terminated(now, instance, now.Add(-time.Millisecond), r)
 		now = now.Add(delay)
-		v.check(instance, "address")
+		v.check(Endpoint{Instance: instance, Address: "address"})
 	}
 	return !table.Check(now, r, nil).Allowed
 }
@@ -48,8 +48,31 @@
 		time.Sleep(time.Millisecond)
 		instance := fmt.Sprint("e", i)
 		table.Terminated(time.Now(), instance, sentAt, r)
-		v.Start(instance, "address")
+		v.Start(Endpoint{Instance: instance, Address: "address"})
 	}
 	is.True(!table.Check(time.Now(), r, nil).Allowed)
 	is.True(v.Verdict(r, nil).Allowed)
 }
+
+func TestEndpointThatOnlyAPeerReachesHasNotCrashed(t *testing.T) {
+	is := is.New(t)
+	for _, reached := range []bool{true, false} {
+		table, now, told := quarantine.NewTable("h", 1), epoch, 0
+		v := Verifier{
+			Table: table, Now: func() time.Time { return now },
+			Accepts:     func(context.Context, string) bool { return false },
+			PeerReaches: func(context.Context, string) bool { return reached },
+			OnSurvived:  func() { told++ },
+		}
+		r := quarantine.Request{Fleet: "f", Fingerprint: "r"}
+		for i := range 3 {
+			now = now.Add(time.Second)
+			instance := fmt.Sprint("e", i)
+			table.Terminated(now, instance, now.Add(-time.Millisecond), r)
+			now = now.Add(delay)
+			v.check(Endpoint{Instance: instance, ID: instance, Address: "address"})
+		}
+		is.Equal(table.Check(now, r, nil).Allowed, reached)
+		is.Equal(told == 3, reached)
+	}
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -25,6 +25,9 @@
 	// Sends is in how many attempts the request may have reached an endpoint, and Exclude the endpoints of these.
 	Sends   int      `json:"sends,omitempty"`
 	Exclude []string `json:"exclude,omitempty"`
+	// Test names an endpoint, by its ID. Nothing is sent to it: the response says whether it accepts a
+	// connection.
+	Test string `json:"test,omitempty"`
 }
 
 // Result says what has become of a relayed request.
@@ -42,6 +45,9 @@
 	TurnedAway Result = "turned_away"
 	// Failed means that the request may have run.
 	Failed Result = "failed"
+	// Reached and Unreached answer a test.
+	Reached   Result = "reached"
+	Unreached Result = "unreached"
 )
 
 // Response is what the peer tells the first host.
