balancer, backpressure: hosts use no more than the slots of brittle endpoints

Each host filled endpoints by its own view; what was turned away by all of them together took an endpoint down, its load took the next one, and one that came back was filled by all hosts at once.

Change: while a fleet is brittle, hosts divide the slots of each endpoint (by groups and their sizes, then hosts); a host with fewer than four passes requests on to peers with free ones; an endpoint that turns one away gets fewer for a while; falls are no evidence of crashes. Hosts tell each other which fleets are. Ruled out: budgets of refusals (docs/design/brittle-endpoints.md).

--- a/internal/backpressure/share.go
+++ b/internal/backpressure/share.go
@@ -26,6 +26,8 @@
 	// Groups are the names of all groups, and Members the hosts of this one.
 	Groups  []string
 	Members []string
+	// Sizes are the numbers of hosts of the groups; one for those that are missing.
+	Sizes map[string]int
 }
 
 // Share returns the part of an endpoint's rate limit that is this host's, from 0 to 1. Only few hosts send to
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -22,6 +22,10 @@
 	signals  *backpressure.Table
 	instance backpressure.Instance
 	permit   *backpressure.Permit
+	// noPlace is set if this host may have no more requests in progress at the endpoint, which is brittle.
+	noPlace bool
+	// sent is set once the request may be sent.
+	sent bool
 }
 
 // Begin counts a request as in flight at the chosen endpoint. An engine is from now on assumed
@@ -35,6 +39,10 @@
 	if e == nil {
 		return a
 	}
+	if !p.hasPlace(now, e, t.signals.Hosts()) {
+		a.noPlace = true
+		return a
+	}
 	a.endpoint = e
 	e.inFlight++
 	if e.model {
@@ -51,10 +59,13 @@
 // may have closed itself or begun to leave since it was chosen. It reports whether this is the first
 // request after the endpoint was closed.
 func (a *Attempt) Permit(now time.Time) (first bool, err error) {
+	if a.noPlace {
+		return false, ErrEndpointFull
+	}
 	permit, verdict := a.signals.Endpoint(a.instance).Acquire(now)
 	switch {
 	case permit != nil:
-		a.permit = permit
+		a.permit, a.sent = permit, true
 		return permit.First, nil
 	case verdict.Leaving:
 		return false, ErrEndpointLeaving
@@ -67,6 +78,8 @@
 var (
 	ErrEndpointLeaving = errors.New("endpoint is leaving")
 	ErrEndpointClosed  = errors.New("endpoint is closed for some time")
+	// ErrEndpointFull means that this host has used its part of the slots of a brittle endpoint.
+	ErrEndpointFull = errors.New("no slot of the endpoint is left for this host")
 )
 
 // ObserveSignal records what the response of the endpoint says about further requests. The random
@@ -174,6 +187,9 @@
 	}
 	e.inFlight--
 	e.memoryTokens -= a.memoryTokens
+	if result == ResultRefused && a.sent {
+		p.turnedAway(now, e, a.signals.Hosts())
+	}
 	before, until := e.awaitingRecovery, e.ejectedUntil
 	p.updateHealth(now, e, a, result)
 	change := HealthChange{Recovered: before && !e.awaitingRecovery, FailureRate: e.failureRate}
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -18,12 +18,12 @@
 // none. Ejected endpoints are chosen only if there is no other, leaving and closed ones never. Between endpoints of about equal
 // cost, a shared prefix decides, and if there is none, the random word.
 func (t *Table) Choose(now time.Time, random uint64, r Request) (Choice, bool) {
-	p := t.pool(r.Fleet)
+	p, hosts := t.pool(r.Fleet), t.signals.Hosts()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best := p.best(now, random, &r, t.dataCentre, false)
+	best := p.best(now, random, &r, t.dataCentre, hosts, false)
 	if best == nil {
-		best = p.best(now, random, &r, t.dataCentre, true)
+		best = p.best(now, random, &r, t.dataCentre, hosts, true)
 	}
 	if best == nil {
 		return Choice{}, false
@@ -36,7 +36,9 @@
 
 // best returns the candidate with the lowest cost, including ejected endpoints only if
 // includeEjected is set.
-func (p *pool) best(now time.Time, random uint64, r *Request, dataCentre string, includeEjected bool) *candidate {
+func (p *pool) best(
+	now time.Time, random uint64, r *Request, dataCentre string, hosts *backpressure.Hosts, includeEjected bool,
+) *candidate {
 	var eligible []*endpoint
 	for _, e := range p.ordered {
 		if e.known.Leaving || slices.Contains(r.Exclude, e.known.ID) || e.ejected(now) && !includeEjected {
@@ -45,13 +47,20 @@
 		if r.Version != "" && e.known.Version != r.Version || !e.signals.Verdict(now).Allowed {
 			continue
 		}
+		if !p.hasPlace(now, e, hosts) {
+			continue
+		}
 		eligible = append(eligible, e)
 	}
 	var best *candidate
 	affinity := affinityKey(r.Prefixes)
 	source := p.cacheSource(now, r)
+	brittle := p.brittle.known(now)
 	for _, e := range sample(eligible, random, affinity, r.Prefixes) {
 		c := candidate{endpoint: e, choice: e.estimate(now, r, p.meanDuration, &source)}
+		if c.choice.Queued && brittle {
+			continue
+		}
 		c.cost = c.choice.FirstEvent + p.penalty(now, e, &c.choice, dataCentre) + tieBreak(random, affinity, e)
 		if best == nil || c.cost < best.cost {
 			best = &c
--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -55,6 +55,10 @@
 	// memoryTokens is the number of tokens of KV memory that the requests in flight will need.
 	memoryTokens int
 	peerLoads    map[string]endpointLoad
+	// reducedTo bounds the requests of this host until reducedUntil, because the endpoint is brittle and has turned
+	// one away.
+	reducedTo    int
+	reducedUntil time.Time
 	health
 }
 
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -34,7 +34,8 @@
 	// firstEventSlowness is by how much first events over the whole fleet recently took longer
 	// than expected.
 	firstEventSlowness slowness
-	// returns spreads the callers that were refused because all endpoints are closed.
+	brittle            brittleness
+	// returns spreads the callers that were refused because all endpoints are closed or full.
 	returns backpressure.RetrySchedule
 }
 
--- a/internal/heartbeat/group.go
+++ b/internal/heartbeat/group.go
@@ -52,7 +52,7 @@
 		if t.leaderDigest.Name != t.leader {
 			return h
 		}
-		h.Groups = t.leaderDigest.Leaders
+		h.Groups, h.Sizes = t.leaderDigest.Leaders, t.leaderDigest.GroupSizes
 		h.Members = append(slices.Collect(maps.Keys(t.leaderDigest.Acks)), t.leader)
 		return h
 	}
@@ -61,9 +61,26 @@
 	for _, peer := range t.followersLocked(now) {
 		h.Members = append(h.Members, peer.Name)
 	}
+	h.Sizes = t.groupSizesLocked(h.Groups, len(h.Members))
 	return h
 }
 
+// groupSizesLocked returns the numbers of hosts of the groups that have more than one, as their leaders report
+// them; that of this host's group is given.
+func (t *Table) groupSizesLocked(groups []string, own int) map[string]int {
+	sizes := map[string]int{}
+	for _, group := range groups {
+		size := own
+		if peer := t.peers[group]; peer != nil {
+			size = len(peer.report.Members)
+		}
+		if size > 1 {
+			sizes[group] = size
+		}
+	}
+	return sizes
+}
+
 // leadersLocked returns the names of the leaders, this host included: in a full mesh, all hosts that may be
 // running.
 func (t *Table) leadersLocked(now time.Time) []string {
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -90,6 +90,8 @@
 	// Origins says where streams of the group began; nil if there are none.
 	Origins *origin.Report `json:"origins,omitempty"`
 
+	// BrittleFleets are the fleets whose endpoints have lately said that they are brittle.
+	BrittleFleets []balancer.BrittleReport `json:"brittle_fleets,omitempty"`
 	// LostFleets are the fleets of which the sender reaches no endpoint.
 	LostFleets []string `json:"lost_fleets,omitempty"`
 	// GroupLostLinks is set if a host of the sender's group has lost its links to a fleet.
@@ -131,6 +133,8 @@
 	// Generation is that of the active configuration.
 	Generation fleet.Generation `json:"generation,omitempty"`
 	Endpoints  registry.Delta   `json:"endpoints"`
+	// BrittleFleets are the fleets whose endpoints have lately said to a host that they are brittle.
+	BrittleFleets []balancer.BrittleReport `json:"brittle_fleets,omitempty"`
 	// RelayPeers are some hosts that have lost no links to endpoints, while another host has.
 	RelayPeers []relay.Peer `json:"relay_peers,omitempty"`
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
@@ -139,6 +143,8 @@
 	// among whose groups the limits are shared.
 	LimitedEndpoints []backpressure.LimitReport `json:"limited_endpoints,omitempty"`
 	Leaders          []string                   `json:"leaders,omitempty"`
+	// GroupSizes are the numbers of hosts of the groups, by their leaders; one for those that are missing.
+	GroupSizes map[string]int `json:"group_sizes,omitempty"`
 	// Quarantine is what is known of requests that crash endpoints; nil if there are none.
 	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 	// Origins says where streams began, those of all hosts; nil if there are none.
--- a/internal/heartbeat/relay.go
+++ b/internal/heartbeat/relay.go
@@ -31,6 +31,19 @@
 	return t.relayPeersLocked(now, fleetName)
 }
 
+// RelayPeersNamed returns the known peers with some names.
+func (t *Table) RelayPeersNamed(names []string) []relay.Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var peers []relay.Peer
+	for _, name := range names {
+		if peer := t.peers[name]; peer != nil && !peer.leaving {
+			peers = append(peers, peer.relayPeer())
+		}
+	}
+	return peers
+}
+
 // relayPeersLocked returns the peers that this host hears, and those that they name, without the ones that have
 // lost their links to a fleet.
 func (t *Table) relayPeersLocked(now time.Time, fleetName string) []relay.Peer {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -35,6 +35,9 @@
 		Client:     n.peerClient,
 		Picker:     relay.NewPicker(n.Settings.DataCentre),
 		Candidates: n.peers.RelayPeers,
+		SlotOwners: func(_ time.Time, fleetName string) []relay.Peer {
+			return n.peers.RelayPeersNamed(n.balancer.SlotOwners(fleetName))
+		},
 	}
 }
 
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -146,6 +146,7 @@
 	r.LimitedEndpoints = n.signals.LimitReports(now)
 	r.Quarantine = n.quarantine.Report(now)
 	r.Origins = n.origins.Report(now, n.originsSince(now), true)
+	r.BrittleFleets = n.balancer.BrittleReports(now, balancer.ScopeGroup)
 	r.LostFleets = n.links.LostFleets()
 	r.RelayPeers, r.GroupLostLinks = n.peers.ReportedRelayPeers(now, rand.Uint64())
 	r.Members, r.Left = n.peers.Members(now)
@@ -193,6 +194,7 @@
 	configuration, endpoints := n.proxy.ConfirmedAt(), n.endpoints.ConfirmedAt()
 	reachable, known := n.peers.HostCounts(now)
 	prefills := n.proxy.Prefills(n.prefillsSince(now), balancer.ScopeAll)
+	sharing := n.peers.Sharing(now)
 	return &heartbeat.Digest{
 		Peer:           n.self(),
 		Number:         n.messagesSent.Add(1),
@@ -206,7 +208,9 @@
 
 		LeavingEndpoints: n.signals.LeavingReports(now),
 		LimitedEndpoints: n.signals.LimitReports(now),
-		Leaders:          n.peers.Sharing(now).Groups,
+		Leaders:          sharing.Groups,
+		GroupSizes:       sharing.Sizes,
+		BrittleFleets:    n.balancer.BrittleReports(now, balancer.ScopeAll),
 		RelayPeers:       n.peers.DigestRelayPeers(now, rand.Uint64()),
 		Quarantine:       n.quarantine.Report(now),
 		Origins:          n.origins.Report(now, n.originsSince(now), false),
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -141,7 +141,8 @@
 		return outcomeNotSent, balancer.ResultCancelled
 	case errors.Is(err, errQuarantined):
 		return outcomeWithdrawn, balancer.ResultCancelled
-	case errors.Is(err, balancer.ErrEndpointClosed), errors.Is(err, balancer.ErrEndpointLeaving):
+	case errors.Is(err, balancer.ErrEndpointClosed), errors.Is(err, balancer.ErrEndpointLeaving),
+		errors.Is(err, balancer.ErrEndpointFull):
 		return outcomeWithdrawn, balancer.ResultRefused
 	case errors.Is(err, httpclient.ErrNotSent):
 		return outcomeNotSent, balancer.ResultUnreachable
@@ -174,6 +175,7 @@
 	}
 	a.observeSignal(&info)
 	a.observeLimit(&info)
+	a.observeBrittleness(&info)
 	a.closed = info.Signal.RetryAfter > 0
 	if info.KeepAlive > 0 {
 		body.SetIdleTimeout(time.Duration(float64(info.KeepAlive) * idleTimeoutFraction))
--- a/internal/proxy/attemptsignals.go
+++ b/internal/proxy/attemptsignals.go
@@ -30,6 +30,18 @@
 	}
 }
 
+// observeBrittleness records what the head of a response says about how many requests its endpoint can turn away.
+func (a *attempt) observeBrittleness(info *ResponseInfo) {
+	if info.WrongEndpoint || !info.Signal.Brittleness.Stated {
+		return
+	}
+	now := clock.Now()
+	if !a.exchange.proxy.Balancer.Brittle(now, a.exchange.fleet) {
+		a.exchange.proxy.telemetry.BrittleStated(a, info.Signal.Brittleness)
+	}
+	a.balancerAttempt.ObserveBrittleness(now, info.Signal.Brittleness)
+}
+
 // observeTrailer records a signal in the trailer of a response that has been read to its end. The trailer
 // is part of the header by then, and is forwarded with it.
 func (a *attempt) observeTrailer(body *httpclient.Body) {
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -165,12 +165,15 @@
 }
 
 // noRoom returns the error response to a request that no endpoint takes now. While all endpoints are
-// closed for some time, a caller whose request has not run is told when they are expected to have room.
+// closed for some time, or are brittle and full, a caller whose request has not run is told when they are expected to have room.
 func (x *exchange) noRoom(now time.Time, reason Reason) *errorResponse {
 	if !x.started {
 		if returnIn, closed := x.proxy.Balancer.Opening(now, x.fleet); closed {
 			return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonEndpointsClosed, max(returnIn, minRetryAfter))
 		}
+		if returnIn, _, crowded := x.proxy.Balancer.Crowded(now, x.fleet); crowded {
+			return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonEndpointsFull, max(returnIn, minRetryAfter))
+		}
 	}
 	return x.refusalOrFailure(reason, minRetryAfter)
 }
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -89,7 +89,7 @@
 
 // initLabels exports the counters of what may not happen for a long time, as zero.
 func (m *metrics) initLabels() {
-	for _, signal := range []string{signalLeaving, signalClosed, signalLimit, signalIgnored} {
+	for _, signal := range []string{signalLeaving, signalClosed, signalLimit, signalBrittle, signalIgnored} {
 		m.signals.WithLabelValues(signal)
 	}
 	for _, progress := range []string{progressNoResponse, progressNoEvent, progressEvents} {
--- a/internal/proxy/peerattempt.go
+++ b/internal/proxy/peerattempt.go
@@ -21,6 +21,10 @@
 	maxUnreachableAlone = 2
 	// maxUselessPeers is how many peers that cannot send it are asked for one request.
 	maxUselessPeers = 3
+	// maxFullPeers is the same for peers that have slots of brittle endpoints, which may all be in use.
+	maxFullPeers = 5
+	// minOwnSlots is the number of slots of brittle endpoints with which a host does without those of its peers.
+	minOwnSlots = 4
 )
 
 // Peers are the hosts that requests are passed on to while this host cannot reach their endpoints.
@@ -32,6 +36,8 @@
 	// Picker chooses among the candidates for a fleet.
 	Picker     *relay.Picker
 	Candidates func(now time.Time, fleet string) []relay.Peer
+	// SlotOwners are the candidates that may use slots of a fleet's brittle endpoints.
+	SlotOwners func(now time.Time, fleet string) []relay.Peer
 }
 
 // errPeer means that a peer did not say what has become of a request.
@@ -41,20 +47,34 @@
 // noEndpoint is set if there is no endpoint to choose.
 func (x *exchange) pickPeer(now time.Time, unreachable int, noEndpoint bool) *relay.Peer {
 	peers := &x.proxy.Peers
-	if x.relayed != nil || peers.Candidates == nil || len(x.uselessPeers) >= maxUselessPeers {
+	if x.relayed != nil || peers.Candidates == nil {
 		return nil
 	}
-	needed := x.proxy.Links.Table.Lost(x.fleet) || unreachable >= maxUnreachableAlone || noEndpoint && unreachable > 0
-	if !needed {
+	candidates, limit := peers.Candidates, maxUselessPeers
+	switch {
+	case x.proxy.Links.Table.Lost(x.fleet) || unreachable >= maxUnreachableAlone || noEndpoint && unreachable > 0:
+	case noEndpoint && x.hasFewSlots(now):
+		candidates, limit = peers.SlotOwners, maxFullPeers
+	default:
+		return nil
+	}
+	if len(x.uselessPeers) >= limit {
 		return nil
 	}
-	peer, ok := peers.Picker.Pick(now, rand.Uint64(), x.fleet, peers.Candidates(now, x.fleet), x.uselessPeers)
+	peer, ok := peers.Picker.Pick(now, rand.Uint64(), x.fleet, candidates(now, x.fleet), x.uselessPeers)
 	if !ok {
 		return nil
 	}
 	return &peer
 }
 
+// hasFewSlots reports whether the endpoints are brittle and this host's part of their slots is in use, and so small
+// that those of its peers are tried.
+func (x *exchange) hasFewSlots(now time.Time) bool {
+	_, share, crowded := x.proxy.Balancer.Crowded(now, x.fleet)
+	return crowded && share < minOwnSlots && x.proxy.Peers.SlotOwners != nil
+}
+
 // newPeerAttempt returns an attempt through a peer. It is counted at no endpoint: the peer does that.
 func (x *exchange) newPeerAttempt(ctx context.Context, peer *relay.Peer) *attempt {
 	now := clock.Now()
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -24,6 +24,7 @@
 	ReasonNoEndpoint               Reason = "no_endpoint"
 	ReasonEndpointsClosed          Reason = "endpoints_closed"
 	ReasonOverloaded               Reason = "overloaded"
+	ReasonEndpointsFull            Reason = "endpoints_full"
 	ReasonEndpointsRefused         Reason = "endpoints_refused"
 	ReasonEndpointsUnreachable     Reason = "endpoints_unreachable"
 	ReasonOutOfMemory              Reason = "out_of_memory"
--- a/internal/proxy/relayed.go
+++ b/internal/proxy/relayed.go
@@ -21,7 +21,7 @@
 // peerRefusals are the reasons of refusals that concern this host alone: another peer may still send the request.
 var peerRefusals = []Reason{
 	ReasonStarting, ReasonConfigurationUnconfirmed, ReasonOutOfMemory, ReasonEndpointsUnreachable, ReasonNoRoute,
-	ReasonUnknownKey, ReasonMalformed, ReasonUnrelayable, ReasonNoEndpoint,
+	ReasonUnknownKey, ReasonMalformed, ReasonUnrelayable, ReasonNoEndpoint, ReasonEndpointsFull,
 }
 
 // takeRelayed reads what the first host has decided about a relayed request. Its header goes no further.
--- a/internal/proxy/signallog.go
+++ b/internal/proxy/signallog.go
@@ -46,6 +46,7 @@
 	signalLeaving = "leaving"
 	signalClosed  = "closed"
 	signalLimit   = "limit"
+	signalBrittle = "brittle"
 	signalIgnored = "ignored"
 )
 
@@ -53,3 +54,11 @@
 func (t *Telemetry) Reopened(a *attempt) {
 	t.entry(log.InfoLevel, a.exchange).Str("endpoint", a.choice.Endpoint.ID).Msg("endpoint open again")
 }
+
+// BrittleStated counts and logs that an endpoint says that it falls over if it has to turn many requests away, the
+// first of its fleet for some time.
+func (t *Telemetry) BrittleStated(a *attempt, b backpressure.Brittleness) {
+	t.metrics.signals.WithLabelValues(signalBrittle).Inc()
+	t.entry(log.WarnLevel, a.exchange).Str("endpoint", a.choice.Endpoint.ID).Int("tolerated", b.Tolerated).
+		Msg("endpoint says that it is brittle")
+}
