verify: a response that ended with its connection is checked at once

Cause: a crash inside a body without a length looks like its end; the relaying host took it for whole unless it was itself refused a connection within a second. Now such a response starts the check that a lost connection does: if neither this host nor a peer reaches the endpoint, the request was in progress at a crash. Both interfaces.

--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -66,6 +66,9 @@
 // observeCompletion records that an attempt that was sent at a time has a complete answer.
 func (s *crashSubject) observeCompletion(endpoint fleet.Endpoint, sentAt time.Time, endedWithConnection bool) {
 	s.service.quarantine.Completed(s.service.now(), instanceName(endpoint), sentAt, s.request, endedWithConnection)
+	if endedWithConnection {
+		s.service.crashes.Start(verify.Endpoint{Instance: instanceName(endpoint), Address: endpoint.Address})
+	}
 }
 
 // instanceName names an endpoint in the quarantine.
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -79,8 +79,7 @@
 		// It falls over because of the requests that it turned away, not because of those that it ran.
 	case a.terminated:
 		if q.Terminated(now, a.instanceName(), a.sentAt, x.crashSubject()) {
-			e := &a.choice.Endpoint
-			x.proxy.crashes.Start(verify.Endpoint{Instance: a.instanceName(), ID: e.ID, Address: e.Address})
+			a.startVerification()
 		}
 		x.proxy.OnCrash()
 	case errors.Is(a.err, syscall.ECONNREFUSED):
@@ -88,12 +87,21 @@
 	case out == outcomeDone && result == balancer.ResultOK:
 		if unframed := a.framing == httpclient.FramingClose; a.answersRequest() && (unframed || q.Active()) {
 			q.Completed(now, a.instanceName(), a.sentAt, x.crashSubject(), unframed)
+			if unframed {
+				a.startVerification()
+			}
 		}
 	case a.isAbandoned(out, result):
 		q.Abandoned(now, a.instanceName(), a.sentAt, x.crashSubject())
 	}
 }
 
+// startVerification has it found out whether the endpoint has crashed.
+func (a *attempt) startVerification() {
+	e := &a.choice.Endpoint
+	a.exchange.proxy.crashes.Start(verify.Endpoint{Instance: a.instanceName(), ID: e.ID, Address: e.Address})
+}
+
 // isAbandoned reports whether the attempt was given up while its endpoint may have worked on it: its caller
 // has left, or its time was up.
 func (a *attempt) isAbandoned(out outcome, result balancer.Result) bool {
--- a/internal/quarantine/verify/verify.go
+++ b/internal/quarantine/verify/verify.go
@@ -1,4 +1,4 @@
-// Package verify finds out whether an endpoint that closed a connection has crashed: one that accepts a new
+// Package verify finds out whether an endpoint that closed a connection, be it at the end of a response, has crashed: one that accepts a new
 // connection immediately afterwards, of this host or of a peer, has not. A host that has lost its links sees all
 // endpoints close their connections, and is no witness.
 package verify
@@ -65,6 +65,8 @@
 	defer cancel()
 	began := v.Now()
 	if !v.isReached(ctx, e) {
+		// A response that ended with its connection may have been cut off.
+		v.Table.Unreachable(v.Now(), e.Instance)
 		return
 	}
 	v.Table.Responded(v.Now(), e.Instance, began)
--- a/internal/quarantine/verify/verify_test.go
+++ b/internal/quarantine/verify/verify_test.go
@@ -76,3 +76,23 @@
 		is.Equal(told == 3, reached)
 	}
 }
+
+func TestResponseThatEndedWithItsConnectionWasCutOffIfTheEndpointIsGone(t *testing.T) {
+	is := is.New(t)
+	for _, gone := range []bool{true, false} {
+		table, now := quarantine.NewTable("h", 1), epoch
+		v := Verifier{
+			Table: table, Now: func() time.Time { return now },
+			Accepts: func(context.Context, string) bool { return !gone },
+		}
+		r := quarantine.Request{Fleet: "f", Fingerprint: "r"}
+		for i := range 3 {
+			now = now.Add(time.Second)
+			instance := fmt.Sprint("e", i)
+			table.Completed(now, instance, now.Add(-time.Millisecond), r, true)
+			now = now.Add(delay)
+			v.check(Endpoint{Instance: instance, Address: "address"})
+		}
+		is.Equal(table.Check(now, r, nil).Allowed, !gone)
+	}
+}
