relay: headers that the caller's Connection header lists go no further than a peer

Found by reading: the first host dropped the Connection header, so that the peer forwarded headers that it lists to the endpoint. It is named in the relayed request now. Its test needs the new field and does not compile before.

--- a/internal/proxy/peerattempt.go
+++ b/internal/proxy/peerattempt.go
@@ -117,7 +117,7 @@
 	req.Header.Set(relay.Header, relay.Encode(relay.Request{
 		From: x.proxy.Peers.Self, Fleet: x.fleet, Version: x.balancerRequest.Version,
 		TimeoutMillis: x.deadline.Sub(clock.Now()).Milliseconds(), LastEventID: x.info.LastEventID,
-		Sends: x.sends, Exclude: x.tried,
+		Connection: string(x.request.Header.Peek(fasthttp.HeaderConnection)), Sends: x.sends, Exclude: x.tried,
 	}))
 	if body := x.request.Body(); len(body) > 0 {
 		req.SetBodyRaw(body)
--- a/internal/proxy/relay_test.go
+++ b/internal/proxy/relay_test.go
@@ -298,3 +298,19 @@
 	first.proxy.Links.Table = reachability.NewTable() // nothing is known of the links yet
 	is.Equal(first.send(t, "a1").status, http.StatusOK)
 }
+
+func TestHeadersOfTheCallersConnectionAreNamedToThePeer(t *testing.T) {
+	is := is.New(t)
+	second := newTestProxy(t, fleet.Route{Kind: fleet.RouteIdempotent})
+	request := make(chan string, 1)
+	peer := newTestEndpoint(t, func(r *receivedRequest) bool {
+		request <- r.Header.Get(relay.Header)
+		return false
+	})
+	second.passOnTo(relay.Peer{Name: "p", Address: peer.listener.Addr().String()})
+	conn := second.dial(t)
+	_, _ = fmt.Fprintf(conn, "%sId: a\r\nConnection: X-Own\r\nX-Own: 1\r\nContent-Length: 0\r\n\r\n", testRequestHead)
+	got, err := relay.DecodeRequest([]byte(<-request))
+	is.NoErr(err)
+	is.Equal(got.Connection, "X-Own")
+}
--- a/internal/proxy/relayed.go
+++ b/internal/proxy/relayed.go
@@ -31,6 +31,9 @@
 		return err
 	}
 	x.request.Header.Del(relay.Header)
+	if r.Connection != "" {
+		x.request.Header.Set(fasthttp.HeaderConnection, r.Connection)
+	}
 	x.relayed = &r
 	return nil
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -22,6 +22,8 @@
 	TimeoutMillis int64 `json:"timeout_ms,omitempty"`
 	// LastEventID is the id of the last event of the stream that the caller has; empty for none.
 	LastEventID string `json:"last_event,omitempty"`
+	// Connection is the caller's Connection header, which names headers that go no further.
+	Connection string `json:"connection,omitempty"`
 	// Sends is in how many attempts the request may have reached an endpoint, and Exclude the endpoints of these.
 	Sends   int      `json:"sends,omitempty"`
 	Exclude []string `json:"exclude,omitempty"`
