proxy: admission, failures and dispatch in files of their own

Moves, and chooseTarget and shed out of nextAttempt; behaviour is unchanged. verify: an expression that staticcheck takes for a slip is a loop. The tests of both packages pass.

--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/loadshed"
+	"rattanchute/internal/relay"
 )
 
 const (
@@ -19,19 +17,8 @@
 	maxUnreachable = 4
 	// minTimeLeft is the least remaining time with which a request is still sent to an endpoint.
 	minTimeLeft = 20 * time.Millisecond
-	// minRetryAfter is the least Retry-After value of a request that passed the quota and that no
-	// endpoint has run.
-	minRetryAfter = 300 * time.Millisecond
-	// maxRetryAfter is the largest Retry-After value.
-	maxRetryAfter = 5 * time.Second
 )
 
-// withJitter adds up to a quarter at random, so that refused callers do not retry at the same time.
-// The result is at most maxRetryAfter.
-func withJitter(d time.Duration) time.Duration {
-	return min(d+time.Duration(rand.Float64()*float64(d)/4), maxRetryAfter)
-}
-
 // outcome is the outcome of one attempt.
 type outcome int
 
@@ -109,8 +96,7 @@
 // may not be sent.
 func (x *exchange) nextAttempt(ctx context.Context, unreachable int) (*attempt, *errorResponse) {
 	now := clock.Now()
-	left := x.deadline.Sub(now)
-	if ctx.Err() != nil || left < minTimeLeft {
+	if ctx.Err() != nil || x.deadline.Sub(now) < minTimeLeft {
 		return nil, x.finalError(ctx)
 	}
 	if e := x.recheckQuarantine(); e != nil {
@@ -119,27 +105,9 @@
 	if x.sends >= x.route.MaxAttempts {
 		return nil, x.noRoom(now, ReasonEndpointsRefused)
 	}
-	peer := x.pickPeer(now, unreachable, false)
-	if peer == nil && unreachable > x.maxUnreachable() {
-		return nil, x.refusalOrFailure(ReasonEndpointsUnreachable, minRetryAfter)
-	}
-	var choice balancer.Choice
-	if peer == nil {
-		var found bool
-		choice, found = x.proxy.Balancer.Choose(now, rand.Uint64(), x.balancerRequest)
-		if !found {
-			peer = x.pickPeer(now, unreachable, true)
-		}
-		if !found && peer == nil {
-			return nil, x.noRoom(now, ReasonNoEndpoint)
-		}
-	}
-	if peer == nil && x.sends == 0 {
-		if d := loadshed.Decide(x.loadshedRequest(left), estimate(&choice)); !d.Admit {
-			e := x.refusalOrFailure(ReasonOverloaded, d.RetryAfter)
-			e.estimate = &choice
-			return nil, e
-		}
+	choice, peer, e := x.chooseTarget(now, unreachable)
+	if e != nil {
+		return nil, e
 	}
 	if x.sends > 0 && x.relayed == nil && !x.proxy.RetryBudget.Allow(now, x.fleet) {
 		return nil, x.noRoom(now, ReasonEndpointsRefused)
@@ -150,6 +118,39 @@
 	return x.newAttempt(ctx, choice), nil
 }
 
+// chooseTarget chooses an endpoint or, where this host cannot send to one, a peer. Load shedding applies until an
+// attempt may have reached an endpoint; the peer applies it to what it gets.
+func (x *exchange) chooseTarget(now time.Time, unreachable int) (balancer.Choice, *relay.Peer, *errorResponse) {
+	if peer := x.pickPeer(now, unreachable, false); peer != nil {
+		return balancer.Choice{}, peer, nil
+	}
+	if unreachable > x.maxUnreachable() {
+		return balancer.Choice{}, nil, x.refusalOrFailure(ReasonEndpointsUnreachable, minRetryAfter)
+	}
+	choice, found := x.proxy.Balancer.Choose(now, rand.Uint64(), x.balancerRequest)
+	if found {
+		return choice, nil, x.shed(now, &choice)
+	}
+	if peer := x.pickPeer(now, unreachable, true); peer != nil {
+		return balancer.Choice{}, peer, nil
+	}
+	return balancer.Choice{}, nil, x.noRoom(now, ReasonNoEndpoint)
+}
+
+// shed returns the refusal of a request that would wait too long at its endpoint; nil if it is sent there.
+func (x *exchange) shed(now time.Time, choice *balancer.Choice) *errorResponse {
+	if x.sends > 0 {
+		return nil
+	}
+	d := loadshed.Decide(x.loadshedRequest(x.deadline.Sub(now)), estimate(choice))
+	if d.Admit {
+		return nil
+	}
+	e := x.refusalOrFailure(ReasonOverloaded, d.RetryAfter)
+	e.estimate = choice
+	return e
+}
+
 // maxUnreachable is the number of unreachable endpoints above which the request is sent to no further one. If
 // this host reaches none of the fleet and no peer does, one try is enough.
 func (x *exchange) maxUnreachable() int {
@@ -164,20 +165,6 @@
 	return maxUnreachable
 }
 
-// noRoom returns the error response to a request that no endpoint takes now. While all endpoints are
-// closed for some time, or are brittle and full, a caller whose request has not run is told when they are expected to have room.
-func (x *exchange) noRoom(now time.Time, reason Reason) *errorResponse {
-	if !x.started {
-		if returnIn, closed := x.proxy.Balancer.Opening(now, x.fleet); closed {
-			return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonEndpointsClosed, max(returnIn, minRetryAfter))
-		}
-		if returnIn, _, crowded := x.proxy.Balancer.Crowded(now, x.fleet); crowded {
-			return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonEndpointsFull, max(returnIn, minRetryAfter))
-		}
-	}
-	return x.refusalOrFailure(reason, minRetryAfter)
-}
-
 // estimate returns what load shedding needs to know about the chosen endpoint.
 func estimate(c *balancer.Choice) loadshed.Estimate {
 	return loadshed.Estimate{
@@ -198,42 +185,6 @@
 	}
 }
 
-// refusalOrFailure returns a refusal with the given reason, or a failure if the request may have
-// run.
-func (x *exchange) refusalOrFailure(reason Reason, retryAfter time.Duration) *errorResponse {
-	if x.started {
-		return newErrorResponse(fasthttp.StatusBadGateway, ReasonEndpointFailed, 0)
-	}
-	return newErrorResponse(fasthttp.StatusServiceUnavailable, reason, withJitter(max(retryAfter, minRetryAfter)))
-}
-
-// finalError returns the error response to a request that may not be sent again.
-func (x *exchange) finalError(ctx context.Context) *errorResponse {
-	late := errors.Is(ctx.Err(), context.DeadlineExceeded) || x.deadline.Sub(clock.Now()) < minTimeLeft
-	switch {
-	case late && x.started:
-		return newErrorResponse(fasthttp.StatusGatewayTimeout, ReasonTimeout, 0)
-	case late:
-		return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonNotSentInTime, minRetryAfter)
-	}
-	return x.refusalOrFailure(ReasonEndpointsRefused, minRetryAfter)
-}
-
-// sendFailure sends the error response, unless the caller has disconnected or has received part of
-// a response.
-func (x *exchange) sendFailure(ctx context.Context, e *errorResponse) {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		x.callerLeft()
-		return
-	}
-	if x.headSent {
-		x.abort()
-		x.proxy.telemetry.StreamBroken(x, e)
-		return
-	}
-	x.sendError(e)
-}
-
 // newAttempt returns an attempt at an endpoint, which it counts there.
 func (x *exchange) newAttempt(ctx context.Context, choice balancer.Choice) *attempt {
 	now := clock.Now()
@@ -273,13 +224,3 @@
 		x.proxy.prefills.add(now, prefill, true)
 	}
 }
-
-// callerLeft stops serving a caller that has disconnected, and refunds its quota tokens if the
-// request cannot have run.
-func (x *exchange) callerLeft() {
-	if !x.started {
-		x.refundQuota()
-	}
-	x.abort()
-	x.proxy.telemetry.CallerLeft(x)
-}
--- a/internal/quarantine/verify/verify.go
+++ b/internal/quarantine/verify/verify.go
@@ -81,8 +81,18 @@
 	if v.PeerReaches == nil {
 		return v.Accepts(ctx, e.Address)
 	}
-	results := make(chan bool, 2)
-	go func() { results <- v.Accepts(ctx, e.Address) }()
-	go func() { results <- v.PeerReaches(ctx, e.ID) }()
-	return <-results || <-results
+	questions := []func() bool{
+		func() bool { return v.Accepts(ctx, e.Address) },
+		func() bool { return v.PeerReaches(ctx, e.ID) },
+	}
+	answers := make(chan bool, len(questions))
+	for _, ask := range questions {
+		go func() { answers <- ask() }()
+	}
+	for range questions {
+		if <-answers {
+			return true
+		}
+	}
+	return false
 }
