balancer: looking for room does not delay the callers of a full brittle fleet

Found at the reading: the question whether peers have free slots took a place in the schedule of returns, so that Retry-After grew to five seconds without any caller being refused; and a brittle fleet without endpoints counted as full. Full has no effect now, FullFor schedules. TestLookingForRoomDoesNotDelayCallers and TestBrittleFleetWithoutEndpointsIsNotFull are of the new functions and do not compile before.

--- a/internal/balancer/brittle.go
+++ b/internal/balancer/brittle.go
@@ -125,27 +125,45 @@
 	e.reducedTo, e.reducedUntil = max(e.inFlight-1, 0), now.Add(pause)
 }
 
-// Crowded reports whether the fleet is brittle and this host may send it no request now, and if so, after which
-// time a caller that is refused now should return. share is this host's part of the fleet's slots.
-func (t *Table) Crowded(now time.Time, fleetName string) (returnIn time.Duration, share int, crowded bool) {
+// Full reports whether the fleet is brittle and this host may send it no request now. share is this host's part of
+// the slots of the fleet's endpoints.
+func (t *Table) Full(now time.Time, fleetName string) (share int, full bool) {
 	p, hosts := t.pool(fleetName), t.signals.Hosts()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.full(now, hosts)
+}
+
+func (p *pool) full(now time.Time, hosts *backpressure.Hosts) (share int, full bool) {
 	if !p.brittle.known(now) {
-		return 0, 0, false
+		return 0, false
 	}
 	for _, e := range p.ordered {
 		if e.known.Leaving {
 			continue
 		}
 		if p.hasPlace(now, e, hosts) && !e.ejected(now) {
-			return 0, 0, false
+			return 0, false
 		}
+		full = true
 		if hosts != nil {
 			share += hosts.Slots(e.known.ID, e.known.Slots, hosts.Self)
 		}
 	}
-	return p.returns.Next(now, now, p.meanDuration/time.Duration(max(share, 1))), share, true
+	return share, full
+}
+
+// FullFor reports whether the fleet is Full, and if so, after which time a caller that is refused now should return.
+// Each caller is given a later time, as the endpoints find room.
+func (t *Table) FullFor(now time.Time, fleetName string) (returnIn time.Duration, full bool) {
+	p, hosts := t.pool(fleetName), t.signals.Hosts()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	share, full := p.full(now, hosts)
+	if !full {
+		return 0, false
+	}
+	return p.returns.Next(now, now, p.meanDuration/time.Duration(max(share, 1))), true
 }
 
 // SlotOwners returns the hosts, as far as this one can tell, that have a part of the slots of a fleet's endpoints.
--- a/internal/balancer/brittle_test.go
+++ b/internal/balancer/brittle_test.go
@@ -112,3 +112,26 @@
 	is.Equal(len(other.BrittleReports(epoch, ScopeGroup)), 0) // not told on to other leaders
 	is.Equal(len(other.BrittleReports(epoch, ScopeAll)), 1)   // but to followers
 }
+
+func TestLookingForRoomDoesNotDelayCallers(t *testing.T) {
+	is := is.New(t)
+	table := brittleTable(1, 2, "h0")
+	fill(table, epoch)
+	first, full := table.FullFor(epoch, plainFleet)
+	is.True(full)
+	for range 1000 {
+		share, full := table.Full(epoch, plainFleet)
+		is.True(full)
+		is.Equal(share, 2)
+	}
+	second, _ := table.FullFor(epoch, plainFleet)
+	is.Equal(second-first, defaultAnswerDuration/2)
+}
+
+func TestBrittleFleetWithoutEndpointsIsNotFull(t *testing.T) {
+	is := is.New(t)
+	table := brittleTable(1, 2, "h0")
+	table.SetEndpoints(nil)
+	_, full := table.Full(epoch, plainFleet)
+	is.True(!full)
+}
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -25,14 +25,15 @@
 	return min(d+time.Duration(rand.Float64()*float64(d)/4), maxRetryAfter)
 }
 
-// noRoom returns the error response to a request that no endpoint takes now. While all endpoints are
-// closed for some time, or are brittle and full, a caller whose request has not run is told when they are expected to have room.
+// noRoom returns the error response to a request that no endpoint takes now. While all endpoints are closed for
+// some time, or are brittle and full, a caller whose request has not run is told when they are expected to have
+// room.
 func (x *exchange) noRoom(now time.Time, reason Reason) *errorResponse {
 	if !x.started {
 		if returnIn, closed := x.proxy.Balancer.Opening(now, x.fleet); closed {
 			return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonEndpointsClosed, max(returnIn, minRetryAfter))
 		}
-		if returnIn, _, crowded := x.proxy.Balancer.Crowded(now, x.fleet); crowded {
+		if returnIn, full := x.proxy.Balancer.FullFor(now, x.fleet); full {
 			return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonEndpointsFull, max(returnIn, minRetryAfter))
 		}
 	}
--- a/internal/proxy/peerattempt.go
+++ b/internal/proxy/peerattempt.go
@@ -71,8 +71,8 @@
 // hasFewSlots reports whether the endpoints are brittle and this host's part of their slots is in use, and so small
 // that those of its peers are tried.
 func (x *exchange) hasFewSlots(now time.Time) bool {
-	_, share, crowded := x.proxy.Balancer.Crowded(now, x.fleet)
-	return crowded && share < minOwnSlots && x.proxy.Peers.SlotOwners != nil
+	share, full := x.proxy.Balancer.Full(now, x.fleet)
+	return full && share < minOwnSlots && x.proxy.Peers.SlotOwners != nil
 }
 
 // newPeerAttempt returns an attempt through a peer. It is counted at no endpoint: the peer does that.
