Names: rejection limits, relayed requests; slots are worked out once

Types, files, metrics (rattanchute_gateway_relayed_total), lines, message fields, tests and pages are renamed; bounds and assertions are the same. This host's part of an endpoint's slots, and the hosts that have one, are kept until the hosts are set again: they were hashed over all hosts for each choice.

--- a/internal/backpressure/brittle_test.go
+++ b/internal/backpressure/rejectionlimit_test.go
@@ -8,31 +8,31 @@
 	"pgregory.net/rapid"
 )
 
-func TestParseBrittleness(t *testing.T) {
+func TestParseRejectionLimit(t *testing.T) {
 	for _, c := range []struct {
 		values []string
-		want   Brittleness
+		want   RejectionLimit
 		wrong  bool
 	}{
-		{nil, Brittleness{}, false},
-		{[]string{"4"}, Brittleness{true, 4}, false},
-		{[]string{" 0 "}, Brittleness{true, 0}, false},
-		{[]string{"7, 3"}, Brittleness{true, 3}, false},
-		{[]string{"7", "9"}, Brittleness{true, 7}, false},
-		{[]string{"x", "9"}, Brittleness{true, 9}, true},
-		{[]string{"-1"}, Brittleness{}, true},
-		{[]string{"1.5"}, Brittleness{}, true},
-		{[]string{""}, Brittleness{}, true},
+		{nil, RejectionLimit{}, false},
+		{[]string{"4"}, RejectionLimit{true, 4}, false},
+		{[]string{" 0 "}, RejectionLimit{true, 0}, false},
+		{[]string{"7, 3"}, RejectionLimit{true, 3}, false},
+		{[]string{"7", "9"}, RejectionLimit{true, 7}, false},
+		{[]string{"x", "9"}, RejectionLimit{true, 9}, true},
+		{[]string{"-1"}, RejectionLimit{}, true},
+		{[]string{"1.5"}, RejectionLimit{}, true},
+		{[]string{""}, RejectionLimit{}, true},
 	} {
 		is := is.New(t)
-		got, err := ParseBrittleness(c.values)
+		got, err := ParseRejectionLimit(c.values)
 		is.Equal(got, c.want)
 		is.Equal(err != nil, c.wrong)
 	}
 	is := is.New(t)
-	huge, err := ParseBrittleness([]string{"99999999999999999999999"})
+	huge, err := ParseRejectionLimit([]string{"99999999999999999999999"})
 	is.NoErr(err)
-	is.True(huge.Stated && huge.Tolerated > 1<<40)
+	is.True(huge.Stated && huge.PerSecond > 1<<40)
 }
 
 // TestHostsShareExactlyTheSlots has hosts in groups of any sizes, and hosts that all hear each other.
--- a/internal/backpressure/signal.go
+++ b/internal/backpressure/signal.go
@@ -17,8 +17,8 @@
 	RetryAfter time.Duration
 	// Limit is the rate limit that the endpoint states.
 	Limit Limit
-	// Brittleness is how many requests the endpoint says that it can turn away.
-	Brittleness Brittleness
+	// RejectionLimit is the rejection limit that the endpoint states.
+	RejectionLimit RejectionLimit
 }
 
 // Headers are the parts of a response's header that hold a signal.
@@ -33,8 +33,8 @@
 	Date string
 	// Limit are the values of the header that states a rate limit.
 	Limit []string
-	// Brittle are the values of the header that states how many requests the endpoint can turn away.
-	Brittle []string
+	// RejectionLimit are the values of the header that states a rejection limit.
+	RejectionLimit []string
 }
 
 // Decode returns what a response says, and an error if a part of it is malformed and says nothing.
@@ -42,9 +42,9 @@
 	s.Leaving, err = h.leaving()
 	var limitErr error
 	s.Limit, limitErr = ParseLimit(h.Limit)
-	var brittleErr error
-	s.Brittleness, brittleErr = ParseBrittleness(h.Brittle)
-	err = errors.Join(err, limitErr, brittleErr)
+	var rejectionErr error
+	s.RejectionLimit, rejectionErr = ParseRejectionLimit(h.RejectionLimit)
+	err = errors.Join(err, limitErr, rejectionErr)
 	if h.Status != http.StatusServiceUnavailable {
 		return s, err
 	}
--- a/internal/backpressure/brittle.go
+++ b/internal/backpressure/slots.go
@@ -1,45 +1,6 @@
 package backpressure
 
-import (
-	"fmt"
-	"math"
-	"slices"
-	"strconv"
-	"strings"
-)
-
-// Brittleness says that an endpoint falls over if it has to turn many requests away. The zero value says nothing.
-type Brittleness struct {
-	Stated bool
-	// Tolerated is how many requests the endpoint can turn away in a second, of all hosts together.
-	Tolerated int
-}
-
-// errMalformedBrittleness means that a value is not a whole number of requests.
-var errMalformedBrittleness = fmt.Errorf("malformed statement how many requests the endpoint can turn away")
-
-// ParseBrittleness parses the values of a header that states how many requests an endpoint can turn away: whole
-// numbers, also several in one value, of which the lowest counts. It returns an error if one is malformed,
-// together with the lowest of the others. A number out of range counts as the largest one.
-func ParseBrittleness(values []string) (lowest Brittleness, err error) {
-	for _, value := range values {
-		for text := range strings.SplitSeq(value, ",") {
-			text = strings.TrimSpace(text)
-			if !isDigits(text) {
-				err = fmt.Errorf("%w: %q", errMalformedBrittleness, text)
-				continue
-			}
-			n, parseErr := strconv.Atoi(text)
-			if parseErr != nil {
-				n = math.MaxInt
-			}
-			if !lowest.Stated || n < lowest.Tolerated {
-				lowest = Brittleness{Stated: true, Tolerated: n}
-			}
-		}
-	}
-	return lowest, err
-}
+import "slices"
 
 // Slots returns how many of an endpoint's slots a host may use, so that all hosts together use no more than there
 // are. The host is one of this one's group or, if this one is a group of its own, the only one of another. All
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -22,7 +22,8 @@
 	signals  *backpressure.Table
 	instance backpressure.Instance
 	permit   *backpressure.Permit
-	// noPlace is set if this host may have no more requests in progress at the endpoint, which is brittle.
+	// noPlace is set if this host may have no more requests in progress at the endpoint, whose fleet has a
+	// rejection limit.
 	noPlace bool
 	// sent is set once the request may be sent.
 	sent bool
@@ -78,7 +79,8 @@
 var (
 	ErrEndpointLeaving = errors.New("endpoint is leaving")
 	ErrEndpointClosed  = errors.New("endpoint is closed for some time")
-	// ErrEndpointFull means that this host has used its part of the slots of a brittle endpoint.
+	// ErrEndpointFull means that this host has used its part of the slots of an endpoint with a rejection
+	// limit.
 	ErrEndpointFull = errors.New("no slot of the endpoint is left for this host")
 )
 
@@ -188,7 +190,7 @@
 	e.inFlight--
 	e.memoryTokens -= a.memoryTokens
 	if result == ResultRefused && a.sent {
-		p.turnedAway(now, e, a.signals.Hosts())
+		p.rejected(now, e, a.signals.Hosts())
 	}
 	before, until := e.awaitingRecovery, e.ejectedUntil
 	p.updateHealth(now, e, a, result)
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -55,10 +55,10 @@
 	var best *candidate
 	affinity := affinityKey(r.Prefixes)
 	source := p.cacheSource(now, r)
-	brittle := p.brittle.known(now)
+	limited := p.rejectionLimit.known(now)
 	for _, e := range sample(eligible, random, affinity, r.Prefixes) {
 		c := candidate{endpoint: e, choice: e.estimate(now, r, p.meanDuration, &source)}
-		if c.choice.Queued && brittle {
+		if c.choice.Queued && limited {
 			continue
 		}
 		c.cost = c.choice.FirstEvent + p.penalty(now, e, &c.choice, dataCentre) + tieBreak(random, affinity, e)
--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -55,10 +55,13 @@
 	// memoryTokens is the number of tokens of KV memory that the requests in flight will need.
 	memoryTokens int
 	peerLoads    map[string]endpointLoad
-	// reducedTo bounds the requests of this host until reducedUntil, because the endpoint is brittle and has turned
-	// one away.
+	// reducedTo bounds the requests of this host until reducedUntil, because the endpoint has a rejection limit and
+	// has rejected one.
 	reducedTo    int
 	reducedUntil time.Time
+	// slots is this host's part of the slots while the hosts are slotsOf.
+	slots   int
+	slotsOf *backpressure.Hosts
 	health
 }
 
--- a/internal/balancer/brittle_test.go
+++ b/internal/balancer/rejectionlimit_test.go
@@ -10,8 +10,8 @@
 	"rattanchute/internal/backpressure"
 )
 
-// brittleTable returns a table of a host that shares its endpoints with others, all of which are brittle.
-func brittleTable(endpoints, slots int, hosts ...string) *Table {
+// limitedTable returns a table of a host that shares endpoints with a rejection limit with others.
+func limitedTable(endpoints, slots int, hosts ...string) *Table {
 	signals := backpressure.NewTable(hosts[0])
 	signals.SetHosts(epoch, backpressure.Hosts{Self: hosts[0], Group: hosts[0], Groups: hosts, Members: hosts[:1]})
 	t := NewTable("dc", signals)
@@ -20,7 +20,7 @@
 		list[i].Slots = slots
 	}
 	t.SetEndpoints(list)
-	t.ApplyBrittleReports(epoch, []BrittleReport{{Fleet: plainFleet, Tolerated: 4}}, false)
+	t.ApplyRejectionLimitReports(epoch, []RejectionLimitReport{{Fleet: plainFleet, PerSecond: 4}}, false)
 	return t
 }
 
@@ -41,30 +41,30 @@
 	}
 }
 
-func TestHostsOfABrittleFleetUseNoMoreThanItsSlots(t *testing.T) {
+func TestHostsUseNoMoreThanTheSlotsOfAFleetWithARejectionLimit(t *testing.T) {
 	is := is.New(t)
 	hosts, total := []string{"h0", "h1", "h2"}, 0
 	for i := range hosts {
-		table := brittleTable(4, 8, append(append([]string{}, hosts[i:]...), hosts[:i]...)...)
+		table := limitedTable(4, 8, append(append([]string{}, hosts[i:]...), hosts[:i]...)...)
 		total += len(fill(table, epoch))
 	}
 	is.Equal(total, 4*8)
 }
 
-func TestBrittlenessLapses(t *testing.T) {
+func TestRejectionLimitLapses(t *testing.T) {
 	is := is.New(t)
-	table := brittleTable(1, 2, "h0", "h1")
-	is.True(table.Brittle(epoch, plainFleet))
+	table := limitedTable(1, 2, "h0", "h1")
+	is.True(table.HasRejectionLimit(epoch, plainFleet))
 	is.Equal(len(fill(table, epoch)), 1)
-	later := epoch.Add(brittleRetention)
-	is.True(!table.Brittle(later, plainFleet))
+	later := epoch.Add(rejectionLimitRetention)
+	is.True(!table.HasRejectionLimit(later, plainFleet))
 	_, ok := table.Choose(later, 1, Request{Fleet: plainFleet})
 	is.True(ok)
 }
 
 func TestTwoRequestsForTheLastSlotAreNotBothSent(t *testing.T) {
 	is := is.New(t)
-	table := brittleTable(1, 1, "h0")
+	table := limitedTable(1, 1, "h0")
 	r := Request{Fleet: plainFleet}
 	first, _ := table.Choose(epoch, 1, r)
 	second, _ := table.Choose(epoch, 2, r)
@@ -79,9 +79,9 @@
 	is.True(ok)
 }
 
-func TestEndpointThatTurnedARequestAwayGetsFewerForAWhile(t *testing.T) {
+func TestEndpointThatRejectedARequestGetsFewerForAWhile(t *testing.T) {
 	is := is.New(t)
-	table := brittleTable(1, 8, "h0")
+	table := limitedTable(1, 8, "h0")
 	begun := fill(table, epoch)
 	is.Equal(len(begun), 8)
 	begun[7].End(epoch, ResultRefused)
@@ -93,29 +93,29 @@
 	for _, a := range refilled {
 		a.End(epoch, ResultOK)
 	}
-	table.ApplyBrittleReports(epoch.Add(2*time.Second), []BrittleReport{{Fleet: plainFleet, Tolerated: 4}}, false)
+	table.ApplyRejectionLimitReports(epoch.Add(2*time.Second), []RejectionLimitReport{{Fleet: plainFleet, PerSecond: 4}}, false)
 	is.Equal(len(fill(table, epoch.Add(2*time.Second))), 8)
 }
 
-func TestReportsOfBrittleFleetsGoRoundOnce(t *testing.T) {
+func TestReportsOfRejectionLimitsGoRoundOnce(t *testing.T) {
 	is := is.New(t)
 	table := NewTable("dc", backpressure.NewTable("h0"))
 	table.SetEndpoints(testEndpoints(1))
 	r := Request{Fleet: plainFleet}
 	c, _ := table.Choose(epoch, 1, r)
-	table.Begin(epoch, r, c).ObserveBrittleness(epoch, backpressure.Brittleness{Stated: true, Tolerated: 4})
-	own := table.BrittleReports(epoch, ScopeGroup)
-	is.Equal(own, []BrittleReport{{Fleet: plainFleet, Tolerated: 4}})
+	table.Begin(epoch, r, c).ObserveRejectionLimit(epoch, backpressure.RejectionLimit{Stated: true, PerSecond: 4})
+	own := table.RejectionLimitReports(epoch, ScopeGroup)
+	is.Equal(own, []RejectionLimitReport{{Fleet: plainFleet, PerSecond: 4}})
 	other := NewTable("dc", backpressure.NewTable("h1"))
-	other.ApplyBrittleReports(epoch, own, false)
-	is.True(other.Brittle(epoch, plainFleet))
-	is.Equal(len(other.BrittleReports(epoch, ScopeGroup)), 0) // not told on to other leaders
-	is.Equal(len(other.BrittleReports(epoch, ScopeAll)), 1)   // but to followers
+	other.ApplyRejectionLimitReports(epoch, own, false)
+	is.True(other.HasRejectionLimit(epoch, plainFleet))
+	is.Equal(len(other.RejectionLimitReports(epoch, ScopeGroup)), 0) // not told on to other leaders
+	is.Equal(len(other.RejectionLimitReports(epoch, ScopeAll)), 1)   // but to followers
 }
 
 func TestLookingForRoomDoesNotDelayCallers(t *testing.T) {
 	is := is.New(t)
-	table := brittleTable(1, 2, "h0")
+	table := limitedTable(1, 2, "h0")
 	fill(table, epoch)
 	first, full := table.FullFor(epoch, plainFleet)
 	is.True(full)
@@ -128,9 +128,9 @@
 	is.Equal(second-first, defaultAnswerDuration/2)
 }
 
-func TestBrittleFleetWithoutEndpointsIsNotFull(t *testing.T) {
+func TestFleetWithoutEndpointsIsNotFull(t *testing.T) {
 	is := is.New(t)
-	table := brittleTable(1, 2, "h0")
+	table := limitedTable(1, 2, "h0")
 	table.SetEndpoints(nil)
 	_, full := table.Full(epoch, plainFleet)
 	is.True(!full)
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -34,7 +34,10 @@
 	// firstEventSlowness is by how much first events over the whole fleet recently took longer
 	// than expected.
 	firstEventSlowness slowness
-	brittle            brittleness
+	rejectionLimit     rejectionLimit
+	// owners are the hosts with a part of the slots while the hosts are ownersOf.
+	owners   []string
+	ownersOf *backpressure.Hosts
 	// returns spreads the callers that were refused because all endpoints are closed or full.
 	returns backpressure.RetrySchedule
 }
@@ -112,11 +115,12 @@
 			e.signals = signals.Endpoint(InstanceOf(&k.Endpoint))
 			e.describe(p.engine)
 		}
-		e.known = k
+		e.known, e.slotsOf = k, nil
 		next[k.ID] = e
 		p.ordered = append(p.ordered, e)
 	}
 	p.endpoints = next
+	p.ownersOf = nil
 }
 
 // InstanceOf returns the identity of an endpoint's run.
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -90,8 +90,8 @@
 	// Origins says where streams of the group began; nil if there are none.
 	Origins *origin.Report `json:"origins,omitempty"`
 
-	// BrittleFleets are the fleets whose endpoints have lately said that they are brittle.
-	BrittleFleets []balancer.BrittleReport `json:"brittle_fleets,omitempty"`
+	// RejectionLimits are the fleets whose endpoints have lately stated a rejection limit.
+	RejectionLimits []balancer.RejectionLimitReport `json:"rejection_limits,omitempty"`
 	// LostFleets are the fleets of which the sender reaches no endpoint.
 	LostFleets []string `json:"lost_fleets,omitempty"`
 	// GroupLostLinks is set if a host of the sender's group has lost its links to a fleet.
@@ -133,8 +133,8 @@
 	// Generation is that of the active configuration.
 	Generation fleet.Generation `json:"generation,omitempty"`
 	Endpoints  registry.Delta   `json:"endpoints"`
-	// BrittleFleets are the fleets whose endpoints have lately said to a host that they are brittle.
-	BrittleFleets []balancer.BrittleReport `json:"brittle_fleets,omitempty"`
+	// RejectionLimits are the fleets whose endpoints have lately stated a rejection limit to a host.
+	RejectionLimits []balancer.RejectionLimitReport `json:"rejection_limits,omitempty"`
 	// RelayPeers are some hosts that have lost no links to endpoints, while another host has.
 	RelayPeers []relay.Peer `json:"relay_peers,omitempty"`
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,7 @@
 	// links knows which fleets this host reaches, and upstream connects to endpoints.
 	links    *reachability.Table
 	upstream *httpclient.Client
-	// peerClient passes requests on to peers, and relayServer takes theirs.
+	// peerClient relays requests to peers, and relayServer takes theirs.
 	peerClient   *httpclient.Client
 	relayServer  *proxy.Server
 	quota        *quota.Ledger
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -61,7 +61,7 @@
 	n.applyLeavingReports(now, r.Name, r.LeavingEndpoints)
 	n.applyLimitReports(now, r.Name, r.LimitedEndpoints)
 	n.applyQuarantine(now, r.Name, r.Quarantine)
-	n.balancer.ApplyBrittleReports(now, r.BrittleFleets, receipt.Role == heartbeat.RoleFollower)
+	n.balancer.ApplyRejectionLimitReports(now, r.RejectionLimits, receipt.Role == heartbeat.RoleFollower)
 	n.origins.Apply(now, r.Origins, receipt.Role == heartbeat.RoleFollower)
 	n.observeStoreOf(now, r)
 	if receipt.Role == heartbeat.RoleUnrelated {
@@ -118,7 +118,7 @@
 	n.applyLeavingReports(now, d.Name, d.LeavingEndpoints)
 	n.applyLimitReports(now, d.Name, d.LimitedEndpoints)
 	n.applyQuarantine(now, d.Name, d.Quarantine)
-	n.balancer.ApplyBrittleReports(now, d.BrittleFleets, false)
+	n.balancer.ApplyRejectionLimitReports(now, d.RejectionLimits, false)
 	n.origins.Apply(now, d.Origins, false)
 	ack := d.Acks[n.Settings.Name]
 	sent, ok := n.sent.At(ack.Included)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -24,7 +24,7 @@
 	maxPeersTested = 2
 )
 
-// buildPeers returns what the proxy needs to pass requests on. Connections come from the address by which peers
+// buildPeers returns what the proxy needs to relay requests. Connections come from the address by which peers
 // know this host.
 func (n *Node) buildPeers() proxy.Peers {
 	n.peerClient = httpclient.New(httpclient.Options{
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -146,7 +146,7 @@
 	r.LimitedEndpoints = n.signals.LimitReports(now)
 	r.Quarantine = n.quarantine.Report(now)
 	r.Origins = n.origins.Report(now, n.originsSince(now), true)
-	r.BrittleFleets = n.balancer.BrittleReports(now, balancer.ScopeGroup)
+	r.RejectionLimits = n.balancer.RejectionLimitReports(now, balancer.ScopeGroup)
 	r.LostFleets = n.links.LostFleets()
 	r.RelayPeers, r.GroupLostLinks = n.peers.ReportedRelayPeers(now, rand.Uint64())
 	r.Members, r.Left = n.peers.Members(now)
@@ -210,7 +210,7 @@
 		LimitedEndpoints: n.signals.LimitReports(now),
 		Leaders:          sharing.Groups,
 		GroupSizes:       sharing.Sizes,
-		BrittleFleets:    n.balancer.BrittleReports(now, balancer.ScopeAll),
+		RejectionLimits:  n.balancer.RejectionLimitReports(now, balancer.ScopeAll),
 		RelayPeers:       n.peers.DigestRelayPeers(now, rand.Uint64()),
 		Quarantine:       n.quarantine.Report(now),
 		Origins:          n.origins.Report(now, n.originsSince(now), false),
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -29,7 +29,7 @@
 	ctx             context.Context
 	balancerAttempt *balancer.Attempt
 	sentAt          time.Time
-	// peer is the host that the request is passed on to; nil if it is sent to the endpoint itself.
+	// peer is the host that the request is relayed to; nil if it is sent to the endpoint itself.
 	peer *relay.Peer
 	// refusal is the final answer that the peer gave; nil if there is none.
 	refusal *errorResponse
@@ -177,7 +177,7 @@
 	}
 	a.observeSignal(&info)
 	a.observeLimit(&info)
-	a.observeBrittleness(&info)
+	a.observeRejectionLimit(&info)
 	a.closed = info.Signal.RetryAfter > 0
 	if info.KeepAlive > 0 {
 		body.SetIdleTimeout(time.Duration(float64(info.KeepAlive) * idleTimeoutFraction))
--- a/internal/proxy/attemptsignals.go
+++ b/internal/proxy/attemptsignals.go
@@ -30,16 +30,16 @@
 	}
 }
 
-// observeBrittleness records what the head of a response says about how many requests its endpoint can turn away.
-func (a *attempt) observeBrittleness(info *ResponseInfo) {
-	if info.WrongEndpoint || !info.Signal.Brittleness.Stated {
+// observeRejectionLimit records the rejection limit that the head of a response states.
+func (a *attempt) observeRejectionLimit(info *ResponseInfo) {
+	if info.WrongEndpoint || !info.Signal.RejectionLimit.Stated {
 		return
 	}
 	now := clock.Now()
-	if !a.exchange.proxy.Balancer.Brittle(now, a.exchange.fleet) {
-		a.exchange.proxy.telemetry.BrittleStated(a, info.Signal.Brittleness)
+	if !a.exchange.proxy.Balancer.HasRejectionLimit(now, a.exchange.fleet) {
+		a.exchange.proxy.telemetry.RejectionLimitStated(a, info.Signal.RejectionLimit)
 	}
-	a.balancerAttempt.ObserveBrittleness(now, info.Signal.Brittleness)
+	a.balancerAttempt.ObserveRejectionLimit(now, info.Signal.RejectionLimit)
 }
 
 // observeTrailer records a signal in the trailer of a response that has been read to its end. The trailer
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -37,7 +37,7 @@
 	outcomeFailed
 )
 
-// dispatch sends the request to endpoints, or passes it on to peers, until one answers it or it may not be sent
+// dispatch sends the request to endpoints, or relays it to peers, until one answers it or it may not be sent
 // again.
 func (x *exchange) dispatch(ctx context.Context) {
 	unreachable := 0
@@ -54,7 +54,7 @@
 		switch {
 		case out != outcomeNotSent:
 		case a.peer != nil:
-			x.uselessPeers = append(x.uselessPeers, a.peer.Name)
+			x.failedPeers = append(x.failedPeers, a.peer.Name)
 		default:
 			unreachable++
 		}
@@ -155,7 +155,7 @@
 // this host reaches none of the fleet and no peer does, one try is enough.
 func (x *exchange) maxUnreachable() int {
 	switch {
-	case x.proxy.Links.Table.Lost(x.fleet) && (x.relayed != nil || len(x.uselessPeers) > 0):
+	case x.proxy.Links.Table.Lost(x.fleet) && (x.relayed != nil || len(x.failedPeers) > 0):
 		return -1
 	case x.proxy.Links.Table.Lost(x.fleet):
 		return 0
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -58,9 +58,9 @@
 	// endpoints of these.
 	sends int
 	tried []string
-	// uselessPeers are the peers that the request was passed on to and that could not send it.
-	uselessPeers []string
-	// relayed is what the host that has passed the request on says; nil if it comes from its caller.
+	// failedPeers are the peers that the request was relayed to and that could not send it.
+	failedPeers []string
+	// relayed is what the host that has relayed the request says; nil if it comes from its caller.
 	relayed *relay.Request
 
 	// close ends the connection after the response; broken marks it as unusable.
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -26,7 +26,7 @@
 }
 
 // noRoom returns the error response to a request that no endpoint takes now. While all endpoints are closed for
-// some time, or are brittle and full, a caller whose request has not run is told when they are expected to have
+// some time, or have a rejection limit and are full, a caller whose request has not run is told when they are expected to have
 // room.
 func (x *exchange) noRoom(now time.Time, reason Reason) *errorResponse {
 	if !x.started {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -18,7 +18,7 @@
 	signals       *prometheus.CounterVec
 	ejections     prometheus.Counter
 	probes        prometheus.Counter
-	passedOn      prometheus.Counter
+	relayed       prometheus.Counter
 	first         *prometheus.HistogramVec
 	total         *prometheus.HistogramVec
 	eventInterval prometheus.Histogram
@@ -58,8 +58,8 @@
 		probes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_quarantine_probes_total", Help: "Quarantined requests sent to find out whether they still crash endpoints.",
 		}),
-		passedOn: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "rattanchute_gateway_passed_on_total", Help: "Times that a request was passed on to a peer that reaches its endpoints.",
+		relayed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_relayed_total", Help: "Times that a request was relayed to a peer that reaches its endpoints.",
 		}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "rattanchute_gateway_first_event_seconds", Help: "Time to the first event or the whole plain answer.",
@@ -78,7 +78,7 @@
 	suppressedLines := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rattanchute_gateway_log_lines_left_out_total", Help: "Lines of ordinary requests beyond the bound, by kind.",
 	}, []string{"kind"})
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.terminated, m.streamEnds, m.signals, m.ejections, m.probes, m.passedOn, m.first, m.total, m.eventInterval,
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.terminated, m.streamEnds, m.signals, m.ejections, m.probes, m.relayed, m.first, m.total, m.eventInterval,
 		suppressedLines)
 	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
@@ -89,7 +89,7 @@
 
 // initLabels exports the counters of what may not happen for a long time, as zero.
 func (m *metrics) initLabels() {
-	for _, signal := range []string{signalLeaving, signalClosed, signalLimit, signalBrittle, signalIgnored} {
+	for _, signal := range []string{signalLeaving, signalClosed, signalLimit, signalRejectionLimit, signalIgnored} {
 		m.signals.WithLabelValues(signal)
 	}
 	for _, progress := range []string{progressNoResponse, progressNoEvent, progressEvents} {
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -66,7 +66,7 @@
 }
 
 // recordOrigin records where the stream began, at its first event. From then on it continues only there. Of a
-// relayed stream, the host that has passed it on does that.
+// relayed stream, the host that has relayed it does that.
 func (a *attempt) recordOrigin(now time.Time) {
 	x := a.exchange
 	if x.relayed != nil {
--- a/internal/proxy/peerattempt.go
+++ b/internal/proxy/peerattempt.go
@@ -19,15 +19,17 @@
 const (
 	// maxUnreachableAlone is how many endpoints of a request may be out of reach before a peer is asked.
 	maxUnreachableAlone = 2
-	// maxUselessPeers is how many peers that cannot send it are asked for one request.
-	maxUselessPeers = 3
-	// maxFullPeers is the same for peers that have slots of brittle endpoints, which may all be in use.
+	// maxFailedPeers is how many peers that cannot send it are asked for one request.
+	maxFailedPeers = 3
+	// maxFullPeers is the same for peers that have slots of endpoints with a rejection limit, which may all
+	// be in use.
 	maxFullPeers = 5
-	// minOwnSlots is the number of slots of brittle endpoints with which a host does without those of its peers.
+	// minOwnSlots is the number of slots of endpoints with a rejection limit with which a host does without those
+	// of its peers.
 	minOwnSlots = 4
 )
 
-// Peers are the hosts that requests are passed on to while this host cannot reach their endpoints.
+// Peers are the hosts that requests are relayed to while this host cannot reach their endpoints.
 type Peers struct {
 	// Self is the name of this host.
 	Self string
@@ -36,21 +38,21 @@
 	// Picker chooses among the candidates for a fleet.
 	Picker     *relay.Picker
 	Candidates func(now time.Time, fleet string) []relay.Peer
-	// SlotOwners are the candidates that may use slots of a fleet's brittle endpoints.
+	// SlotOwners are the candidates that may use slots of a fleet's endpoints that have a rejection limit.
 	SlotOwners func(now time.Time, fleet string) []relay.Peer
 }
 
 // errPeer means that a peer did not say what has become of a request.
 var errPeer = errors.New("peer did not say what has become of the request")
 
-// pickPeer chooses the peer to pass the request on to; nil if it goes to an endpoint, or if no peer is left.
+// pickPeer chooses the peer to relay the request to; nil if it goes to an endpoint, or if no peer is left.
 // noEndpoint is set if there is no endpoint to choose.
 func (x *exchange) pickPeer(now time.Time, unreachable int, noEndpoint bool) *relay.Peer {
 	peers := &x.proxy.Peers
 	if x.relayed != nil || peers.Candidates == nil {
 		return nil
 	}
-	candidates, limit := peers.Candidates, maxUselessPeers
+	candidates, limit := peers.Candidates, maxFailedPeers
 	switch {
 	case x.proxy.Links.Table.Lost(x.fleet) || unreachable >= maxUnreachableAlone || noEndpoint && unreachable > 0:
 	case noEndpoint && x.hasFewSlots(now):
@@ -58,18 +60,18 @@
 	default:
 		return nil
 	}
-	if len(x.uselessPeers) >= limit {
+	if len(x.failedPeers) >= limit {
 		return nil
 	}
-	peer, ok := peers.Picker.Pick(now, rand.Uint64(), x.fleet, candidates(now, x.fleet), x.uselessPeers)
+	peer, ok := peers.Picker.Pick(now, rand.Uint64(), x.fleet, candidates(now, x.fleet), x.failedPeers)
 	if !ok {
 		return nil
 	}
 	return &peer
 }
 
-// hasFewSlots reports whether the endpoints are brittle and this host's part of their slots is in use, and so small
-// that those of its peers are tried.
+// hasFewSlots reports whether the fleet has a rejection limit and this host's part of the slots is in use, and so
+// small that those of its peers are tried.
 func (x *exchange) hasFewSlots(now time.Time) bool {
 	share, full := x.proxy.Balancer.Full(now, x.fleet)
 	return full && share < minOwnSlots && x.proxy.Peers.SlotOwners != nil
@@ -84,7 +86,7 @@
 	return a
 }
 
-// exchangeWithPeer passes the request on and relays the response.
+// exchangeWithPeer relays the request and its response.
 func (a *attempt) exchangeWithPeer() (outcome, balancer.Result) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -142,7 +144,7 @@
 	case relay.NotRun:
 		a.refusal = a.exchange.refusalOrFailure(Reason(told.Reason), told.RetryAfter())
 		return outcomeNotSent, balancer.ResultRefused
-	case relay.TurnedAway:
+	case relay.Rejected:
 		return outcomeNotExecuted, balancer.ResultRefused
 	case relay.Failed:
 		a.err = fmt.Errorf("peer %s: %s", a.peer.Name, told.Reason)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -38,7 +38,7 @@
 	RetryBudget *retrybudget.Budget
 	Telemetry   *Telemetry
 	Links       Links
-	// Peers are the hosts that requests are passed on to.
+	// Peers are the hosts that requests are relayed to.
 	Peers Peers
 	// Reaches reports whether a listed endpoint, by its ID, accepts a connection of this host, and PeerReaches
 	// whether one of a peer.
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -75,8 +75,8 @@
 func (a *attempt) observeCrash(out outcome, result balancer.Result) {
 	x, q, now := a.exchange, a.exchange.proxy.Quarantine, clock.Now()
 	switch {
-	case a.terminated && x.proxy.Balancer.Brittle(now, x.fleet):
-		// It falls over because of the requests that it turned away, not because of those that it ran.
+	case a.terminated && x.proxy.Balancer.HasRejectionLimit(now, x.fleet):
+		// It crashes because of the requests that it rejected, not because of those that it ran.
 	case a.terminated:
 		if q.Terminated(now, a.instanceName(), a.sentAt, x.crashSubject()) {
 			a.startVerification()
--- a/internal/proxy/relay_test.go
+++ b/internal/proxy/relay_test.go
@@ -38,8 +38,8 @@
 
 func anyIP(string) bool { return true }
 
-// passOnTo makes the proxy lose its links and pass requests on to the peers.
-func (p *testProxy) passOnTo(peers ...relay.Peer) {
+// relayTo makes the proxy lose its links and relay requests to the peers.
+func (p *testProxy) relayTo(peers ...relay.Peer) {
 	p.lose()
 	p.proxy.Peers = Peers{
 		Self: "first", Client: httpclient.New(httpclient.Options{}), Picker: relay.NewPicker("dc0"),
@@ -47,12 +47,12 @@
 	}
 }
 
-// newProxyPair returns a proxy without links, and the one that it passes requests on to, in front of the
+// newProxyPair returns a proxy without links, and the one that it relays requests to, in front of the
 // endpoints.
 func newProxyPair(t *testing.T, r fleet.Route, endpoints ...*testEndpoint) (first, second *testProxy) {
 	t.Helper()
 	first, second = newTestProxy(t, r, endpoints...), newTestProxy(t, r, endpoints...)
-	first.passOnTo(second.listenRelay(t, anyIP))
+	first.relayTo(second.listenRelay(t, anyIP))
 	return first, second
 }
 
@@ -61,7 +61,7 @@
 	return true
 }
 
-func TestRequestIsPassedOnAndCountedOnce(t *testing.T) {
+func TestRequestIsRelayedAndCountedOnce(t *testing.T) {
 	is := is.New(t)
 	endpoint := newTestEndpoint(t, answerFine)
 	first, second := newProxyPair(t, fleet.Route{Kind: fleet.RouteIdempotent}, endpoint)
@@ -83,7 +83,7 @@
 	is := is.New(t)
 	endpoint := newTestEndpoint(t, answerFine)
 	first, second := newProxyPair(t, fleet.Route{Kind: fleet.RouteIdempotent}, endpoint)
-	second.passOnTo(first.listenRelay(t, anyIP))
+	second.relayTo(first.listenRelay(t, anyIP))
 	began := time.Now()
 	r := first.send(t, "a1")
 	is.Equal(r.status, http.StatusServiceUnavailable)
@@ -100,7 +100,7 @@
 	lost := newTestProxy(t, fleet.Route{Kind: fleet.RouteIdempotent}, endpoint)
 	lost.lose()
 	gone := relay.Peer{Name: "gone", Address: "127.0.0.1:1"}
-	first.passOnTo(gone, lost.listenRelay(t, anyIP), second.listenRelay(t, anyIP))
+	first.relayTo(gone, lost.listenRelay(t, anyIP), second.listenRelay(t, anyIP))
 	for i := range 10 {
 		is.Equal(first.send(t, fmt.Sprint("a", i)).status, http.StatusOK)
 	}
@@ -158,7 +158,7 @@
 	is.Equal(len(endpoint.receivedRequests()), 1)
 }
 
-func TestRequestTurnedAwayBehindAPeerIsSentToAnotherEndpoint(t *testing.T) {
+func TestRequestRejectedBehindAPeerIsSentToAnotherEndpoint(t *testing.T) {
 	is := is.New(t)
 	full := newTestEndpoint(t, func(r *receivedRequest) bool {
 		r.writeRaw("HTTP/1.1 503 Full\r\nId: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.id())
@@ -282,7 +282,7 @@
 	is.Equal(p.counted.Load(), int64(1))
 }
 
-func TestOneRequestWithTwoUnreachableEndpointsIsPassedOn(t *testing.T) {
+func TestOneRequestWithTwoUnreachableEndpointsIsRelayed(t *testing.T) {
 	is := is.New(t)
 	endpoint := newTestEndpoint(t, answerFine)
 	var gone []*testEndpoint
@@ -293,7 +293,7 @@
 	}
 	first := newTestProxy(t, fleet.Route{Kind: fleet.RouteIdempotent}, gone...)
 	second := newTestProxy(t, fleet.Route{Kind: fleet.RouteIdempotent}, endpoint)
-	first.passOnTo(second.listenRelay(t, anyIP))
+	first.relayTo(second.listenRelay(t, anyIP))
 	first.proxy.Links.Table = reachability.NewTable() // nothing is known of the links yet
 	is.Equal(first.send(t, "a1").status, http.StatusOK)
 }
@@ -306,7 +306,7 @@
 		request <- r.Header.Get(relay.Header)
 		return false
 	})
-	second.passOnTo(relay.Peer{Name: "p", Address: peer.listener.Addr().String()})
+	second.relayTo(relay.Peer{Name: "p", Address: peer.listener.Addr().String()})
 	conn := second.dial(t)
 	_, _ = fmt.Fprintf(conn, "%sId: a\r\nConnection: X-Own\r\nX-Own: 1\r\nContent-Length: 0\r\n\r\n", testRequestHead)
 	got, err := relay.DecodeRequest([]byte(<-request))
--- a/internal/proxy/relayed.go
+++ b/internal/proxy/relayed.go
@@ -11,7 +11,7 @@
 	"rattanchute/internal/relay"
 )
 
-// ReasonUnrelayable means that a peer passed on a request that this host cannot take.
+// ReasonUnrelayable means that a peer relayed a request that this host cannot take.
 const ReasonUnrelayable Reason = "unrelayable"
 
 // maxRelayed bounds the relayed requests that are served at the same time, so that those of this host's own
@@ -81,7 +81,7 @@
 		x.abort()
 		return
 	}
-	r := relay.Response{Result: relay.TurnedAway, Endpoint: a.choice.Endpoint.ID}
+	r := relay.Response{Result: relay.Rejected, Endpoint: a.choice.Endpoint.ID}
 	if out == outcomeFailed {
 		r.Result, r.Reason = relay.Failed, string(ReasonEndpointFailed)
 	}
@@ -120,7 +120,7 @@
 	h.Set(relay.Header, relay.Encode(relay.Response{Result: relay.Answered, Endpoint: e.ID, Version: e.Version}))
 }
 
-// serveRelayed answers a request that a peer has passed on. The context ends when the peer disconnects.
+// serveRelayed answers a request that a peer has relayed. The context ends when the peer disconnects.
 func (x *exchange) serveRelayed(ctx context.Context) {
 	p := x.proxy
 	defer p.relayed.Add(-1)
--- a/internal/proxy/relaylog.go
+++ b/internal/proxy/relaylog.go
@@ -6,21 +6,21 @@
 	"rattanchute/internal/clock"
 )
 
-// passedOn counts and logs that a request is passed on to a peer because this host cannot reach its endpoints.
+// relayed counts and logs that a request is relayed to a peer because this host cannot reach its endpoints.
 // It falls under the rate limit for routine lines.
-func (t *Telemetry) passedOn(x *exchange, a *attempt) {
-	t.metrics.passedOn.Inc()
+func (t *Telemetry) relayed(x *exchange, a *attempt) {
+	t.metrics.relayed.Inc()
 	if !t.allowRoutine(clock.Now(), lineSent) {
 		return
 	}
 	t.entry(log.InfoLevel, x).
 		Str("peer", a.peer.Name).
-		Strs("useless_peers", x.uselessPeers).
+		Strs("failed_peers", x.failedPeers).
 		Bool("fleet_lost", x.proxy.Links.Table.Lost(x.fleet)).
 		Int("sends", x.sends).
 		Str("after_event", x.info.LastEventID).
 		Int64("left_ms", x.deadline.Sub(clock.Now()).Milliseconds()).
-		Msg("request passed on to a peer")
+		Msg("request relayed to a peer")
 }
 
 // RelayRejected logs, within the rate limit for routine lines, a connection or a request on the relay listener
@@ -31,7 +31,7 @@
 	}
 }
 
-// from returns the host that has passed the request on; empty if it comes from its caller.
+// from returns the host that has relayed the request; empty if it comes from its caller.
 func (x *exchange) from() string {
 	if x.relayed == nil {
 		return ""
@@ -39,7 +39,7 @@
 	return x.relayed.From
 }
 
-// via returns the peer that the request is passed on to; empty if it is sent to the endpoint itself.
+// via returns the peer that the request is relayed to; empty if it is sent to the endpoint itself.
 func (a *attempt) via() string {
 	if a.peer == nil {
 		return ""
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -20,7 +20,7 @@
 // descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
-// Server accepts connections of callers, or of peers that pass requests on.
+// Server accepts connections of callers, or of peers that relay requests.
 type Server struct {
 	proxy    *Proxy
 	listener net.Listener
@@ -39,7 +39,7 @@
 // maxRelayConns bounds the connections of peers.
 const maxRelayConns = 1024
 
-// ListenRelay opens the listener for peers that pass requests on. It serves only hosts that are allowed.
+// ListenRelay opens the listener for peers that relay requests. It serves only hosts that are allowed.
 func (p *Proxy) ListenRelay(address string, allowed func(ip string) bool) (*Server, error) {
 	s, err := p.Listen(address)
 	if err != nil {
--- a/internal/proxy/signallog.go
+++ b/internal/proxy/signallog.go
@@ -43,11 +43,11 @@
 
 // The kinds of signals in metrics.
 const (
-	signalLeaving = "leaving"
-	signalClosed  = "closed"
-	signalLimit   = "limit"
-	signalBrittle = "brittle"
-	signalIgnored = "ignored"
+	signalLeaving        = "leaving"
+	signalClosed         = "closed"
+	signalLimit          = "limit"
+	signalRejectionLimit = "rejection_limit"
+	signalIgnored        = "ignored"
 )
 
 // Reopened logs the first request to an endpoint after it was closed.
@@ -55,10 +55,10 @@
 	t.entry(log.InfoLevel, a.exchange).Str("endpoint", a.choice.Endpoint.ID).Msg("endpoint open again")
 }
 
-// BrittleStated counts and logs that an endpoint says that it falls over if it has to turn many requests away, the
-// first of its fleet for some time.
-func (t *Telemetry) BrittleStated(a *attempt, b backpressure.Brittleness) {
-	t.metrics.signals.WithLabelValues(signalBrittle).Inc()
-	t.entry(log.WarnLevel, a.exchange).Str("endpoint", a.choice.Endpoint.ID).Int("tolerated", b.Tolerated).
-		Msg("endpoint says that it is brittle")
+// RejectionLimitStated counts and logs that an endpoint states a rejection limit, the first of its fleet for some
+// time.
+func (t *Telemetry) RejectionLimitStated(a *attempt, l backpressure.RejectionLimit) {
+	t.metrics.signals.WithLabelValues(signalRejectionLimit).Inc()
+	t.entry(log.WarnLevel, a.exchange).Str("endpoint", a.choice.Endpoint.ID).Int("per_second", l.PerSecond).
+		Msg("endpoint states a rejection limit")
 }
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -57,7 +57,7 @@
 func (t *Telemetry) Sent(x *exchange, a *attempt) {
 	c := &a.choice
 	if a.peer != nil {
-		t.passedOn(x, a)
+		t.relayed(x, a)
 		return
 	}
 	if x.sends == 0 && !t.allowRoutine(clock.Now(), lineSent) {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -43,8 +43,8 @@
 	NotSent Result = "not_sent"
 	// NotRun means that the request has not run and that another peer will not do better now.
 	NotRun Result = "not_run"
-	// TurnedAway means that an endpoint got the request and did not run it.
-	TurnedAway Result = "turned_away"
+	// Rejected means that an endpoint got the request and did not run it.
+	Rejected Result = "rejected"
 	// Failed means that the request may have run.
 	Failed Result = "failed"
 	// Reached and Unreached answer a test.
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -9,7 +9,7 @@
 // failureRetention is for how long a peer that could not send a request is asked last.
 const failureRetention = time.Second
 
-// Peer is a host that requests may be passed on to.
+// Peer is a host that requests may be relayed to.
 type Peer struct {
 	Name string `json:"name"`
 	// Address is its "ip:port" for peers.
@@ -32,7 +32,7 @@
 	return &Picker{dataCentre: dataCentre, failedAt: map[peerFleet]time.Time{}}
 }
 
-// Pick returns the peer to pass a request for a fleet on to; false if there is none. Peers that could not send a
+// Pick returns the peer to relay a request for a fleet to; false if there is none. Peers that could not send a
 // request lately come last, those of the same data centre before others, and else the random word decides. Peers
 // that were asked for this request are left out.
 func (p *Picker) Pick(now time.Time, random uint64, fleet string, candidates []Peer, asked []string) (Peer, bool) {
