--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -82,9 +82,13 @@
 
 // Load is the load that an endpoint reports.
 type Load struct {
+	// Running, Waiting and Slots are numbers of requests.
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how long work takes at this moment relative to as usual: 1 is as usual, 2 twice as long. It
+	// changes many times a second. Zero means that the endpoint states none.
+	Slowdown float64
 }
 
 // HeaderCodec translates between the platform's headers and the proxy's types.
