proxy: a stopping server answers the requests that have arrived

Cause: at the end of a stop, idle connections got a read deadline in the past and the listener was closed. A request that its caller had sent, but that was not read yet, was cut off, and so was a connection that waited to be accepted. A request of which the first byte was seen in the same moment was read and dropped without an answer.

Change: the listener first accepts what is queued for it, idle connections take a request for 50 ms more, and a request of which a byte was read is always served, as the last one on its connection.

Ruled out: a longer drain delay. It does not help callers that reuse connections until the process is gone.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -46,7 +46,7 @@
 	mu sync.Mutex
 	// busy is set from when the first byte of a request is seen to the end of its response.
 	busy bool
-	// closing is set once the connection accepts no further request.
+	// closing is set once the response to the next request is to be the last.
 	closing bool
 }
 
@@ -73,34 +73,53 @@
 }
 
 // awaitRequest waits for the first byte of a request. It returns false if none arrives within the
-// idle timeout or if the connection may serve no more requests.
+// idle timeout, or within lastRequestWait on a connection that is closing.
 func (c *conn) awaitRequest() bool {
 	c.limits = c.server.proxy.limits()
-	_ = c.net.SetReadDeadline(time.Now().Add(c.limits.IdleTimeout))
+	c.setIdleDeadline()
 	if _, err := c.reader.Peek(1); err != nil {
 		return false
 	}
-	return c.setBusy(true)
+	c.setBusy(true)
+	return true
 }
 
-// setBusy records whether a request is being served. It returns whether the connection still accepts
-// requests.
-func (c *conn) setBusy(busy bool) bool {
+// lastRequestWait is how long a stopping server still takes what has arrived but was not read: connections
+// that wait to be accepted, and requests on idle connections. Those that it closed would be cut off without
+// an answer.
+const lastRequestWait = 50 * time.Millisecond
+
+func (c *conn) setIdleDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wait := c.limits.IdleTimeout
+	if c.closing {
+		wait = lastRequestWait
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(wait))
+}
+
+// setBusy records whether a request is being served.
+func (c *conn) setBusy(busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = busy
-	return !c.closing
 }
 
-// closeIfIdle prevents further requests. If none is being served, it ends the wait for one, and so
-// the connection. Otherwise the connection ends after the response: at once if the response closes
-// it, or else at the next byte from the caller or after the idle timeout.
-func (c *conn) closeIfIdle() {
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// closeAfterLast makes the response to the request that is being served the last one. If none is being
+// served, one that arrives within lastRequestWait is.
+func (c *conn) closeAfterLast() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
 	if !c.busy {
-		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+		_ = c.net.SetReadDeadline(time.Now().Add(lastRequestWait))
 	}
 }
 
@@ -117,7 +136,7 @@
 		x.sendError(e)
 		return false
 	}
-	x.close = x.request.Header.ConnectionClose() || c.server.isStopping()
+	x.close = x.request.Header.ConnectionClose() || c.server.isStopping() || c.isClosing()
 	serve := x.serve
 	if c.server.relay {
 		if err := x.takeRelayed(); err != nil {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -31,8 +32,9 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	// stopping is closed by Drain.
+	// stopping is closed by Drain, and accepted when Serve returns.
 	stopping chan struct{}
+	accepted chan struct{}
 	wg       sync.WaitGroup
 }
 
@@ -56,7 +58,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	s := &Server{proxy: p, listener: listener, conns: map[*conn]struct{}{}, stopping: make(chan struct{})}
+	s := &Server{
+		proxy: p, listener: listener, conns: map[*conn]struct{}{},
+		stopping: make(chan struct{}), accepted: make(chan struct{}),
+	}
 	return s, nil
 }
 
@@ -73,11 +78,12 @@
 	return errors.Join(err, setErr)
 }
 
-// Serve accepts connections until Close.
+// Serve accepts connections until Close. It may be called only once.
 func (s *Server) Serve() {
+	defer close(s.accepted)
 	for {
 		accepted, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		if err != nil {
@@ -140,11 +146,12 @@
 // may be called only once.
 func (s *Server) Drain() { close(s.stopping) }
 
-// Close stops accepting connections, closes idle ones and lets the others serve no further request.
-// It returns once all connections have ended or the context has.
+// Close answers the requests that have arrived, accepts no others, and closes each connection after its last
+// response. It returns once all connections have ended or the context has.
 func (s *Server) Close(ctx context.Context) {
+	s.acceptQueued(ctx)
 	_ = s.listener.Close()
-	s.closeIdle()
+	s.closeConnections()
 	done := make(chan struct{})
 	go func() {
 		s.wg.Wait()
@@ -156,10 +163,24 @@
 	}
 }
 
-func (s *Server) closeIdle() {
+// acceptQueued lets Serve accept the connections that wait for it, and end.
+func (s *Server) acceptQueued(ctx context.Context) {
+	limited, ok := s.listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || limited.SetDeadline(time.Now().Add(lastRequestWait)) != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*lastRequestWait)
+	defer cancel()
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) closeConnections() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.closeIfIdle()
+		c.closeAfterLast()
 	}
 }
