contain: a panic ends one connection, message or task, not the host

Cause: nothing recovered a panic. An error in the code that one request, one peer's message or one entry of the store brought to light ended the process, and with it all other requests of the host; a message that many hosts get would have ended them all.

Change: package contain. Connections, peers' messages and the host's tasks run inside a boundary: the panic is logged with its stack and counted (rattanchute_panics_total). The connection is closed without a promise, the message dropped, the task started again after a second. An attempt that panicked does not stay counted at its endpoint.

Not covered: goroutines of the HTTP client and of crash verification, and the product's own interface, whose HTTP server contains panics itself.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -32,6 +32,7 @@
 		Quota:        n.quota,
 		RetryBudget:  n.retryBudget,
 		Telemetry:    proxy.NewTelemetry(n.Log, n.registry),
+		Boundary:     n.boundary,
 		OnStarted:    n.countRequest,
 		OnLeaving:    func() { wake(n.reportNow) },
 		Quarantine:   n.quarantine,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,9 +15,11 @@
 
 	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/adapter/peerudp"
+	"rattanchute/internal/backoff"
 	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
+	"rattanchute/internal/contain"
 	"rattanchute/internal/duty"
 	"rattanchute/internal/heartbeat"
 	"rattanchute/internal/lease"
@@ -89,6 +91,7 @@
 	incarnation int64
 	startedAt   time.Time
 	registry    *prometheus.Registry
+	boundary    *contain.Boundary
 
 	proxy    *proxy.Proxy
 	server   *proxy.Server
@@ -183,6 +186,7 @@
 		reportNow:          make(chan struct{}, 1),
 	}
 	n.registry.MustRegister(collectors.NewGoCollector())
+	n.boundary = contain.NewBoundary(n.Log, n.registry)
 	n.retryBudget = retrybudget.NewBudget(retrybudget.Limits{
 		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
 	})
@@ -203,9 +207,18 @@
 	return fmt.Sprintf("%s:%d", n.Settings.IP, n.Settings.PeerPort)
 }
 
-// start starts a task that runs until the context ends.
+// panicPause is the pause before a task that has panicked starts again.
+const panicPause = time.Second
+
+// start starts a task that runs until the context ends. After a panic it starts again.
 func (n *Node) start(ctx context.Context, task func(context.Context)) {
-	n.tasks.Go(func() { task(ctx) })
+	n.tasks.Go(func() {
+		for n.boundary.Run(contain.WorkTask, func() { task(ctx) }) {
+			if !backoff.Pause(ctx, panicPause) {
+				return
+			}
+		}
+	})
 }
 
 // waitForTasks waits until all tasks have ended, but at most for the timeout, and reports whether they
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -8,6 +8,7 @@
 	"rattanchute/internal/adapter/peerudp"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
+	"rattanchute/internal/contain"
 	"rattanchute/internal/heartbeat"
 	"rattanchute/internal/quota"
 )
@@ -29,12 +30,16 @@
 			n.malformed.logOnce(n.Log, "peer message", 0, err)
 			continue
 		}
-		if d.Report != nil {
-			n.handleReport(d.Report)
-		}
-		if d.Digest != nil {
-			n.handleDigest(d.Digest)
-		}
+		n.boundary.Run(contain.WorkMessage, func() { n.handleMessage(&d) })
+	}
+}
+
+func (n *Node) handleMessage(d *heartbeat.Datagram) {
+	if d.Report != nil {
+		n.handleReport(d.Report)
+	}
+	if d.Digest != nil {
+		n.handleDigest(d.Digest)
 	}
 }
 
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -201,6 +201,8 @@
 		p.RetryBudget.RecordRequest(a.sentAt, x.fleet)
 	}
 	p.telemetry.Sent(x, a)
+	// Has an effect only after a panic: nothing stays counted at the endpoint.
+	defer func() { a.balancerAttempt.End(clock.Now(), balancer.ResultCancelled) }()
 	out, result := a.run()
 	if a.peer == nil {
 		a.observeCrash(out, result)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
+	"rattanchute/internal/contain"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
@@ -37,7 +38,9 @@
 	Quota       *quota.Ledger
 	RetryBudget *retrybudget.Budget
 	Telemetry   *Telemetry
-	Links       Links
+	// Boundary contains panics: one ends its connection, and no other.
+	Boundary *contain.Boundary
+	Links    Links
 	// Peers are the hosts that requests are relayed to.
 	Peers Peers
 	// Reaches reports whether a listed endpoint, by its ID, accepts a connection of this host, and PeerReaches
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"rattanchute/internal/contain"
 )
 
 // callerTCPUserTimeout bounds how long data sent to a caller may stay unacknowledged before the
@@ -125,7 +127,7 @@
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
-		c.serve()
+		s.proxy.Boundary.Run(contain.WorkConnection, c.serve)
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -22,6 +22,7 @@
 	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
+	"rattanchute/internal/contain"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
@@ -220,6 +221,7 @@
 		Quota:        p.quota,
 		RetryBudget:  retrybudget.NewBudget(retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}),
 		Telemetry:    NewTelemetry(logger, prometheus.NewRegistry()),
+		Boundary:     contain.NewBoundary(logger, prometheus.NewRegistry()),
 		Links:        Links{Table: reachability.NewTable(), Up: func(string) {}, Failed: func(string, string) {}},
 		OnStarted:    func(time.Time, string) { p.counted.Add(1) },
 		OnLeaving:    func() { p.leaving.Add(1) },
