contain: the product's own interface contains panics too

Change: handlers of callers, operators and peers answer 500 and close the connection; a streamed body that panics is cut off and not ended.

Not covered: the gossip and claim loops.

Measured: TestPanicEndsOneConnectionOnly in internal/adapter/callers ended the test process before (nil table), and passes.

--- a/internal/adapter/callers/chat.go
+++ b/internal/adapter/callers/chat.go
@@ -41,13 +41,13 @@
 	ctx.SetContentType("text/event-stream")
 	// fasthttp reads a body stream in the connection's own goroutine. A body stream
 	// writer would cost one more goroutine and a pipe that every token passes through.
-	ctx.SetBodyStream(&eventReader{
+	ctx.SetBodyStream(s.boundary.Body(&eventReader{
 		conn:    ctx.Conn(),
 		timeout: s.limits.WriteTimeout,
 		writer:  chat.NewWriter(stream.RequestID(), chatRequest.Request.Model, time.Now()),
 		stream:  stream,
 		cancel:  cancel,
-	}, unknownLength)
+	}), unknownLength)
 }
 
 // unknownLength makes fasthttp send the body in chunked encoding.
--- a/internal/adapter/callers/server.go
+++ b/internal/adapter/callers/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rattanchute/internal/contain"
 	"rattanchute/internal/dispatcher"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/outcome"
@@ -54,14 +55,16 @@
 	service *dispatcher.Service
 	tables  TableSource
 	limits  Limits
-	http    *fasthttp.Server
+	// boundary contains panics: one ends its connection, and no other.
+	boundary *contain.Boundary
+	http     *fasthttp.Server
 }
 
 // New returns a server that does not listen yet.
-func New(service *dispatcher.Service, tables TableSource, limits Limits) *Server {
-	s := &Server{service: service, tables: tables, limits: limits}
+func New(service *dispatcher.Service, tables TableSource, limits Limits, boundary *contain.Boundary) *Server {
+	s := &Server{service: service, tables: tables, limits: limits, boundary: boundary}
 	s.http = &fasthttp.Server{
-		Handler:               s.handle,
+		Handler:               boundary.Handler(s.handle),
 		ErrorHandler:          handleBadRequest,
 		Name:                  "rattanchute",
 		NoDefaultDate:         true,
--- a/internal/adapter/callers/server_test.go
+++ b/internal/adapter/callers/server_test.go
@@ -1,13 +1,17 @@
 package callers
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"rattanchute/internal/contain"
 	"rattanchute/internal/route"
 )
 
@@ -32,7 +36,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	s := New(nil, noTable{}, Limits{})
+	s := newTestServer()
 	go func() { _ = s.http.Serve(expiredListener{listener}) }()
 	t.Cleanup(func() { _ = listener.Close() })
 	response, err := http.Get("http://" + listener.Addr().String() + "/v1/models")
@@ -40,3 +44,33 @@
 	defer func() { _ = response.Body.Close() }()
 	is.Equal(response.StatusCode, http.StatusUnauthorized)
 }
+
+func newTestServer() *Server {
+	logger := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+	return New(nil, noTable{}, Limits{}, contain.NewBoundary(logger, prometheus.NewRegistry()))
+}
+
+// TestPanicEndsOneConnectionOnly: a server without a table panics when it looks for an organisation.
+func TestPanicEndsOneConnectionOnly(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := newTestServer()
+	go func() { _ = s.Serve(listener, nil) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	for _, c := range []struct {
+		key    string
+		status int
+	}{
+		{"Bearer key", http.StatusInternalServerError},
+		{"", http.StatusUnauthorized},
+	} {
+		request, err := http.NewRequest(http.MethodGet, "http://"+listener.Addr().String()+"/v1/models", nil)
+		is.NoErr(err)
+		request.Header.Set("Authorization", c.key)
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		_ = response.Body.Close()
+		is.Equal(response.StatusCode, c.status)
+	}
+}
--- a/internal/adapter/peerhttp/peerhttp_test.go
+++ b/internal/adapter/peerhttp/peerhttp_test.go
@@ -34,7 +34,7 @@
 
 func newPair(t *testing.T, client Secret) (*Server, *Client, string) {
 	t.Helper()
-	s, err := NewServer(secret, nil)
+	s, err := NewServer(secret, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,7 +74,7 @@
 	_, err := c.PostBytes(context.Background(), address, "/peer/v1/echo", nil)
 	is.True(errors.Is(err, ErrRejected))
 	is.True(!called)
-	_, err = NewServer(Secret("short"), nil)
+	_, err = NewServer(Secret("short"), nil, nil)
 	is.True(errors.Is(err, ErrSecretTooShort))
 }
 
--- a/internal/adapter/peerhttp/server.go
+++ b/internal/adapter/peerhttp/server.go
@@ -11,6 +11,8 @@
 
 	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
+
+	"rattanchute/internal/contain"
 )
 
 // MaxBodyBytes bounds the body of a request or response.
@@ -46,14 +48,15 @@
 	handlers map[string]Handler
 }
 
-// NewServer returns a server without handlers. A nil tlsConfig means plain HTTP.
-func NewServer(secret Secret, tlsConfig *tls.Config) (*Server, error) {
+// NewServer returns a server without handlers. A nil tlsConfig means plain HTTP. The boundary, which may be
+// nil, contains panics of handlers.
+func NewServer(secret Secret, tlsConfig *tls.Config, boundary *contain.Boundary) (*Server, error) {
 	if err := secret.Check(); err != nil {
 		return nil, err
 	}
 	s := &Server{secret: secret, tls: tlsConfig, handlers: map[string]Handler{}}
 	s.http = &fasthttp.Server{
-		Handler:               s.serve,
+		Handler:               boundary.Handler(s.serve),
 		Name:                  "rattanchuted",
 		MaxRequestBodySize:    MaxBodyBytes,
 		ReadTimeout:           readTimeout,
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -22,6 +22,7 @@
 	"rattanchute/internal/adapter/platformhttp"
 	"rattanchute/internal/claim"
 	"rattanchute/internal/cloud"
+	"rattanchute/internal/contain"
 	"rattanchute/internal/dispatcher"
 	"rattanchute/internal/gossip"
 	"rattanchute/internal/objectstore"
@@ -65,6 +66,8 @@
 	tasks   sync.WaitGroup
 	state   state
 	metrics *controlMetrics
+	// boundary contains panics of requests.
+	boundary *contain.Boundary
 }
 
 // controlWorkers bounds the load polls that run at the same time.
@@ -91,6 +94,7 @@
 	a.registry.MustRegister(collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	a.metrics = newControlMetrics(a.registry)
+	a.boundary = contain.NewBoundary(a.log, a.registry)
 	steps := []func() error{a.buildTLS, a.buildPeers, a.buildGossip, a.buildClaims, a.buildQuarantine, a.buildService, a.buildOperators}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -142,14 +146,14 @@
 		MayProbe:   a.mayProbe,
 		Accepts:    a.engines.Accepts,
 	})
-	a.callers = callers.New(a.service, a.router, callerLimits(a.settings.Limits))
+	a.callers = callers.New(a.service, a.router, callerLimits(a.settings.Limits), a.boundary)
 	return nil
 }
 
 func (a *App) buildOperators() error {
 	b := &backend{app: a, started: time.Now()}
 	handler := operators.NewHandler(b, a.settings.Operators, a.registry)
-	a.operators = operators.NewServer(handler, a.settings.Limits)
+	a.operators = operators.NewServer(a.boundary.Handler(handler), a.settings.Limits)
 	a.peers.Handle(pathStatus, b.handleStatus)
 	a.peers.Handle(pathDrain, b.handleDrain)
 	return nil
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -31,7 +31,7 @@
 
 func (a *App) buildPeers() error {
 	secret := peerhttp.Secret(a.settings.Peers.Secret.Secret.Reveal())
-	server, err := peerhttp.NewServer(secret, a.tls.peerServer())
+	server, err := peerhttp.NewServer(secret, a.tls.peerServer(), a.boundary)
 	if err != nil {
 		return fmt.Errorf("peers' listener: %w", err)
 	}
--- a/internal/capacitybench/cluster.go
+++ b/internal/capacitybench/cluster.go
@@ -54,7 +54,7 @@
 }
 
 func (c *cluster) start() error {
-	server, err := peerhttp.NewServer(benchSecret, nil)
+	server, err := peerhttp.NewServer(benchSecret, nil, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/capacitybench/loopback.go
+++ b/internal/capacitybench/loopback.go
@@ -153,7 +153,7 @@
 // the bodies are not counted.
 func measureRequest() (requestCost, error) {
 	const requests, bodyBytes = 5000, 300
-	server, err := peerhttp.NewServer(benchSecret, nil)
+	server, err := peerhttp.NewServer(benchSecret, nil, nil)
 	if err != nil {
 		return requestCost{}, err
 	}
--- a/internal/contain/contain_test.go
+++ b/internal/contain/contain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -25,3 +26,16 @@
 	}
 	is.Equal(panics, map[string]float64{"connection": 0, "message": 2, "task": 0})
 }
+
+type panickingReader struct{}
+
+func (panickingReader) Read([]byte) (int, error) { panic("broken") }
+
+func TestBodyThatPanicsIsCutOff(t *testing.T) {
+	is := is.New(t)
+	b := NewBoundary(&log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, prometheus.NewRegistry())
+	body := b.Body(io.NopCloser(io.MultiReader(strings.NewReader("sound"), panickingReader{})))
+	text, err := io.ReadAll(body)
+	is.Equal(string(text), "sound")
+	is.Equal(err, ErrPanicked)
+}
