balancer, backpressure: with fewer slots than hosts, few hosts hold them and all know which

Cause: the slots of an endpoint with a rejection limit were dealt one by one. With fewer slots than hosts, a host without a free one had to try up to five peers at random, each of whom knew of one slot; reports of free slots would be older than a short call takes. A host whose only slot was rejected left it unused for seconds, as all hosts counted as senders.

Change: while a fleet's slots are fewer than four for each host, the hosts of a group pool their parts and deal them, four and more each, to the first in the rendezvous order of the endpoint (backpressure.Hosts.PoolParts). The others know by the same rule whom to ask, and a holder knows exactly what is free. Reports, digests and acknowledgements say who pools; hosts of older builds keep their part, so that the sum stays the same, and ignore the new fields. A part that grows is used a second later. The pause after a rejection counts the holders.

Ruled out: free slots in the reports (a quarter of a second old); all slots of an endpoint at one host (out of use while that host is).

Packages balancer, backpressure, heartbeat, proxy, node, relay pass with -race.

--- a/internal/backpressure/share.go
+++ b/internal/backpressure/share.go
@@ -28,6 +28,8 @@
 	Members []string
 	// Sizes are the numbers of hosts of the groups; one for those that are missing.
 	Sizes map[string]int
+	// Pooling are the members, or the groups of one host, that pool the slots of endpoints with a rejection limit.
+	Pooling []string
 }
 
 // Share returns the part of an endpoint's rate limit that is this host's, from 0 to 1. Only few hosts send to
--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -59,9 +59,7 @@
 	// has rejected one.
 	reducedTo    int
 	reducedUntil time.Time
-	// slots is this host's part of the slots while the hosts are slotsOf.
-	slots   int
-	slotsOf *backpressure.Hosts
+	part         slotPart
 	health
 }
 
--- a/internal/balancer/rejectionlimit.go
+++ b/internal/balancer/rejectionlimit.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"slices"
 	"time"
 
 	"rattanchute/internal/backpressure"
@@ -95,25 +94,13 @@
 // shareOf returns how many requests this host may have in progress at an endpoint of a fleet with a rejection
 // limit: its part of the slots, and fewer for a while after a rejection.
 func (p *pool) shareOf(now time.Time, e *endpoint, hosts *backpressure.Hosts) int {
-	share := e.ownSlots(hosts)
+	share := p.ownSlots(now, e, hosts)
 	if now.Before(e.reducedUntil) {
 		share = min(share, e.reducedTo)
 	}
 	return share
 }
 
-// ownSlots returns this host's part of the endpoint's slots. It is worked out again when the hosts have changed or
-// were set again, since that looks at all of them.
-func (e *endpoint) ownSlots(hosts *backpressure.Hosts) int {
-	if hosts == nil {
-		return 0
-	}
-	if e.slotsOf != hosts {
-		e.slotsOf, e.slots = hosts, hosts.Slots(e.known.ID, e.known.Slots, hosts.Self)
-	}
-	return e.slots
-}
-
 // hasPlace reports whether this host may send one more request to an endpoint of the pool. All may be sent to a
 // fleet without a rejection limit.
 func (p *pool) hasPlace(now time.Time, e *endpoint, hosts *backpressure.Hosts) bool {
@@ -127,23 +114,13 @@
 	if !p.rejectionLimit.known(now) {
 		return
 	}
-	n := 1
-	if hosts != nil {
-		n = len(hosts.Groups) * len(hosts.Members)
-	}
+	n := p.senders(e, hosts)
 	pause := min(rejectionPause*time.Duration(max(1, 2*n/max(p.rejectionLimit.perSecond, 1))), maxRejectionPause)
 	e.reducedTo, e.reducedUntil = max(e.inFlight-1, 0), now.Add(pause)
 }
 
-// Full reports whether the fleet has a rejection limit and this host may send it no request now. share is this host's part of
-// the slots of the fleet's endpoints.
-func (t *Table) Full(now time.Time, fleetName string) (share int, full bool) {
-	p, hosts := t.pool(fleetName), t.signals.Hosts()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.full(now, hosts)
-}
-
+// full reports whether the fleet has a rejection limit and this host may send it no request now. share is this host's
+// part of the slots of the fleet's endpoints.
 func (p *pool) full(now time.Time, hosts *backpressure.Hosts) (share int, full bool) {
 	if !p.rejectionLimit.known(now) {
 		return 0, false
@@ -156,12 +133,12 @@
 			return 0, false
 		}
 		full = true
-		share += e.ownSlots(hosts)
+		share += p.ownSlots(now, e, hosts)
 	}
 	return share, full
 }
 
-// FullFor reports whether the fleet is Full, and if so, after which time a caller that is refused now should return.
+// FullFor reports whether the fleet is full for this host, and if so, after which time a caller that is refused now should return.
 // Each caller is given a later time, as the endpoints find room.
 func (t *Table) FullFor(now time.Time, fleetName string) (returnIn time.Duration, full bool) {
 	p, hosts := t.pool(fleetName), t.signals.Hosts()
@@ -173,29 +150,3 @@
 	}
 	return p.returns.Next(now, now, p.meanDuration/time.Duration(max(share, 1))), true
 }
-
-// SlotOwners returns the hosts, as far as this one can tell, that have a part of the slots of a fleet's endpoints.
-func (t *Table) SlotOwners(fleetName string) []string {
-	p, hosts := t.pool(fleetName), t.signals.Hosts()
-	if hosts == nil {
-		return nil
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.ownersOf == hosts {
-		return p.owners
-	}
-	p.ownersOf, p.owners = hosts, nil
-	for _, host := range hosts.Owners() {
-		if p.ownsSlot(hosts, host) {
-			p.owners = append(p.owners, host)
-		}
-	}
-	return p.owners
-}
-
-func (p *pool) ownsSlot(hosts *backpressure.Hosts, host string) bool {
-	return slices.ContainsFunc(p.ordered, func(e *endpoint) bool {
-		return !e.known.Leaving && hosts.Slots(e.known.ID, e.known.Slots, host) > 0
-	})
-}
--- a/internal/balancer/rejectionlimit_test.go
+++ b/internal/balancer/rejectionlimit_test.go
@@ -120,7 +120,7 @@
 	first, full := table.FullFor(epoch, plainFleet)
 	is.True(full)
 	for range 1000 {
-		share, full := table.Full(epoch, plainFleet)
+		share, full := table.pool(plainFleet).full(epoch, table.signals.Hosts())
 		is.True(full)
 		is.Equal(share, 2)
 	}
@@ -132,6 +132,6 @@
 	is := is.New(t)
 	table := limitedTable(1, 2, "h0")
 	table.SetEndpoints(nil)
-	_, full := table.Full(epoch, plainFleet)
+	_, full := table.pool(plainFleet).full(epoch, table.signals.Hosts())
 	is.True(!full)
 }
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -35,9 +35,7 @@
 	// than expected.
 	firstEventSlowness slowness
 	rejectionLimit     rejectionLimit
-	// owners are the hosts with a part of the slots while the hosts are ownersOf.
-	owners   []string
-	ownersOf *backpressure.Hosts
+	slotPool           slotPool
 	// returns spreads the callers that were refused because all endpoints are closed or full.
 	returns backpressure.RetrySchedule
 }
@@ -115,12 +113,12 @@
 			e.signals = signals.Endpoint(InstanceOf(&k.Endpoint))
 			e.describe(p.engine)
 		}
-		e.known, e.slotsOf = k, nil
+		e.known, e.part.hosts = k, nil
 		next[k.ID] = e
 		p.ordered = append(p.ordered, e)
 	}
 	p.endpoints = next
-	p.ownersOf = nil
+	p.slotPool = slotPool{}
 }
 
 // InstanceOf returns the identity of an endpoint's run.
--- a/internal/heartbeat/group.go
+++ b/internal/heartbeat/group.go
@@ -54,6 +54,7 @@
 		}
 		h.Groups, h.Sizes = t.leaderDigest.Leaders, t.leaderDigest.GroupSizes
 		h.Members = append(slices.Collect(maps.Keys(t.leaderDigest.Acks)), t.leader)
+		h.Pooling = t.leaderDigest.pooling()
 		return h
 	}
 	h.Groups = t.leadersLocked(now)
@@ -62,6 +63,7 @@
 		h.Members = append(h.Members, peer.Name)
 	}
 	h.Sizes = t.groupSizesLocked(h.Groups, len(h.Members))
+	h.Pooling = t.poolingLocked(append(h.Members[1:len(h.Members):len(h.Members)], h.Groups...))
 	return h
 }
 
@@ -214,6 +216,7 @@
 			Included:      peer.reportNumber,
 			Configuration: peer.reportNumberAt(configuration),
 			Endpoints:     peer.reportNumberAt(endpoints),
+			PoolsSlots:    peer.report.PoolsSlots,
 		}
 	}
 	return out
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -92,6 +92,8 @@
 
 	// RejectionLimits are the fleets whose endpoints have lately stated a rejection limit.
 	RejectionLimits []balancer.RejectionLimitReport `json:"rejection_limits,omitempty"`
+	// PoolsSlots is set by builds that pool slots of endpoints with a rejection limit.
+	PoolsSlots bool `json:"pools_slots,omitempty"`
 	// LostFleets are the fleets of which the sender reaches no endpoint.
 	LostFleets []string `json:"lost_fleets,omitempty"`
 	// GroupLostLinks is set if a host of the sender's group has lost its links to a fleet.
@@ -135,6 +137,8 @@
 	Endpoints  registry.Delta   `json:"endpoints"`
 	// RejectionLimits are the fleets whose endpoints have lately stated a rejection limit to a host.
 	RejectionLimits []balancer.RejectionLimitReport `json:"rejection_limits,omitempty"`
+	// PoolsSlots is set if the sender pools slots of endpoints with a rejection limit.
+	PoolsSlots bool `json:"pools_slots,omitempty"`
 	// RelayPeers are some hosts that have lost no links to endpoints, while another host has.
 	RelayPeers []relay.Peer `json:"relay_peers,omitempty"`
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
@@ -166,6 +170,8 @@
 	// time after that report was sent. Endpoints is the same for the endpoints.
 	Configuration uint64 `json:"c,omitempty"`
 	Endpoints     uint64 `json:"e,omitempty"`
+	// PoolsSlots is set if the follower pools slots of endpoints with a rejection limit.
+	PoolsSlots bool `json:"p,omitempty"`
 }
 
 // FleetDemand is the recent demand for a fleet, through one host or as the sum over several.
--- a/internal/heartbeat/sharing_test.go
+++ b/internal/heartbeat/sharing_test.go
@@ -65,3 +65,50 @@
 		})
 	}
 }
+
+// TestHostsOfOldAndNewBuildsUseNoMoreThanTheSlots has all, some or no hosts pool the slots of an endpoint that has fewer
+// than there are hosts.
+func TestHostsOfOldAndNewBuildsUseNoMoreThanTheSlots(t *testing.T) {
+	for _, hosts := range []int{1, 9, 40} {
+		for _, oldBuilds := range []string{"none", "every third", "all but every third", "all"} {
+			t.Run(fmt.Sprint(hosts, " hosts, old builds: ", oldBuilds), func(t *testing.T) {
+				is := is.New(t)
+				sim := newSimulation(hosts, 2)
+				for i, h := range sim.hosts {
+					third := i%3 == 0
+					h.pools = oldBuilds == "none" || oldBuilds == "every third" && !third || oldBuilds == "all but every third" && third
+				}
+				sim.run(5 * time.Second)
+				for i := range 20 {
+					sum, holders := sim.slots(fmt.Sprint("e", i), 8)
+					is.Equal(sum, 8)
+					if oldBuilds == "none" {
+						is.True(holders <= 4) // of 2 groups
+					}
+				}
+			})
+		}
+	}
+}
+
+// slots sums the hosts' parts of an endpoint's slots, and counts the hosts that have one.
+func (sim *simulation) slots(endpoint string, slots int) (sum, holders int) {
+	for _, h := range sim.liveHosts() {
+		sharing := h.table.Sharing(sim.now)
+		part := 0
+		if !h.pools || !sharing.Pools() {
+			part = sharing.Slots(endpoint, slots, h.Name)
+		} else {
+			for _, p := range sharing.PoolParts(endpoint, slots) {
+				if p.Host == h.Name {
+					part = p.Slots
+				}
+			}
+		}
+		if part > 0 {
+			holders++
+		}
+		sum += part
+	}
+	return sum, holders
+}
--- a/internal/heartbeat/simulation_test.go
+++ b/internal/heartbeat/simulation_test.go
@@ -26,6 +26,8 @@
 	next  time.Time
 	// number is the number of the host's newest message.
 	number uint64
+	// pools is set for hosts of builds that pool slots.
+	pools bool
 }
 
 func newSimulation(hosts, dataCentres int) *simulation {
@@ -79,13 +81,18 @@
 	h.number++
 	members, left := h.table.Members(sim.now)
 	r := &Report{Peer: h.Peer, Number: h.number, Leader: h.table.Leader(sim.now), Members: members, Left: left,
-		HoldsLease: h.table.GroupHoldsLease(sim.now), IntervalMillis: h.table.Interval(sim.now).Milliseconds()}
+		HoldsLease: h.table.GroupHoldsLease(sim.now), IntervalMillis: h.table.Interval(sim.now).Milliseconds(), PoolsSlots: h.pools}
 	for _, other := range sim.recipients(h, to.Reports) {
 		other.table.HandleReport(sim.now, r)
 	}
 	reachable, known := h.table.HostCounts(sim.now)
+	acks, sharing := h.table.Acks(sim.now, time.Time{}, time.Time{}), h.table.Sharing(sim.now)
+	for name, ack := range acks {
+		ack.PoolsSlots = ack.PoolsSlots && h.pools
+		acks[name] = ack
+	}
 	d := &Digest{Peer: h.Peer, Number: h.number, Reachable: reachable, Known: known, IntervalMillis: r.IntervalMillis,
-		Acks: h.table.Acks(sim.now, time.Time{}, time.Time{}), Leaders: h.table.Sharing(sim.now).Groups}
+		Acks: acks, Leaders: sharing.Groups, GroupSizes: sharing.Sizes, PoolsSlots: h.pools}
 	for _, other := range sim.recipients(h, to.Digests) {
 		other.table.HandleDigest(sim.now, d)
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -147,6 +147,7 @@
 	r.Quarantine = n.quarantine.Report(now)
 	r.Origins = n.origins.Report(now, n.originsSince(now), true)
 	r.RejectionLimits = n.balancer.RejectionLimitReports(now, balancer.ScopeGroup)
+	r.PoolsSlots = true
 	r.LostFleets = n.links.LostFleets()
 	r.RelayPeers, r.GroupLostLinks = n.peers.ReportedRelayPeers(now, rand.Uint64())
 	r.Members, r.Left = n.peers.Members(now)
@@ -211,6 +212,7 @@
 		Leaders:          sharing.Groups,
 		GroupSizes:       sharing.Sizes,
 		RejectionLimits:  n.balancer.RejectionLimitReports(now, balancer.ScopeAll),
+		PoolsSlots:       true,
 		RelayPeers:       n.peers.DigestRelayPeers(now, rand.Uint64()),
 		Quarantine:       n.quarantine.Report(now),
 		Origins:          n.origins.Report(now, n.originsSince(now), false),
--- a/internal/proxy/peerattempt.go
+++ b/internal/proxy/peerattempt.go
@@ -24,9 +24,6 @@
 	// maxFullPeers is the same for peers that have slots of endpoints with a rejection limit, which may all
 	// be in use.
 	maxFullPeers = 5
-	// minOwnSlots is the number of slots of endpoints with a rejection limit with which a host does without those
-	// of its peers.
-	minOwnSlots = 4
 )
 
 // Peers are the hosts that requests are relayed to while this host cannot reach their endpoints.
@@ -55,7 +52,7 @@
 	candidates, limit := peers.Candidates, maxFailedPeers
 	switch {
 	case x.proxy.Links.Table.Lost(x.fleet) || unreachable >= maxUnreachableAlone || noEndpoint && unreachable > 0:
-	case noEndpoint && x.hasFewSlots(now):
+	case noEndpoint && x.asksSlotOwners(now):
 		candidates, limit = peers.SlotOwners, maxFullPeers
 	default:
 		return nil
@@ -70,11 +67,10 @@
 	return &peer
 }
 
-// hasFewSlots reports whether the fleet has a rejection limit and this host's part of the slots is in use, and so
-// small that those of its peers are tried.
-func (x *exchange) hasFewSlots(now time.Time) bool {
-	share, full := x.proxy.Balancer.Full(now, x.fleet)
-	return full && share < minOwnSlots && x.proxy.Peers.SlotOwners != nil
+// asksSlotOwners reports whether peers may have a free slot of an endpoint of the fleet, which has a rejection limit,
+// while this host has none.
+func (x *exchange) asksSlotOwners(now time.Time) bool {
+	return x.proxy.Peers.SlotOwners != nil && x.proxy.Balancer.AsksPeers(now, x.fleet)
 }
 
 // newPeerAttempt returns an attempt through a peer. It is counted at no endpoint: the peer does that.
