Roll-outs: requests move to another version by steps, bounded and with evidence

Cause: no code knew of orders to move a fleet to another version. An order got no status, and endpoints of the new version got an equal share at once, also when they failed.

--- a/cmd/rattanchuted/platform.go
+++ b/cmd/rattanchuted/platform.go
@@ -68,6 +68,8 @@
 			ConfigurationName: platform.ConfigurationName,
 			Configuration:     platform.DecodeConfiguration,
 			Endpoint:          platform.DecodeEndpoint,
+			Rollout:           platform.DecodeRollout,
+			RolloutStatus:     platform.EncodeRolloutStatus,
 		},
 		Log:            &logger.Logger,
 		LogDropped:     logger.Dropped,
--- a/internal/adapter/platformhttp/store.go
+++ b/internal/adapter/platformhttp/store.go
@@ -113,6 +113,17 @@
 	return stored, err
 }
 
+// UpdateStatus implements objectstore.Store.
+func (s *Store) UpdateStatus(ctx context.Context, o objectstore.Object) (objectstore.Object, error) {
+	var stored objectstore.Object
+	if len(o.Status) > objectstore.MaxValueBytes {
+		return stored, objectstore.ErrTooLarge
+	}
+	c := call{method: fasthttp.MethodPut, path: objectPath(o.Kind, o.Name) + "?part=status", value: o.Status, ifMatch: o.Version}
+	err := s.do(ctx, c, &stored)
+	return stored, err
+}
+
 // Delete implements objectstore.Store. It removes the object if the stored version is
 // still o.Version.
 func (s *Store) Delete(ctx context.Context, o objectstore.Object) error {
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -44,6 +44,9 @@
 		if e.known.Leaving || slices.Contains(r.Exclude, e.known.ID) || e.ejected(now) && !includeEjected {
 			continue
 		}
+		if !r.permits(e) {
+			continue
+		}
 		if r.Version != "" && e.known.Version != r.Version || !e.signals.Verdict(now).Allowed {
 			continue
 		}
@@ -69,6 +72,11 @@
 	return best
 }
 
+// permits reports whether the request may use an endpoint.
+func (r *Request) permits(e *endpoint) bool {
+	return r.Permitted == nil || r.Permitted(&e.known.Endpoint)
+}
+
 // Opening reports whether all endpoints of a fleet are closed for some time, apart from those that leave,
 // and if so, after which time a caller that is refused now should return. Each caller is given a later
 // time, as the endpoints find room.
@@ -107,7 +115,7 @@
 func (p *pool) cacheSource(now time.Time, r *Request) cacheSource {
 	var best cacheSource
 	for _, e := range p.ordered {
-		if !e.model || e.known.Leaving || e.ejected(now) || e.signals.Verdict(now).Leaving {
+		if !e.model || e.known.Leaving || !r.permits(e) || e.ejected(now) || e.signals.Verdict(now).Leaving {
 			continue
 		}
 		if n := e.cache.matchedTokens(r.Prefixes); n > best.tokens {
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -29,6 +29,9 @@
 	Fleet string
 	// Version restricts the choice to endpoints with this software; empty for any.
 	Version string
+	// Permitted restricts the choice, and the endpoints that prompts are copied from; nil for no restriction. It is
+	// called under the lock of the fleet.
+	Permitted func(*registry.Endpoint) bool
 	// Prefixes are the prefixes of the prompt, the shortest first; the last one is the whole
 	// prompt.
 	Prefixes     []Prefix
--- a/internal/configstore/fake_store_test.go
+++ b/internal/configstore/fake_store_test.go
@@ -115,6 +115,10 @@
 	})
 }
 
+func (s *fakeStore) UpdateStatus(ctx context.Context, o objectstore.Object) (objectstore.Object, error) {
+	return s.Update(ctx, o)
+}
+
 func (s *fakeStore) Delete(_ context.Context, o objectstore.Object) error {
 	delete(s.objects, key(o.Kind, o.Name))
 	return nil
--- a/internal/duty/fake_test.go
+++ b/internal/duty/fake_test.go
@@ -54,6 +54,10 @@
 	return s.put(o)
 }
 
+func (s *fakeStore) UpdateStatus(_ context.Context, o objectstore.Object) (objectstore.Object, error) {
+	return s.put(o)
+}
+
 func (s *fakeStore) put(o objectstore.Object) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gossip/gossiptest/store.go
+++ b/internal/gossip/gossiptest/store.go
@@ -79,6 +79,11 @@
 	return s.write(o, false)
 }
 
+// UpdateStatus implements objectstore.Store.
+func (s *Store) UpdateStatus(_ context.Context, o objectstore.Object) (objectstore.Object, error) {
+	return s.write(o, false)
+}
+
 // Delete implements objectstore.Store.
 func (s *Store) Delete(_ context.Context, o objectstore.Object) error {
 	_, err := s.write(o, true)
--- a/internal/heartbeat/group.go
+++ b/internal/heartbeat/group.go
@@ -205,18 +205,21 @@
 	return members, left
 }
 
-// Acks returns the acknowledgements of each follower's reports. configuration and endpoints are
-// the times at which the configuration and the endpoints were last confirmed to be the newest.
-func (t *Table) Acks(now, configuration, endpoints time.Time) map[string]Ack {
+// Confirmations are the times at which parts of the store's contents were last confirmed to be the newest.
+type Confirmations struct{ Configuration, Endpoints, Rollouts time.Time }
+
+// Acks returns the acknowledgements of each follower's reports.
+func (t *Table) Acks(now time.Time, confirmed Confirmations) map[string]Ack {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := map[string]Ack{}
 	for _, peer := range t.followersLocked(now) {
 		out[peer.Name] = Ack{
 			Included:      peer.reportNumber,
-			Configuration: peer.reportNumberAt(configuration),
-			Endpoints:     peer.reportNumberAt(endpoints),
 			PoolsSlots:    peer.report.PoolsSlots,
+			Configuration: peer.reportNumberAt(confirmed.Configuration),
+			Endpoints:     peer.reportNumberAt(confirmed.Endpoints),
+			Rollouts:      peer.reportNumberAt(confirmed.Rollouts),
 		}
 	}
 	return out
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -10,6 +10,7 @@
 	"rattanchute/internal/quota"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/relay"
+	"rattanchute/internal/rollout"
 	"rattanchute/internal/usage"
 )
 
@@ -90,6 +91,9 @@
 	// Origins says where streams of the group began; nil if there are none.
 	Origins *origin.Report `json:"origins,omitempty"`
 
+	// Rollouts is what the group knows of orders to move fleets to other versions; nil if there are none.
+	Rollouts *rollout.Report `json:"rollouts,omitempty"`
+
 	// RejectionLimits are the fleets whose endpoints have lately stated a rejection limit.
 	RejectionLimits []balancer.RejectionLimitReport `json:"rejection_limits,omitempty"`
 	// PoolsSlots is set by builds that pool slots of endpoints with a rejection limit.
@@ -153,6 +157,8 @@
 	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 	// Origins says where streams began, those of all hosts; nil if there are none.
 	Origins *origin.Report `json:"origins,omitempty"`
+	// Rollouts are the orders to move fleets to other versions; nil if the platform has none.
+	Rollouts *rollout.Digest `json:"rollouts,omitempty"`
 	// Levels are the remaining quota tokens by organisation, after all processed reports.
 	Levels map[string]float64 `json:"levels,omitempty"`
 	// Loads are the loads of all hosts, including the follower's own. If the digest would be too large,
@@ -172,6 +178,8 @@
 	Endpoints     uint64 `json:"e,omitempty"`
 	// PoolsSlots is set if the follower pools slots of endpoints with a rejection limit.
 	PoolsSlots bool `json:"p,omitempty"`
+	// Rollouts is the same for the orders to move fleets to other versions.
+	Rollouts uint64 `json:"r,omitempty"`
 }
 
 // FleetDemand is the recent demand for a fleet, through one host or as the sum over several.
--- a/internal/heartbeat/simulation_test.go
+++ b/internal/heartbeat/simulation_test.go
@@ -86,7 +86,7 @@
 		other.table.HandleReport(sim.now, r)
 	}
 	reachable, known := h.table.HostCounts(sim.now)
-	acks, sharing := h.table.Acks(sim.now, time.Time{}, time.Time{}), h.table.Sharing(sim.now)
+	acks, sharing := h.table.Acks(sim.now, Confirmations{}), h.table.Sharing(sim.now)
 	for name, ack := range acks {
 		ack.PoolsSlots = ack.PoolsSlots && h.pools
 		acks[name] = ack
--- a/internal/heartbeat/table_test.go
+++ b/internal/heartbeat/table_test.go
@@ -262,10 +262,10 @@
 	second.Number = 1001
 	leader.HandleReport(sim.now.Add(time.Second), &second)
 	queriedAt := sim.now.Add(time.Second / 2)
-	ack := leader.Acks(sim.now.Add(time.Second), queriedAt, queriedAt.Add(time.Second))[follower.Name]
+	ack := leader.Acks(sim.now.Add(time.Second), Confirmations{Configuration: queriedAt, Endpoints: queriedAt.Add(time.Second)})[follower.Name]
 	is.Equal(ack, Ack{Included: 1001, Configuration: 1000, Endpoints: 1001})
 	longAgo := epoch.Add(-time.Minute)
-	is.Equal(leader.Acks(sim.now.Add(time.Second), longAgo, longAgo)[follower.Name].Configuration, uint64(0))
+	is.Equal(leader.Acks(sim.now.Add(time.Second), Confirmations{Configuration: longAgo, Endpoints: longAgo})[follower.Name].Configuration, uint64(0))
 }
 
 // TestDigestBeforeTheFirstReport checks that a host that has just restarted can hear a leader's digest, meant
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -39,6 +39,8 @@
 		MayProbe:     n.mayProbe,
 		Origins:      n.origins,
 		OnlyVersion:  n.onlyVersion,
+		Rollouts:     n.rollouts,
+		OnRollout:    func() { wake(n.reportNow) },
 		OnCrash:      func() { wake(n.reportNow) },
 		OnLimit:      func() { wake(n.reportNow) },
 		DenyMaxAge:   denyMaxAge,
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -151,6 +151,7 @@
 	known := n.endpoints.Known()
 	n.balancer.SetEndpoints(known)
 	n.origins.SetEndpoints(clock.Now(), known)
+	n.setRolloutEndpoints(known)
 	listed := make([]backpressure.Instance, 0, len(known))
 	for i := range known {
 		listed = append(listed, balancer.InstanceOf(&known[i].Endpoint))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"rattanchute/internal/reachability"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/retrybudget"
+	"rattanchute/internal/rollout"
 	"rattanchute/internal/usage"
 )
 
@@ -112,7 +113,9 @@
 	// quarantine knows the requests and the prompts that crash endpoints.
 	quarantine *quarantine.Table
 	// origins knows where streams began.
-	origins          *origin.Table
+	origins *origin.Table
+	// rollouts decides which software versions get requests; nil if the platform has no roll-outs.
+	rollouts         *rollout.Table
 	quarantineKeeper *keeper.Keeper
 	peers            *heartbeat.Table
 	sent             *heartbeat.History
@@ -152,7 +155,9 @@
 	endpointsStale     chan struct{}
 	membersStale       chan struct{}
 	reportNow          chan struct{}
-	tasks              sync.WaitGroup
+	// rolloutsChanged wakes the task that decides about roll-outs.
+	rolloutsChanged chan struct{}
+	tasks           sync.WaitGroup
 }
 
 // New builds a node that does nothing until Run. It also sets the memory limit of the Go runtime.
@@ -184,6 +189,7 @@
 		endpointsStale:     make(chan struct{}, 1),
 		membersStale:       make(chan struct{}, 1),
 		reportNow:          make(chan struct{}, 1),
+		rolloutsChanged:    make(chan struct{}, 1),
 	}
 	n.registry.MustRegister(collectors.NewGoCollector())
 	n.boundary = contain.NewBoundary(n.Log, n.registry)
@@ -196,6 +202,7 @@
 	n.storeCalls = n.newStoreCalls()
 	n.Store = objectstore.Instrumented{Store: deps.Store, OnCall: n.storeCalls.record}
 	n.quarantineKeeper = n.newQuarantineKeeper()
+	n.buildRollouts()
 	n.buildProxy()
 	n.buildDuties()
 	n.registerGauges()
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -68,6 +68,7 @@
 	n.applyQuarantine(now, r.Name, r.Quarantine)
 	n.balancer.ApplyRejectionLimitReports(now, r.RejectionLimits, receipt.Role == heartbeat.RoleFollower)
 	n.origins.Apply(now, r.Origins, receipt.Role == heartbeat.RoleFollower)
+	n.applyRollouts(now, r, receipt.Role)
 	n.observeStoreOf(now, r)
 	if receipt.Role == heartbeat.RoleUnrelated {
 		// The host that it follows reports what it spends.
@@ -137,6 +138,7 @@
 	}
 	n.clusterClock.Adopt(now, time.UnixMilli(d.TrueMillis))
 	n.applyStoreState(now, d, ack)
+	n.applyRolloutDigest(now, d, ack)
 }
 
 // applyStoreState applies the changes to the endpoints that the leader has seen, and confirms this
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -146,6 +146,7 @@
 	r.LimitedEndpoints = n.signals.LimitReports(now)
 	r.Quarantine = n.quarantine.Report(now)
 	r.Origins = n.origins.Report(now, n.originsSince(now), true)
+	r.Rollouts = n.rolloutReport(now)
 	r.RejectionLimits = n.balancer.RejectionLimitReports(now, balancer.ScopeGroup)
 	r.PoolsSlots = true
 	r.LostFleets = n.links.LostFleets()
@@ -192,7 +193,9 @@
 func (n *Node) digest(now time.Time) *heartbeat.Digest {
 	// The confirmation times are read before the data that they confirm: if the data changes in
 	// between, it is newer than what was confirmed, which does no harm.
-	configuration, endpoints := n.proxy.ConfirmedAt(), n.endpoints.ConfirmedAt()
+	confirmed := heartbeat.Confirmations{
+		Configuration: n.proxy.ConfirmedAt(), Endpoints: n.endpoints.ConfirmedAt(), Rollouts: n.rolloutsConfirmedAt(),
+	}
 	reachable, known := n.peers.HostCounts(now)
 	prefills := n.proxy.Prefills(n.prefillsSince(now), balancer.ScopeAll)
 	sharing := n.peers.Sharing(now)
@@ -201,7 +204,7 @@
 		Number:         n.messagesSent.Add(1),
 		IntervalMillis: n.peers.Interval(now).Milliseconds(),
 		TrueMillis:     n.clusterClock.At(now).UnixMilli(),
-		Acks:           n.peers.Acks(now, configuration, endpoints),
+		Acks:           n.peers.Acks(now, confirmed),
 		Reachable:      reachable,
 		Known:          known,
 		Generation:     n.activeGeneration(),
@@ -216,6 +219,7 @@
 		RelayPeers:       n.peers.DigestRelayPeers(now, rand.Uint64()),
 		Quarantine:       n.quarantine.Report(now),
 		Origins:          n.origins.Report(now, n.originsSince(now), false),
+		Rollouts:         n.rolloutDigest(),
 
 		Levels:   n.quota.SpendingReport(now).Level,
 		Loads:    n.balancer.Loads(now, balancer.ScopeAll),
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -40,7 +40,9 @@
 	// ReportUsage and Scale enable the duties of reporting usage and of ordering endpoints.
 	ReportUsage bool
 	Scale       bool
-	Bounds      Bounds
+	// RollOut enables orders to move a fleet to another software version.
+	RollOut bool
+	Bounds  Bounds
 }
 
 // Bounds are the time limits and amounts that the platform requires.
@@ -75,6 +77,12 @@
 	// UsageReportDelay is the time after the end of a usage window by which it must be
 	// reported.
 	UsageReportDelay time.Duration
+	// ExposureShare and ExposureSlack bound how many requests a version that turns out to be bad may get in a
+	// roll-out: a share of all requests to the fleet from the order to its deadline, plus a number.
+	ExposureShare float64
+	ExposureSlack float64
+	// RollbackDelay is how long after its fiftieth bad response such a version may still get requests.
+	RollbackDelay time.Duration
 }
 
 // Validate returns an error that names each missing setting without which the host cannot run; nil
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -14,6 +14,7 @@
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/registry"
+	"rattanchute/internal/rollout"
 )
 
 // Decoders decode objects of the store.
@@ -22,6 +23,10 @@
 	ConfigurationName string
 	Configuration     func(text []byte) (*fleet.Configuration, error)
 	Endpoint          func(id string, entry json.RawMessage) (registry.Endpoint, error)
+	// Rollout decodes an order to move a fleet to another version, with its status, and RolloutStatus encodes the
+	// status. They may be nil if there are no such orders.
+	Rollout       func(name string, value, status json.RawMessage) rollout.Entry
+	RolloutStatus func(*rollout.Record) (json.RawMessage, error)
 }
 
 const (
--- a/internal/objectstore/instrumented.go
+++ b/internal/objectstore/instrumented.go
@@ -42,6 +42,13 @@
 	return stored, err
 }
 
+// UpdateStatus implements Store.
+func (c Instrumented) UpdateStatus(ctx context.Context, o Object) (Object, error) {
+	stored, err := c.Store.UpdateStatus(ctx, o)
+	c.OnCall(o.Kind, "update_status", err)
+	return stored, err
+}
+
 // Delete implements Store.
 func (c Instrumented) Delete(ctx context.Context, o Object) error {
 	err := c.Store.Delete(ctx, o)
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -29,6 +29,9 @@
 	KindDesired Kind = "desired"
 	// KindQuarantine objects hold the requests and the prompts that crash endpoints.
 	KindQuarantine Kind = "quarantine"
+	// KindRollout objects are orders to move a fleet to another software version. Operators write their value,
+	// and the system their status.
+	KindRollout Kind = "rollouts"
 )
 
 // MaxValueBytes is the size of the largest value that the platform accepts.
@@ -42,6 +45,8 @@
 	// increase across the whole store, so that they also order the events of a watch.
 	Version Version         `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	// Status is what the system says about an object whose value is its owner's; empty for most objects.
+	Status json.RawMessage `json:"status,omitempty"`
 }
 
 // Event is one change reported by a watch.
@@ -71,6 +76,9 @@
 	Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (Object, error)
 	// Update replaces the value if the stored version equals o.Version, else ErrConflict.
 	Update(ctx context.Context, o Object) (Object, error)
+	// UpdateStatus replaces the status, and not the value, if the stored version equals o.Version, else
+	// ErrConflict.
+	UpdateStatus(ctx context.Context, o Object) (Object, error)
 	// Delete removes the object if the stored version equals o.Version, else ErrConflict.
 	Delete(ctx context.Context, o Object) error
 	// Watch waits for changes of a kind after a store version, for as long as the service allows
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -13,6 +13,7 @@
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/relay"
+	"rattanchute/internal/rollout"
 )
 
 // maxResponseBytes bounds a response that is buffered before it is relayed.
@@ -28,7 +29,9 @@
 	choice          balancer.Choice
 	ctx             context.Context
 	balancerAttempt *balancer.Attempt
-	sentAt          time.Time
+	// ticket counts the request among those in progress at a version; nil before it is sent.
+	ticket *rollout.Ticket
+	sentAt time.Time
 	// peer is the host that the request is relayed to; nil if it is sent to the endpoint itself.
 	peer *relay.Peer
 	// refusal is the final answer that the peer gave; nil if there is none.
@@ -98,7 +101,10 @@
 	if first {
 		a.exchange.proxy.telemetry.Reopened(a)
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	return a.permitVersion()
 }
 
 func (a *attempt) encode(req *fasthttp.Request) {
@@ -141,7 +147,7 @@
 	switch {
 	case errors.Is(err, httpclient.ErrNotSent) && a.ctx.Err() != nil:
 		return outcomeNotSent, balancer.ResultCancelled
-	case errors.Is(err, errQuarantined):
+	case errors.Is(err, errQuarantined), errors.Is(err, rollout.ErrNotPermitted):
 		return outcomeWithdrawn, balancer.ResultCancelled
 	case errors.Is(err, balancer.ErrEndpointClosed), errors.Is(err, balancer.ErrEndpointLeaving),
 		errors.Is(err, balancer.ErrEndpointFull):
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"rattanchute/internal/balancer"
@@ -127,7 +126,7 @@
 	if unreachable > x.maxUnreachable() {
 		return balancer.Choice{}, nil, x.refusalOrFailure(ReasonEndpointsUnreachable, minRetryAfter)
 	}
-	choice, found := x.proxy.Balancer.Choose(now, rand.Uint64(), x.balancerRequest)
+	choice, found := x.chooseEndpoint(now)
 	if found {
 		return choice, nil, x.shed(now, &choice)
 	}
@@ -207,6 +206,7 @@
 	if a.peer == nil {
 		a.observeCrash(out, result)
 	}
+	a.endRollout(out, result)
 	p.telemetry.HealthChanged(a.choice.Endpoint.ID, a.balancerAttempt.End(clock.Now(), result))
 	if out != outcomeNotSent && out != outcomeWithdrawn {
 		x.sends++
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"rattanchute/internal/quarantine/verify"
 	"rattanchute/internal/quota"
 	"rattanchute/internal/retrybudget"
+	"rattanchute/internal/rollout"
 	"rattanchute/internal/route"
 )
 
@@ -54,6 +55,10 @@
 	// OnlyVersion returns the version at which all streams of a fleet began that callers may still resume;
 	// false if there may be several.
 	OnlyVersion func(now time.Time, fleet string) (string, bool)
+	// Rollouts decides which versions get requests; nil if there are no roll-outs. OnRollout is called when other
+	// hosts should hear what this one has just learned of a version.
+	Rollouts  *rollout.Table
+	OnRollout func()
 	// MayProbe reports whether this host may send a quarantined request to find out whether it still crashes
 	// endpoints. At most one host may.
 	MayProbe func() bool
--- /dev/null
+++ b/internal/rollout/choose.go
@@ -0,0 +1,305 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"rattanchute/internal/registry"
+)
+
+// Request is what the choice of a version depends on.
+type Request struct {
+	Fleet string
+	Route string
+	// Pinned is the version at which the request has to be served; empty for any.
+	Pinned string
+	// Random is from 0 to 1.
+	Random float64
+}
+
+// Choice is the result of Choose.
+type Choice struct {
+	// Permitted reports whether an endpoint may be chosen; nil if all may.
+	Permitted func(*registry.Endpoint) bool
+	// Canary is set if the request counts against the bound on requests at the new version. Fallback is then
+	// Permitted for an old version, to be used with Refund.
+	Canary   bool
+	Fallback func(*registry.Endpoint) bool
+}
+
+// Choose decides to which endpoints of its fleet a request may go.
+func (t *Table) Choose(now time.Time, r Request) Choice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.fleets[r.Fleet]
+	if f == nil {
+		return Choice{}
+	}
+	m := t.mode(now, f)
+	target := f.entry.Order.Target
+	if m == modeCanary && t.takeCanary(now, f, &r) {
+		c := Choice{Canary: true, Permitted: f.filter(modeNew, nil), Fallback: f.filter(modeOld, nil)}
+		if r.Pinned == "" {
+			c.Permitted = f.filter(modeNew, f.canary)
+		}
+		return c
+	}
+	if m == modeCanary && r.Pinned == target {
+		m = modeNone
+	} else if m == modeCanary {
+		m = modeOld
+	}
+	return Choice{Permitted: f.filter(m, nil)}
+}
+
+// filter returns a function that is safe for use without the table's lock.
+func (f *fleetState) filter(m mode, only map[string]bool) func(*registry.Endpoint) bool {
+	// Only what does not change after it was set is used.
+	frozen := &fleetState{entry: f.entry, retired: f.retired}
+	return func(e *registry.Endpoint) bool {
+		return (only == nil || only[e.ID]) && frozen.permits(m, e.ID, e.Version)
+	}
+}
+
+// takeCanary decides whether a request goes to the new version in the canary step, and counts it if so.
+func (t *Table) takeCanary(now time.Time, f *fleetState, r *Request) bool {
+	target := f.entry.Order.Target
+	if r.Pinned != "" && r.Pinned != target {
+		return false
+	}
+	left := f.allowance.left(t.limits)
+	pulse := f.entry.pulseAt(t.clusterTime(now).UnixMilli())
+	inPulse := f.allowance.inPulse(pulse, left)
+	if left < 1 {
+		return false
+	}
+	f.updateCanaries(t.limits.Share, pulse)
+	if len(f.canary) == 0 {
+		return false
+	}
+	if r.Pinned == "" && r.Random >= f.probability(r.Route, inPulse) {
+		return false
+	}
+	f.allowance.sentNew++
+	return true
+}
+
+// probability returns how likely a request goes to the new version.
+func (f *fleetState) probability(route string, inPulse bool) float64 {
+	p := 0.0
+	if inPulse {
+		old := 0
+		for i := range f.endpoints {
+			if f.isOld(f.endpoints[i].Version) {
+				old++
+			}
+		}
+		p = float64(len(f.canary)) / float64(len(f.canary)+old)
+	}
+	if f.responses(route) < wantedResponses {
+		p = max(p, scarceProbability)
+	}
+	return p
+}
+
+// responses returns the number of the new version's responses on a route that are known.
+func (f *fleetState) responses(route string) float64 {
+	n := 0.0
+	if e := f.routes[route]; e != nil {
+		n = e.counts.Since.All
+	}
+	for _, p := range f.peers {
+		for i := range p.report.Routes {
+			if p.report.Routes[i].Route == route {
+				n += p.report.Routes[i].Since.All
+			}
+		}
+	}
+	return n
+}
+
+// updateCanaries chooses the endpoints that get requests in a pulse.
+func (f *fleetState) updateCanaries(share float64, pulse int64) {
+	if f.canary != nil && pulse == f.canaryPulse {
+		return
+	}
+	var target []registry.Endpoint
+	old := 0
+	for _, e := range f.endpoints {
+		switch {
+		case e.Version == f.entry.Order.Target:
+			target = append(target, e)
+		case f.isOld(e.Version):
+			old++
+		}
+	}
+	f.canary = canaries(target, old, share, fmt.Sprint(f.entry.Record.StartMillis, "/", pulse))
+	f.canaryPulse = pulse
+}
+
+// Refund returns a canary request that was not sent to the new version.
+func (t *Table) Refund(fleet string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f := t.fleets[fleet]; f != nil && f.allowance.sentNew >= 1 {
+		f.allowance.sentNew--
+	}
+}
+
+// Ticket is a request in progress.
+type Ticket struct {
+	table    *Table
+	fleet    string
+	route    string
+	version  string
+	endpoint string
+	sentAt   time.Time
+	ended    bool
+}
+
+// Begin decides, immediately before a request is sent, whether its endpoint may get it, and counts it as in progress
+// there. first is set for the first sending of a request.
+func (t *Table) Begin(now time.Time, fleet, route string, e *registry.Endpoint, first bool) (*Ticket, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f := t.fleets[fleet]; f != nil {
+		if m := t.mode(now, f); !f.permits(m, e.ID, e.Version) {
+			return nil, f.describe(m, e.Version)
+		}
+		if first {
+			f.allowance.requests++
+		}
+	}
+	byVersion := t.running[fleet]
+	if byVersion == nil {
+		byVersion = map[string]int{}
+		t.running[fleet] = byVersion
+	}
+	byVersion[e.Version]++
+	return &Ticket{table: t, fleet: fleet, route: route, version: e.Version, endpoint: e.ID, sentAt: now}, nil
+}
+
+// Still reports whether a request that was begun may still be sent.
+func (k *Ticket) Still(now time.Time) error {
+	t := k.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.fleets[k.fleet]
+	if f == nil {
+		return nil
+	}
+	if m := t.mode(now, f); !f.permits(m, k.endpoint, k.version) {
+		return f.describe(m, k.version)
+	}
+	return nil
+}
+
+// Result is how a request ended.
+type Result struct {
+	// Evidence is set if the response tells something about the endpoint's version, and Failed if it is a failure.
+	Evidence bool
+	Failed   bool
+	// Unfinished is set if the caller left before the response was complete: it tells something only if it was slow
+	// by then.
+	Unfinished bool
+	// First is the time to the first event or to the whole response, and Pace the mean time between events.
+	First, Pace time.Duration
+}
+
+// End records the end of a request. It reports whether the host has just found the new version bad, or may soon: others
+// should be told now.
+func (k *Ticket) End(now time.Time, r Result) (tell bool) {
+	if k == nil || k.ended {
+		return false
+	}
+	k.ended = true
+	t := k.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leave(k.fleet, k.version)
+	f := t.fleets[k.fleet]
+	if f == nil {
+		return false
+	}
+	if f.entry.Step() == StepSwitch && f.isOld(k.version) {
+		tell = t.runningOld(f) == 0
+	}
+	if f.isOld(k.version) {
+		f.longest = max(f.longest, now.Sub(k.sentAt))
+	}
+	if !r.Evidence || f.deleted || f.entry.Step().Ended() {
+		return tell
+	}
+	return f.observe(now, t, k, &r) || tell
+}
+
+func (t *Table) leave(fleet, version string) {
+	byVersion := t.running[fleet]
+	byVersion[version]--
+	if byVersion[version] <= 0 {
+		delete(byVersion, version)
+	}
+}
+
+// runningOld returns the number of this host's requests in progress at old versions.
+func (t *Table) runningOld(f *fleetState) int {
+	n := 0
+	for version, count := range t.running[f.entry.Name] {
+		if version != f.entry.Order.Target {
+			n += count
+		}
+	}
+	return n
+}
+
+// observe records a response, and stops the new version if the evidence is bad.
+func (f *fleetState) observe(now time.Time, t *Table, k *Ticket, r *Result) (tell bool) {
+	e := f.route(k.route)
+	resp := response{failed: r.Failed, first: r.First, pace: r.Pace, warmingUp: k.sentAt.Before(f.warmUntil[k.endpoint])}
+	isBad := e.isBad(&resp)
+	if r.Unfinished && !isBad {
+		return false
+	}
+	if k.version != f.entry.Order.Target {
+		if f.isOld(k.version) {
+			e.observeOld(&resp)
+		}
+		return false
+	}
+	e.observeNew(now, &resp)
+	return isBad && (t.judge(now, f, "") || e.counts.Since.suspect())
+}
+
+func (f *fleetState) route(name string) *routeEvidence {
+	e := f.routes[name]
+	if e != nil {
+		return e
+	}
+	if len(f.routes) >= maxRoutes {
+		name = otherRoute
+		if e = f.routes[name]; e != nil {
+			return e
+		}
+	}
+	e = newRouteEvidence(name)
+	f.routes[name] = e
+	return e
+}
+
+// judge stops the new version if the evidence of all hosts is bad, and reports whether it has just done that.
+func (t *Table) judge(now time.Time, f *fleetState, source string) bool {
+	if f.stopped != "" || f.deleted || f.entry.Step().Ended() {
+		return false
+	}
+	v := judge(f.sum(now))
+	if !v.Bad {
+		return false
+	}
+	t.stop(f, v.Reason, source)
+	return true
+}
+
+func (t *Table) stop(f *fleetState, reason, source string) {
+	f.stopped = reason
+	t.change(f, "stopped", reason, source)
+}
--- /dev/null
+++ b/internal/rollout/report.go
@@ -0,0 +1,256 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"rattanchute/internal/objectstore"
+)
+
+// Report is what a host tells others about the orders that it knows.
+type Report struct {
+	Fleets []FleetReport `json:"fleets"`
+}
+
+// FleetReport is what a host and its followers know of one order.
+type FleetReport struct {
+	Fleet  string `json:"fleet"`
+	Target string `json:"target"`
+	// StartMillis is that of the order's record.
+	StartMillis int64 `json:"start_ms"`
+	// Idle is the number of hosts that know that no request may go to old versions, and have none in progress there.
+	Idle int `json:"idle,omitempty"`
+	// Old is the number of requests in progress at old versions.
+	Old int `json:"old,omitempty"`
+	// LongestMillis is the longest time that a request has taken at an old version.
+	LongestMillis int64 `json:"longest_ms,omitempty"`
+	// Stopped says why the sender sends nothing more to the new version; empty if it does.
+	Stopped string `json:"stopped,omitempty"`
+	// Requests are those sent since the order, and SentNew those to the new version in the canary step.
+	Requests float64       `json:"requests,omitempty"`
+	SentNew  float64       `json:"sent_new,omitempty"`
+	Routes   []RouteCounts `json:"routes,omitempty"`
+}
+
+// Digest is what a leader tells its followers.
+type Digest struct {
+	AsOf    objectstore.Version `json:"as_of"`
+	Entries []Entry             `json:"entries,omitempty"`
+	Stopped []Stop              `json:"stopped,omitempty"`
+}
+
+// Stop says that the new version of an order gets no more requests.
+type Stop struct {
+	Fleet       string `json:"fleet"`
+	Target      string `json:"target"`
+	StartMillis int64  `json:"start_ms"`
+	Reason      string `json:"reason"`
+}
+
+// followerFreshness is for how long the report of a follower that it is idle counts.
+const followerFreshness = 4 * time.Second
+
+// peerReport is the newest report of a peer.
+type peerReport struct {
+	at       time.Time
+	follower bool
+	report   FleetReport
+}
+
+// Report returns what this host and its followers know of orders that have not ended; nil if there are none.
+func (t *Table) Report(now time.Time) *Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var r Report
+	for _, name := range slices.Sorted(maps.Keys(t.fleets)) {
+		f := t.fleets[name]
+		if f.deleted || f.entry.IsNew() || f.entry.Step().Ended() {
+			continue
+		}
+		r.Fleets = append(r.Fleets, t.reportOf(now, f))
+	}
+	if r.Fleets == nil {
+		return nil
+	}
+	return &r
+}
+
+// reportOf sums up this host and its followers.
+func (t *Table) reportOf(now time.Time, f *fleetState) FleetReport {
+	out := t.ownReport(now, f)
+	routes := map[string]RouteCounts{}
+	addRoutes(routes, out.Routes)
+	for _, p := range f.peers {
+		if p.follower {
+			if now.Sub(p.at) > followerFreshness {
+				p.report.Idle = 0
+			}
+			out.add(&p.report)
+			addRoutes(routes, p.report.Routes)
+		}
+	}
+	out.Routes = sortedRoutes(routes)
+	return out
+}
+
+func (r *FleetReport) add(o *FleetReport) {
+	r.Idle += o.Idle
+	r.Old += o.Old
+	r.LongestMillis = max(r.LongestMillis, o.LongestMillis)
+	r.Stopped = cmp.Or(r.Stopped, o.Stopped)
+	r.Requests += o.Requests
+	r.SentNew += o.SentNew
+}
+
+// ownReport returns what this host alone knows.
+func (t *Table) ownReport(now time.Time, f *fleetState) FleetReport {
+	out := FleetReport{
+		Fleet: f.entry.Name, Target: f.entry.Order.Target, StartMillis: f.entry.Record.StartMillis,
+		Old: t.runningOld(f), LongestMillis: f.longest.Milliseconds(), Stopped: f.stopped,
+		Requests: f.allowance.requests, SentNew: f.allowance.sentNew,
+	}
+	if f.entry.Step() == StepSwitch && out.Old == 0 {
+		out.Idle = 1
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.routes)) {
+		e := f.routes[name]
+		e.fade(now)
+		if e.counts.Since.All > 0 {
+			out.Routes = append(out.Routes, e.counts)
+		}
+	}
+	return out
+}
+
+// sum returns the counts of all known hosts by route.
+func (f *fleetState) sum(now time.Time) map[string]RouteCounts {
+	routes := map[string]RouteCounts{}
+	for _, e := range f.routes {
+		e.fade(now)
+		addRoutes(routes, []RouteCounts{e.counts})
+	}
+	for _, p := range f.peers {
+		addRoutes(routes, p.report.Routes)
+	}
+	return routes
+}
+
+func addRoutes(sum map[string]RouteCounts, counts []RouteCounts) {
+	for _, c := range counts {
+		name := c.Route
+		if _, known := sum[name]; !known && len(sum) >= maxRoutes {
+			name = otherRoute
+		}
+		r := sum[name]
+		r.Route = name
+		r.add(c)
+		sum[name] = r
+	}
+}
+
+func sortedRoutes(routes map[string]RouteCounts) []RouteCounts {
+	var out []RouteCounts
+	for _, name := range slices.Sorted(maps.Keys(routes)) {
+		out = append(out, routes[name])
+	}
+	return out
+}
+
+// Apply records the report of a peer, which may be a follower or another leader, and reports whether it has brought
+// this host to stop a new version.
+func (t *Table) Apply(now time.Time, from string, r *Report, follower bool) (stopped bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r == nil {
+		return false
+	}
+	for i := range r.Fleets {
+		stopped = t.applyFleet(now, from, &r.Fleets[i], follower) || stopped
+	}
+	return stopped
+}
+
+func (t *Table) applyFleet(now time.Time, from string, r *FleetReport, follower bool) (stopped bool) {
+	f := t.sameOrder(r.Fleet, r.Target, r.StartMillis)
+	if f == nil {
+		return false
+	}
+	if len(r.Routes) > maxRoutes+1 {
+		r.Routes = r.Routes[:maxRoutes+1]
+	}
+	f.peers[from] = peerReport{at: now, follower: follower, report: *r}
+	if f.stopped == "" && r.Stopped != "" && !f.entry.Step().Ended() {
+		t.stop(f, r.Stopped, from)
+		return true
+	}
+	return t.judge(now, f, from)
+}
+
+// sameOrder returns the state of a fleet if it has the order; nil otherwise.
+func (t *Table) sameOrder(fleet, target string, startMillis int64) *fleetState {
+	f := t.fleets[fleet]
+	if f == nil || f.deleted || f.entry.IsNew() || f.entry.Order.Target != target || f.entry.Record.StartMillis != startMillis {
+		return nil
+	}
+	return f
+}
+
+// Forget drops the reports of a host that another one reports for.
+func (t *Table) Forget(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range t.fleets {
+		delete(f.peers, peer)
+	}
+}
+
+// Left records that a host has ended: it no longer counts among the idle ones.
+func (t *Table) Left(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range t.fleets {
+		if p, known := f.peers[peer]; known {
+			p.report.Idle, p.report.Old = 0, 0
+			f.peers[peer] = p
+		}
+	}
+}
+
+// Digest returns what this host tells its followers.
+func (t *Table) Digest() *Digest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := &Digest{AsOf: t.asOf}
+	for _, name := range slices.Sorted(maps.Keys(t.fleets)) {
+		f := t.fleets[name]
+		if f.deleted {
+			continue
+		}
+		d.Entries = append(d.Entries, f.entry)
+		if f.stopped != "" && !f.entry.Step().Ended() {
+			d.Stopped = append(d.Stopped, Stop{name, f.entry.Order.Target, f.entry.Record.StartMillis, f.stopped})
+		}
+	}
+	return d
+}
+
+// ApplyDigest records what this host's leader tells. confirmedAt is a time at which that was the newest; zero if there
+// is none. It reports whether it has brought this host to stop a new version.
+func (t *Table) ApplyDigest(now, confirmedAt time.Time, from string, d *Digest) (stopped bool) {
+	if d == nil {
+		return false
+	}
+	t.Replace(now, confirmedAt, d.Entries, d.AsOf)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range d.Stopped {
+		f := t.sameOrder(s.Fleet, s.Target, s.StartMillis)
+		if f != nil && f.stopped == "" && !f.entry.Step().Ended() {
+			t.stop(f, s.Reason, from)
+			stopped = true
+		}
+	}
+	return stopped
+}
--- a/internal/soak/node_test.go
+++ b/internal/soak/node_test.go
@@ -227,6 +227,15 @@
 	return store.Update(ctx, o)
 }
 
+// UpdateStatus implements objectstore.Store.
+func (s gatedStore) UpdateStatus(ctx context.Context, o objectstore.Object) (objectstore.Object, error) {
+	store, err := s.reach()
+	if err != nil {
+		return objectstore.Object{}, err
+	}
+	return store.UpdateStatus(ctx, o)
+}
+
 // Delete implements objectstore.Store.
 func (s gatedStore) Delete(ctx context.Context, o objectstore.Object) error {
 	store, err := s.reach()
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"sort"
@@ -133,9 +134,29 @@
 	if err := s.checkVersion(o); err != nil {
 		return objectstore.Object{}, err
 	}
+	o.Status = s.objects[objectKey{o.Kind, o.Name}].Status
 	return s.write(o, false)
 }
 
+// UpdateStatus replaces the status if the stored version equals o.Version. The errors are those of Update. A write
+// that changes nothing keeps the version.
+func (s *Store) UpdateStatus(ctx context.Context, o objectstore.Object) (objectstore.Object, error) {
+	if err := s.begin(ctx, VerbUpdate); err != nil {
+		return objectstore.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.checkVersion(o); err != nil {
+		return objectstore.Object{}, err
+	}
+	stored := s.objects[objectKey{o.Kind, o.Name}]
+	if bytes.Equal(stored.Status, o.Status) {
+		return stored, nil
+	}
+	stored.Status = append(json.RawMessage(nil), o.Status...)
+	return s.write(stored, false)
+}
+
 // Delete removes the object if the stored version equals o.Version. Otherwise it returns
 // objectstore.ErrConflict, or ErrNotFound if there is no such object.
 func (s *Store) Delete(ctx context.Context, o objectstore.Object) error {
@@ -212,5 +233,6 @@
 func (s *Store) Put(kind objectstore.Kind, name string, value json.RawMessage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(objectstore.Object{Kind: kind, Name: name, Value: value}, false)
+	status := s.objects[objectKey{kind, name}].Status
+	s.apply(objectstore.Object{Kind: kind, Name: name, Value: value, Status: status}, false)
 }
--- a/internal/standin/store_http.go
+++ b/internal/standin/store_http.go
@@ -66,6 +66,11 @@
 		status = fasthttp.StatusCreated
 		o, err = s.Create(lifetime, r.kind, r.name, value)
 	case fasthttp.MethodPut:
+		if string(ctx.QueryArgs().Peek("part")) == "status" {
+			target.Value, target.Status = nil, value
+			o, err = s.UpdateStatus(lifetime, target)
+			break
+		}
 		o, err = s.Update(lifetime, target)
 	case fasthttp.MethodDelete:
 		status = fasthttp.StatusNoContent
