--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"rattanchute/internal/backoff"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/heartbeat"
@@ -32,8 +34,41 @@
 	}
 	limits := rollout.Limits{Share: s.Bounds.ExposureShare, Slack: s.Bounds.ExposureSlack}
 	n.rollouts = rollout.NewTable(limits, n.clusterClock.At)
+	n.registerRolloutMetrics()
+}
+
+// registerRolloutMetrics exports the steps of orders and the responses by version.
+func (n *Node) registerRolloutMetrics() {
+	responses := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rattanchute_rollout_responses_total",
+		Help: "Responses during roll-outs that tell something about a version, by version (old, target) and outcome.",
+	}, []string{"version", "outcome"})
+	for _, outcome := range []string{rollout.OutcomeGood, rollout.OutcomeFailed, rollout.OutcomeSlow} {
+		responses.WithLabelValues(versionOld, outcome)
+		responses.WithLabelValues(versionTarget, outcome)
+	}
+	n.registry.MustRegister(responses)
+	n.rollouts.OnResponse = func(target bool, outcome string) {
+		version := versionOld
+		if target {
+			version = versionTarget
+		}
+		responses.WithLabelValues(version, outcome).Inc()
+	}
+	for _, step := range []rollout.Step{rollout.StepCanary, rollout.StepSwitch, rollout.StepCompleted, rollout.StepRolledBack} {
+		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "rattanchute_rollouts", Help: "Orders to move a fleet to another version that this host knows, by step.",
+			ConstLabels: prometheus.Labels{"step": step.String()},
+		}, func() float64 { return float64(n.rollouts.Steps()[step]) }))
+	}
 }
 
+// The versions in metrics.
+const (
+	versionOld    = "old"
+	versionTarget = "target"
+)
+
 func (n *Node) startRollouts(ctx context.Context) {
 	if n.rollouts == nil {
 		return
--- a/internal/rollout/choose.go
+++ b/internal/rollout/choose.go
@@ -250,14 +250,31 @@
 	}
 	if k.version != f.rules.target {
 		if f.rules.isOld(k.version) {
+			t.count(false, &resp, isBad)
 			e.observeOld(&resp)
 		}
 		return false
 	}
+	t.count(true, &resp, isBad)
 	e.observeNew(now, &resp)
 	return isBad && (t.judge(now, f, "") || e.counts.Since.suspect())
 }
 
+// count tells a response to OnResponse.
+func (t *Table) count(target bool, r *response, isBad bool) {
+	if t.OnResponse == nil {
+		return
+	}
+	outcome := OutcomeGood
+	switch {
+	case r.failed:
+		outcome = OutcomeFailed
+	case isBad:
+		outcome = OutcomeSlow
+	}
+	t.OnResponse(target, outcome)
+}
+
 func (f *fleetState) route(name string) *routeEvidence {
 	e := f.routes[name]
 	if e != nil {
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -219,7 +219,9 @@
 	}
 	// The median changes little from one response to the next.
 	if len(r.times) < keptReferences || r.next%4 == 0 {
-		sorted := slices.Sorted(slices.Values(r.times))
+		var buffer [keptReferences]time.Duration
+		sorted := buffer[:copy(buffer[:], r.times)]
+		slices.Sort(sorted)
 		r.median = sorted[len(sorted)/2]
 	}
 }
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -20,6 +20,9 @@
 // Table holds the orders that a host knows, its evidence and that of its peers. It is safe for concurrent use.
 type Table struct {
 	limits Limits
+	// OnResponse, if set, is told each response that counts as evidence: whether it is of the target, and OutcomeGood,
+	// OutcomeFailed or OutcomeSlow. It must be set before the first request, and must not call the table.
+	OnResponse func(target bool, outcome string)
 	// clusterTime returns the cluster time at an instant of the table's clock.
 	clusterTime func(time.Time) time.Time
 
@@ -136,6 +139,26 @@
 	Source string
 }
 
+// The outcomes of responses.
+const (
+	OutcomeGood   = "good"
+	OutcomeFailed = "failed"
+	OutcomeSlow   = "slow"
+)
+
+// Steps returns the number of orders at each step, those that have ended included.
+func (t *Table) Steps() map[Step]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[Step]int{}
+	for _, f := range t.fleets {
+		if !f.deleted {
+			out[f.entry.Step()]++
+		}
+	}
+	return out
+}
+
 // NewTable returns a table without orders.
 func NewTable(l Limits, clusterTime func(time.Time) time.Time) *Table {
 	return &Table{
