--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -22,8 +22,10 @@
 	followerConfirmationAge = 0.7
 	// rolloutLoadTimeout is how long a host that starts waits for the orders before it says that it is ready.
 	rolloutLoadTimeout = 2 * time.Second
-	// rolloutIdleCheck is the time between two looks at whether an order is in force.
-	rolloutIdleCheck = 100 * time.Millisecond
+	// rolloutCheck is the time between two looks at the age of the confirmation while an order is in force, and
+	// rolloutIdleCheck that between two looks at whether there is one.
+	rolloutCheck     = 100 * time.Millisecond
+	rolloutIdleCheck = 500 * time.Millisecond
 )
 
 // buildRollouts builds the table of orders if the platform has any.
@@ -107,7 +109,11 @@
 			}
 			retry.Reset()
 		}
-		if !backoff.Pause(ctx, rolloutIdleCheck) {
+		wait := rolloutIdleCheck
+		if _, active := n.rollouts.Active(); active {
+			wait = rolloutCheck
+		}
+		if !backoff.Pause(ctx, wait) {
 			return
 		}
 	}
--- a/internal/node/rolloutdecide.go
+++ b/internal/node/rolloutdecide.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// rolloutDecideInterval is the longest time between two looks at an order in force, and
-	// rolloutMinInterval the shortest.
+	// rolloutDecideInterval is the longest time between two looks at an order in force, rolloutMinInterval the shortest,
+	// and rolloutIdleInterval the longest while there is none.
 	rolloutDecideInterval = 100 * time.Millisecond
 	rolloutMinInterval    = 20 * time.Millisecond
+	rolloutIdleInterval   = time.Second
 	// rolloutFreshness is how old the report of a host that is in touch may be, and rolloutFreshnessInGroups the same
 	// where leaders report for their groups.
 	rolloutFreshness         = 1500 * time.Millisecond
@@ -35,12 +36,15 @@
 // decideRollouts takes the steps of the orders in force while this host is the one that decides.
 func (n *Node) decideRollouts(ctx context.Context) {
 	var late overdueSteps
-	for waitForWake(ctx, rolloutDecideInterval, rolloutMinInterval, n.rolloutsChanged) {
+	interval := rolloutIdleInterval
+	for waitForWake(ctx, interval, rolloutMinInterval, n.rolloutsChanged) {
 		now := clock.Now()
+		interval = rolloutIdleInterval
 		if _, active := n.rollouts.Active(); !active {
 			n.noteRolloutChanges()
 			continue
 		}
+		interval = rolloutDecideInterval
 		n.rollouts.SetHosts(n.possibleHosts(now), n.startedAt)
 		n.noteRolloutChanges()
 		if n.peers.IsLeader(now) {
--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -14,10 +14,10 @@
 
 const (
 	// simTick is the step of the simulated time; hosts report, read the store and decide at multiples of it.
-	simTick     = 25 * time.Millisecond
-	reportTicks = 8
-	readTicks   = 12
-	decideTicks = 4
+	simTick     = 50 * time.Millisecond
+	reportTicks = 4
+	readTicks   = 6
+	decideTicks = 2
 	// simWork is how long each request takes.
 	simWork = 200 * time.Millisecond
 	// simLateBound is how long after its fiftieth bad response a version may get requests.
