Roll-outs: the old endpoints are kept until shortly before the deadline; recent bad responses hold a switch up

Recent counts now make a version suspect from 1.4 unexpected bad responses on if they are a fifth of them, and the last step waits until 0.6 s before the deadline.

--- a/internal/rollout/decide.go
+++ b/internal/rollout/decide.go
@@ -14,8 +14,9 @@
 	// ackTime is how long hosts take to hear of a step and to report it, and ackTimeInGroups the same in groups.
 	ackTime         = 900 * time.Millisecond
 	ackTimeInGroups = 2500 * time.Millisecond
-	// writeTime is how long before the deadline the last step is decided.
-	writeTime = 400 * time.Millisecond
+	// writeTime is how long before the deadline the last step is decided. Up to then the old endpoints are kept: the new
+	// version may turn bad.
+	writeTime = 600 * time.Millisecond
 	// settleTime is how long after an outage of the store a host waits before it takes what it lacks as missing.
 	settleTime = 2 * time.Second
 	// maxSwitchFraction is the longest part of an order's duration for which the fleet is switched before the deadline.
@@ -117,7 +118,7 @@
 	if f.OldSlots == 0 && f.TargetSlots > 0 {
 		return e.next(f, StepSwitch, "no endpoint of an old version"), true
 	}
-	left := time.Duration(e.DeadlineMillis()-f.NowMillis) * time.Millisecond
+	left := e.left(f)
 	if f.NowMillis < e.Record.EarliestSwitchMillis {
 		return Record{}, false
 	}
@@ -131,6 +132,11 @@
 	return Record{}, false
 }
 
+// left returns the time to the deadline of the order.
+func (e *Entry) left(f *Facts) time.Duration {
+	return time.Duration(e.DeadlineMillis()-f.NowMillis) * time.Millisecond
+}
+
 // missing returns what a switch lacks; empty if it lacks nothing.
 func (f *Facts) missing() string {
 	responses := f.Verdict.Total.Since.All
@@ -167,6 +173,9 @@
 	if f.OldRunning > 0 {
 		return Record{}, false
 	}
+	if f.OldSlots > 0 && e.left(f) > writeTime {
+		return Record{}, false
+	}
 	permit := time.Duration(e.Record.PermitMillis) * time.Millisecond
 	if f.AllIdle {
 		return e.next(f, StepCompleted, cmp.Or(e.Record.Reason, "all hosts have switched")), true
--- a/internal/rollout/decide_test.go
+++ b/internal/rollout/decide_test.go
@@ -103,10 +103,13 @@
 func TestCompletionWaitsForAllHosts(t *testing.T) {
 	is := is.New(t)
 	e := atStep(StepSwitch)
-	f := goodFacts(11 * time.Second)
+	f := goodFacts(11500 * time.Millisecond)
 	is.Equal(decide(e, f), StepSwitch)
 	f.AllIdle = true
 	is.Equal(decide(e, f), StepCompleted)
+	early := f
+	early.NowMillis -= 200 // the version may still turn bad
+	is.Equal(decide(e, early), StepSwitch)
 	f.OldRunning = 1
 	is.Equal(decide(e, f), StepSwitch)
 	f.AllIdle, f.OldRunning = false, 0
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -61,9 +61,12 @@
 	// certainExcess shows it whatever the share, if the bad ones are certainRatio times the expected ones.
 	certainExcess = 18
 	certainRatio  = 2
-	// suspectExcess and suspectShare are too little for that, but too much for a switch.
+	// suspectExcess and suspectShare are too little for that, but too much for a switch; recentExcess and recentShare are
+	// the same for recent counts, which are few.
 	suspectExcess = 3
 	suspectShare  = 0.15
+	recentExcess  = 1.4
+	recentShare   = 0.2
 )
 
 // bad reports whether the counts show a bad version.
@@ -113,8 +116,9 @@
 func judge(routes map[string]RouteCounts) Verdict {
 	v := Verdict{Total: RouteCounts{Route: "all routes"}}
 	check := func(r *RouteCounts) {
+		recent := r.Recent.Bad - r.Recent.Expected
+		v.Suspect = v.Suspect || r.Since.suspect() || recent >= recentExcess && recent >= recentShare*r.Recent.All
 		for _, c := range []Counts{r.Since, r.Recent} {
-			v.Suspect = v.Suspect || c.suspect()
 			if c.bad() && !v.Bad {
 				v.Bad = true
 				v.Reason = fmt.Sprintf("bad responses on %s: %.0f of %.0f, expected %.1f", r.Route, c.Bad, c.All, c.Expected)
