--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -46,9 +46,9 @@
 	// exposed are the requests at the target before the deadline, canary those in the canary step.
 	requests, exposed, canary, bad int
 	// inTouch is set if all hosts read the store in time. Others take an order as switched before it is.
-	inTouch bool
-	fiftiethAt                     time.Time
-	late                           int
+	inTouch    bool
+	fiftiethAt time.Time
+	late       int
 }
 
 // simHost is one host. It sends nothing from pausedAt until pausedTo.
