--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -176,10 +176,10 @@
 	// time after that report was sent. Endpoints is the same for the endpoints.
 	Configuration uint64 `json:"c,omitempty"`
 	Endpoints     uint64 `json:"e,omitempty"`
-	// PoolsSlots is set if the follower pools slots of endpoints with a rejection limit.
-	PoolsSlots bool `json:"p,omitempty"`
 	// Rollouts is the same for the orders to move fleets to other versions.
 	Rollouts uint64 `json:"r,omitempty"`
+	// PoolsSlots is set if the follower pools slots of endpoints with a rejection limit.
+	PoolsSlots bool `json:"p,omitempty"`
 }
 
 // FleetDemand is the recent demand for a fleet, through one host or as the sum over several.
