--- a/internal/rollout/decide.go
+++ b/internal/rollout/decide.go
@@ -16,7 +16,7 @@
 	ackTimeInGroups = 2500 * time.Millisecond
 	// writeTime is how long before the deadline the last step is decided. Up to then the old endpoints are kept: the new
 	// version may turn bad.
-	writeTime = 600 * time.Millisecond
+	writeTime = 800 * time.Millisecond
 	// settleTime is how long after an outage of the store a host waits before it takes what it lacks as missing.
 	settleTime = 2 * time.Second
 	// maxSwitchFraction is the longest part of an order's duration for which the fleet is switched before the deadline.
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -58,6 +58,8 @@
 	minExcess      = 6
 	minExcessShare = 0.08
 	minRatio       = 3
+	// minDeviations is by how many standard deviations of the expected number they must exceed it.
+	minDeviations = 4
 	// certainExcess shows it whatever the share, if the bad ones are certainRatio times the expected ones.
 	certainExcess = 18
 	certainRatio  = 2
@@ -72,6 +74,9 @@
 // bad reports whether the counts show a bad version.
 func (c Counts) bad() bool {
 	excess := c.Bad - c.Expected
+	if excess < minDeviations*math.Sqrt(c.Expected+1) {
+		return false
+	}
 	if excess >= certainExcess && c.Bad >= certainRatio*c.Expected {
 		return true
 	}
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -249,6 +249,14 @@
 				respond(t, at(1), target(0), 1, failed)
 			}
 		}, false},
+		{"slow now and then, as the old one", func(t *Table) {
+			for range 6 {
+				respond(t, at(1), old(0), 9, good)
+				respond(t, at(1), old(0), 1, slow)
+				respond(t, at(1), target(0), 8, good)
+				respond(t, at(1), target(0), 2, slow)
+			}
+		}, false},
 		{"refused", func(t *Table) { respond(t, at(1), target(0), 100, Result{}) }, false},
 		{"callers leave early", func(t *Table) {
 			respond(t, at(1), target(0), 100, Result{Evidence: true, Unfinished: true, First: time.Millisecond})
