--- a/internal/rollout/allowance.go
+++ b/internal/rollout/allowance.go
@@ -15,6 +15,8 @@
 	// boundMargin is the part of the bound on requests at the new version that hosts use together. The rest allows
 	// for hosts that start again and for requests that were sent before a host had heard of the order.
 	boundMargin = 0.7
+	// pinnedMargin is the same for streams that began at the new version and go on only there.
+	pinnedMargin = 0.9
 	// minCanaries is the number of new endpoints that get requests at a time.
 	minCanaries = 2
 	// pulsesPerOrder is the number of pulses in an order, and minPulsePeriod and maxPulsePeriod bound the time
@@ -47,13 +49,13 @@
 	open  bool
 }
 
-// left returns how many requests this host may send to the new version now.
-func (a *allowance) left(l Limits) float64 {
+// left returns how many requests this host may send to the new version now, if all hosts use a part of the bound.
+func (a *allowance) left(l Limits, part float64) float64 {
 	slack := 0.0
 	if a.hosts > 0 {
 		slack = l.Slack / float64(a.hosts)
 	}
-	return boundMargin*(l.Share*a.requests+slack) - a.sentNew
+	return part*(l.Share*a.requests+slack) - a.sentNew
 }
 
 // period returns the time from one pulse to the next.
--- a/internal/rollout/choose.go
+++ b/internal/rollout/choose.go
@@ -56,7 +56,10 @@
 	if r.Pinned != "" && r.Pinned != f.rules.target {
 		return false
 	}
-	left := f.allowance.left(t.limits)
+	if r.Pinned != "" {
+		return f.takePinned(t.limits)
+	}
+	left := f.allowance.left(t.limits, boundMargin)
 	pulse := f.entry.pulseAt(t.clusterTime(now).UnixMilli())
 	inPulse := f.allowance.inPulse(pulse, left)
 	if left < 1 {
@@ -66,7 +69,16 @@
 	if len(f.canary) == 0 {
 		return false
 	}
-	if r.Pinned == "" && r.Random >= f.probability(r.Route, inPulse) {
+	if r.Random >= f.probability(r.Route, inPulse) {
+		return false
+	}
+	f.allowance.sentNew++
+	return true
+}
+
+// takePinned decides whether a stream that began at the new version goes on there, and counts it if so.
+func (f *fleetState) takePinned(l Limits) bool {
+	if f.allowance.left(l, pinnedMargin) < 1 {
 		return false
 	}
 	f.allowance.sentNew++
