Roll-outs: a host whose leader tells it nothing of orders reads them itself

Found by reading: a follower of a host of an older build would not hear of an order. It now lists the orders each 4 s while its leader's digests hold none. Not tested with hosts of two builds.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,6 +155,8 @@
 	endpointsStale     chan struct{}
 	membersStale       chan struct{}
 	reportNow          chan struct{}
+	// rolloutsHeardAt is when this host's leader last told it of the orders, in nanoseconds since boot; zero if it did not.
+	rolloutsHeardAt atomic.Int64
 	// rolloutsChanged wakes the task that decides about roll-outs.
 	rolloutsChanged chan struct{}
 	tasks           sync.WaitGroup
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -20,6 +20,8 @@
 	// nothing reads the store itself.
 	rolloutConfirmations    = 4
 	followerConfirmationAge = 0.7
+	// rolloutsMaxSilence is how long a host hears nothing of orders from its leader before it reads them itself.
+	rolloutsMaxSilence = 4 * time.Second
 	// rolloutLoadTimeout is how long a host that starts waits for the orders before it says that it is ready.
 	rolloutLoadTimeout = 2 * time.Second
 	// rolloutCheck is the time between two looks at the age of the confirmation while an order is in force, and
@@ -125,6 +127,9 @@
 	if confirmedAt.IsZero() {
 		return true
 	}
+	if n.leaderIsSilentOnRollouts(now) && now.Sub(confirmedAt) > rolloutsMaxSilence {
+		return true
+	}
 	permit, active := n.rollouts.Active()
 	if !active || permit <= 0 {
 		return false
@@ -135,6 +140,12 @@
 	return now.Sub(confirmedAt) > time.Duration(followerConfirmationAge*float64(permit))
 }
 
+// leaderIsSilentOnRollouts reports whether this host follows one that tells it nothing of orders: its digests are lost, or
+// its build knows none.
+func (n *Node) leaderIsSilentOnRollouts(now time.Time) bool {
+	return !n.peers.IsLeader(now) && now.Sub(time.Unix(0, n.rolloutsHeardAt.Load())) > rolloutsMaxSilence
+}
+
 // listRollouts reads all orders, and returns the version from which to watch them.
 func (n *Node) listRollouts(ctx context.Context) (objectstore.Version, error) {
 	requestedAt := clock.Now()
@@ -273,6 +284,7 @@
 	if n.rollouts == nil || d.Rollouts == nil {
 		return
 	}
+	n.rolloutsHeardAt.Store(now.UnixNano())
 	confirmed := time.Time{}
 	if sent, ok := n.sent.At(ack.Rollouts); ok {
 		confirmed = sent.At
