Streams outlast all hosts: origins are kept in the store while several versions serve

Cause: origins of streams were known to hosts alone; a kill of all of them left every stream of a fleet with several versions refused.

Change: internal/origin/keeper. A record never becomes wrong, so clocks and older copies of the store only make streams unknown; a stream of two origins is stored as unknown.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"rattanchute/internal/lease"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/origin"
+	originkeeper "rattanchute/internal/origin/keeper"
 	"rattanchute/internal/proxy"
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quarantine/keeper"
@@ -113,6 +114,7 @@
 	quarantine *quarantine.Table
 	// origins knows where streams began.
 	origins          *origin.Table
+	originKeeper     *originkeeper.Keeper
 	quarantineKeeper *keeper.Keeper
 	peers            *heartbeat.Table
 	sent             *heartbeat.History
@@ -196,6 +198,7 @@
 	n.storeCalls = n.newStoreCalls()
 	n.Store = objectstore.Instrumented{Store: deps.Store, OnCall: n.storeCalls.record}
 	n.quarantineKeeper = n.newQuarantineKeeper()
+	n.originKeeper = n.newOriginKeeper()
 	n.buildProxy()
 	n.buildDuties()
 	n.registerGauges()
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -1,6 +1,13 @@
 package node
 
-import "time"
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rattanchute/internal/clock"
+	"rattanchute/internal/origin/keeper"
+)
 
 const (
 	// originsReportedIntervals is the number of messages that repeat where a stream began: messages may be lost.
@@ -8,8 +15,31 @@
 	// originsMaxEndpointsAge is the age up to which the list of endpoints shows all versions. A host that is
 	// cut off from the store does not know the newest.
 	originsMaxEndpointsAge = 2500 * time.Millisecond
+	// originsLoadTimeout is how long a host that starts waits for the stored origins before it says that it is
+	// ready.
+	originsLoadTimeout = time.Second
 )
 
+func (n *Node) newOriginKeeper() *keeper.Keeper {
+	return keeper.New(keeper.Config{
+		Writer:      fmt.Sprintf("%s.%d", n.Settings.Name, n.incarnation),
+		Table:       n.origins,
+		Store:       n.Store,
+		Now:         clock.Now,
+		ClusterTime: n.clusterClock.At,
+		Writes:      func() bool { return n.peers.IsLeader(clock.Now()) },
+		Sweeps:      func() bool { return n.peers.IsFirstLeader(clock.Now()) },
+		OnCall:      func(err error) { n.recordStoreCall("origins", err) },
+		Log:         n.Log,
+	})
+}
+
+// awaitOrigins waits until the stored origins are read, but no longer than originsLoadTimeout. It returns false
+// if the context ends.
+func (n *Node) awaitOrigins(ctx context.Context) bool {
+	return await(ctx, originsLoadTimeout, n.originKeeper.Loaded)
+}
+
 // originsSince returns the time after which streams must have begun to be reported.
 func (n *Node) originsSince(now time.Time) time.Time {
 	return now.Add(-originsReportedIntervals * n.peers.Interval(now))
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -47,8 +47,13 @@
 // awaitQuarantine waits until the stored quarantines are read, but no longer than quarantineLoadTimeout. It
 // returns false if the context ends.
 func (n *Node) awaitQuarantine(ctx context.Context) bool {
+	return await(ctx, quarantineLoadTimeout, n.quarantineKeeper.Loaded)
+}
+
+// await waits for a condition, but no longer than the timeout. It returns false if the context ends.
+func await(ctx context.Context, timeout time.Duration, condition func() bool) bool {
 	const interval = 20 * time.Millisecond
-	for waited := time.Duration(0); !n.quarantineKeeper.Loaded() && waited < quarantineLoadTimeout; waited += interval {
+	for waited := time.Duration(0); !condition() && waited < timeout; waited += interval {
 		if !backoff.Pause(ctx, interval) {
 			return false
 		}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -143,6 +143,7 @@
 	n.start(ctx, n.watchLinks)
 	n.start(ctx, n.becomeReady)
 	n.start(ctx, n.quarantineKeeper.Run)
+	n.start(ctx, n.originKeeper.Run)
 	n.start(ctx, n.logState)
 	n.tasks.Go(n.receiveMessages)
 }
@@ -162,7 +163,7 @@
 			return
 		}
 	}
-	if !backoff.Pause(ctx, readyDelay) || !n.awaitQuarantine(ctx) {
+	if !backoff.Pause(ctx, readyDelay) || !n.awaitQuarantine(ctx) || !n.awaitOrigins(ctx) {
 		return
 	}
 	n.ready.Store(true)
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -29,6 +29,8 @@
 	KindDesired Kind = "desired"
 	// KindQuarantine objects hold the requests and the prompts that crash endpoints.
 	KindQuarantine Kind = "quarantine"
+	// KindOrigins objects say where streams began.
+	KindOrigins Kind = "origins"
 )
 
 // MaxValueBytes is the size of the largest value that the platform accepts.
--- a/internal/origin/report.go
+++ b/internal/origin/report.go
@@ -56,6 +56,14 @@
 	return r
 }
 
+// isReported reports whether other hosts are told of the stream; with own set, only because of the group.
+func (s *stream) isReported(own bool) bool {
+	if s.origin == (Origin{}) {
+		return false
+	}
+	return s.fromGroup || !own && !s.fromStore
+}
+
 func (t *Table) streamReports(after time.Time, own bool) []StreamsReport {
 	keys := map[Origin][]Key{}
 	count := 0
@@ -63,19 +71,12 @@
 		if !s.heardAt.After(after) || count == maxReported {
 			break
 		}
-		if s.fromGroup || !own {
+		if s.isReported(own) {
 			keys[s.origin] = append(keys[s.origin], s.key)
 			count++
 		}
 	}
-	reports := make([]StreamsReport, 0, len(keys))
-	for o, list := range keys {
-		reports = append(reports, StreamsReport{o.Fleet, o.Version, list})
-	}
-	slices.SortFunc(reports, func(a, b StreamsReport) int {
-		return cmp.Or(cmp.Compare(a.Fleet, b.Fleet), cmp.Compare(a.Version, b.Version))
-	})
-	return reports
+	return grouped(keys)
 }
 
 func (t *Table) onlyReports(now time.Time) []OnlyReport {
@@ -99,7 +100,7 @@
 	defer t.mu.Unlock()
 	for _, s := range r.Streams {
 		for _, key := range s.Keys {
-			t.add(stream{key, Origin{s.Fleet, s.Version}, now, fromGroup})
+			t.add(stream{key: key, origin: Origin{s.Fleet, s.Version}, heardAt: now, fromGroup: fromGroup})
 		}
 	}
 	for _, o := range r.Only {
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -35,12 +35,21 @@
 	return Key(base64.RawURLEncoding.EncodeToString(digest[:keyBytes]))
 }
 
+// valid reports whether the key has the form of those of KeyOf.
+func (k Key) valid() bool {
+	if len(k) != keyLength {
+		return false
+	}
+	digest, err := base64.RawURLEncoding.DecodeString(string(k))
+	return err == nil && len(digest) == keyBytes
+}
+
 // Table holds the origins that a host knows. It is safe for concurrent use.
 type Table struct {
-	mu      sync.Mutex
-	origins map[Key]Origin
-	// streams are those in origins, the one heard of first at the start.
-	streams []stream
+	mu    sync.Mutex
+	known map[Key]*stream
+	// streams are those in known, the one heard of first at the start.
+	streams []*stream
 	// repeatUntil is until when all streams are reported, and not only the new ones.
 	repeatUntil time.Time
 	versions    versionLog
@@ -48,12 +57,18 @@
 
 // stream is the begin of a stream.
 type stream struct {
-	key    Key
-	origin Origin
+	key Key
+	// origin is the first that this host heard of; conflicting is set if it heard of another one.
+	origin      Origin
+	conflicting bool
 	// heardAt is when this host learned of it.
 	heardAt time.Time
 	// fromGroup is set if this host or one of its followers served it.
 	fromGroup bool
+	// stored is set if it was read from the store or taken to be written there.
+	stored bool
+	// fromStore is set if it was first read there, as other hosts do.
+	fromStore bool
 }
 
 // NewTable returns a table of a host that starts now. If first is set, the whole system starts for the first
@@ -63,34 +78,42 @@
 	if first {
 		knownSince = now.Add(-retention)
 	}
-	return &Table{origins: map[Key]Origin{}, versions: newVersionLog(knownSince)}
+	return &Table{known: map[Key]*stream{}, versions: newVersionLog(knownSince)}
 }
 
 // Began records that a stream has begun, or has been resumed, at this host.
 func (t *Table) Began(now time.Time, key Key, o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.add(stream{key, o, now, true})
+	t.add(stream{key: key, origin: o, heardAt: now, fromGroup: true})
 }
 
 // add adds a stream unless it is known. Of two origins, nobody can say which is right.
 func (t *Table) add(s stream) {
-	if known, found := t.origins[s.key]; found {
-		if known != s.origin {
-			t.origins[s.key] = Origin{}
-		}
+	if known := t.known[s.key]; known != nil {
+		known.merge(s)
 		return
 	}
 	t.expire(s.heardAt)
-	t.origins[s.key] = s.origin
-	t.streams = append(t.streams, s)
+	t.known[s.key] = &s
+	t.streams = append(t.streams, &s)
+}
+
+// merge records what is said of the stream once more.
+func (s *stream) merge(other stream) {
+	s.fromGroup = s.fromGroup || other.fromGroup
+	s.stored = s.stored || other.stored
+	if s.origin != other.origin && !s.conflicting {
+		s.conflicting = true
+		s.stored = false
+	}
 }
 
 // expire forgets the streams that are too old or too many.
 func (t *Table) expire(now time.Time) {
 	old := 0
 	for old < len(t.streams) && (now.Sub(t.streams[old].heardAt) > retention || len(t.streams)-old >= maxStreams) {
-		delete(t.origins, t.streams[old].key)
+		delete(t.known, t.streams[old].key)
 		old++
 	}
 	t.streams = t.streams[old:]
@@ -100,8 +123,11 @@
 func (t *Table) Find(key Key) (Origin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	o := t.origins[key]
-	return o, o != Origin{}
+	s := t.known[key]
+	if s == nil || s.conflicting || s.origin == (Origin{}) {
+		return Origin{}, false
+	}
+	return s.origin, true
 }
 
 // SetEndpoints records the versions of the endpoints that are there now.
@@ -116,6 +142,6 @@
 func (t *Table) OnlyVersion(now time.Time, fleet string) (string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	version, since := t.versions.only(now, fleet)
-	return version, version != "" && now.Sub(since) >= retention
+	version, _ := t.versions.only(now, fleet)
+	return version, t.isCertain(now, fleet)
 }
--- a/internal/origin/table_test.go
+++ b/internal/origin/table_test.go
@@ -78,10 +78,10 @@
 	for i := range 2 * maxStreams {
 		table.Began(at(1), Key(fmt.Sprint(i)), Origin{"f", "v1"})
 	}
-	is.Equal(len(table.origins), maxStreams)
+	is.Equal(len(table.known), maxStreams)
 	is.Equal(len(table.Report(at(1), longAgo, true).Streams[0].Keys), maxReported)
 	table.Began(at(1).Add(2*retention), "last", Origin{"f", "v1"})
-	is.Equal(len(table.origins), 1)
+	is.Equal(len(table.known), 1)
 	is.Equal(len(table.streams), 1)
 }
 
