--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -29,10 +29,10 @@
 	if !found {
 		return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonOriginUnknown, withJitter(unknownOriginRetryAfter))
 	}
+	x.origin = known
 	if !slices.ContainsFunc(x.route.Split, func(w fleet.WeightedFleet) bool { return w.Fleet == known.Fleet }) {
 		return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonNoEndpoint, withJitter(minRetryAfter))
 	}
-	x.origin = known
 	return nil
 }
 
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -207,6 +207,9 @@
 			Int64("expected_ms", e.estimate.CorrectedFirstEvent.Milliseconds()).
 			Int64("backlog_ms", e.estimate.Backlog.Milliseconds())
 	}
+	if x.info.isResumption() {
+		line = line.Str("after_event", x.info.LastEventID).Str("resumes", x.info.Resumes).Str("stream_version", x.origin.Version)
+	}
 	line.
 		Str("reason", string(e.reason)).
 		Int("status", e.status).
