One version outlasts all hosts: hosts read which fleets have had no other since

After a kill of all hosts, a fleet that has had one version for hours was one of unknown past: every stream was refused for 30 s. The first leader stores every 5 s, while streams begin, which fleets have had one version for longer than streams last, with the store's version of the list of endpoints. A host that starts reads the changes to endpoints since: with one of another version, with a history that is gone or a store restored from an older copy it knows nothing, as before. There is neither a clock in this nor a moment without a record.

--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"rattanchute/internal/clock"
+	"rattanchute/internal/objectstore"
 	"rattanchute/internal/origin/keeper"
+	"rattanchute/internal/registry"
 )
 
 const (
@@ -29,11 +31,30 @@
 		ClusterTime: n.clusterClock.At,
 		Writes:      func() bool { return n.peers.IsLeader(clock.Now()) },
 		Sweeps:      func() bool { return n.peers.IsFirstLeader(clock.Now()) },
-		OnCall:      func(err error) { n.recordStoreCall("origins", err) },
-		Log:         n.Log,
+		Endpoints:   n.confirmedEndpoints,
+		DecodeEndpoint: func(o objectstore.Object) (registry.Endpoint, bool) {
+			e, ok := n.decodeEndpoint(o)
+			return e.Endpoint, ok
+		},
+		OnCall: func(err error) { n.recordStoreCall("origins", err) },
+		Log:    n.Log,
 	})
 }
 
+// confirmedEndpoints returns the list of endpoints, and a version of the store that it is as new as; zero if
+// the list may be too old to show all versions.
+func (n *Node) confirmedEndpoints() (objectstore.Version, []registry.Endpoint) {
+	if clock.Now().Sub(n.endpoints.ConfirmedAt()) > originsMaxEndpointsAge {
+		return 0, nil
+	}
+	asOf, _ := n.endpoints.Versions()
+	var endpoints []registry.Endpoint
+	for _, known := range n.endpoints.Known() {
+		endpoints = append(endpoints, known.Endpoint)
+	}
+	return asOf, endpoints
+}
+
 // awaitOrigins waits until the stored origins are read, but no longer than originsLoadTimeout. It returns false
 // if the context ends.
 func (n *Node) awaitOrigins(ctx context.Context) bool {
--- a/internal/origin/keeper/keeper.go
+++ b/internal/origin/keeper/keeper.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -19,6 +20,7 @@
 	"rattanchute/internal/backoff"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/origin"
+	"rattanchute/internal/registry"
 )
 
 const (
@@ -44,6 +46,11 @@
 	Writes func() bool
 	// Sweeps reports whether this host deletes what hosts have left that are gone. At least one must.
 	Sweeps func() bool
+	// Endpoints returns the list of endpoints, and the store's version that it is as new as, at least; zero if
+	// there is no list that is confirmed.
+	Endpoints func() (objectstore.Version, []registry.Endpoint)
+	// DecodeEndpoint reads an entry of that list; false if it names no endpoint.
+	DecodeEndpoint func(objectstore.Object) (registry.Endpoint, bool)
 	// OnCall is told the result of each call of the store.
 	OnCall func(error)
 	Log    *log.Logger
@@ -69,6 +76,7 @@
 	if !k.load(ctx) {
 		return
 	}
+	nextOnly := k.Now().Add(onlyInterval)
 	retry := backoff.Backoff{Min: minRetry, Max: maxRetry}
 	nextSweep := k.Now().Add(sweepInterval)
 	for wait := writeInterval; backoff.Pause(ctx, wait); {
@@ -82,6 +90,9 @@
 			k.sweep(ctx)
 			nextSweep = now.Add(sweepInterval)
 		}
+		if now := k.Now(); !now.Before(nextOnly) && k.writeOnly(ctx) == nil {
+			nextOnly = now.Add(onlyInterval)
+		}
 	}
 }
 
@@ -91,7 +102,10 @@
 	for {
 		objects, err := k.list(ctx)
 		if err == nil {
-			k.apply(objects)
+			only := k.apply(objects)
+			if len(only) > 0 {
+				k.loadOnly(ctx, only)
+			}
 			k.loaded.Store(true)
 			return true
 		}
@@ -110,10 +124,15 @@
 	return objects, err
 }
 
-// apply records the streams of stored parts. One that cannot be read is logged and ignored.
-func (k *Keeper) apply(objects []objectstore.Object) {
+// apply records the streams of stored parts, and returns the value that says which fleets have had one version.
+// A part that cannot be read is logged and ignored.
+func (k *Keeper) apply(objects []objectstore.Object) (only json.RawMessage) {
 	var batches []origin.Batch
 	for _, o := range objects {
+		if o.Name == onlyName {
+			only = o.Value
+			continue
+		}
 		b, err := origin.DecodeBatch(o.Value)
 		if err != nil {
 			k.Log.Warn().Str("object", o.Name).Err(err).Msg("stored origins cannot be read")
@@ -129,6 +148,7 @@
 		streams += len(b.Streams)
 	}
 	k.Log.Info().Int("parts", len(objects)).Int("streams", streams).Msg("stored origins read")
+	return only
 }
 
 // store writes the new streams, and deletes the own parts that are expired. It returns the first error.
--- a/internal/origin/keeper/keeper_test.go
+++ b/internal/origin/keeper/keeper_test.go
@@ -36,6 +36,7 @@
 		Writer: writer, Table: table, Store: store,
 		Now:         func() time.Time { return h.now },
 		ClusterTime: func(t time.Time) time.Time { return t },
+		Endpoints:   func() (objectstore.Version, []registry.Endpoint) { return 1, nil },
 		Writes:      yes, Sweeps: yes, OnCall: func(error) {},
 		Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 	})
--- a/internal/origin/keeper/sweep.go
+++ b/internal/origin/keeper/sweep.go
@@ -49,7 +49,7 @@
 	swept := 0
 	for _, o := range objects {
 		b, err := origin.DecodeBatch(o.Value)
-		if err == nil && !b.Expired(now) {
+		if o.Name == onlyName || err == nil && !b.Expired(now) {
 			continue
 		}
 		if swept == maxSwept || k.delete(ctx, o) != nil {
--- a/internal/origin/stored.go
+++ b/internal/origin/stored.go
@@ -65,6 +65,34 @@
 	}
 }
 
+// HasStreams reports whether this host knows of streams that may be resumed.
+func (t *Table) HasStreams(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.streams) > 0 && now.Sub(t.streams[len(t.streams)-1].heardAt) <= retention
+}
+
+// OnlyVersions returns the fleets of which all streams that may be resumed began at one version, with that
+// version.
+func (t *Table) OnlyVersions(now time.Time) map[string]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	only := map[string]string{}
+	for name := range t.versions.fleets {
+		if t.isCertain(now, name) {
+			only[name], _ = t.versions.only(now, name)
+		}
+	}
+	return only
+}
+
+// AddOnly records that all streams of a fleet that may be resumed began at one version, as read from the store.
+func (t *Table) AddOnly(now time.Time, fleet, version string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.versions.hear(fleet, version, now.Add(-retention))
+}
+
 // StoredStream is a stream as it is stored. The zero Origin stands for several.
 type StoredStream struct {
 	Key    Key
