--- a/internal/e2e/versions_test.go
+++ b/internal/e2e/versions_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -22,6 +23,7 @@
 		{"streams cut", cutStreams},
 		{"host noticed", noticeHost},
 		{"daemon killed", func(t *testing.T, s *testsite.Site) { is.New(t).NoErr(s.Daemons[0].Kill()) }},
+		{"all daemons killed", killAllDaemons},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -38,6 +40,18 @@
 	}
 }
 
+// killAllDaemons ends all daemons at once without a shutdown, and starts new ones, which have heard of no stream.
+func killAllDaemons(t *testing.T, s *testsite.Site) {
+	is := is.New(t)
+	for _, d := range s.Daemons {
+		is.NoErr(d.Kill())
+	}
+	for _, d := range s.Daemons {
+		is.NoErr(d.Start())
+	}
+	is.NoErr(s.WaitReady(20 * time.Second))
+}
+
 // cutStreams has all engines cut each stream that begins from now on after some chunks, and one engine die.
 func cutStreams(_ *testing.T, s *testsite.Site) {
 	for i := range 6 {
