--- a/internal/origin/keeper/keeper.go
+++ b/internal/origin/keeper/keeper.go
@@ -25,7 +25,7 @@
 
 const (
 	// writeInterval is the pause between two writes.
-	writeInterval = 400 * time.Millisecond
+	writeInterval = 150 * time.Millisecond
 	// minRetry and maxRetry bound the wait before a failed call is repeated.
 	minRetry = 200 * time.Millisecond
 	maxRetry = time.Second
--- a/internal/origin/keeper/keeper_test.go
+++ b/internal/origin/keeper/keeper_test.go
@@ -101,9 +101,9 @@
 		h.now = h.now.Add(500 * time.Millisecond)
 	}
 	is.Equal(known(t, store, keys), len(keys))
-	is.Equal(stored(store), 2)
-	is.Equal(store.Counts().Calls[standin.VerbCreate], uint64(2))
-	is.Equal(store.Counts().Calls[standin.VerbUpdate], uint64(18))
+	is.Equal(stored(store), 5) // 10 s
+	is.Equal(store.Counts().Calls[standin.VerbCreate], uint64(5))
+	is.Equal(store.Counts().Calls[standin.VerbUpdate], uint64(15))
 }
 
 // TestFailedWritesAreRepeated has writes fail without effect, and take effect without an answer.
--- a/internal/origin/keeper/part.go
+++ b/internal/origin/keeper/part.go
@@ -9,7 +9,7 @@
 
 const (
 	// partTime is how long a part takes new streams.
-	partTime = 5 * time.Second
+	partTime = 2 * time.Second
 	// maxParts bounds the parts of a host. The oldest are left to a sweep, or are lost if the store answers no
 	// writes.
 	maxParts = 50
