--- a/internal/origin/keeper/keeper.go
+++ b/internal/origin/keeper/keeper.go
@@ -44,7 +44,8 @@
 	ClusterTime func(time.Time) time.Time
 	// Writes reports whether this host stores the streams of its group.
 	Writes func() bool
-	// Sweeps reports whether this host deletes what hosts have left that are gone. At least one must.
+	// Sweeps reports whether this host stores which fleets have had one version, and deletes what hosts have left
+	// that are gone. At least one must.
 	Sweeps func() bool
 	// Endpoints returns the list of endpoints, and the store's version that it is as new as, at least; zero if
 	// there is no list that is confirmed.
