--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"rattanchute/internal/lease"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/origin"
+	originkeeper "rattanchute/internal/origin/keeper"
 	"rattanchute/internal/proxy"
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quarantine/keeper"
@@ -113,7 +114,8 @@
 	// quarantine knows the requests and the prompts that crash endpoints.
 	quarantine *quarantine.Table
 	// origins knows where streams began.
-	origins *origin.Table
+	origins      *origin.Table
+	originKeeper *originkeeper.Keeper
 	// rollouts decides which software versions get requests; nil if the platform has no roll-outs.
 	rollouts         *rollout.Table
 	quarantineKeeper *keeper.Keeper
@@ -205,6 +207,7 @@
 	n.Store = objectstore.Instrumented{Store: deps.Store, OnCall: n.storeCalls.record}
 	n.quarantineKeeper = n.newQuarantineKeeper()
 	n.buildRollouts()
+	n.originKeeper = n.newOriginKeeper()
 	n.buildProxy()
 	n.buildDuties()
 	n.registerGauges()
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -144,6 +144,7 @@
 	n.start(ctx, n.becomeReady)
 	n.start(ctx, n.quarantineKeeper.Run)
 	n.startRollouts(ctx)
+	n.start(ctx, n.originKeeper.Run)
 	n.start(ctx, n.logState)
 	n.tasks.Go(n.receiveMessages)
 }
@@ -163,7 +164,7 @@
 			return
 		}
 	}
-	if !backoff.Pause(ctx, readyDelay) || !n.awaitQuarantine(ctx) || !n.awaitRollouts(ctx) {
+	if !backoff.Pause(ctx, readyDelay) || !n.awaitQuarantine(ctx) || !n.awaitRollouts(ctx) || !n.awaitOrigins(ctx) {
 		return
 	}
 	n.ready.Store(true)
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -32,6 +32,8 @@
 	// KindRollout objects are orders to move a fleet to another software version. Operators write their value,
 	// and the system their status.
 	KindRollout Kind = "rollouts"
+	// KindOrigins objects say where streams began.
+	KindOrigins Kind = "origins"
 )
 
 // MaxValueBytes is the size of the largest value that the platform accepts.
