Reach is shown by a response; silent requests are taken back

Cause: internal/reachability took an accepted TCP connection as "heard". A link through a proxy accepts connections whatever becomes of them, so the probe of every quarter second ended the lost state that the next request would need, with its ejections. Connections that ended without a response, and requests without a byte, were no evidence.

Change: - Only bytes of a response are "heard". Failures of new connections are refuted only by a response on a newer connection, so that open connections that go on do not hide that new ones fail; a lost fleet is in reach again at the first response on a connection that was opened since. - Evidence: connections that don't open or end without a byte of a response, and requests silent for twice the 99th percentile of the longest pause of the fleet's requests (or twice what the balancer expects), at least 0.4 s, while the fleet is silent too. Silence alone needs two endpoints and a failed probe. - A probe is a GET of the fleet's health path (healthPath of the configuration, else /healthz), 0.25 s, two a second and host, backing off with jitter, only for fleets with requests. It replaces up to nine connections a second. - Silent requests of a fleet out of reach are taken back: repeated through a peer if they may be, else 502 at once. - A lost fleet without a peer is refused without a try, unless connections are refused (a try costs nothing).

Ruled out: an end of a connection as evidence by itself for a fleet of one endpoint (a request that crashes it looks the same): a probe must meet it too. Health checks for the crash check of quarantine: they wait in a busy endpoint's queue.

--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -67,18 +67,28 @@
 	// BeforeSend is called when there is a connection, immediately before the request is written. If it
 	// returns an error, nothing is sent, and the error is returned together with ErrNotSent.
 	BeforeSend func() error
+	// Connected is called, before BeforeSend, with what is known of the connection.
+	Connected func(ConnInfo)
 	// Matches reports whether a response belongs to the request. Other responses, to earlier requests on
 	// the connection, are discarded, at most maxMismatchedResponses of them.
 	Matches func(*fasthttp.ResponseHeader) bool
 }
 
+// ConnInfo describes the connection that carries a request.
+type ConnInfo struct {
+	// Age is the time since the connection was opened.
+	Age time.Duration
+	// New is set if it carries its first request.
+	New bool
+}
+
 // maxMismatchedResponses is how many responses to earlier requests are skipped on one
 // connection. If one more follows, OpenTarget fails.
 const maxMismatchedResponses = 2
 
 // OpenTarget is Open for a Target and with options.
 func (c *Client) OpenTarget(ctx context.Context, target Target, req *fasthttp.Request, o OpenOptions) (*Body, error) {
-	x, err := c.send(ctx, target, req, o.BeforeSend)
+	x, err := c.send(ctx, target, req, o)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -89,7 +89,7 @@
 func (c *Client) DoIf(
 	ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response, beforeSend func() error,
 ) error {
-	x, err := c.send(ctx, Target{Address: address}, req, beforeSend)
+	x, err := c.send(ctx, Target{Address: address}, req, OpenOptions{BeforeSend: beforeSend})
 	if err != nil {
 		return err
 	}
@@ -148,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: conn}, nil
+	return &countingConn{Conn: conn, openedAt: time.Now()}, nil
 }
 
 // dialContext opens a connection as the options say.
--- a/internal/adapter/httpclient/conn.go
+++ b/internal/adapter/httpclient/conn.go
@@ -37,12 +37,16 @@
 	// idleUntil is the time from which the peer may close the idle connection; zero if
 	// unknown.
 	idleUntil time.Time
+	// openedAt is when the connection was opened, and requests the number of requests that it was taken for.
+	openedAt time.Time
+	requests int
 }
 
 // beginRequest resets the count for a new request. It returns an error, in general
 // errStaleConn, if the connection is no longer usable.
 func (c *countingConn) beginRequest() error {
 	c.sent.Store(0)
+	c.requests++
 	if !c.idleUntil.IsZero() && !time.Now().Before(c.idleUntil) {
 		return errStaleConn
 	}
--- a/internal/adapter/httpclient/exchange.go
+++ b/internal/adapter/httpclient/exchange.go
@@ -49,9 +49,8 @@
 	writeErr  error
 }
 
-// send takes a connection to the target and writes the request to it, unless beforeSend returns an error;
-// it may be nil.
-func (c *Client) send(ctx context.Context, target Target, req *fasthttp.Request, beforeSend func() error) (*exchange, error) {
+// send takes a connection to the target and writes the request to it, unless BeforeSend returns an error.
+func (c *Client) send(ctx context.Context, target Target, req *fasthttp.Request, o OpenOptions) (*exchange, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -60,7 +59,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if err := checkBeforeSend(beforeSend); err != nil {
+	if o.Connected != nil {
+		o.Connected(ConnInfo{Age: time.Since(x.conn.openedAt), New: x.conn.requests == 1})
+	}
+	if err := checkBeforeSend(o.BeforeSend); err != nil {
 		x.release(true)
 		return nil, err
 	}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -99,6 +99,8 @@
 	// MaxConnections is the number of connections that one endpoint accepts from all callers
 	// together; zero if unknown.
 	MaxConnections int `json:"-"`
+	// HealthPath is the path at which an endpoint answers health checks; empty if unknown.
+	HealthPath string `json:"-"`
 	// Engine describes the fleet's model engines; nil for a plain service.
 	Engine *Engine `json:"-"`
 	// Scaling limits how many endpoints may be ordered; nil if none may.
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -2,27 +2,61 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
+	"errors"
+	"math/rand/v2"
+	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/backoff"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/reachability"
 )
 
 const (
-	// linkCheckInterval is how often it is checked whether links to endpoints must be tested.
-	linkCheckInterval = 100 * time.Millisecond
-	// linkTestTimeout bounds one connection of a test.
-	linkTestTimeout = 300 * time.Millisecond
+	// linkCheckInterval is how often it is checked what is to be done about the links to endpoints.
+	linkCheckInterval = 50 * time.Millisecond
+	// probeTimeout bounds one probe.
+	probeTimeout = 250 * time.Millisecond
+	// defaultHealthPath is probed where the configuration names no path for health checks. What the endpoint
+	// answers does not matter.
+	defaultHealthPath = "/healthz"
 )
 
-// watchLinks tests the links to endpoints whenever a test is due.
+// linkMetrics count what is done about the links to endpoints.
+type linkMetrics struct {
+	probes, takenBack prometheus.Counter
+}
+
+func newLinkMetrics(registry prometheus.Registerer) linkMetrics {
+	m := linkMetrics{
+		probes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rattanchute_link_probes_total", Help: "Health checks sent to endpoints to find out whether a link is up.",
+		}),
+		takenBack: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rattanchute_link_requests_taken_back_total",
+			Help: "Requests that were taken back because nothing arrives from their fleet.",
+		}),
+	}
+	registry.MustRegister(m.probes, m.takenBack)
+	return m
+}
+
+// watchLinks does whatever is due about the links to endpoints.
 func (n *Node) watchLinks(ctx context.Context) {
 	for backoff.Pause(ctx, linkCheckInterval) {
-		for _, test := range n.links.Due(clock.Now(), n.usableEndpoints) {
-			n.tasks.Go(func() { n.testLinks(ctx, test) })
+		check := n.links.Check(clock.Now(), rand.Float64(), n.usableEndpoints)
+		for _, fleetName := range check.Lost {
+			n.linksLost(fleetName, "", len(n.usableEndpoints(fleetName)))
+		}
+		for _, takeBack := range check.TakeBack {
+			takeBack()
+		}
+		n.linkMetrics.takenBack.Add(float64(len(check.TakeBack)))
+		for _, p := range check.Probes {
+			n.tasks.Go(func() { n.probeLink(ctx, p) })
 		}
 	}
 }
@@ -38,36 +72,54 @@
 	return usable
 }
 
-// testLinks opens the connections of a test, and records which endpoints accept them.
-func (n *Node) testLinks(ctx context.Context, test reachability.Test) {
-	if !n.anyAccepts(ctx, test, test.First) && len(test.Rest) > 0 {
-		n.anyAccepts(ctx, test, test.Rest)
+// probeLink sends a probe and records what becomes of it.
+func (n *Node) probeLink(ctx context.Context, p reachability.Probe) {
+	n.linkMetrics.probes.Inc()
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	openedAt := clock.Now()
+	err := n.upstream.Probe(probeCtx, p.Endpoint.Address, n.healthPath(p.Fleet))
+	n.Log.Info().Str("fleet", p.Fleet).Str("endpoint", p.Endpoint.ID).Err(err).
+		Int64("took_ms", clock.Now().Sub(openedAt).Milliseconds()).Msg("link probed")
+	switch {
+	case err == nil:
+		n.linkUp(clock.Now(), p.Fleet, openedAt)
+	case ctx.Err() == nil:
+		n.linkFailed(p.Fleet, reachability.Failure{
+			Endpoint: p.Endpoint.ID, Kind: probeFailure(err), New: true, Probe: true,
+		})
 	}
 }
 
-func (n *Node) anyAccepts(ctx context.Context, test reachability.Test, endpoints []reachability.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(ctx, linkTestTimeout)
-	defer cancel()
-	var accepted atomic.Bool
-	var connecting sync.WaitGroup
-	for _, e := range endpoints {
-		connecting.Go(func() {
-			if n.upstream.Accepts(ctx, e.Address) {
-				accepted.Store(true)
-				n.linkUp(test.Fleet)
-				return
+// probeFailure returns how a probe has failed.
+func probeFailure(err error) reachability.FailureKind {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return reachability.Refused
+	case errors.Is(err, httpclient.ErrNotSent):
+		return reachability.Unopened
+	case errors.Is(err, context.DeadlineExceeded):
+		return reachability.Silent
+	}
+	return reachability.Ended
+}
+
+// healthPath returns the path at which the endpoints of a fleet answer health checks.
+func (n *Node) healthPath(fleetName string) string {
+	if t := n.proxy.Table(); t != nil {
+		for i := range t.Configuration().Fleets {
+			if f := &t.Configuration().Fleets[i]; f.Name == fleetName && f.HealthPath != "" {
+				return f.HealthPath
 			}
-			n.linkFailed(test.Fleet, e.ID)
-		})
+		}
 	}
-	connecting.Wait()
-	return accepted.Load()
+	return defaultHealthPath
 }
 
-// linkUp records that an endpoint of a fleet was heard. What attempts showed of its endpoints while they were out
-// of reach is forgotten.
-func (n *Node) linkUp(fleetName string) {
-	lostFor := n.links.Heard(clock.Now(), fleetName)
+// linkUp records that bytes of a response of a fleet have arrived on a connection that was opened at a time. What
+// attempts showed of its endpoints while they were out of reach is forgotten.
+func (n *Node) linkUp(now time.Time, fleetName string, openedAt time.Time) {
+	lostFor := n.links.Heard(now, fleetName, openedAt)
 	if lostFor == 0 {
 		return
 	}
@@ -76,12 +128,17 @@
 	n.Log.Info().Str("fleet", fleetName).Int64("lost_ms", lostFor.Milliseconds()).Msg("endpoints in reach again")
 }
 
-// linkFailed records that an endpoint of a fleet could not be reached.
-func (n *Node) linkFailed(fleetName, endpoint string) {
+// linkFailed records that an endpoint of a fleet was not reached.
+func (n *Node) linkFailed(fleetName string, f reachability.Failure) {
 	usable := len(n.usableEndpoints(fleetName))
-	if !n.links.Unreached(clock.Now(), fleetName, endpoint, usable) {
-		return
+	if n.links.Failed(clock.Now(), fleetName, f, usable) {
+		n.linksLost(fleetName, f.Endpoint, usable)
 	}
+}
+
+// linksLost tells that a fleet is out of reach. The endpoint is the last one that was not reached; empty if silence
+// has shown it.
+func (n *Node) linksLost(fleetName, endpoint string, usable int) {
 	n.linksChanged()
 	n.Log.Warn().Str("fleet", fleetName).Str("endpoint", endpoint).Int("endpoints", usable).
 		Msg("endpoints out of reach")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,8 +97,9 @@
 	server   *proxy.Server
 	balancer *balancer.Table
 	// links knows which fleets this host reaches, and upstream connects to endpoints.
-	links    *reachability.Table
-	upstream *httpclient.Client
+	links       *reachability.Table
+	linkMetrics linkMetrics
+	upstream    *httpclient.Client
 	// peerClient relays requests to peers, and relayServer takes theirs.
 	peerClient   *httpclient.Client
 	relayServer  *proxy.Server
@@ -187,6 +188,7 @@
 	}
 	n.registry.MustRegister(collectors.NewGoCollector())
 	n.boundary = contain.NewBoundary(n.Log, n.registry)
+	n.linkMetrics = newLinkMetrics(n.registry)
 	n.retryBudget = retrybudget.NewBudget(retrybudget.Limits{
 		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
 	})
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -12,6 +12,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
+	"rattanchute/internal/reachability"
 	"rattanchute/internal/relay"
 )
 
@@ -29,6 +30,11 @@
 	ctx             context.Context
 	balancerAttempt *balancer.Attempt
 	sentAt          time.Time
+	// wait is the wait for the endpoint; nil if the attempt goes to a peer.
+	wait *reachability.Wait
+	// connNew is set if the connection was opened for this attempt; connOpenedAt is when it was opened.
+	connNew      bool
+	connOpenedAt time.Time
 	// peer is the host that the request is relayed to; nil if it is sent to the endpoint itself.
 	peer *relay.Peer
 	// refusal is the final answer that the peer gave; nil if there is none.
@@ -59,10 +65,15 @@
 	if a.peer != nil {
 		return a.exchangeWithPeer()
 	}
-	wait := a.beginWait()
-	out, result := a.exchangeWithEndpoint()
+	wait, ctx := a.beginWait()
+	a.wait = wait
+	out, result := a.exchangeWithEndpoint(ctx)
 	wait.End()
-	a.observeLink(result)
+	if out != outcomeDone && errors.Is(context.Cause(ctx), errTakenBack) {
+		a.err = errTakenBack
+	} else {
+		a.observeLink(result)
+	}
 	a.terminated = out == outcomeFailed && isTerminated(a.err)
 	return out, result
 }
@@ -72,14 +83,15 @@
 	return httpclient.IsTerminated(err) || errors.Is(err, errCutInsideEvent) || errors.Is(err, errNoEvent)
 }
 
-func (a *attempt) exchangeWithEndpoint() (outcome, balancer.Result) {
+// exchangeWithEndpoint sends the request, unless its context ends, and relays the response.
+func (a *attempt) exchangeWithEndpoint(ctx context.Context) (outcome, balancer.Result) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	a.encode(req)
 	x := a.exchange
 	target := httpclient.Target{Address: a.choice.Endpoint.Address, Instance: a.choice.Endpoint.ID}
-	options := httpclient.OpenOptions{BeforeSend: a.permit, Matches: a.matchesResponse}
-	body, err := x.proxy.Upstream.OpenTarget(a.ctx, target, req, options)
+	options := httpclient.OpenOptions{BeforeSend: a.permit, Matches: a.matchesResponse, Connected: a.connected}
+	body, err := x.proxy.Upstream.OpenTarget(ctx, target, req, options)
 	if err != nil {
 		return a.errorOutcome(err)
 	}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -41,6 +41,7 @@
 // again.
 func (x *exchange) dispatch(ctx context.Context) {
 	unreachable := 0
+	x.proxy.Links.Table.Want(clock.Now(), x.fleet)
 	for {
 		a, e := x.nextAttempt(ctx, unreachable)
 		if e != nil {
@@ -152,12 +153,14 @@
 }
 
 // maxUnreachable is the number of unreachable endpoints above which the request is sent to no further one. If
-// this host reaches none of the fleet and no peer does, one try is enough.
+// this host reaches none of the fleet and no peer does, one try is enough, if it costs nothing.
 func (x *exchange) maxUnreachable() int {
+	links := x.proxy.Links.Table
+	lost := links.Lost(x.fleet)
 	switch {
-	case x.proxy.Links.Table.Lost(x.fleet) && (x.relayed != nil || len(x.failedPeers) > 0):
+	case lost && (x.relayed != nil || len(x.failedPeers) > 0 || !links.FailsAtOnce(x.fleet)):
 		return -1
-	case x.proxy.Links.Table.Lost(x.fleet):
+	case lost:
 		return 0
 	case x.relayed != nil:
 		return maxUnreachableAlone
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -1,9 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"syscall"
+	"time"
 
+	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/reachability"
@@ -12,23 +15,51 @@
 // Links tell what attempts show of the links to endpoints.
 type Links struct {
 	Table *reachability.Table
-	// Up is called when an endpoint of a fleet was heard, and Failed when one could not be reached.
-	Up     func(fleet string)
-	Failed func(fleet, endpoint string)
+	// Up is called when bytes of a response of a fleet have arrived on a connection that was opened at a time, and
+	// Failed when an endpoint was not reached.
+	Up     func(now time.Time, fleet string, openedAt time.Time)
+	Failed func(fleet string, f reachability.Failure)
 }
 
-// beginWait records that the attempt waits for its endpoint.
-func (a *attempt) beginWait() *reachability.Wait {
+// errTakenBack means that a request was taken back because its fleet is out of reach.
+var errTakenBack = errors.New("taken back: nothing arrives from the fleet")
+
+// beginWait records that the attempt waits for its endpoint, and returns the context that ends when it is taken
+// back.
+func (a *attempt) beginWait() (*reachability.Wait, context.Context) {
 	x := a.exchange
-	return x.proxy.Links.Table.Begin(clock.Now(), x.fleet, a.choice.Endpoint.ID)
+	ctx, takeBack := context.WithCancelCause(a.ctx)
+	wait := x.proxy.Links.Table.Begin(clock.Now(), x.fleet, a.choice.Endpoint.ID, a.choice.CorrectedFirstEvent,
+		func() { takeBack(errTakenBack) })
+	return wait, ctx
+}
+
+// connected records on which connection the attempt is sent.
+func (a *attempt) connected(c httpclient.ConnInfo) {
+	a.connNew, a.connOpenedAt = c.New, clock.Now().Add(-c.Age)
 }
 
 // heard records that the endpoint sent something.
-func (a *attempt) heard() { a.exchange.proxy.Links.Up(a.exchange.fleet) }
+func (a *attempt) heard() {
+	now := clock.Now()
+	a.wait.Heard(now)
+	a.exchange.proxy.Links.Up(now, a.exchange.fleet, a.connOpenedAt)
+}
 
 // observeLink records what the end of the attempt says about the link to its endpoint.
 func (a *attempt) observeLink(result balancer.Result) {
-	if result == balancer.ResultUnreachable || errors.Is(a.err, syscall.ETIMEDOUT) {
-		a.exchange.proxy.Links.Failed(a.exchange.fleet, a.choice.Endpoint.ID)
+	f := reachability.Failure{Endpoint: a.choice.Endpoint.ID, New: true}
+	switch {
+	case result == balancer.ResultUnreachable && errors.Is(a.err, syscall.ECONNREFUSED):
+		f.Kind = reachability.Refused
+	case result == balancer.ResultUnreachable:
+		f.Kind = reachability.Unopened
+	case errors.Is(a.err, syscall.ETIMEDOUT):
+		f.Kind, f.New = reachability.Silent, a.connNew
+	case a.status == 0 && httpclient.IsTerminated(a.err):
+		f.Kind, f.New = reachability.Ended, a.connNew
+	default:
+		return
 	}
+	a.exchange.proxy.Links.Failed(a.exchange.fleet, f)
 }
--- a/internal/proxy/relay_test.go
+++ b/internal/proxy/relay_test.go
@@ -21,7 +21,7 @@
 
 // lose makes the proxy reach no endpoint of the test fleet.
 func (p *testProxy) lose() {
-	p.proxy.Links.Table.Unreached(clock.Now(), testFleet, "e0", 1)
+	p.proxy.Links.Table.Failed(clock.Now(), testFleet, reachability.Failure{Endpoint: "e0", Kind: reachability.Refused, New: true}, 1)
 }
 
 // listenRelay opens the proxy's listener for peers and returns the peer that it is.
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -222,7 +222,7 @@
 		RetryBudget:  retrybudget.NewBudget(retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}),
 		Telemetry:    NewTelemetry(logger, prometheus.NewRegistry()),
 		Boundary:     contain.NewBoundary(logger, prometheus.NewRegistry()),
-		Links:        Links{Table: reachability.NewTable(), Up: func(string) {}, Failed: func(string, string) {}},
+		Links:        Links{Table: reachability.NewTable(), Up: func(time.Time, string, time.Time) {}, Failed: func(string, reachability.Failure) {}},
 		OnStarted:    func(time.Time, string) { p.counted.Add(1) },
 		OnLeaving:    func() { p.leaving.Add(1) },
 		Quarantine:   quarantine.NewTable("host", 1),
--- a/internal/reachability/doc.go
+++ b/internal/reachability/doc.go
@@ -1,9 +1,15 @@
 // Package reachability knows which fleets a host's links to endpoints lead to. A host that has lost its links
 // while its peers have theirs must not take that for a failure of the endpoints.
 //
-// A fleet is out of reach once several of its endpoints could not be reached, and none was heard since. A fleet
-// from which nothing is heard while requests wait is tested with new connections. While a fleet is out of reach,
-// connections to its endpoints in turn find out when a link is back.
+// An endpoint is heard when bytes of a response arrive. A connection that opens shows nothing: a proxy, a firewall or
+// an address translation on the way may have accepted it. Evidence against the links to a fleet are connections that
+// do not open, those that end without a byte of a response, and requests without a byte for longer than they
+// ever take, while nothing else is heard from the fleet either. A fleet is out of reach once several of its
+// endpoints are without a sign. One endpoint never is enough, unless it is the only one and refuses connections.
 //
-// The package performs no I/O: time and the outcomes of connections are arguments.
+// Probes are requests for a health check on connections of their own. They confirm what silence suggests, and find
+// out when a link is back: a response on a new connection ends the state. They are few, and a fleet without
+// requests gets none.
+//
+// The package performs no I/O: time, randomness and the outcomes of connections are arguments.
 package reachability
--- /dev/null
+++ b/internal/reachability/evidence.go
@@ -0,0 +1,129 @@
+package reachability
+
+import "time"
+
+// FailureKind is how an endpoint could not be reached.
+type FailureKind int
+
+// The kinds of failures.
+const (
+	// Refused means that a connection was refused at once.
+	Refused FailureKind = iota
+	// Unopened means that a connection did not open.
+	Unopened
+	// Ended means that a connection opened and ended without a byte of a response.
+	Ended
+	// Silent means that a connection opened and delivers nothing.
+	Silent
+)
+
+// Failure is a connection over which an endpoint was not reached.
+type Failure struct {
+	Endpoint string
+	Kind     FailureKind
+	// New is set if the connection was opened for this request, and Probe if the request was a probe.
+	New, Probe bool
+}
+
+const (
+	// maxRequired is the number of endpoints of a large fleet that must be without a sign before the fleet is out of
+	// reach. Of a smaller fleet, all must.
+	maxRequired = 4
+	// minSilent is the least number of endpoints that must be without a sign if some of them are merely silent.
+	minSilent = 2
+	// minProbed is how many probes must have failed before a fleet of which open connections are heard is out of
+	// reach.
+	minProbed = 2
+	// evidenceRetention is how long a failure counts.
+	evidenceRetention = 3 * time.Second
+)
+
+// evidence is what is known against the link to one endpoint.
+type evidence struct {
+	at         time.Time
+	kind       FailureKind
+	new, probe bool
+}
+
+// addFailure records a failure and drops old ones.
+func (f *fleet) addFailure(now time.Time, x Failure) {
+	old := f.failures[x.Endpoint]
+	f.failures[x.Endpoint] = evidence{at: now, kind: x.Kind, new: x.New || old.new, probe: x.Probe || old.probe}
+	f.lastKind = x.Kind
+	for id, e := range f.failures {
+		if now.Sub(e.at) >= evidenceRetention {
+			delete(f.failures, id)
+		}
+	}
+}
+
+// refute drops the failures that a response refutes: those on connections that were open already, and those on new
+// connections if the response came on a connection that was opened later.
+func (f *fleet) refute(openedAt time.Time) {
+	for id, e := range f.failures {
+		if !e.new || openedAt.After(e.at) {
+			delete(f.failures, id)
+		}
+	}
+}
+
+// required returns how many endpoints must be without a sign, of a fleet with a number of endpoints.
+func required(endpoints int) int { return min(max(endpoints, 1), maxRequired) }
+
+// counts reports whether a failure counts where a number of endpoints is required. If it is one, a single
+// request may have made the endpoint close its connection, and the endpoint may pause.
+func (e *evidence) counts(needed int) bool {
+	switch {
+	case needed > 1:
+		return true
+	case e.kind == Ended:
+		return e.probe
+	}
+	return e.kind != Silent
+}
+
+// isLost reports whether the evidence shows that no endpoint is reached.
+func (f *fleet) isLost(now time.Time, endpoints int) bool {
+	needed, heard := required(endpoints), f.lastHeard()
+	unheard, failedNew, probedNew, probed := map[string]bool{}, 0, 0, false
+	for id, e := range f.failures {
+		if now.Sub(e.at) >= evidenceRetention || !e.counts(needed) {
+			continue
+		}
+		if e.new {
+			failedNew++
+		}
+		if e.new && e.probe {
+			probedNew++
+		}
+		if e.at.After(heard) {
+			unheard[id] = true
+			probed = probed || e.probe
+		}
+	}
+	if len(unheard) >= needed {
+		return true
+	}
+	if failedNew >= needed && probedNew >= min(needed, minProbed) {
+		return true // new connections fail, while open ones go on
+	}
+	if !probed {
+		return false
+	}
+	for _, w := range f.silentWaits(now) {
+		unheard[w.endpoint] = true
+	}
+	return len(unheard) >= max(needed, minSilent)
+}
+
+// isSuspect reports whether a probe should tell what the evidence means: a request is silent, or several new
+// connections have failed.
+func (f *fleet) isSuspect(now time.Time, endpoints int) bool {
+	recent := 0
+	for _, e := range f.failures {
+		if now.Sub(e.at) < evidenceRetention {
+			recent++
+		}
+	}
+	return recent >= min(required(endpoints), minSilent) || len(f.silentWaits(now)) > 0
+}
--- /dev/null
+++ b/internal/reachability/wait.go
@@ -0,0 +1,98 @@
+package reachability
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// minPatience is the least time without a byte after which a request counts as silent.
+	minPatience = 400 * time.Millisecond
+	// patienceFactor scales the longest time that requests to a fleet are without a byte, and that expected of the
+	// request.
+	patienceFactor = 2
+)
+
+// Wait is a request that waits for an endpoint, until its response is complete.
+type Wait struct {
+	fleet    *fleet
+	endpoint string
+	since    time.Time
+	expected time.Duration
+	// heardAt is when a byte of the response last arrived, in nanoseconds since 1970; zero before.
+	heardAt atomic.Int64
+	// longest is the longest time without a byte that has ended; only the request itself uses it.
+	longest  time.Duration
+	takeBack func()
+}
+
+// Begin records that a request is sent to an endpoint, and the time that is expected until the first byte of the
+// response, zero if unknown. Its wait must be ended. takeBack is called, at most once, if the wait is in vain.
+func (t *Table) Begin(now time.Time, name, endpoint string, expected time.Duration, takeBack func()) *Wait {
+	f := t.fleet(name)
+	w := &Wait{fleet: f, endpoint: endpoint, since: now, expected: expected, takeBack: takeBack}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waits[w] = struct{}{}
+	return w
+}
+
+// End records that the request no longer waits.
+func (w *Wait) End() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	delete(w.fleet.waits, w)
+	if w.heardAt.Load() != 0 {
+		w.fleet.pauses.observe(w.longest)
+	}
+}
+
+// Heard records that bytes of the response have arrived. It may not be called concurrently with itself or End.
+func (w *Wait) Heard(now time.Time) {
+	before := w.since
+	if at := w.heardAt.Swap(now.UnixNano()); at != 0 {
+		before = time.Unix(0, at)
+	}
+	w.longest = max(w.longest, now.Sub(before))
+}
+
+// silent reports whether neither the request nor its fleet was heard for as long as such requests never take.
+// usual is the longest time for which requests to the fleet are without a byte.
+func (w *Wait) silent(now, fleetHeard time.Time, usual time.Duration) bool {
+	last := fleetHeard
+	for _, at := range []time.Time{w.since, time.Unix(0, w.heardAt.Load())} {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return now.Sub(last) >= max(minPatience, patienceFactor*max(usual, w.expected))
+}
+
+// silentWaits returns the requests that are silent; none while the fleet is heard.
+func (f *fleet) silentWaits(now time.Time) []*Wait {
+	heard := f.lastHeard()
+	if len(f.waits) == 0 || now.Sub(heard) < minPatience {
+		return nil
+	}
+	var silent []*Wait
+	usual := f.pauses.high()
+	for w := range f.waits {
+		if w.silent(now, heard, usual) {
+			silent = append(silent, w)
+		}
+	}
+	return silent
+}
+
+// takeSilent removes the silent requests of a fleet out of reach and returns what takes them back.
+func (f *fleet) takeSilent(now time.Time) []func() {
+	if f.lostSince.IsZero() {
+		return nil
+	}
+	var taken []func()
+	for _, w := range f.silentWaits(now) {
+		delete(f.waits, w)
+		taken = append(taken, w.takeBack)
+	}
+	return taken
+}
