reachability: a response that has begun and cannot be resumed is not taken back

Change: only requests without a byte of a response, and responses that can be resumed, are taken back. The test fails without the change: both were taken back.

--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -29,9 +29,11 @@
 func (a *attempt) beginWait() (*reachability.Wait, context.Context) {
 	x := a.exchange
 	ctx, takeBack := context.WithCancelCause(a.ctx)
-	wait := x.proxy.Links.Table.Begin(clock.Now(), x.fleet, a.choice.Endpoint.ID, a.choice.CorrectedFirstEvent,
-		func() { takeBack(errTakenBack) })
-	return wait, ctx
+	r := reachability.Request{
+		Fleet: x.fleet, Endpoint: a.choice.Endpoint.ID, Expected: a.choice.CorrectedFirstEvent,
+		Repeatable: x.route.Retryable(),
+	}
+	return x.proxy.Links.Table.Begin(clock.Now(), r, func() { takeBack(errTakenBack) }), ctx
 }
 
 // connected records on which connection the attempt is sent.
--- a/internal/reachability/evidence.go
+++ b/internal/reachability/evidence.go
@@ -111,7 +111,7 @@
 		return false
 	}
 	for _, w := range f.silentWaits(now) {
-		unheard[w.endpoint] = true
+		unheard[w.Endpoint] = true
 	}
 	return len(unheard) >= max(needed, minSilent)
 }
--- a/internal/reachability/probe.go
+++ b/internal/reachability/probe.go
@@ -156,7 +156,7 @@
 func (f *fleet) probeOrder(list []Endpoint) []Endpoint {
 	awaited := map[string]bool{}
 	for w := range f.waits {
-		awaited[w.endpoint] = true
+		awaited[w.Endpoint] = true
 	}
 	var first, last []Endpoint
 	for i := range list {
--- a/internal/reachability/table_test.go
+++ b/internal/reachability/table_test.go
@@ -38,7 +38,7 @@
 
 func begin(t *Table, ms int, endpoint string) *Wait {
 	t.Want(at(ms), "f")
-	return t.Begin(at(ms), "f", endpoint, 0, func() {})
+	return t.Begin(at(ms), Request{Fleet: "f", Endpoint: endpoint}, func() {})
 }
 
 func TestFleetIsLostOnceSeveralEndpointsAreUnreached(t *testing.T) {
@@ -140,7 +140,7 @@
 	is := is.New(t)
 	table, taken := NewTable(), 0
 	for i := range 3 {
-		table.Begin(at(0), "f", fmt.Sprint("e", i), 0, func() { taken++ })
+		table.Begin(at(0), Request{Fleet: "f", Endpoint: fmt.Sprint("e", i)}, func() { taken++ })
 	}
 	is.Equal(len(table.Check(at(300), 0, endpointsOf(6)).Probes), 0)
 	check := table.Check(at(400), 0, endpointsOf(6))
@@ -156,6 +156,24 @@
 	is.Equal(len(table.Check(at(750), 0, endpointsOf(6)).TakeBack), 0)
 }
 
+// TestResponseThatHasBegunIsTakenBackOnlyIfItCanBeResumed holds that no answer is ended that may yet go on.
+func TestResponseThatHasBegunIsTakenBackOnlyIfItCanBeResumed(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	var taken []bool
+	for _, repeatable := range []bool{false, true} {
+		w := table.Begin(at(0), Request{Fleet: "f", Endpoint: "e0", Repeatable: repeatable}, func() { taken = append(taken, repeatable) })
+		w.Heard(at(10))
+	}
+	for i := range 4 {
+		table.Failed(at(500+i), "f", refused(i), 6)
+	}
+	for _, takeBack := range table.Check(at(600), 0, endpointsOf(6)).TakeBack {
+		takeBack()
+	}
+	is.Equal(taken, []bool{true})
+}
+
 func TestAnsweredProbeEndsTheSuspicion(t *testing.T) {
 	is := is.New(t)
 	table := NewTable()
@@ -211,7 +229,7 @@
 	is := is.New(t)
 	table := NewTable()
 	for i := range 6 {
-		table.Begin(at(0), "f", fmt.Sprint("e", i), 3*time.Second, func() {})
+		table.Begin(at(0), Request{Fleet: "f", Endpoint: fmt.Sprint("e", i), Expected: 3 * time.Second}, func() {})
 	}
 	is.Equal(len(table.Check(at(5900), 0, endpointsOf(6)).Probes), 0)
 	is.True(len(table.Check(at(6000), 0, endpointsOf(6)).Probes) > 0)
--- a/internal/reachability/wait.go
+++ b/internal/reachability/wait.go
@@ -13,12 +13,20 @@
 	patienceFactor = 2
 )
 
+// Request is a request to an endpoint.
+type Request struct {
+	Fleet, Endpoint string
+	// Expected is the time until the first byte of the response; zero if unknown.
+	Expected time.Duration
+	// Repeatable is set if the request may be sent again after it may have run, or its response be resumed.
+	Repeatable bool
+}
+
 // Wait is a request that waits for an endpoint, until its response is complete.
 type Wait struct {
-	fleet    *fleet
-	endpoint string
-	since    time.Time
-	expected time.Duration
+	Request
+	fleet *fleet
+	since time.Time
 	// heardAt is when a byte of the response last arrived, in nanoseconds since 1970; zero before.
 	heardAt atomic.Int64
 	// longest is the longest time without a byte that has ended; only the request itself uses it.
@@ -26,11 +34,11 @@
 	takeBack func()
 }
 
-// Begin records that a request is sent to an endpoint, and the time that is expected until the first byte of the
-// response, zero if unknown. Its wait must be ended. takeBack is called, at most once, if the wait is in vain.
-func (t *Table) Begin(now time.Time, name, endpoint string, expected time.Duration, takeBack func()) *Wait {
-	f := t.fleet(name)
-	w := &Wait{fleet: f, endpoint: endpoint, since: now, expected: expected, takeBack: takeBack}
+// Begin records that a request is sent to an endpoint. Its wait must be ended. takeBack is called, at most once, if
+// the wait is in vain.
+func (t *Table) Begin(now time.Time, r Request, takeBack func()) *Wait {
+	f := t.fleet(r.Fleet)
+	w := &Wait{Request: r, fleet: f, since: now, takeBack: takeBack}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.waits[w] = struct{}{}
@@ -65,7 +73,7 @@
 			last = at
 		}
 	}
-	return now.Sub(last) >= max(minPatience, patienceFactor*max(usual, w.expected))
+	return now.Sub(last) >= max(minPatience, patienceFactor*max(usual, w.Expected))
 }
 
 // silentWaits returns the requests that are silent; none while the fleet is heard.
@@ -84,13 +92,17 @@
 	return silent
 }
 
-// takeSilent removes the silent requests of a fleet out of reach and returns what takes them back.
+// takeSilent removes the silent requests of a fleet out of reach and returns what takes them back. A response that
+// has begun and cannot be resumed is left alone: it may go on when the link is back.
 func (f *fleet) takeSilent(now time.Time) []func() {
 	if f.lostSince.IsZero() {
 		return nil
 	}
 	var taken []func()
 	for _, w := range f.silentWaits(now) {
+		if w.heardAt.Load() != 0 && !w.Repeatable {
+			continue
+		}
 		delete(f.waits, w)
 		taken = append(taken, w.takeBack)
 	}
