reachability: a fleet out of reach without requests is forgotten after half a minute

Cause: a fleet without requests is not probed, so one that is no longer asked for would stay out of reach for good: its host would name it to all peers, and leaders would name hosts with links in each message, as long as it runs. Change: after half a minute without a request it counts as in reach; the next request finds out.

--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -51,6 +51,10 @@
 		for _, fleetName := range check.Lost {
 			n.linksLost(fleetName, "", len(n.usableEndpoints(fleetName)))
 		}
+		for _, fleetName := range check.Forgotten {
+			n.linksChanged()
+			n.Log.Info().Str("fleet", fleetName).Msg("endpoints no longer sought")
+		}
 		for _, takeBack := range check.TakeBack {
 			takeBack()
 		}
--- a/internal/reachability/probe.go
+++ b/internal/reachability/probe.go
@@ -18,8 +18,10 @@
 	maxLostInterval = 800 * time.Millisecond
 	// intervalJitter is the share of an interval that is random.
 	intervalJitter = 0.25
-	// wantedRetention is how long after its last request a fleet is probed.
+	// wantedRetention is how long after its last request a fleet is probed, and lostRetention how long after it a
+	// fleet stays out of reach: nothing would find out that it no longer is.
 	wantedRetention = 3 * time.Second
+	lostRetention   = 30 * time.Second
 )
 
 // Endpoint is an endpoint that requests may be sent to.
@@ -39,6 +41,8 @@
 	Probes []Probe
 	// Lost are the fleets that are out of reach from now on, as silence shows.
 	Lost []string
+	// Forgotten are the fleets that no longer count as out of reach because they have had no request for long.
+	Forgotten []string
 	// TakeBack are to be called: they end requests that wait in vain.
 	TakeBack []func()
 }
@@ -117,6 +121,10 @@
 	if f.clear.Load() && len(f.silentWaits(now)) == 0 {
 		return
 	}
+	if f.forgetIfUnwanted(now) {
+		c.Forgotten = append(c.Forgotten, name)
+		return
+	}
 	list := endpoints(name)
 	if f.becomesLost(now, len(list)) {
 		c.Lost = append(c.Lost, name)
@@ -127,10 +135,30 @@
 	}
 }
 
+// unwantedFor returns the time since the last request; zero while one waits.
+func (f *fleet) unwantedFor(now time.Time) time.Duration {
+	if len(f.waits) > 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, f.wantedAt.Load()))
+}
+
+// forgetIfUnwanted ends the state of a fleet out of reach that has had no request for long, and reports whether it
+// did.
+func (f *fleet) forgetIfUnwanted(now time.Time) bool {
+	if f.lostSince.IsZero() || f.unwantedFor(now) < lostRetention {
+		return false
+	}
+	f.lostSince = time.Time{}
+	clear(f.failures)
+	f.clear.Store(true)
+	return true
+}
+
 // dueProbes returns the endpoints to probe now.
 func (f *fleet) dueProbes(now time.Time, random float64, list []Endpoint, b *budget) []Endpoint {
 	lost := !f.lostSince.IsZero()
-	wanted := len(f.waits) > 0 || now.Sub(time.Unix(0, f.wantedAt.Load())) < wantedRetention
+	wanted := f.unwantedFor(now) < wantedRetention
 	if len(list) == 0 || !wanted || now.Before(f.schedule.next) || !lost && !f.isSuspect(now, len(list)) {
 		return nil
 	}
--- a/internal/reachability/table_test.go
+++ b/internal/reachability/table_test.go
@@ -274,6 +274,23 @@
 	})
 }
 
+// TestFleetWithoutRequestsIsForgotten has a fleet out of reach get no more requests: it is not probed, and does not
+// stay out of reach for good.
+func TestFleetWithoutRequestsIsForgotten(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Want(at(0), "f")
+	for i := range 4 {
+		table.Failed(at(i), "f", refused(i), 4)
+	}
+	for ms := 4000; ms < 30_000; ms += 100 {
+		check := table.Check(at(ms), 0, endpointsOf(4))
+		is.Equal(len(check.Probes)+len(check.Forgotten), 0)
+	}
+	is.Equal(table.Check(at(30_000), 0, endpointsOf(4)).Forgotten, []string{"f"})
+	is.True(!table.Lost("f"))
+}
+
 // TestLostOnlyWithoutAWord lets any events happen on new connections without probes: a fleet becomes lost only with
 // as many unreached endpoints as are required, all since one was last heard.
 func TestLostOnlyWithoutAWord(t *testing.T) {
