--- a/internal/reachability/evidence.go
+++ b/internal/reachability/evidence.go
@@ -82,38 +82,55 @@
 	return e.kind != Silent
 }
 
-// isLost reports whether the evidence shows that no endpoint is reached.
-func (f *fleet) isLost(now time.Time, endpoints int) bool {
-	needed, heard := required(endpoints), f.lastHeard()
-	unheard, failedNew, probedNew, probed := map[string]bool{}, 0, 0, false
+// tally sums up what is known against the links to a fleet.
+type tally struct {
+	// unheard are the endpoints that were not reached since the fleet was last heard.
+	unheard map[string]bool
+	// probed is set if one of these was probed.
+	probed bool
+	// failedNew counts the endpoints to which new connections have failed, and probedNew those that were probed.
+	failedNew, probedNew int
+}
+
+// tally counts the failures that matter if a number of endpoints is required.
+func (f *fleet) tally(now time.Time, needed int) tally {
+	sum, heard := tally{unheard: map[string]bool{}}, f.lastHeard()
 	for id, e := range f.failures {
 		if now.Sub(e.at) >= evidenceRetention || !e.counts(needed) {
 			continue
 		}
 		if e.new {
-			failedNew++
+			sum.failedNew++
 		}
 		if e.new && e.probe {
-			probedNew++
+			sum.probedNew++
 		}
 		if e.at.After(heard) {
-			unheard[id] = true
-			probed = probed || e.probe
+			sum.unheard[id] = true
+			sum.probed = sum.probed || e.probe
 		}
 	}
-	if len(unheard) >= needed {
+	return sum
+}
+
+// isLost reports whether the evidence shows that no endpoint is reached.
+func (f *fleet) isLost(now time.Time, endpoints int) bool {
+	needed := required(endpoints)
+	sum := f.tally(now, needed)
+	if len(sum.unheard) >= needed {
 		return true
 	}
-	if failedNew >= needed && probedNew >= min(needed, minProbed) {
-		return true // new connections fail, while open ones go on
+	// Open connections may go on while new ones fail.
+	if sum.failedNew >= needed && sum.probedNew >= min(needed, minProbed) {
+		return true
 	}
-	if !probed {
+	if !sum.probed {
 		return false
 	}
 	for _, w := range f.silentWaits(now) {
-		unheard[w.Endpoint] = true
+		sum.unheard[w.Endpoint] = true
 	}
-	return len(unheard) >= max(needed, minSilent)
+	return len(sum.unheard) >= max(needed, minSilent)
 }
 
 // isSuspect reports whether a probe should tell what the evidence means: a request is silent, or several new
--- a/internal/reachability/table_test.go
+++ b/internal/reachability/table_test.go
@@ -186,6 +186,36 @@
 	is.Equal(len(check.Probes)+len(check.Lost)+len(check.TakeBack), 0)
 }
 
+func TestFleetThatIsHeardIsNotProbed(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for i := range 6 {
+		begin(table, 0, fmt.Sprint("e", i))
+	}
+	for ms := 0; ms < 5000; ms += 100 {
+		table.Heard(at(ms), "f", at(0))
+		check := table.Check(at(ms), 0, endpointsOf(6))
+		is.Equal(len(check.Probes)+len(check.TakeBack), 0)
+	}
+}
+
+func TestFleetOutOfReachIsProbedInTurn(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for i := range 4 {
+		table.Failed(at(i), "f", refused(i), 6)
+	}
+	tried := map[string]bool{}
+	for ms := 100; ms < 10_000; ms += 100 {
+		table.Want(at(ms), "f")
+		for _, p := range table.Check(at(ms), 0, endpointsOf(6)).Probes {
+			tried[p.Endpoint.ID] = true
+			table.Failed(at(ms), "f", failedProbe(p, Refused), 6)
+		}
+	}
+	is.Equal(len(tried), 6)
+}
+
 // TestSilentRequestsAtOneEndpointAreNoCut has an endpoint freeze that has all of a host's requests.
 func TestSilentRequestsAtOneEndpointAreNoCut(t *testing.T) {
 	for _, endpoints := range []int{1, 2, 6} {
