speed, balancer: placing by the lasting and the momentary slowness that endpoints state

Cause: a fleet's endpoints that share their machines take several times as long for moments, and state that in the load header; it was decoded and not used. The slowness that hosts saw in answers came too late and mixed what lasts with what passes. A choice looked at all endpoints and listed them anew.

Change: package speed estimates each endpoint in two parts. The lasting slowness is learnt from first events and plain answers, divided by the moment's. The stated one fades with its age; how fast is learnt for each fleet from the statements. A request that waits for 1.5 times what was expected shows a slow endpoint before its figure can. Fleets whose endpoints state it are chosen from by three picks in proportion to speed, bounded at 1.5 times the mean, and the lowest cost of these: first event, rest of the answer, pauses of the streams beside it beyond the route's target, requests in flight. Reports and digests carry at most 48 unusual statements with their age; older builds ignore them. Holders of prompts are listed by prefix. Other fleets are estimated and chosen from as before; their list of candidates is reused.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -18,6 +18,9 @@
 	memoryTokens  int
 	answered      bool
 	ended         bool
+	firstEventAt  time.Time
+	// before and after are the neighbours in the endpoint's list of waiting attempts.
+	before, after *Attempt
 	// signals and instance are those of the chosen endpoint, even if it is no longer in the table.
 	signals  *backpressure.Table
 	instance backpressure.Instance
@@ -46,6 +49,7 @@
 	}
 	a.endpoint = e
 	e.inFlight++
+	e.waiting.add(a)
 	if e.model {
 		a.pendingTokens = c.UncachedTokens
 		a.memoryTokens = r.PromptTokens + r.OutputTokens
@@ -105,7 +109,9 @@
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
 	a.clearPending()
+	a.firstEventAt = now
 	if a.endpoint != nil && a.endpoint.model {
+		a.pool.learnSpeed(now, a)
 		measured := ratio(now.Sub(a.sentAt), a.choice.FirstEvent)
 		a.endpoint.observe(now, measured)
 		a.pool.firstEventSlowness.observe(now, measured)
@@ -148,6 +154,7 @@
 	a.answered = true
 	if a.endpoint != nil {
 		a.endpoint.pendingTokens -= a.pendingTokens
+		a.endpoint.waiting.remove(a)
 	}
 }
 
@@ -210,7 +217,7 @@
 		e.recordSuccess()
 		e.awaitingRecovery = false
 		p.failureRate *= 1 - failureWeight/float64(max(len(p.ordered), 1))
-		p.observeDuration(now, e, now.Sub(a.sentAt))
+		p.observeDuration(now, e, a)
 	case ResultAddressReused:
 		e.eject(now)
 	case ResultUnreachable:
@@ -239,9 +246,15 @@
 // durationWeight is the weight of the newest successful answer in a fleet's mean duration.
 const durationWeight = 0.05
 
-func (p *pool) observeDuration(now time.Time, e *endpoint, d time.Duration) {
+func (p *pool) observeDuration(now time.Time, e *endpoint, a *Attempt) {
+	d := now.Sub(a.sentAt)
 	if !e.model {
 		e.observe(now, ratio(d, p.meanDuration))
+		p.learnSpeed(now, a)
+	}
+	p.learnTokens(now, a)
+	if e.speed.Stated(now) {
+		d = scaleDuration(d, 1/e.speed.Moment(now, &p.speeds.persistence))
 	}
 	p.meanDuration += time.Duration(float64(d-p.meanDuration) * durationWeight)
 }
--- a/internal/balancer/bench_test.go
+++ b/internal/balancer/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // BenchmarkChoose measures the choice for a prompt of two shared parts among the endpoints of a large
@@ -27,3 +28,36 @@
 		})
 	}
 }
+
+// BenchmarkChooseBySpeed measures the choice among endpoints that state their slowness, for requests without a shared
+// prompt and for prompts of two shared parts.
+func BenchmarkChooseBySpeed(b *testing.B) {
+	for _, c := range []struct {
+		name    string
+		request Request
+	}{
+		{"plain", Request{Fleet: plainFleet}},
+		{"prompt", prompt("doc7", 5000, 1000, 5000)},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			table := newTestTable(1600)
+			for i := range 3200 {
+				r := c.request
+				if len(r.Prefixes) > 0 {
+					r = prompt(fmt.Sprint("doc", i%200), 5000, 1000, i)
+				}
+				choice, _ := table.Choose(epoch, uint64(i), r)
+				a := table.Begin(epoch, r, choice)
+				a.ObserveSlowdown(epoch, 1+float64(i%4))
+				a.FirstEvent(epoch)
+				a.End(epoch, ResultOK)
+			}
+			now := epoch.Add(100 * time.Millisecond)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				table.Choose(now, uint64(i), c.request)
+			}
+		})
+	}
+}
--- a/internal/balancer/cache.go
+++ b/internal/balancer/cache.go
@@ -11,6 +11,9 @@
 	limitTokens int
 	totalTokens int
 	entries     map[uint64]*cacheEntry
+	// holders and owner are where the entries are listed besides; nil if nowhere.
+	holders *holders
+	owner   *endpoint
 }
 
 // cacheEntry is one cached prefix; tokens is its length beyond the next shorter prefix.
@@ -32,6 +35,7 @@
 		if e == nil {
 			e = &cacheEntry{tokens: p.Tokens - before}
 			c.entries[p.Key] = e
+			c.holders.add(p.Key, c.owner)
 			c.totalTokens += e.tokens
 		}
 		e.usedAt = now
@@ -52,6 +56,16 @@
 	}
 	c.totalTokens -= found.tokens
 	delete(c.entries, oldest)
+	c.holders.remove(oldest, c.owner)
+}
+
+// clear drops all prefixes.
+func (c *prefixCache) clear() {
+	for key := range c.entries {
+		c.holders.remove(key, c.owner)
+	}
+	clear(c.entries)
+	c.totalTokens = 0
 }
 
 // matchedTokens returns how many tokens of the prompt the endpoint is assumed to have cached.
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -21,11 +21,8 @@
 	p, hosts := t.pool(r.Fleet), t.signals.Hosts()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best := p.best(now, random, &r, t.dataCentre, hosts, false)
-	if best == nil {
-		best = p.best(now, random, &r, t.dataCentre, hosts, true)
-	}
-	if best == nil {
+	best, found := p.choose(now, random, &r, t.dataCentre, hosts)
+	if !found {
 		return Choice{}, false
 	}
 	factor := p.firstEventSlowness.factor(now)
@@ -34,39 +31,62 @@
 	return best.choice, true
 }
 
+// choose returns the best candidate, an ejected one only if there is no other; false if there is none.
+func (p *pool) choose(now time.Time, random uint64, r *Request, dataCentre string, hosts *backpressure.Hosts) (candidate, bool) {
+	if p.statesSpeed(now) {
+		if best, found := p.bestBySpeed(now, random, r, dataCentre, hosts); found {
+			return best, true
+		}
+	}
+	if best, found := p.best(now, random, r, dataCentre, hosts, false); found {
+		return best, true
+	}
+	return p.best(now, random, r, dataCentre, hosts, true)
+}
+
 // best returns the candidate with the lowest cost, including ejected endpoints only if
-// includeEjected is set.
+// includeEjected is set; false if there is none.
 func (p *pool) best(
 	now time.Time, random uint64, r *Request, dataCentre string, hosts *backpressure.Hosts, includeEjected bool,
-) *candidate {
-	var eligible []*endpoint
-	for _, e := range p.ordered {
-		if e.known.Leaving || slices.Contains(r.Exclude, e.known.ID) || e.ejected(now) && !includeEjected {
-			continue
-		}
-		if r.Version != "" && e.known.Version != r.Version || !e.signals.Verdict(now).Allowed {
-			continue
-		}
-		if !p.hasPlace(now, e, hosts) {
-			continue
-		}
-		eligible = append(eligible, e)
-	}
-	var best *candidate
+) (best candidate, found bool) {
+	p.scratch = p.eligibleEndpoints(now, r, hosts, includeEjected, p.scratch[:0])
 	affinity := affinityKey(r.Prefixes)
 	source := p.cacheSource(now, r)
 	limited := p.rejectionLimit.known(now)
-	for _, e := range sample(eligible, random, affinity, r.Prefixes) {
-		c := candidate{endpoint: e, choice: e.estimate(now, r, p.meanDuration, &source)}
+	for _, e := range sample(p.scratch, random, affinity, r.Prefixes) {
+		c := candidate{endpoint: e, choice: p.estimate(now, e, r, &source)}
 		if c.choice.Queued && limited {
 			continue
 		}
 		c.cost = c.choice.FirstEvent + p.penalty(now, e, &c.choice, dataCentre) + tieBreak(random, affinity, e)
-		if best == nil || c.cost < best.cost {
-			best = &c
+		if !found || c.cost < best.cost {
+			best, found = c, true
 		}
 	}
-	return best
+	return best, found
+}
+
+// eligibleEndpoints appends the endpoints that the request may be sent to.
+func (p *pool) eligibleEndpoints(
+	now time.Time, r *Request, hosts *backpressure.Hosts, includeEjected bool, list []*endpoint,
+) []*endpoint {
+	for _, e := range p.ordered {
+		if p.eligible(now, e, r, hosts, includeEjected) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// eligible reports whether the request may be sent to an endpoint.
+func (p *pool) eligible(now time.Time, e *endpoint, r *Request, hosts *backpressure.Hosts, includeEjected bool) bool {
+	switch {
+	case e.known.Leaving, slices.Contains(r.Exclude, e.known.ID), e.ejected(now) && !includeEjected:
+		return false
+	case r.Version != "" && e.known.Version != r.Version, !e.signals.Verdict(now).Allowed:
+		return false
+	}
+	return p.hasPlace(now, e, hosts)
 }
 
 // Opening reports whether all endpoints of a fleet are closed for some time, apart from those that leave,
@@ -106,8 +126,11 @@
 // cacheSource returns the endpoint from which the start of the prompt can be copied.
 func (p *pool) cacheSource(now time.Time, r *Request) cacheSource {
 	var best cacheSource
+	if len(r.Prefixes) == 0 {
+		return best
+	}
 	for _, e := range p.ordered {
-		if !e.model || e.known.Leaving || e.ejected(now) || e.signals.Verdict(now).Leaving {
+		if !p.canBeSource(now, e) {
 			continue
 		}
 		if n := e.cache.matchedTokens(r.Prefixes); n > best.tokens {
--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -6,6 +6,7 @@
 
 	"rattanchute/internal/backpressure"
 	"rattanchute/internal/registry"
+	"rattanchute/internal/speed"
 )
 
 const (
@@ -60,6 +61,10 @@
 	reducedTo    int
 	reducedUntil time.Time
 	part         slotPart
+	// speed is what the endpoint states of its slowness and what was learnt of it, and waiting the requests of this
+	// host without an answer.
+	speed   speed.Estimate
+	waiting waitingList
 	health
 }
 
@@ -93,16 +98,19 @@
 
 // estimate returns the choice of this endpoint with its expected time to the first event. For a
 // plain service that is the time to the complete answer.
-func (e *endpoint) estimate(now time.Time, r *Request, meanDuration time.Duration, source *cacheSource) Choice {
+func (p *pool) estimate(now time.Time, e *endpoint, r *Request, source *cacheSource) Choice {
 	l := e.load(now, ScopeAll)
-	factor := e.factor(now)
+	meanDuration := p.meanDuration
+	factor := p.slownessOf(now, e, meanDuration)
 	c := Choice{Endpoint: e.known, InFlight: l.inFlight, Queued: l.inFlight >= e.known.Slots}
+	c.LastingSlowness, c.MomentSlowness = e.speed.Lasting(), e.speed.Moment(now, &p.speeds.persistence)
 	queueTime := time.Duration(0)
 	if over := l.inFlight - e.known.Slots + 1; over > 0 {
 		queueTime = time.Duration(float64(over) / float64(e.known.Slots) * float64(meanDuration))
 	}
 	if !e.model {
-		c.FirstEvent = scaleDuration(queueTime+meanDuration, factor)
+		c.usual = queueTime + meanDuration
+		c.FirstEvent = scaleDuration(c.usual, factor)
 		c.Backlog = scaleDuration(queueTime, factor)
 		return c
 	}
@@ -118,6 +126,8 @@
 		c.Queued = true
 		queueTime += time.Duration(float64(need-e.cacheTokens) / float64(e.cacheTokens) * float64(meanDuration))
 	}
+	c.pendingTokens = l.pendingTokens
+	c.usual = queueTime + fetchTime + baseFirstEvent + prefillTime(l.pendingTokens+c.UncachedTokens)
 	c.FirstEvent = queueTime + fetchTime +
 		scaleDuration(baseFirstEvent+prefillTime(l.pendingTokens+c.UncachedTokens), factor)
 	c.Backlog = queueTime + scaleDuration(prefillTime(l.pendingTokens), factor)
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -35,6 +35,8 @@
 	PromptTokens int
 	// OutputTokens is the expected length of the answer.
 	OutputTokens int
+	// EventGapTarget is the longest wanted pause between two events of a stream; zero for none.
+	EventGapTarget time.Duration
 	// Exclude names endpoints that were already tried.
 	Exclude []string
 }
@@ -61,6 +63,13 @@
 	Queued bool
 	// InFlight is the estimated number of requests in flight at the endpoint.
 	InFlight int
+	// LastingSlowness and MomentSlowness are by how much longer the endpoint was expected to take, always and at this
+	// moment; 1 if it states nothing.
+	LastingSlowness float64
+	MomentSlowness  float64
+	// usual is FirstEvent at the usual speed, and pendingTokens what the endpoint has yet to compute for others.
+	usual         time.Duration
+	pendingTokens int
 }
 
 // Result is how an attempt ended.
--- a/internal/balancer/sample.go
+++ b/internal/balancer/sample.go
@@ -31,7 +31,7 @@
 	chosen = append(chosen, lowestHashes(eligible, affinity, homeEndpoints)...)
 	shared := prefixes[:len(prefixes)-1]
 	for _, e := range eligible {
-		if e.model && e.cache.matchedTokens(shared) == shared[len(shared)-1].Tokens {
+		if e.holds(shared) {
 			chosen = append(chosen, e)
 		}
 	}
@@ -52,3 +52,8 @@
 	}
 	return lowest
 }
+
+// holds reports whether the endpoint is assumed to have all of the prefixes cached.
+func (e *endpoint) holds(prefixes []Prefix) bool {
+	return e.model && e.cache.matchedTokens(prefixes) == prefixes[len(prefixes)-1].Tokens
+}
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -36,6 +36,12 @@
 	firstEventSlowness slowness
 	rejectionLimit     rejectionLimit
 	slotPool           slotPool
+	speeds             speeds
+	// scratch is reused for lists of endpoints.
+	scratch []*endpoint
+	// holders lists the endpoints by what they have cached, and homesByHash keeps what homes returned.
+	holders     *holders
+	homesByHash map[uint64][]*endpoint
 	// returns spreads the callers that were refused because all endpoints are closed or full.
 	returns backpressure.RetrySchedule
 }
@@ -61,6 +67,16 @@
 	}
 }
 
+// setCache replaces the cache; before is nil if there was none.
+func (e *endpoint) setCache(c, before *prefixCache) {
+	c.owner = e
+	if before != nil {
+		before.clear()
+		c.holders = before.holders
+	}
+	e.cache = c
+}
+
 func (e *endpoint) describe(engine *fleet.Engine) {
 	e.model = engine != nil
 	if engine == nil {
@@ -72,7 +88,7 @@
 	}
 	e.cacheTokens = engine.CacheTokens
 	if e.cache == nil || e.cache.limitTokens == 0 {
-		e.cache = newPrefixCache(engine.CacheTokens)
+		e.setCache(newPrefixCache(engine.CacheTokens), e.cache)
 	}
 }
 
@@ -109,7 +125,9 @@
 	for _, k := range list {
 		e := p.endpoints[k.ID]
 		if e == nil || e.known.StartMillis != k.StartMillis || e.known.Address != k.Address {
-			e = &endpoint{idHash: xxhash.Sum64String(k.ID), cache: newPrefixCache(0), peerLoads: map[string]endpointLoad{}}
+			e = &endpoint{idHash: xxhash.Sum64String(k.ID), peerLoads: map[string]endpointLoad{}}
+			e.setCache(newPrefixCache(0), nil)
+			e.cache.holders = p.holders
 			e.signals = signals.Endpoint(InstanceOf(&k.Endpoint))
 			e.describe(p.engine)
 		}
@@ -117,7 +135,14 @@
 		next[k.ID] = e
 		p.ordered = append(p.ordered, e)
 	}
+	for id, e := range p.endpoints {
+		if next[id] != e {
+			e.cache.clear()
+			e.cache.holders = nil
+		}
+	}
 	p.endpoints = next
+	clear(p.homesByHash)
 	p.slotPool = slotPool{}
 }
 
@@ -138,7 +163,10 @@
 	if p := t.pools[name]; p != nil {
 		return p
 	}
-	p = &pool{endpoints: map[string]*endpoint{}, meanDuration: defaultAnswerDuration}
+	p = &pool{
+		endpoints: map[string]*endpoint{}, meanDuration: defaultAnswerDuration,
+		holders: newHolders(), homesByHash: map[uint64][]*endpoint{},
+	}
 	t.pools[name] = p
 	return p
 }
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -10,6 +10,7 @@
 	"rattanchute/internal/quota"
 	"rattanchute/internal/registry"
 	"rattanchute/internal/relay"
+	"rattanchute/internal/speed"
 	"rattanchute/internal/usage"
 )
 
@@ -94,6 +95,8 @@
 	RejectionLimits []balancer.RejectionLimitReport `json:"rejection_limits,omitempty"`
 	// PoolsSlots is set by builds that pool slots of endpoints with a rejection limit.
 	PoolsSlots bool `json:"pools_slots,omitempty"`
+	// Speeds is what endpoints have lately stated of their slowness; nil if there is nothing.
+	Speeds *speed.Report `json:"speeds,omitempty"`
 	// LostFleets are the fleets of which the sender reaches no endpoint.
 	LostFleets []string `json:"lost_fleets,omitempty"`
 	// GroupLostLinks is set if a host of the sender's group has lost its links to a fleet.
@@ -139,6 +142,8 @@
 	RejectionLimits []balancer.RejectionLimitReport `json:"rejection_limits,omitempty"`
 	// PoolsSlots is set if the sender pools slots of endpoints with a rejection limit.
 	PoolsSlots bool `json:"pools_slots,omitempty"`
+	// Speeds is what endpoints have lately stated of their slowness to a host; nil if there is nothing.
+	Speeds *speed.Report `json:"speeds,omitempty"`
 	// RelayPeers are some hosts that have lost no links to endpoints, while another host has.
 	RelayPeers []relay.Peer `json:"relay_peers,omitempty"`
 	// LeavingEndpoints are endpoints that have lately said in a response that they leave.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -120,6 +120,8 @@
 		func() float64 {
 			return float64(n.signals.Counts(clock.Now()).Closed)
 		})
+	gauge("rattanchute_endpoints_slow", "Endpoints that state their slowness and are expected to take at least 1.5 times as long as usual.",
+		func() float64 { return float64(n.balancer.SlowEndpoints(clock.Now())) })
 	gauge("rattanchute_endpoints_limited", "Endpoints that state how many requests a second they accept.",
 		func() float64 { return float64(n.signals.Counts(clock.Now()).Limited) })
 	n.restores = prometheus.NewCounter(prometheus.CounterOpts{
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -67,6 +67,7 @@
 	n.applyLimitReports(now, r.Name, r.LimitedEndpoints)
 	n.applyQuarantine(now, r.Name, r.Quarantine)
 	n.balancer.ApplyRejectionLimitReports(now, r.RejectionLimits, receipt.Role == heartbeat.RoleFollower)
+	n.balancer.ApplySpeedReport(now, r.Speeds, receipt.Role == heartbeat.RoleFollower)
 	n.origins.Apply(now, r.Origins, receipt.Role == heartbeat.RoleFollower)
 	n.observeStoreOf(now, r)
 	if receipt.Role == heartbeat.RoleUnrelated {
@@ -124,6 +125,7 @@
 	n.applyLimitReports(now, d.Name, d.LimitedEndpoints)
 	n.applyQuarantine(now, d.Name, d.Quarantine)
 	n.balancer.ApplyRejectionLimitReports(now, d.RejectionLimits, false)
+	n.balancer.ApplySpeedReport(now, d.Speeds, false)
 	n.origins.Apply(now, d.Origins, false)
 	ack := d.Acks[n.Settings.Name]
 	sent, ok := n.sent.At(ack.Included)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -148,6 +148,7 @@
 	r.Origins = n.origins.Report(now, n.originsSince(now), true)
 	r.RejectionLimits = n.balancer.RejectionLimitReports(now, balancer.ScopeGroup)
 	r.PoolsSlots = true
+	r.Speeds = n.balancer.SpeedReport(now, balancer.ScopeGroup)
 	r.LostFleets = n.links.LostFleets()
 	r.RelayPeers, r.GroupLostLinks = n.peers.ReportedRelayPeers(now, rand.Uint64())
 	r.Members, r.Left = n.peers.Members(now)
@@ -213,6 +214,7 @@
 		GroupSizes:       sharing.Sizes,
 		RejectionLimits:  n.balancer.RejectionLimitReports(now, balancer.ScopeAll),
 		PoolsSlots:       true,
+		Speeds:           n.balancer.SpeedReport(now, balancer.ScopeAll),
 		RelayPeers:       n.peers.DigestRelayPeers(now, rand.Uint64()),
 		Quarantine:       n.quarantine.Report(now),
 		Origins:          n.origins.Report(now, n.originsSince(now), false),
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -105,6 +105,8 @@
 		Version:      x.origin.Version,
 		PromptTokens: x.info.PromptTokens,
 		OutputTokens: x.expectedOutput(),
+
+		EventGapTarget: x.route.EventGapTarget,
 	}
 	var prefix balancer.Prefix
 	for _, part := range x.info.Parts {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -184,6 +184,7 @@
 	}
 	if info.Load != nil {
 		a.balancerAttempt.ObserveLoad(clock.Now(), info.Load.Running+info.Load.Waiting)
+		a.balancerAttempt.ObserveSlowdown(clock.Now(), info.Load.Slowdown)
 	}
 	if info.NotExecuted {
 		body.Finish()
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -78,6 +78,8 @@
 		Int("fetched_tokens", c.FetchTokens).
 		Int64("expected_ms", c.FirstEvent.Milliseconds()).
 		Int64("likely_ms", c.CorrectedFirstEvent.Milliseconds()).
+		Float64("lasting_slowness", c.LastingSlowness).
+		Float64("moment_slowness", c.MomentSlowness).
 		Int64("left_ms", x.deadline.Sub(clock.Now()).Milliseconds()).
 		Msg("request sent")
 }
