--- a/internal/balancer/speed_sim_test.go
+++ b/internal/balancer/speed_sim_test.go
@@ -49,6 +49,8 @@
 	simReportTicks = 200
 	simWarmup      = 5 * time.Second
 	simWindow      = time.Second
+	// simUsualP95 is within which 95 in 100 requests are answered if no endpoint is slow.
+	simUsualP95 = 90 * time.Millisecond
 )
 
 type simEndpoint struct {
@@ -215,6 +217,7 @@
 			t.Logf("without the statement: %v; with it: %v", without, with)
 			is.True(with.slowShare <= 0.15)
 			is.True(with.slowShare <= without.slowShare)
+			is.True(with.p95 <= max(without.p95*8/10, simUsualP95))
 		})
 	}
 }
