--- a/internal/node/reports_test.go
+++ b/internal/node/reports_test.go
@@ -10,6 +10,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/heartbeat"
 	"rattanchute/internal/registry"
+	"rattanchute/internal/speed"
 )
 
 // TestTruncatedMessagesFit uses twice the planned number of endpoints, all changing at once.
@@ -62,3 +63,22 @@
 	is.Equal(short.Endpoints.Since, d.Endpoints.Since)
 	is.True(len(short.Loads) >= 250)
 }
+
+// TestSlownessOfEndpointsTakesLittleOfAMessage has more slow endpoints than are told.
+func TestSlownessOfEndpointsTakesLittleOfAMessage(t *testing.T) {
+	is := is.New(t)
+	var statements []speed.Statement
+	for i := range 3200 {
+		statements = append(statements, speed.Statement{
+			Fleet: "a-fleet-with-a-name", Endpoint: fmt.Sprint("i-0123456789", i), Percent: 1600, AgeMillis: 2999,
+		})
+	}
+	without, _, err := encodeWithinLimit(heartbeat.Datagram{Report: &heartbeat.Report{}})
+	is.NoErr(err)
+	d := heartbeat.Datagram{Report: &heartbeat.Report{Speeds: speed.NewReport(statements)}}
+	with, dropped, err := encodeWithinLimit(d)
+	is.NoErr(err)
+	is.Equal(dropped, "")
+	is.True(len(with)-len(without) < 5000)
+	is.True(withoutSpeeds(d).Report.Speeds == nil)
+}
--- a/internal/node/truncate.go
+++ b/internal/node/truncate.go
@@ -36,12 +36,17 @@
 	{"prefills", withoutPrefills},
 	{"loads of the less busy endpoints", withLoads(1000)},
 	{"loads of most endpoints", withLoads(250)},
+	{"slowness of endpoints", withoutSpeeds},
 	{"rate limits of endpoints", withoutLimits},
 	{"requests that crash endpoints", withoutQuarantine},
 	{"origins of streams", withoutOrigins},
 	{"changes to endpoints", withoutEndpointChanges},
 }
 
+func withoutSpeeds(d heartbeat.Datagram) heartbeat.Datagram {
+	return edited(d, func(r *heartbeat.Report) { r.Speeds = nil }, func(g *heartbeat.Digest) { g.Speeds = nil })
+}
+
 func withoutLimits(d heartbeat.Datagram) heartbeat.Datagram {
 	return edited(d, func(r *heartbeat.Report) { r.LimitedEndpoints = nil }, func(g *heartbeat.Digest) { g.LimitedEndpoints = nil })
 }
