fairshare: room of a fleet that is short is shared between organisations

Cause: nothing keeps a caller within its share. loadshed refuses the requests of all organisations alike, and quotas limit rates, not room. With four hosts, endpoints for 320 calls a second, seven organisations with 190 a second together and an eighth with 230, TestAFloodLeavesOthersTheirShare failed on the code before: the seven lost 297 of 1145 calls in time with the eighth through all hosts, 274 of 1150 with it through one.

Change: package fairshare measures demand by fleet and organisation (slots, computing of prompts, KV memory), learns that of all hosts from reports and digests in the way of the endpoints' loads, and grants each organisation its demand up to the max-min fair level of the scarce kinds, and a part above it, the same at every host. The room is corrected by how full the endpoints turn out to be. A refused request gets 503 organisation_share, has not run and costs no quota. It acts only with two organisations or more and while a fleet is short. docs/design/fair-shares.md.

Ruled out: a correction by fullness alone, and a faster one (figures in the design note, trials); chance instead of credits; an owner host.

Virtual time, 66 hosts in groups, the flood through one or all, half of the hosts killed: TestOthersKeepTheirShareBesideAFlood passes. BenchmarkDecide 263 and 314 ns, no allocation (64 organisations).

Not done: the queue in the host that orders what waits, and room kept for urgent short work.

--- a/internal/heartbeat/history.go
+++ b/internal/heartbeat/history.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattanchute/internal/balancer"
+	"rattanchute/internal/fairshare"
 )
 
 // keptReports is the difference between the number of a new report and that of the report that is
@@ -17,6 +18,8 @@
 	At    time.Time
 	Spent map[string]float64
 	Loads []balancer.Load
+	// Shares is the demand of organisations that was reported; nil if none was.
+	Shares *fairshare.Report
 }
 
 // History holds the reports that this host sent recently, by number. The leader's digests refer to
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -3,6 +3,7 @@
 import (
 	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
+	"rattanchute/internal/fairshare"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/origin"
@@ -90,6 +91,8 @@
 	// Origins says where streams of the group began; nil if there are none.
 	Origins *origin.Report `json:"origins,omitempty"`
 
+	// Shares is the demand of organisations through the group for fleets that are short of room; nil if none is.
+	Shares *fairshare.Report `json:"shares,omitempty"`
 	// RejectionLimits are the fleets whose endpoints have lately stated a rejection limit.
 	RejectionLimits []balancer.RejectionLimitReport `json:"rejection_limits,omitempty"`
 	// PoolsSlots is set by builds that pool slots of endpoints with a rejection limit.
@@ -153,6 +156,8 @@
 	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 	// Origins says where streams began, those of all hosts; nil if there are none.
 	Origins *origin.Report `json:"origins,omitempty"`
+	// Shares is the demand of organisations through all hosts for fleets that are short of room; nil if none is.
+	Shares *fairshare.Report `json:"shares,omitempty"`
 	// Levels are the remaining quota tokens by organisation, after all processed reports.
 	Levels map[string]float64 `json:"levels,omitempty"`
 	// Loads are the loads of all hosts, including the follower's own. If the digest would be too large,
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -35,6 +35,7 @@
 		Boundary:     n.boundary,
 		OnStarted:    n.countRequest,
 		OnLeaving:    func() { wake(n.reportNow) },
+		Shares:       n.shares,
 		Quarantine:   n.quarantine,
 		MayProbe:     n.mayProbe,
 		Origins:      n.origins,
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -102,6 +102,7 @@
 	}
 	now := clock.Now()
 	n.balancer.Configure(c)
+	n.configureShares(c)
 	n.quota.Configure(now, c.Organisations)
 	n.proxy.SetTable(route.Compile(c))
 	n.announceChange()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"rattanchute/internal/clock"
 	"rattanchute/internal/contain"
 	"rattanchute/internal/duty"
+	"rattanchute/internal/fairshare"
 	"rattanchute/internal/heartbeat"
 	"rattanchute/internal/lease"
 	"rattanchute/internal/objectstore"
@@ -111,6 +112,8 @@
 	signals *backpressure.Table
 	// quarantine knows the requests and the prompts that crash endpoints.
 	quarantine *quarantine.Table
+	// shares shares the room of fleets between organisations.
+	shares *fairshare.Table
 	// origins knows where streams began.
 	origins          *origin.Table
 	quarantineKeeper *keeper.Keeper
@@ -177,6 +180,7 @@
 		clusterClock: clock.NewClusterClock(now, wall),
 		endpoints:    registry.NewView(),
 		signals:      signals,
+		shares:       fairshare.NewTable(),
 		quarantine:   quarantine.NewTable(s.Name, wall.UnixMilli()),
 		origins:      origin.NewTable(clock.Now(), s.FirstStart),
 
@@ -199,6 +203,7 @@
 	n.buildProxy()
 	n.buildDuties()
 	n.registerGauges()
+	n.registry.MustRegister(shareCollector{n.shares})
 	deps.StoreEras.OnRestore(n.storeRestored)
 	return n, nil
 }
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -9,6 +9,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/contain"
+	"rattanchute/internal/fairshare"
 	"rattanchute/internal/heartbeat"
 	"rattanchute/internal/quota"
 )
@@ -87,6 +88,7 @@
 	}
 	n.clusterClock.OnReport(now, time.Now(), r.Name, time.UnixMilli(r.WallMillis))
 	n.balancer.SetPeerLoads(now, r.Name, follower, r.Loads)
+	n.shares.Apply(now, r.Name, follower, r.Shares)
 	for _, prefill := range r.Prefills {
 		n.proxy.ObservePrefill(now, prefill, follower)
 	}
@@ -132,6 +134,7 @@
 	}
 	n.quota.Adopt(now, d.Levels, sent.Spent)
 	n.balancer.SetPeerLoads(now, d.Name, false, balancer.SubtractLoads(d.Loads, sent.Loads))
+	n.shares.Apply(now, d.Name, false, fairshare.Subtract(d.Shares, sent.Shares))
 	for _, prefill := range d.Prefills {
 		n.proxy.ObservePrefill(now, prefill, false)
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -9,6 +9,7 @@
 
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
+	"rattanchute/internal/fairshare"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/heartbeat"
 )
@@ -84,6 +85,7 @@
 	n.leader = leader
 	n.quota.ForgetAll()
 	n.balancer.ForgetPeerLoads()
+	n.shares.ForgetPeers()
 }
 
 // sendMessages sends a report and a digest, each to the recipients that the table of peers states.
@@ -146,6 +148,7 @@
 	r.LimitedEndpoints = n.signals.LimitReports(now)
 	r.Quarantine = n.quarantine.Report(now)
 	r.Origins = n.origins.Report(now, n.originsSince(now), true)
+	r.Shares = n.shares.Report(now, fairshare.ScopeGroup)
 	r.RejectionLimits = n.balancer.RejectionLimitReports(now, balancer.ScopeGroup)
 	r.PoolsSlots = true
 	r.LostFleets = n.links.LostFleets()
@@ -157,7 +160,7 @@
 	if confirmed := n.endpoints.ConfirmedAt(); !confirmed.IsZero() {
 		r.EndpointsAgeMillis = max(now.Sub(confirmed).Milliseconds(), 1)
 	}
-	n.sent.Add(r.Number, heartbeat.SentReport{At: now, Spent: r.Quota.Spent, Loads: r.Loads})
+	n.sent.Add(r.Number, heartbeat.SentReport{At: now, Spent: r.Quota.Spent, Loads: r.Loads, Shares: r.Shares})
 	return heartbeat.Datagram{Report: r}
 }
 
@@ -217,6 +220,7 @@
 		Quarantine:       n.quarantine.Report(now),
 		Origins:          n.origins.Report(now, n.originsSince(now), false),
 
+		Shares:   n.shares.Report(now, fairshare.ScopeAll),
 		Levels:   n.quota.SpendingReport(now).Level,
 		Loads:    n.balancer.Loads(now, balancer.ScopeAll),
 		Prefills: prefills[max(len(prefills)-maxReportedPrefills, 0):],
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -144,6 +144,7 @@
 	n.start(ctx, n.becomeReady)
 	n.start(ctx, n.quarantineKeeper.Run)
 	n.start(ctx, n.logState)
+	n.start(ctx, n.shareRoom)
 	n.tasks.Go(n.receiveMessages)
 }
 
--- a/internal/node/truncate.go
+++ b/internal/node/truncate.go
@@ -35,6 +35,7 @@
 var truncations = []truncation{
 	{"prefills", withoutPrefills},
 	{"loads of the less busy endpoints", withLoads(1000)},
+	{"shares of organisations", withoutShares},
 	{"loads of most endpoints", withLoads(250)},
 	{"rate limits of endpoints", withoutLimits},
 	{"requests that crash endpoints", withoutQuarantine},
@@ -46,6 +47,10 @@
 	return edited(d, func(r *heartbeat.Report) { r.LimitedEndpoints = nil }, func(g *heartbeat.Digest) { g.LimitedEndpoints = nil })
 }
 
+func withoutShares(d heartbeat.Datagram) heartbeat.Datagram {
+	return edited(d, func(r *heartbeat.Report) { r.Shares = nil }, func(g *heartbeat.Digest) { g.Shares = nil })
+}
+
 func withoutQuarantine(d heartbeat.Datagram) heartbeat.Datagram {
 	return edited(d, func(r *heartbeat.Report) { r.Quarantine = nil }, func(g *heartbeat.Digest) { g.Quarantine = nil })
 }
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -142,6 +142,9 @@
 	if x.sends > 0 {
 		return nil
 	}
+	if e := x.shedLimited(choice); e != nil {
+		return e
+	}
 	d := loadshed.Decide(x.loadshedRequest(x.deadline.Sub(now)), estimate(choice))
 	if d.Admit {
 		return nil
@@ -207,6 +210,7 @@
 	if a.peer == nil {
 		a.observeCrash(out, result)
 	}
+	x.recordServed(clock.Now(), a, result)
 	p.telemetry.HealthChanged(a.choice.Endpoint.ID, a.balancerAttempt.End(clock.Now(), result))
 	if out != outcomeNotSent && out != outcomeWithdrawn {
 		x.sends++
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -8,6 +8,7 @@
 
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
+	"rattanchute/internal/fairshare"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/origin"
 	"rattanchute/internal/relay"
@@ -50,6 +51,8 @@
 	// tokenCost is what the request counts against its organisation's quota; zero without an
 	// organisation, if the quota refused the request, and once the tokens are refunded.
 	tokenCost float64
+	// share is the decision on the organisation's share; zero for a relayed request.
+	share fairshare.Decision
 	// started is set once the request may have started to run.
 	started bool
 	// counted is set once the request is counted towards usage.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/contain"
+	"rattanchute/internal/fairshare"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
@@ -47,6 +48,8 @@
 	// whether one of a peer.
 	Reaches     func(id string) bool
 	PeerReaches func(ctx context.Context, id string) bool
+	// Shares shares the room of fleets between organisations.
+	Shares *fairshare.Table
 	// Quarantine knows the requests and the prompts that crash endpoints.
 	Quarantine *quarantine.Table
 	// Origins knows where streams began.
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rattanchute/internal/balancer"
+	"rattanchute/internal/fairshare"
 	"rattanchute/internal/quarantine"
 	"rattanchute/internal/quota"
 )
@@ -63,6 +64,8 @@
 	estimate *balancer.Choice
 	// quarantine is the entry that covers the request if it was refused because of it; else nil.
 	quarantine *quarantine.Entry
+	// share is the decision on the organisation's share if it refused the request, else nil.
+	share *fairshare.Decision
 }
 
 func newErrorResponse(status int, reason Reason, retryAfter time.Duration) *errorResponse {
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -202,6 +202,9 @@
 		line = line.Strs("quarantined_parts", e.quarantine.Parts).Str("fingerprint", e.quarantine.Fingerprint).
 			Int("crashes", e.quarantine.Crashes)
 	}
+	if e.share != nil {
+		line = line.Float64("share_granted", e.share.Granted).Float64("share_level", e.share.Level)
+	}
 	if e.estimate != nil {
 		line = line.Str("endpoint", e.estimate.Endpoint.ID).Int("in_flight", e.estimate.InFlight).
 			Int64("expected_ms", e.estimate.CorrectedFirstEvent.Milliseconds()).
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -23,6 +23,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/contain"
+	"rattanchute/internal/fairshare"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/origin"
 	"rattanchute/internal/quarantine"
@@ -220,6 +221,7 @@
 		Balancer:     p.balancer,
 		Quota:        p.quota,
 		RetryBudget:  retrybudget.NewBudget(retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}),
+		Shares:       fairshare.NewTable(),
 		Telemetry:    NewTelemetry(logger, prometheus.NewRegistry()),
 		Boundary:     contain.NewBoundary(logger, prometheus.NewRegistry()),
 		Links:        Links{Table: reachability.NewTable(), Up: func(string) {}, Failed: func(string, string) {}},
