fairshare: even part guaranteed, queues drained at once, an even flow of what is granted

The correction of the room fell while a queue was worked off, and with it the level below the demand of the others; credits let a part of each burst through at once.

Change: credits grow with the mean demand; who demands no more than its even part of the uncorrected room is not limited; the drain follows the fullness of the last 0.2 s; the correction works between 1.15 and 1.4.

--- a/internal/balancer/bench_test.go
+++ b/internal/balancer/bench_test.go
@@ -5,6 +5,21 @@
 	"testing"
 )
 
+// BenchmarkRoom measures adding up the room of a large fleet, whose loads a leader and another host report.
+func BenchmarkRoom(b *testing.B) {
+	table := newTestTable(1600)
+	var loads []Load
+	for _, e := range table.pool(modelFleet).ordered {
+		loads = append(loads, Load{Fleet: modelFleet, Endpoint: e.known.ID, InFlight: 3})
+	}
+	table.SetPeerLoads(epoch, "leader", false, loads)
+	table.SetPeerLoads(epoch, "follower", true, loads)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Room(epoch, modelFleet)
+	}
+}
+
 // BenchmarkChoose measures the choice for a prompt of two shared parts among the endpoints of a large
 // fleet, some of which hold the document.
 func BenchmarkChoose(b *testing.B) {
--- a/internal/fairshare/demand.go
+++ b/internal/fairshare/demand.go
@@ -14,6 +14,10 @@
 	idleTimeout = 10 * time.Second
 	// maxRanks is the number of ranks that are told apart; lower ones count as the last.
 	maxRanks = 4
+	// minBurst is the least number of requests of a rank that may be granted at once; it grows by the requests of
+	// burstTime.
+	minBurst  = 2
+	burstTime = 200 * time.Millisecond
 )
 
 // member is an organisation that uses a fleet through this host.
@@ -22,8 +26,8 @@
 	rate  Cost
 	ranks [maxRanks]float64
 	at    time.Time
-	// granted is the part of the requests of each rank that is granted, from 0 to 1, and credit what is left of
-	// it: a request is granted for a whole credit.
+	// granted is the part of the requests of each rank that is granted, from 0 to 1, and credit how many may be
+	// granted at once. It grows with the mean demand, so that a burst is spread.
 	granted [maxRanks]float64
 	credit  [maxRanks]float64
 	// limited is set while the organisation demands more than its share.
@@ -51,6 +55,9 @@
 	factor := math.Exp(-float64(elapsed) / float64(demandTimeConstant))
 	m.rate = m.rate.times(factor)
 	for i := range m.ranks {
+		// The mean rate, summed up over time, is the number of requests.
+		requests := m.ranks[i] * demandTimeConstant.Seconds() * (1 - factor)
+		m.credit[i] = min(m.credit[i]+m.granted[i]*requests, m.maxCredit(i))
 		m.ranks[i] *= factor
 	}
 	m.at = now
@@ -95,9 +102,13 @@
 	}
 }
 
+// maxCredit returns how many requests of a rank may be granted at once.
+func (m *member) maxCredit(rank int) float64 {
+	return minBurst + m.granted[rank]*m.ranks[rank]*burstTime.Seconds()
+}
+
 // take grants or refuses a request of a rank.
 func (m *member) take(rank int) bool {
-	m.credit[rank] = min(m.credit[rank]+m.granted[rank], 1+m.granted[rank])
 	if m.credit[rank] < 1 {
 		return false
 	}
--- a/internal/fairshare/level.go
+++ b/internal/fairshare/level.go
@@ -15,6 +15,16 @@
 	dominant float64
 }
 
+// within reports whether the demand is no more than some room. A kind that is zero is not limited.
+func (c *claim) within(room Cost) bool {
+	for k, d := range c.demand {
+		if room[k] > 0 && d > room[k] {
+			return false
+		}
+	}
+	return true
+}
+
 // grant returns the part of the claim that a level grants.
 func (c *claim) grant(level float64) float64 {
 	if c.dominant <= level*c.weight {
--- a/internal/fairshare/refresh.go
+++ b/internal/fairshare/refresh.go
@@ -11,10 +11,10 @@
 	// usablePart is the part of the room that is shared out: with all of it, requests would wait.
 	usablePart = 0.97
 	// lowTarget and highTarget bound the mean fullness that the correction aims at while a fleet is short.
-	lowTarget, highTarget = 1.15, 1.3
+	lowTarget, highTarget = 1.15, 1.4
 	// lowDelay and highDelay are by how much longer than without a queue requests take, at which the correction
 	// grows or shrinks: requests on their way fill no slots, so that endpoints may seem full and are not.
-	lowDelay, highDelay = 1.2, 1.3
+	lowDelay, highDelay = 1.2, 1.4
 	// fullnessTimeConstant is that of the mean fullness.
 	fullnessTimeConstant = 500 * time.Millisecond
 	// shortFullness is how full endpoints are when a fleet may become short, and ampleFullness when it no longer
@@ -26,15 +26,19 @@
 	ampleDemand = 0.9
 	// growthPerSecond and shrinkPerSecond are the rates of the correction for each unit of fullness or delay beyond
 	// the targets, and maxError bounds what counts of it.
-	growthPerSecond = 2
-	shrinkPerSecond = 0.6
+	growthPerSecond = 1
+	shrinkPerSecond = 1
 	maxError        = 0.5
 	// correctionDelay is how long a fleet must have been short: first, what waits is worked off.
 	correctionDelay = 1500 * time.Millisecond
 	// drainPerFullness is by how much organisations above the level are granted less for each unit of fullness
 	// over highTarget, so that what waits is worked off, and minDrain the least part that they keep.
 	drainPerFullness = 1.5
-	minDrain         = 0.2
+	minDrain         = 0.1
+	// recentTimeConstant is that of the fullness that this depends on, and surelyQueued the fullness from which on
+	// requests wait, whatever those say that have been answered.
+	recentTimeConstant = 200 * time.Millisecond
+	surelyQueued       = 2
 	// minCorrection and maxCorrection bound the correction. Hosts out of touch may have little of the room.
 	minCorrection, maxCorrection = 0.02, 2.0
 	// correctionDecay is the rate at which the correction ends without a shortage, per second.
@@ -58,8 +62,9 @@
 	// since is when that last changed, and ampleSince from when on the fleet has been ample while short.
 	since, ampleSince time.Time
 	correction        Cost
-	// mean is the mean fullness.
-	mean Cost
+	// mean is the mean fullness, and recent that of the fullest kind over a shorter time.
+	mean   Cost
+	recent float64
 }
 
 func (c *control) reset() {
@@ -72,6 +77,8 @@
 func (p *pool) correct(now time.Time, elapsed time.Duration, r *Room) {
 	c, seconds := &p.control, min(elapsed, maxRefreshGap).Seconds()
 	weight := 1 - math.Exp(-seconds/fullnessTimeConstant.Seconds())
+	_, fullest := r.fullest()
+	c.recent += (fullest - c.recent) * (1 - math.Exp(-seconds/recentTimeConstant.Seconds()))
 	for k, f := range r.Fullness {
 		c.mean[k] += (f - c.mean[k]) * weight
 		v := c.correction[k]
@@ -102,10 +109,11 @@
 
 // drain returns the part that organisations above the level are granted of what the level grants them.
 func (p *pool) drain(now time.Time) float64 {
-	if ratio, known := p.delay.known(now); known && ratio < highDelay {
+	ratio, known := p.delay.known(now)
+	if known && ratio < lowDelay && p.recent < surelyQueued {
 		return 1
 	}
-	return max(1-drainPerFullness*max(p.meanFullness()-highTarget, 0), minDrain)
+	return max(1-drainPerFullness*max(p.recent-highTarget, 0), minDrain)
 }
 
 // meanFullness returns the mean fullness of the fullest kind.
@@ -119,13 +127,18 @@
 	return fullness
 }
 
-// usable returns the room that may be shared out.
-func (c *control) usable(r *Room) Cost {
+// nominal returns the usable room without a correction.
+func (r *Room) nominal() Cost {
 	part := usablePart
 	if r.ReachablePart > 0 && r.ReachablePart < cutPart {
 		part *= r.ReachablePart
 	}
-	out := r.Capacity.times(part)
+	return r.Capacity.times(part)
+}
+
+// usable returns the room that may be shared out.
+func (c *control) usable(r *Room) Cost {
+	out := r.nominal()
 	for k := range out {
 		out[k] *= c.correction[k]
 	}
@@ -250,7 +263,7 @@
 
 // shareOut sets the shares of the organisations and returns how many are limited.
 func (p *pool) shareOut(now time.Time) int {
-	limited, drain := 0, p.drain(now)
+	limited, drain, even := 0, p.drain(now), p.evenPart()
 	for i := range p.claims {
 		c := &p.claims[i]
 		m := p.members[c.name]
@@ -259,7 +272,7 @@
 		}
 		m.decay(now)
 		part := c.grant(p.level)
-		if !p.short || part >= fullGrant {
+		if !p.short || part >= fullGrant || c.within(even.times(c.weight)) {
 			part = 1
 		} else {
 			part *= drain
@@ -269,3 +282,16 @@
 	}
 	return limited
 }
+
+// evenPart returns the room for a weight of one if all that demand something shared the nominal room by weight. Who
+// demands no more is not limited, however little room the correction leaves: it may be wrong, and it shrinks for
+// those that demand most.
+func (p *pool) evenPart() Cost {
+	weights := 0.0
+	for i := range p.claims {
+		if p.claims[i].demand[Slots] >= minReportedSlots {
+			weights += p.claims[i].weight
+		}
+	}
+	return p.room.nominal().times(1 / max(weights, 1e-9))
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -100,6 +100,7 @@
 	"quota":                     "the organisation's quota over all hosts was used up; the request has not run",
 	"no_endpoint":               "no endpoint of the fleet was left to try; the request has not run",
 	"endpoints_closed":          "all endpoints wanted no requests from this host for some time; the request has not run",
+	"organisation_share":        "the fleet was short of room and the organisation had used its share; the request has not run",
 	"prompt_quarantined":        "requests with these parts in their prompts crash endpoints; the request has not run",
 	"overloaded":                "no endpoint was expected to answer within the caller's time; the request has not run",
 	"endpoints_refused":         "the endpoints that were asked said that they did not run it, and no attempt was left",
