--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -173,6 +173,7 @@
 	r := table.Report(now, ScopeAll)
 	text, err := json.Marshal(r)
 	is.NoErr(err)
+	t.Logf("%d bytes", len(text))
 	is.True(len(text) < 2000)
 	var decoded Report
 	is.NoErr(json.Unmarshal(text, &decoded))
--- a/internal/fairshare/refresh.go
+++ b/internal/fairshare/refresh.go
@@ -11,10 +11,10 @@
 	// usablePart is the part of the room that is shared out: with all of it, requests would wait.
 	usablePart = 0.97
 	// lowTarget and highTarget bound the mean fullness that the correction aims at while a fleet is short.
-	lowTarget, highTarget = 1.15, 1.4
+	lowTarget, highTarget = 1.25, 1.45
 	// lowDelay and highDelay are by how much longer than without a queue requests take, at which the correction
 	// grows or shrinks: requests on their way fill no slots, so that endpoints may seem full and are not.
-	lowDelay, highDelay = 1.2, 1.4
+	lowDelay, highDelay = 1.25, 1.4
 	// fullnessTimeConstant is that of the mean fullness.
 	fullnessTimeConstant = 500 * time.Millisecond
 	// shortFullness is how full endpoints are when a fleet may become short, and ampleFullness when it no longer
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -13,20 +13,32 @@
 	"rattanchute/internal/fleet"
 )
 
-// shareInterval is how often the room of fleets is shared out between organisations.
-const shareInterval = 100 * time.Millisecond
+const (
+	// shareInterval is how often the room of fleets is shared out between organisations, and maxShareInterval the
+	// longest time between two times.
+	shareInterval    = 100 * time.Millisecond
+	maxShareInterval = 500 * time.Millisecond
+	// sharePauses is how much longer than it takes the pause after it is.
+	sharePauses = 100
+)
 
 // shareRoom shares out the room of fleets with recent requests until the context ends.
 func (n *Node) shareRoom(ctx context.Context) {
-	for backoff.Pause(ctx, shareInterval) {
+	pause := shareInterval
+	for backoff.Pause(ctx, pause) {
 		now := clock.Now()
-		reachable, known := n.peers.HostCounts(now)
-		part := float64(reachable) / float64(max(known, 1))
-		for _, name := range n.shares.Active(now) {
-			change, changed := n.shares.SetRoom(now, name, sharedRoom(n.balancer.Room(now, name), part))
-			if changed {
-				n.logShortage(&change)
-			}
+		n.shareRoomOnce(now)
+		pause = min(max(sharePauses*clock.Now().Sub(now), shareInterval), maxShareInterval)
+	}
+}
+
+func (n *Node) shareRoomOnce(now time.Time) {
+	reachable, known := n.peers.HostCounts(now)
+	part := float64(reachable) / float64(max(known, 1))
+	for _, name := range n.shares.Active(now) {
+		change, changed := n.shares.SetRoom(now, name, sharedRoom(n.balancer.Room(now, name), part))
+		if changed {
+			n.logShortage(&change)
 		}
 	}
 }
