--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -314,3 +315,57 @@
 	}
 	is.Equal(changes, 1)
 }
+
+// TestConcurrentUse has organisations come and go by configuration while requests are decided on and messages arrive.
+func TestConcurrentUse(t *testing.T) {
+	table := NewTable()
+	now := time.Unix(1000, 0)
+	room := Room{Capacity: Cost{Slots: 4}, Fullness: Cost{Slots: 1}}
+	var work sync.WaitGroup
+	repeat := func(step func(i int)) {
+		work.Go(func() {
+			for i := range 300 {
+				step(i)
+			}
+		})
+	}
+	at := func(i int) time.Time { return now.Add(time.Duration(i) * 10 * time.Millisecond) }
+	names := []string{"a", "b", "c", ""}
+	repeat(func(i int) {
+		table.Configure([]Organisation{{Name: "a"}, {Name: "b", Weight: 2}, {Name: "c"}}[:1+i%3], []string{"f", "g"}[:1+i%2])
+	})
+	for range 3 {
+		repeat(func(i int) {
+			table.Decide(at(i), 0.5, Request{Fleet: "f", Route: "r", Organisation: names[i%len(names)], Rank: i})
+			table.RecordServed(at(i), Served{Fleet: "f", Route: "r", Seconds: 0.1, Slots: 8})
+		})
+	}
+	repeat(func(i int) { table.SetRoom(at(i), "f", room) })
+	repeat(func(i int) { table.Apply(at(i), "peer", i%2 == 0, table.Report(at(i), ScopeAll)) })
+	repeat(func(i int) { table.Snapshot(at(i)) })
+	repeat(func(int) { table.ForgetPeers() })
+	work.Wait()
+}
+
+// TestOrganisationsComeAndGo has an organisation that floods leave the configuration, and come back.
+func TestOrganisationsComeAndGo(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := floodedTable(now)
+	flood := Request{Fleet: "f", Route: "r", Organisation: "a"}
+	is.True(!table.Decide(now, 0, flood).Admit)
+	table.Configure([]Organisation{{Name: "b"}, {Name: "c"}}, []string{"f", "g"})
+	is.True(table.Decide(now, 0, flood).Admit) // whether its keys are still valid is decided elsewhere
+	room := Room{Capacity: Cost{Slots: 10}, Fullness: Cost{Slots: 1}}
+	table.SetRoom(now, "f", room)
+	is.True(table.Decide(now, 0, Request{Fleet: "f", Route: "r", Organisation: "b"}).Admit)
+	table.Configure([]Organisation{{Name: "a"}, {Name: "b"}, {Name: "c"}}, []string{"f", "g"})
+	table.SetRoom(now, "f", room)
+	refused := 0
+	for range 20 {
+		if !table.Decide(now, 0, flood).Admit {
+			refused++
+		}
+	}
+	is.True(refused > 10)
+}
