--- a/internal/fairshare/cost.go
+++ b/internal/fairshare/cost.go
@@ -1,6 +1,9 @@
 package fairshare
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Kind is a kind of room.
 type Kind int
@@ -60,6 +63,9 @@
 	return true
 }
 
+// MaxPromptBacklog is the mean time for which endpoints have prompts to compute at which they are full.
+const MaxPromptBacklog = 500 * time.Millisecond
+
 // Room is the room of a fleet, as this host sees all endpoints that may be sent requests.
 type Room struct {
 	// Capacity is what the endpoints have: slots, prompt tokens a second, and KV tokens. A kind that is zero is
