--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -3,6 +3,7 @@
 import (
 	"rattanchute/internal/backpressure"
 	"rattanchute/internal/balancer"
+	"rattanchute/internal/fairshare"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/origin"
@@ -95,6 +96,8 @@
 	// Rollouts is what the group knows of orders to move fleets to other versions; nil if there are none.
 	Rollouts *rollout.Report `json:"rollouts,omitempty"`
 
+	// Shares is the demand of organisations through the group for fleets that are short of room; nil if none is.
+	Shares *fairshare.Report `json:"shares,omitempty"`
 	// RejectionLimits are the fleets whose endpoints have lately stated a rejection limit.
 	RejectionLimits []balancer.RejectionLimitReport `json:"rejection_limits,omitempty"`
 	// PoolsSlots is set by builds that pool slots of endpoints with a rejection limit.
@@ -164,6 +167,8 @@
 	Origins *origin.Report `json:"origins,omitempty"`
 	// Rollouts are the orders to move fleets to other versions; nil if the platform has none.
 	Rollouts *rollout.Digest `json:"rollouts,omitempty"`
+	// Shares is the demand of organisations through all hosts for fleets that are short of room; nil if none is.
+	Shares *fairshare.Report `json:"shares,omitempty"`
 	// Levels are the remaining quota tokens by organisation, after all processed reports.
 	Levels map[string]float64 `json:"levels,omitempty"`
 	// Loads are the loads of all hosts, including the follower's own. If the digest would be too large,
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -146,6 +146,7 @@
 	n.startRollouts(ctx)
 	n.start(ctx, n.originKeeper.Run)
 	n.start(ctx, n.logState)
+	n.start(ctx, n.shareRoom)
 	n.tasks.Go(n.receiveMessages)
 }
 
