--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -278,14 +278,20 @@
 }
 
 // TestHostEndsMidway kills one host of four while an order is in progress: the order ends as it should, by its deadline.
-func TestHostEndsMidway(t *testing.T) {
+func TestHostEndsMidway(t *testing.T) { playHostThatEnds(t, 0, 8*time.Second) }
+
+// TestHostEndsShortlyBeforeTheDeadline kills it between the switch and the deadline, or shortly before.
+func TestHostEndsShortlyBeforeTheDeadline(t *testing.T) {
+	playHostThatEnds(t, 8*time.Second, 12*time.Second)
+}
+
+// playHostThatEnds kills one host of four at some time in a span since the order.
+func playHostThatEnds(t *testing.T, from, to time.Duration) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, 4)
 		s.rate = rapid.Float64Range(1, 3).Draw(t, "rate")
 		h := s.hosts[s.random.IntN(4)]
-		// Not in the last seconds: a host that ends between the switch and its report delays the end by the time for
-		// which its permission lasts, for which every order would have to be switched earlier.
-		h.pausedAt = epoch.Add(time.Duration(s.random.Int64N(int64(8 * time.Second))))
+		h.pausedAt = epoch.Add(from + time.Duration(s.random.Int64N(int64(to-from))))
 		h.pausedTo = h.pausedAt.Add(time.Hour)
 		want := StepCompleted
 		if rapid.Bool().Draw(t, "bad") {
