Findings of the reviews: roll-outs, shares, speeds, origins, reach

Roll-outs: a leader that is cut off from the store no longer counts as one that tells of orders; a host decides only once it has read the list of hosts; in groups, completion waits until permissions have run out, since a host may count twice while it changes its leader; the switch is never before its earliest time; recent counts of silent peers fade; a deleted order that is read again at its version is in force; a panic leaves no request counted; a peer that has switched is no confirmation that none has.

Speeds: a statement that comes back through other hosts does not replace a newer one; reports name no pools that are not there, and are bounded.

Origins: reading, sweeping and deleting do not delay writes; a stream that is also heard of from a host is told on; a fleet with a stream of another version has not had only one.

Reach: probes wait as long as requests of the fleet do, at most a second; bytes of a buffered body are heard; old evidence is dropped first; peers are told of lost fleets in order.

Ruled out: to ignore all statements of others that are hardly newer than one's own.

--- a/internal/balancer/room.go
+++ b/internal/balancer/room.go
@@ -35,6 +35,14 @@
 	return r
 }
 
+const (
+	// maxCountedFullness bounds what one endpoint adds, relative to its room, so that one at which much waits, or that
+	// states a senseless number, does not make the fleet look full.
+	maxCountedFullness = 3
+	// maxCountedBacklog is the time for which an endpoint that counts with it has prompts to compute.
+	maxCountedBacklog = 1500 * time.Millisecond
+)
+
 func (r *Room) add(now time.Time, e *endpoint) {
 	l := e.load(now, ScopeAll)
 	inFlight := l.inFlight
@@ -44,12 +52,13 @@
 	}
 	r.Endpoints++
 	r.Slots += e.known.Slots
-	r.InFlight += inFlight
+	r.InFlight += min(inFlight, maxCountedFullness*e.known.Slots)
 	if !e.model {
 		return
 	}
-	r.PromptTokensPerSecond += prefillTokensPerMilli * millisPerSecond / max(e.factor(now), 1)
-	r.PendingTokens += l.pendingTokens
+	rate := prefillTokensPerMilli * millisPerSecond / max(e.factor(now), 1)
+	r.PromptTokensPerSecond += rate
+	r.PendingTokens += min(l.pendingTokens, int(rate*maxCountedBacklog.Seconds()))
 	r.CacheTokens += e.cacheTokens
-	r.MemoryTokens += l.memoryTokens
+	r.MemoryTokens += min(l.memoryTokens, maxCountedFullness*e.cacheTokens)
 }
--- a/internal/balancer/speed.go
+++ b/internal/balancer/speed.go
@@ -270,12 +270,15 @@
 	if r == nil {
 		return
 	}
-	for _, s := range r.Endpoints {
-		p := t.pool(s.Fleet)
+	pools := t.all()
+	for _, s := range r.Endpoints[:min(len(r.Endpoints), speed.MaxReported)] {
+		p := pools[s.Fleet]
+		if p == nil {
+			continue
+		}
 		p.mu.Lock()
-		if e := p.endpoints[s.Endpoint]; e != nil {
+		if e := p.endpoints[s.Endpoint]; e != nil && e.speed.Apply(now, s, follower) {
 			p.speeds.statedAt = now
-			e.speed.Apply(now, s, follower)
 		}
 		p.mu.Unlock()
 	}
--- a/internal/fairshare/decide.go
+++ b/internal/fairshare/decide.go
@@ -43,7 +43,7 @@
 	if p == nil {
 		return Decision{Admit: true}
 	}
-	rank := min(max(r.Rank, 0), maxRanks-1)
+	rank := clampRank(r.Rank)
 	_, known := weights[r.Organisation]
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -67,6 +67,28 @@
 	return d
 }
 
+func clampRank(rank int) int { return min(max(rank, 0), maxRanks-1) }
+
+// Return takes back a granted request of a limited organisation, which is refused because it would wait, and says when
+// its caller should return. The random number is from 0 to 1.
+func (t *Table) Return(now time.Time, random float64, fleet, organisation string, rank int) time.Duration {
+	p, _ := t.pool(fleet)
+	if p == nil {
+		return minReturn
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[organisation]
+	if m == nil {
+		return minReturn
+	}
+	rank = clampRank(rank)
+	m.credit[rank] = min(m.credit[rank]+1, m.maxCredit(rank))
+	m.admitted--
+	m.refused++
+	return m.returnIn(now, random)
+}
+
 // maxWaitPart is the part of its latency target for which a request of a limited organisation may wait for others.
 const maxWaitPart = 0.2
 
@@ -79,8 +101,8 @@
 // returnIn returns when a refused caller should return: one after the other, as requests are granted.
 func (m *member) returnIn(now time.Time, random float64) time.Duration {
 	interval := maxReturnInterval
-	if rate := m.grantedPerSecond(); rate > 0 {
-		interval = min(interval, time.Duration(float64(time.Second)/rate))
+	if rate := m.grantedPerSecond(); rate > 1/maxReturnInterval.Seconds() {
+		interval = time.Duration(float64(time.Second) / rate)
 	}
 	wait := m.returns.Next(now, now.Add(minReturn), interval)
 	return wait + time.Duration(returnJitter*random*float64(wait))
--- a/internal/fairshare/service.go
+++ b/internal/fairshare/service.go
@@ -7,6 +7,8 @@
 	// seconds is how long one holds a slot, without waiting for it, and uncached the part of its prompt that the
 	// endpoint computes.
 	seconds, uncached float64
+	// served is the number of requests in the averages.
+	served int
 }
 
 const (
@@ -16,6 +18,9 @@
 	// the weight of other requests, of which it isn't known how long they waited.
 	undelayedPart = 0.75
 	delayedWeight = 0.002
+	// firstServed is the number of requests of a route that count alike, also delayed ones: the first is no better than
+	// the next.
+	firstServed = 20
 	// maxServices bounds the routes that are remembered for a fleet; with more, all are learnt anew.
 	maxServices = 4096
 )
@@ -55,10 +60,14 @@
 		if len(p.services) >= maxServices {
 			clear(p.services)
 		}
-		p.services[s.Route] = &service{seconds: seconds, uncached: uncached}
+		p.services[s.Route] = &service{seconds: seconds, uncached: uncached, served: 1}
 		return
 	}
 	p.delay.record(now, s.Seconds, v.seconds)
+	v.served++
+	if v.served <= firstServed {
+		weight = max(weight, 1/float64(v.served))
+	}
 	v.seconds += (seconds - v.seconds) * weight
 	v.uncached += (uncached - v.uncached) * serviceWeight
 }
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -18,8 +18,6 @@
 const (
 	// linkCheckInterval is how often it is checked what is to be done about the links to endpoints.
 	linkCheckInterval = 50 * time.Millisecond
-	// probeTimeout bounds one probe.
-	probeTimeout = 250 * time.Millisecond
 	// defaultHealthPath is probed where the configuration names no path for health checks. What the endpoint
 	// answers does not matter.
 	defaultHealthPath = "/healthz"
@@ -79,7 +77,7 @@
 // probeLink sends a probe and records what becomes of it.
 func (n *Node) probeLink(ctx context.Context, p reachability.Probe) {
 	n.linkMetrics.probes.Inc()
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
 	openedAt := clock.Now()
 	err := n.upstream.Probe(probeCtx, p.Endpoint.Address, n.healthPath(p.Fleet))
@@ -150,6 +148,8 @@
 
 // linksChanged tells the peers which fleets this host reaches.
 func (n *Node) linksChanged() {
+	n.linksMu.Lock()
+	defer n.linksMu.Unlock()
 	n.peers.SetLostFleets(n.links.LostFleets())
 	wake(n.reportNow)
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -94,6 +94,7 @@
 		}
 		n.peers.Add(now, p)
 	}
+	n.membersRead.Store(true)
 	n.updatePeerState(now)
 	return own, listed, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,6 +150,8 @@
 	// usageReportedAt is when usage was last reported to the peers, in nanoseconds since boot; zero
 	// if it was not reported yet.
 	usageReportedAt atomic.Int64
+	// linksMu keeps in order what peers are told of lost fleets.
+	linksMu sync.Mutex
 	// leaderMu guards leader, the host that this one followed, or its own name, when updateLeader
 	// was last called.
 	leaderMu sync.Mutex
@@ -160,7 +162,9 @@
 	configurationStale chan struct{}
 	endpointsStale     chan struct{}
 	membersStale       chan struct{}
-	reportNow          chan struct{}
+	// membersRead is set once the list of hosts was read.
+	membersRead atomic.Bool
+	reportNow   chan struct{}
 	// rolloutsHeardAt is when this host's leader last told it of the orders, in nanoseconds since boot; zero if it did not.
 	rolloutsHeardAt atomic.Int64
 	// rolloutsChanged wakes the task that decides about roll-outs.
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -284,7 +284,10 @@
 	if n.rollouts == nil || d.Rollouts == nil {
 		return
 	}
-	n.rolloutsHeardAt.Store(now.UnixNano())
+	// A leader that is cut off from the store does not hear of orders either.
+	if sent, ok := n.sent.At(ack.Endpoints); ok && now.Sub(sent.At) <= rolloutsMaxSilence {
+		n.rolloutsHeardAt.Store(now.UnixNano())
+	}
 	confirmed := time.Time{}
 	if sent, ok := n.sent.At(ack.Rollouts); ok {
 		confirmed = sent.At
--- a/internal/node/rolloutdecide.go
+++ b/internal/node/rolloutdecide.go
@@ -47,7 +47,8 @@
 		interval = rolloutDecideInterval
 		n.rollouts.SetHosts(n.possibleHosts(now), n.startedAt)
 		n.noteRolloutChanges()
-		if n.peers.IsLeader(now) {
+		// A host that does not know the others would take itself for all hosts.
+		if n.membersRead.Load() && n.peers.IsLeader(now) {
 			n.stepRollouts(ctx, now, &late)
 		}
 	}
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -20,21 +20,44 @@
 	maxShareInterval = 500 * time.Millisecond
 	// sharePauses is how much longer than it takes the pause after it is.
 	sharePauses = 100
+	// leaderChange is how long a host may hear no other after its leader is gone.
+	leaderChange = 2 * time.Second
+	// minHeardPart is the part of the known hosts of which fewer are heard only then, or if this host is cut off.
+	minHeardPart = 1.0 / 3
 )
 
 // shareRoom shares out the room of fleets with recent requests until the context ends.
 func (n *Node) shareRoom(ctx context.Context) {
 	pause := shareInterval
+	var heard heardPart
 	for backoff.Pause(ctx, pause) {
 		now := clock.Now()
-		n.shareRoomOnce(now)
+		n.shareRoomOnce(now, heard.update(now, n.peers.HostCounts))
 		pause = min(max(sharePauses*clock.Now().Sub(now), shareInterval), maxShareInterval)
 	}
 }
 
-func (n *Node) shareRoomOnce(now time.Time) {
-	reachable, known := n.peers.HostCounts(now)
+// heardPart is the part of the known hosts that this one hears.
+type heardPart struct {
+	// at is when it was last minHeardPart or more.
+	at time.Time
+}
+
+// update returns the part now. A follower whose leader has just changed hears no host until the first digest of the
+// new one: until leaderChange has passed, all count as heard.
+func (h *heardPart) update(now time.Time, counts func(time.Time) (reachable, known int)) float64 {
+	reachable, known := counts(now)
 	part := float64(reachable) / float64(max(known, 1))
+	switch {
+	case part >= minHeardPart:
+		h.at = now
+	case now.Sub(h.at) < leaderChange:
+		return 1
+	}
+	return part
+}
+
+func (n *Node) shareRoomOnce(now time.Time, part float64) {
 	for _, name := range n.shares.Active(now) {
 		change, changed := n.shares.SetRoom(now, name, sharedRoom(n.balancer.Room(now, name), part))
 		if changed {
--- a/internal/origin/keeper/keeper.go
+++ b/internal/origin/keeper/keeper.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,14 +73,17 @@
 // Loaded reports whether the stored origins have been read.
 func (k *Keeper) Loaded() bool { return k.loaded.Load() }
 
-// Run reads what is stored, and then stores new streams until the context ends.
+// Run stores new streams until the context ends, and meanwhile reads what is stored.
 func (k *Keeper) Run(ctx context.Context) {
-	if !k.load(ctx) {
-		return
-	}
-	nextOnly := k.Now().Add(onlyInterval)
+	// Reads and deletions may take long, and must not delay writes.
+	var others sync.WaitGroup
+	defer others.Wait()
+	others.Go(func() {
+		if k.load(ctx) {
+			k.maintain(ctx)
+		}
+	})
 	retry := backoff.Backoff{Min: minRetry, Max: maxRetry}
-	nextSweep := k.Now().Add(sweepInterval)
 	for wait := writeInterval; backoff.Pause(ctx, wait); {
 		wait = writeInterval
 		if err := k.store(ctx); err != nil {
@@ -87,6 +91,14 @@
 			continue
 		}
 		retry.Reset()
+	}
+}
+
+// maintain deletes what hosts have left that are gone, and stores which fleets have had one version, until the
+// context ends.
+func (k *Keeper) maintain(ctx context.Context) {
+	nextOnly, nextSweep := k.Now().Add(onlyInterval), k.Now().Add(sweepInterval)
+	for backoff.Pause(ctx, writeInterval) {
 		if now := k.Now(); !now.Before(nextSweep) {
 			k.sweep(ctx)
 			nextSweep = now.Add(sweepInterval)
@@ -155,9 +167,6 @@
 // store writes the new streams, and deletes the own parts that are expired. It returns the first error.
 func (k *Keeper) store(ctx context.Context) error {
 	k.take()
-	if err := k.deleteExpired(ctx); err != nil {
-		return err
-	}
 	for _, p := range k.parts {
 		if !p.dirty {
 			continue
@@ -166,7 +175,7 @@
 			return err
 		}
 	}
-	return nil
+	return k.deleteExpired(ctx)
 }
 
 // take assigns the new streams to parts.
--- a/internal/origin/stored.go
+++ b/internal/origin/stored.go
@@ -83,6 +83,12 @@
 			only[name], _ = t.versions.only(now, name)
 		}
 	}
+	// A peer with a newer list of endpoints may have begun streams at another version.
+	for _, s := range t.streams {
+		if version, found := only[s.origin.Fleet]; found && (s.conflicting || s.origin.Version != version) {
+			delete(only, s.origin.Fleet)
+		}
+	}
 	return only
 }
 
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -103,6 +103,8 @@
 func (s *stream) merge(other stream) {
 	s.fromGroup = s.fromGroup || other.fromGroup
 	s.stored = s.stored || other.stored
+	// Hosts that were running before have not read it there.
+	s.fromStore = s.fromStore && other.fromStore
 	if s.origin != other.origin && !s.conflicting {
 		s.conflicting = true
 		s.stored = false
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -15,7 +15,7 @@
 // one that looks whole.
 func (a *attempt) relayBuffered(body *httpclient.Body) (outcome, balancer.Result) {
 	x := a.exchange
-	content, err := readAll(body)
+	content, err := readAll(body, a.heardEndpoint)
 	if err != nil {
 		a.err = err
 		if a.ctx.Err() != nil {
@@ -73,13 +73,23 @@
 	return x.deadline.Sub(clock.Now()) > 2*a.choice.FirstEvent
 }
 
-// readAll reads a body to its end. It returns an error for a truncated body and for one of more than
-// maxResponseBytes.
-func readAll(body *httpclient.Body) ([]byte, error) {
+// heardEndpoint records that bytes have arrived, if they come from the endpoint itself.
+func (a *attempt) heardEndpoint() {
+	if a.peer == nil {
+		a.heard()
+	}
+}
+
+// readAll reads a body to its end, and calls heard whenever bytes have arrived. It returns an error for a truncated
+// body and for one of more than maxResponseBytes.
+func readAll(body *httpclient.Body, heard func()) ([]byte, error) {
 	var content []byte
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := body.Read(buffer)
+		if n > 0 {
+			heard()
+		}
 		content = append(content, buffer[:n]...)
 		if err == io.EOF {
 			return content, nil
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -8,6 +8,7 @@
 	"rattanchute/internal/clock"
 	"rattanchute/internal/loadshed"
 	"rattanchute/internal/relay"
+	"rattanchute/internal/rollout"
 )
 
 const (
@@ -207,7 +208,10 @@
 	}
 	p.telemetry.Sent(x, a)
 	// Has an effect only after a panic: nothing stays counted at the endpoint.
-	defer func() { a.balancerAttempt.End(clock.Now(), balancer.ResultCancelled) }()
+	defer func() {
+		a.balancerAttempt.End(clock.Now(), balancer.ResultCancelled)
+		a.ticket.End(clock.Now(), rollout.Result{})
+	}()
 	out, result := a.run()
 	if a.peer == nil {
 		a.observeCrash(out, result)
--- a/internal/proxy/share.go
+++ b/internal/proxy/share.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rattanchute/internal/balancer"
+	"rattanchute/internal/clock"
 	"rattanchute/internal/fairshare"
 )
 
@@ -16,7 +17,7 @@
 // checkShare refuses the request if its fleet is short of room and its organisation has used its share.
 func (x *exchange) checkShare() *errorResponse {
 	r := fairshare.Request{
-		Fleet: x.fleet, Route: x.route.Name, Rank: x.table.Ranks().Rank(x.fleet, x.priority),
+		Fleet: x.fleet, Route: x.route.Name, Rank: x.shareRank(),
 		PromptTokens: x.info.PromptTokens, OutputTokens: x.balancerRequest.OutputTokens,
 		Continues: x.info.LastEventID != "",
 	}
@@ -30,6 +31,9 @@
 	return x.shareRefusal(x.share.RetryAfter)
 }
 
+// shareRank returns the number of priorities of the fleet's routes that are more urgent than the request's.
+func (x *exchange) shareRank() int { return x.table.Ranks().Rank(x.fleet, x.priority) }
+
 func (x *exchange) shareRefusal(retryAfter time.Duration) *errorResponse {
 	e := newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonOrganisationShare, retryAfter)
 	e.share = &x.share
@@ -42,7 +46,8 @@
 	if !x.share.Limited || fairshare.MayWait(choice.Backlog, x.route.LatencyTarget) {
 		return nil
 	}
-	e := x.shareRefusal(max(choice.Backlog, minRetryAfter))
+	returnIn := x.proxy.Shares.Return(clock.Now(), rand.Float64(), x.fleet, x.organisation.Name, x.shareRank())
+	e := x.shareRefusal(max(choice.Backlog, returnIn))
 	e.estimate = choice
 	return e
 }
--- a/internal/reachability/evidence.go
+++ b/internal/reachability/evidence.go
@@ -43,13 +43,24 @@
 	at         time.Time
 	kind       FailureKind
 	new, probe bool
+	// probeKind is how the last probe failed.
+	probeKind FailureKind
 }
 
 // addFailure records a failure and drops old ones.
 func (f *fleet) addFailure(now time.Time, x Failure) {
-	old := f.failures[x.Endpoint]
-	f.failures[x.Endpoint] = evidence{at: now, kind: x.Kind, new: x.New || old.new, probe: x.Probe || old.probe}
+	f.dropOld(now)
+	e := f.failures[x.Endpoint]
+	e.at, e.kind, e.new = now, x.Kind, e.new || x.New
+	if x.Probe {
+		e.probe, e.probeKind = true, x.Kind
+	}
+	f.failures[x.Endpoint] = e
 	f.lastKind = x.Kind
+}
+
+// dropOld drops the failures that no longer count.
+func (f *fleet) dropOld(now time.Time) {
 	for id, e := range f.failures {
 		if now.Sub(e.at) >= evidenceRetention {
 			delete(f.failures, id)
@@ -77,7 +88,7 @@
 	case needed > 1:
 		return true
 	case e.kind == Ended:
-		return e.probe
+		return e.probe && e.probeKind != Silent
 	}
 	return e.kind != Silent
 }
--- a/internal/reachability/probe.go
+++ b/internal/reachability/probe.go
@@ -34,6 +34,24 @@
 type Probe struct {
 	Fleet    string
 	Endpoint Endpoint
+	// Timeout bounds it: as long as requests to the fleet may take, since health checks wait like them.
+	Timeout time.Duration
+}
+
+// minProbeTimeout and maxProbeTimeout bound the timeout of a probe.
+const (
+	minProbeTimeout = 250 * time.Millisecond
+	maxProbeTimeout = time.Second
+)
+
+// probeTimeout returns the timeout of a probe of the fleet. While nothing is known of how long it takes to answer, and
+// while it is out of reach, that is the longest.
+func (f *fleet) probeTimeout() time.Duration {
+	usual := f.pauses.high()
+	if usual == 0 || !f.lostSince.IsZero() {
+		return maxProbeTimeout
+	}
+	return min(max(patienceFactor*usual, minProbeTimeout), maxProbeTimeout)
 }
 
 // Check is what is to be done about the links now.
@@ -131,7 +149,7 @@
 	}
 	c.TakeBack = append(c.TakeBack, f.takeSilent(now)...)
 	for _, e := range f.dueProbes(now, random, list, b) {
-		c.Probes = append(c.Probes, Probe{Fleet: name, Endpoint: e})
+		c.Probes = append(c.Probes, Probe{Fleet: name, Endpoint: e, Timeout: f.probeTimeout()})
 	}
 }
 
--- a/internal/rollout/decide.go
+++ b/internal/rollout/decide.go
@@ -115,13 +115,13 @@
 	if reason := f.bad(); reason != "" {
 		return e.next(f, StepRolledBack, reason), true
 	}
-	if f.OldSlots == 0 && f.TargetSlots > 0 {
-		return e.next(f, StepSwitch, "no endpoint of an old version"), true
-	}
 	left := e.left(f)
 	if f.NowMillis < e.Record.EarliestSwitchMillis {
 		return Record{}, false
 	}
+	if f.OldSlots == 0 && f.TargetSlots > 0 {
+		return e.next(f, StepSwitch, "no endpoint of an old version"), true
+	}
 	missing := f.missing()
 	switch {
 	case missing != "" && left <= writeTime && f.SinceContact > settleTime:
@@ -160,7 +160,7 @@
 	if f.InGroups {
 		ack = ackTimeInGroups
 	}
-	if f.Silent {
+	if f.Silent || f.InGroups {
 		ack = max(ack, permit+clockTolerance)
 	}
 	return ack + f.Longest + writeTime
@@ -177,7 +177,8 @@
 		return Record{}, false
 	}
 	permit := time.Duration(e.Record.PermitMillis) * time.Millisecond
-	if f.AllIdle {
+	// In groups, a host that has just changed its leader may count twice, and another one not at all.
+	if f.AllIdle && (!f.InGroups || f.SinceStep > permit+clockTolerance) {
 		return e.next(f, StepCompleted, cmp.Or(e.Record.Reason, "all hosts have switched")), true
 	}
 	if f.SinceStep > permit+clockTolerance+f.Longest {
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -96,7 +97,7 @@
 				p.report.Idle, p.report.StoppedHosts = 0, 0
 			}
 			out.add(&p.report)
-			addRoutes(routes, p.report.Routes)
+			addRoutes(routes, p.routesAt(now))
 		}
 	}
 	out.Routes = sortedRoutes(routes)
@@ -152,7 +153,17 @@
 		addRoutes(routes, []RouteCounts{e.counts})
 	}
 	for _, p := range f.peers {
-		addRoutes(routes, p.report.Routes)
+		addRoutes(routes, p.routesAt(now))
+	}
+	return routes
+}
+
+// routesAt returns the counts that a peer has reported, the recent ones reduced by their age.
+func (p *peerReport) routesAt(now time.Time) []RouteCounts {
+	routes := slices.Clone(p.report.Routes)
+	left := math.Exp2(-float64(max(now.Sub(p.at), 0)) / float64(recentHalfLife))
+	for i := range routes {
+		routes[i].Recent.scale(left)
 	}
 	return routes
 }
@@ -228,6 +239,9 @@
 	own := t.ownReport(now, f)
 	hosts, at := own.Canary, own.AtMillis
 	for _, p := range f.peers {
+		if p.report.Canary == 0 && now.Sub(p.at) <= followerFreshness {
+			return // it has switched, or knows nothing yet
+		}
 		// A report that was held up states an earlier time than that of its arrival.
 		if p.report.Canary > 0 && now.Sub(p.at) <= followerFreshness {
 			hosts += p.report.Canary
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -230,7 +230,7 @@
 		f = &fleetState{heardAt: now, stepAt: now, rules: &rules{}}
 		t.fleets[e.Name] = f
 		f.setEndpoints(now, e.Name, t.known)
-	} else if e.Version <= f.entry.Version {
+	} else if e.Version < f.entry.Version || e.Version == f.entry.Version && !f.deleted {
 		return
 	}
 	before := f.entry
--- a/internal/speed/estimate.go
+++ b/internal/speed/estimate.go
@@ -33,6 +33,9 @@
 	// newest to this host or to one that follows it.
 	unusualAt time.Time
 	fromGroup bool
+	// direct is set if the newest statement was made to this host, and told is the percentage that others were told last.
+	direct bool
+	told   int
 }
 
 // State records that the endpoint stated its momentary slowness, 1 for as usual. Statements that are not newer than the
@@ -46,7 +49,7 @@
 	if p != nil && !e.statedAt.IsZero() {
 		p.Observe(e.stated, stated, at.Sub(e.statedAt))
 	}
-	e.stated, e.statedAt, e.fromGroup = stated, at, true
+	e.stated, e.statedAt, e.fromGroup, e.direct = stated, at, true, true
 	if math.Abs(stated) >= minReported {
 		e.unusualAt = at
 	}
--- a/internal/speed/report.go
+++ b/internal/speed/report.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// maxReported bounds the statements in a message: those that differ most from the usual.
-	maxReported = 48
+	// MaxReported bounds the statements in a message: those that differ most from the usual.
+	MaxReported = 48
 	// maxReportedAge is the age up to which statements are told.
 	maxReportedAge = 3 * time.Second
+	// maxTransit is how much newer than it is a statement may look that has come through other hosts.
+	maxTransit = 250 * time.Millisecond
 	// minReported is the least logarithm of a slowness that is told.
 	minReported = 0.1
 	percent     = 100
@@ -22,7 +24,7 @@
 	Endpoints []Statement `json:"e,omitempty"`
 }
 
-// Statement is what an endpoint stated to a host, and what was learnt of it.
+// Statement is what an endpoint stated to a host.
 type Statement struct {
 	Fleet    string `json:"f"`
 	Endpoint string `json:"i"`
@@ -38,6 +40,7 @@
 		return Statement{}, false
 	}
 	percents := int(math.Round(percent * math.Exp(e.stated)))
+	e.told = percents
 	return Statement{fleet, endpoint, percents, now.Sub(e.statedAt).Milliseconds()}, true
 }
 
@@ -49,19 +52,21 @@
 	slices.SortFunc(statements, func(a, b Statement) int {
 		return cmp.Or(cmp.Compare(b.Percent, a.Percent), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
-	return &Report{Endpoints: statements[:min(len(statements), maxReported)]}
+	return &Report{Endpoints: statements[:min(len(statements), MaxReported)]}
 }
 
-// Apply records a statement that another host reported; follower tells whether it follows this one. Old, future or
-// senseless ones are ignored.
-func (e *Estimate) Apply(now time.Time, s Statement, follower bool) {
+// Apply records a statement that another host reported, and reports whether it did; follower tells whether that host
+// follows this one. Old, future or senseless ones are ignored, and what this host has told others itself: on its way a
+// statement seems to become newer, so that one that comes back could replace one that the endpoint has made since.
+func (e *Estimate) Apply(now time.Time, s Statement, follower bool) bool {
 	if s.AgeMillis < 0 || s.AgeMillis > maxReportedAge.Milliseconds() || s.Percent <= 0 {
-		return
+		return false
 	}
 	at := now.Add(-time.Duration(s.AgeMillis) * time.Millisecond)
-	if !at.After(e.statedAt) {
-		return
+	if !at.After(e.statedAt) || e.direct && s.Percent == e.told && at.Sub(e.statedAt) < maxTransit {
+		return false
 	}
 	e.State(at, float64(s.Percent)/percent, nil)
-	e.fromGroup = follower
+	e.fromGroup, e.direct = follower, false
+	return true
 }
