--- a/internal/node/rolloutdecide.go
+++ b/internal/node/rolloutdecide.go
@@ -156,7 +156,7 @@
 		return
 	}
 	if r.Step == rollout.StepSwitch {
-		n.rollouts.Try(&o.Entry)
+		n.rollouts.BeginSwitch(&o.Entry)
 	}
 	stored, err := n.Store.UpdateStatus(ctx, objectstore.Object{
 		Kind: objectstore.KindRollout, Name: o.Entry.Name, Version: o.Entry.Version, Status: status,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -81,8 +81,6 @@
 	// roll-out: a share of all requests to the fleet from the order to its deadline, plus a number.
 	ExposureShare float64
 	ExposureSlack float64
-	// RollbackDelay is how long after its fiftieth bad response such a version may still get requests.
-	RollbackDelay time.Duration
 }
 
 // Validate returns an error that names each missing setting without which the host cannot run; nil
--- a/internal/reachability/doc.go
+++ b/internal/reachability/doc.go
@@ -5,7 +5,8 @@
 // an address translation on the way may have accepted it. Evidence against the links to a fleet are connections that
 // do not open, those that end without a byte of a response, and requests without a byte for longer than they
 // ever take, while nothing else is heard from the fleet either. A fleet is out of reach once several of its
-// endpoints are without a sign. One endpoint never is enough, unless it is the only one and refuses connections.
+// endpoints are without a sign. One endpoint never is enough, unless it is the only one and
+// connections to it fail, or a probe's ends.
 //
 // Probes are requests for a health check on connections of their own. They confirm what silence suggests, and find
 // out when a link is back: a response on a new connection ends the state. They are few, and a fleet without
--- a/internal/rollout/decide_test.go
+++ b/internal/rollout/decide_test.go
@@ -174,7 +174,7 @@
 	})
 }
 
-// TestCountsNearTheExpectedAreNotBad has more bad responses than expected, by no more than chance and a busy machine explain.
+// TestCountsNearTheExpectedAreNotBad: counts that chance alone explains are not bad.
 func TestCountsNearTheExpectedAreNotBad(t *testing.T) {
 	is := is.New(t)
 	is.True(!Counts{All: 70, Bad: 9, Expected: 2.9}.bad())
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -132,7 +132,7 @@
 		out.StoppedHosts = 1
 	}
 	out.AtMillis = t.clusterTime(now).UnixMilli()
-	if f.entry.Step() == StepCanary && f.tried < f.entry.Version {
+	if f.entry.Step() == StepCanary && f.switchBegunAt < f.entry.Version {
 		out.Canary = 1
 	}
 	for _, name := range slices.Sorted(maps.Keys(f.routes)) {
@@ -218,7 +218,7 @@
 		stopped = true
 	}
 	stopped = stopped || t.judge(now, f, from)
-	f.certain = f.certain || t.allStopped(now, f)
+	f.allHaveStopped = f.allHaveStopped || t.allStopped(now, f)
 	t.confirmByPeers(now, f)
 	return stopped
 }
@@ -311,7 +311,7 @@
 		}
 		d.Entries = append(d.Entries, f.entry)
 		if f.stopped != "" && !f.entry.Step().Ended() {
-			d.Stopped = append(d.Stopped, Stop{name, f.entry.Order.Target, f.entry.Record.StartMillis, f.stopped, f.certain})
+			d.Stopped = append(d.Stopped, Stop{name, f.entry.Order.Target, f.entry.Record.StartMillis, f.stopped, f.allHaveStopped})
 		}
 	}
 	return d
@@ -331,7 +331,7 @@
 		if f == nil || f.entry.Step().Ended() {
 			continue
 		}
-		f.certain = f.certain || s.All
+		f.allHaveStopped = f.allHaveStopped || s.All
 		if f.stopped == "" {
 			t.stop(f, s.Reason, from)
 			stopped = true
--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		if r.Step == StepSwitch {
-			h.table.Try(&o.Entry)
+			h.table.BeginSwitch(&o.Entry)
 		}
 		s.write(&r)
 	}
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -117,7 +117,7 @@
 	held := two.Report(late)
 	one.Apply(late.Add(5*time.Second), "two", held, false) // it was held up
 	is.True(!allows(one, late.Add(5*time.Second), old(0)))
-	two.Try(&Entry{Name: "f", Version: 5})
+	two.BeginSwitch(&Entry{Name: "f", Version: 5})
 	one.Apply(late.Add(6*time.Second), "two", two.Report(late.Add(6*time.Second)), false)
 	is.True(!allows(one, late.Add(6*time.Second), old(0))) // the other may have switched
 }
