--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"time"
 
 	"rattanchute/internal/objectstore"
@@ -78,6 +79,40 @@
 	Record  Record `json:"record"`
 }
 
+// NewEntry returns the entry of an order that was stored under a name. An order that could not be read, or that cannot
+// be carried out, has the reason in Invalid.
+func NewEntry(name string, o Order, readErr error) Entry {
+	if readErr != nil {
+		unread := Order{Duration: o.Duration}
+		return Entry{Name: name, Order: unread, Invalid: fmt.Sprintf("order cannot be read: %v", readErr)}
+	}
+	return Entry{Name: name, Order: o, Invalid: o.check(name)}
+}
+
+// check returns why an order cannot be carried out; empty if it can.
+func (o *Order) check(name string) string {
+	switch {
+	case o.Fleet != name:
+		return fmt.Sprintf("fleet %q is not the name of the order", o.Fleet)
+	case o.Target == "":
+		return "no target"
+	case o.Duration <= 0:
+		return "no positive duration"
+	}
+	return ""
+}
+
+// maxDuration bounds the duration of an order, so that it fits into a time.Duration.
+const maxDuration = 365 * 24 * time.Hour
+
+// Duration returns the duration of an order in seconds; zero if it is not positive.
+func Duration(seconds float64) time.Duration {
+	if !(seconds > 0) { // also true for "NaN"
+		return 0
+	}
+	return time.Duration(min(seconds, maxDuration.Seconds()) * float64(time.Second))
+}
+
 // IsNew reports whether nothing is decided about the order yet: the record is missing, belongs to an order for
 // another target, or has ended for another duration.
 func (e *Entry) IsNew() bool {
