--- /dev/null
+++ b/review/standin/moved.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	host     = "ficu95.example"
+	apiKey   = "i9n73hh2b9wu3fexd9dn"
+	tenant   = "hule930"
+	path     = "/lohu930/2f"
+	prefix   = "/lohu930/"
+	deadline = 15 * time.Second
+)
+
+// configuration returns a configuration with one resumable stream route, which leads to a service.
+func configuration(version int, service string, services ...string) map[string]any {
+	var list []map[string]any
+	for _, name := range services {
+		list = append(list, map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 370,
+			"engine": map[string]any{"slots": 64, "kvCapacity": 551534, "stride": 6, "kvTokenBytes": 18432, "linkMbps": 130000.0}})
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "r-1", "host": host, "pathPrefix": prefix, "routeKind": "streaming", "timeoutMs": 15000, "goalMs": 1200,
+			"priority": 0, "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "tbtTargetMs": 800,
+			"service": service,
+		}},
+		"services": list,
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  []map[string]any{{"name": tenant, "apiKeys": []string{apiKey}}},
+	}
+}
+
+// finish has a client resume its stream until it is complete or its deadline has passed. Each attempt goes to another
+// machine. It waits as the platform's clients do.
+func finish(s *Stream, machines []*Machine, until time.Time) {
+	for i := 0; !s.Complete(); i++ {
+		left := time.Until(until)
+		if left < 50*time.Millisecond {
+			return
+		}
+		a := s.Try(machines[i%len(machines)].Front, left)
+		if !a.Complete || a.Status != 200 {
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+}
+
+// judge reports whether a stream that a client got as complete was joined from several services or versions.
+func judge(record *Record, streams []*Stream) (broken bool) {
+	for i, s := range streams {
+		origins := s.Origins()
+		record.Printf("stream %d: %d attempts, complete %t, written by %v", i, len(s.attempts), s.Complete(), origins)
+		if len(origins) > 1 {
+			broken = true
+		}
+	}
+	return broken
+}
+
+// movedRoute moves a route to another service, and kills all machines right after that.
+func movedRoute(p *Platform, trouble bool) bool {
+	var machines []*Machine
+	for i := range 3 {
+		machines = append(machines, p.Add(fmt.Sprintf("edge-z1-%d", i+1)))
+	}
+	const events, gap = 60, 100 * time.Millisecond
+	for i := range 2 {
+		StartRunner(p.Store, p.Record, fmt.Sprintf("i-a%d", i), "redaccion-a", "v1", events, gap)
+		StartRunner(p.Store, p.Record, fmt.Sprintf("i-b%d", i), "redaccion-b", "v2", events, gap)
+	}
+	p.Store.Write("config", "main", configuration(2, "redaccion-a", "redaccion-a", "redaccion-b"))
+	for _, m := range machines {
+		m.Start(true)
+	}
+	for _, m := range machines {
+		require(m.AwaitReady(20*time.Second), m.Name+" is not ready")
+	}
+	// Some usual traffic for some seconds.
+	for i := range 3 {
+		finish(NewStream(p.Record, host, path, apiKey), machines[i:i+1], time.Now().Add(deadline))
+	}
+	var streams []*Stream
+	var clients sync.WaitGroup
+	until := time.Now().Add(deadline)
+	for i := range 6 {
+		s := NewStream(p.Record, host, path, apiKey)
+		streams = append(streams, s)
+		clients.Go(func() {
+			rotated := append(append([]*Machine{}, machines[i%3:]...), machines[:i%3]...)
+			finish(s, rotated, until)
+		})
+	}
+	time.Sleep(time.Second)
+	p.Store.Write("config", "main", configuration(5, "redaccion-b", "redaccion-a", "redaccion-b"))
+	p.Record.Printf("operator: version 5 moves the route to redaccion-b, acknowledged")
+	time.Sleep(300 * time.Millisecond)
+	if trouble {
+		for _, m := range machines {
+			m.Kill()
+		}
+		time.Sleep(time.Second)
+		for _, m := range machines {
+			m.Start(false)
+		}
+	}
+	clients.Wait()
+	return judge(p.Record, streams)
+}
+
+func init() { cases["moved-route"] = movedRoute }
