--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
 	"syscall"
 	"time"
@@ -122,6 +123,13 @@
 		os.Exit(exitFailed)
 	})
 	defer timer.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, sigterm)
+	go func() {
+		<-signals
+		p.Close(false)
+		os.Exit(exitFailed)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	if cases[name](p, trouble) {
 		record.Printf("the rule was broken")
--- a/review/standin/oldlist.go
+++ b/review/standin/oldlist.go
@@ -40,14 +40,14 @@
 	for _, r := range old {
 		r.Drain()
 	}
-	// Forty-six streams begin at the machine that will be killed, one every 25 ms.
+	// Streams begin at the machine that will be killed, one every 12.5 ms.
 	var streams []*Stream
 	var clients sync.WaitGroup
-	for i := range 46 {
+	for i := range 92 {
 		s := NewStream(p.Record, host, path, apiKey)
 		streams = append(streams, s)
 		clients.Go(func() {
-			time.Sleep(time.Duration(i) * 25 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 12500 * time.Microsecond)
 			until := time.Now().Add(deadline)
 			s.Try(killed.Front, deadline)
 			finish(s, []*Machine{turnedAway, machines[2]}, until)
