Review: the platform's names of the stand-ins lie in data files

Change: names and forms lie in review/standin/wire; in case 2 every second client resumes without Resumes, which PROTOCOL does not name.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -31,6 +31,8 @@
 // Stream is a stream of one client, over all its attempts.
 type Stream struct {
 	Path, Host, Key string
+	// Anonymous is set for a client that does not name the request that brought the first event when it resumes.
+	Anonymous bool
 	record          *Record
 	mu              sync.Mutex
 	pieces          []Piece
@@ -73,18 +75,20 @@
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+s.Path, strings.NewReader("prompt"))
 	must(err)
 	req.Host = s.Host
-	req.Header.Set("X-Rattanchute-Attempt-Id", a.ID)
-	req.Header.Set("X-Rattanchute-Deadline-Ms", fmt.Sprint(left.Milliseconds()))
-	req.Header.Set("X-Rattanchute-Model", "m")
-	req.Header.Set("X-Rattanchute-Token-Usage", "20,64")
-	req.Header.Set("X-Rattanchute-Prefix-Hash", "5c1e07a2:10,"+a.ID[:8]+":10")
+	req.Header.Set(names["attempt"], a.ID)
+	req.Header.Set(names["deadline"], fmt.Sprint(left.Milliseconds()))
+	req.Header.Set(names["model"], "m")
+	req.Header.Set(names["sizes"], "20,64")
+	req.Header.Set(names["parts"], "5c1e07a2:10,"+a.ID[:8]+":10")
 	if s.Key != "" {
-		req.Header.Set("X-Api-Key", s.Key)
+		req.Header.Set(names["key"], s.Key)
 	}
 	last := s.Last()
 	if last != "" {
 		req.Header.Set("Last-Event-Id", last)
-		req.Header.Set("Resumes", s.firstID)
+		if !s.Anonymous {
+			req.Header.Set("Resumes", s.firstID)
+		}
 	}
 	s.mu.Lock()
 	s.cut = cancel
--- a/review/standin/drill.go
+++ b/review/standin/drill.go
@@ -12,13 +12,13 @@
 )
 
 // withRevocable returns a configuration in which a second tenant has a key, or has it no more.
-func withRevocable(version int, held bool) map[string]any {
+func withRevocable(version int, held bool) operatorsConfiguration {
 	c := configuration(version, "redaccion-llm", "redaccion-llm")
 	keys := []string{"k1mm2otherkey2mm1k"}
 	if held {
 		keys = append(keys, revokedKey)
 	}
-	c["tenants"] = append(c["tenants"].([]map[string]any), map[string]any{"name": "fida11", "apiKeys": keys})
+	c.Tenants = append(c.Tenants, holder{"fida11", keys})
 	return c
 }
 
@@ -34,7 +34,7 @@
 	for i := range 2 {
 		StartRunner(p.Store, p.Record, fmt.Sprintf("i-a%d", i), "redaccion-llm", "v1", 4, 20*time.Millisecond)
 	}
-	p.Store.Write("config", "main", withRevocable(2, true))
+	p.configure(withRevocable(2, true))
 	for _, m := range machines {
 		m.Start(true)
 	}
@@ -49,7 +49,7 @@
 	time.Sleep(time.Second)
 	copied := p.Store.Copy()
 	time.Sleep(500 * time.Millisecond)
-	p.Store.Write("config", "main", withRevocable(5, false))
+	p.configure(withRevocable(5, false))
 	acknowledged := time.Now()
 	p.Record.Printf("operator: version 5 takes the key away, acknowledged")
 	_ = restarted.process.Wait()
@@ -67,7 +67,7 @@
 	restarted.Start(false)
 	if trouble {
 		time.AfterFunc(1900*time.Millisecond, func() {
-			p.Store.Write("config", "main", withRevocable(5, false))
+			p.configure(withRevocable(5, false))
 			p.Record.Printf("operator: version 5 is written again")
 		})
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -67,8 +67,8 @@
 
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	call := DutyCall{
-		At: time.Now(), Path: r.URL.Path, Holder: r.Header.Get("X-Rattanchute-Duty-Holder"),
-		Fencing: r.Header.Get("X-Rattanchute-Fencing-Token"),
+		At: time.Now(), Path: r.URL.Path, Holder: r.Header.Get(names["holder"]),
+		Fencing: r.Header.Get(names["fencing"]),
 	}
 	_ = json.NewDecoder(r.Body).Decode(&call.Body)
 	c.mu.Lock()
--- a/review/standin/oldlist.go
+++ b/review/standin/oldlist.go
@@ -20,7 +20,7 @@
 	for i := range 2 {
 		old = append(old, StartRunner(p.Store, p.Record, fmt.Sprintf("i-a%d", i), service, "v1", events, gap))
 	}
-	p.Store.Write("config", "main", configuration(2, service, service))
+	p.configure(configuration(2, service, service))
 	for _, m := range machines {
 		m.Start(true)
 	}
@@ -45,6 +45,7 @@
 	var clients sync.WaitGroup
 	for i := range 92 {
 		s := NewStream(p.Record, host, path, apiKey)
+		s.Anonymous = i%2 == 1
 		streams = append(streams, s)
 		clients.Go(func() {
 			time.Sleep(time.Duration(i) * 12500 * time.Microsecond)
