--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -33,14 +33,14 @@
 	Path, Host, Key string
 	// Anonymous is set for a client that does not name the request that brought the first event when it resumes.
 	Anonymous bool
-	record          *Record
-	mu              sync.Mutex
-	pieces          []Piece
-	firstID         string
-	attempts        []Attempt
-	complete        bool
-	cut             context.CancelFunc
-	events          chan int
+	record    *Record
+	mu        sync.Mutex
+	pieces    []Piece
+	firstID   string
+	attempts  []Attempt
+	complete  bool
+	cut       context.CancelFunc
+	events    chan int
 }
 
 // NewStream returns a stream that has not begun.
