--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,7 +26,9 @@
 	Pieces    []Piece
 	// Complete is set if the response ended as complete.
 	Complete bool
-	Err      error
+	// RetryAfter is the time that the answer asks to wait; zero for none.
+	RetryAfter time.Duration
+	Err        error
 }
 
 // Stream is a stream of one client, over all its attempts.
@@ -101,6 +104,8 @@
 		a.Err = err
 	} else {
 		a.Status = resp.StatusCode
+		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		a.RetryAfter = time.Duration(seconds * float64(time.Second))
 		s.read(&a, resp)
 	}
 	s.record.Printf("client: %s got status %d, %d events, complete %t, error %v", a.ID, a.Status, len(a.Pieces), a.Complete, a.Err)
--- a/review/standin/drill.go
+++ b/review/standin/drill.go
@@ -45,15 +45,18 @@
 	a := NewStream(p.Record, host, path, revokedKey).Try(restarted.Front, deadline)
 	require(a.Status == 200, "the key does not work before it is taken away")
 
-	restarted.Signal(sigterm)
-	time.Sleep(time.Second)
 	copied := p.Store.Copy()
 	time.Sleep(500 * time.Millisecond)
 	p.configure(withRevocable(5, false))
 	acknowledged := time.Now()
 	p.Record.Printf("operator: version 5 takes the key away, acknowledged")
-	_ = restarted.process.Wait()
-	p.Record.Printf("machine %s: has stopped", restarted.Name)
+	sleepUntil(acknowledged.Add(1800 * time.Millisecond))
+	restarted.Signal(sigterm)
+	stopped := make(chan struct{})
+	go func() {
+		_ = restarted.process.Wait()
+		close(stopped)
+	}()
 	sleepUntil(acknowledged.Add(3 * time.Second))
 	if trouble {
 		p.Store.Leave()
@@ -63,14 +66,17 @@
 	if trouble {
 		p.Store.Return(copied)
 		p.Record.Printf("store: is back, era %d, from a copy that is %.1f s old", p.Store.era, time.Since(acknowledged).Seconds()+0.5)
-	}
-	restarted.Start(false)
-	if trouble {
 		time.AfterFunc(1900*time.Millisecond, func() {
 			p.configure(withRevocable(5, false))
 			p.Record.Printf("operator: version 5 is written again")
 		})
 	}
+	<-stopped
+	p.Record.Printf("machine %s: has stopped", restarted.Name)
+	time.Sleep(300 * time.Millisecond)
+	restarted.Start(false)
+	require(restarted.AwaitReady(5*time.Second), restarted.Name+" is not ready again")
+	p.Record.Printf("machine %s: is ready", restarted.Name)
 	sleepUntil(acknowledged.Add(revoke + 50*time.Millisecond))
 	return useRevoked(p, machines, acknowledged)
 }
--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -43,18 +43,29 @@
 	p.Store.Write("config", "main", render("configuration.json", c))
 }
 
-// finish has a client resume its stream until it is complete or its deadline has passed. Each attempt goes to another
-// machine. It waits as the platform's clients do.
+const (
+	// maxRetries is how often a client retries, and retryPause how long it waits where no answer says so.
+	maxRetries = 4
+	retryPause = time.Second
+)
+
+// finish has a client begin or resume its stream, and retry a few times within its deadline: the first time at once, then
+// when the answer says, at most a third of the time that is left. Each attempt goes to another machine.
 func finish(s *Stream, machines []*Machine, until time.Time) {
-	for i := 0; !s.Complete(); i++ {
-		left := time.Until(until)
-		if left < 50*time.Millisecond {
+	for i := 0; i <= maxRetries && !s.Complete(); i++ {
+		a := s.Try(machines[i%len(machines)].Front, time.Until(until))
+		if a.Complete && a.Status == 200 {
 			return
 		}
-		a := s.Try(machines[i%len(machines)].Front, left)
-		if !a.Complete || a.Status != 200 {
-			time.Sleep(300 * time.Millisecond)
+		wait := a.RetryAfter
+		if wait == 0 && a.Status != 200 {
+			wait = retryPause
+		}
+		left := time.Until(until)
+		if left < 3*wait || left <= 0 {
+			return
 		}
+		time.Sleep(wait)
 	}
 }
 
--- a/review/standin/oldlist.go
+++ b/review/standin/oldlist.go
@@ -33,13 +33,9 @@
 		p.Record.Printf("store: turns %s away with 503", turnedAway.Name)
 	}
 	time.Sleep(100 * time.Millisecond)
-	for i := range 2 {
-		StartRunner(p.Store, p.Record, fmt.Sprintf("i-b%d", i), service, "v1.1", events, gap)
-	}
-	p.Record.Printf("operator: newer runners are there, the older ones drain")
-	for _, r := range old {
-		r.Drain()
-	}
+	StartRunner(p.Store, p.Record, "i-b0", service, "v1.1", events, gap)
+	p.Record.Printf("platform: a newer runner is there, an older one drains")
+	old[0].Drain()
 	// Streams begin at the machine that will be killed, one every 12.5 ms.
 	var streams []*Stream
 	var clients sync.WaitGroup
@@ -55,6 +51,7 @@
 		})
 	}
 	time.Sleep(1150 * time.Millisecond)
+	p.Record.Printf("%s is ready: %t", turnedAway.Name, turnedAway.AwaitReady(10*time.Millisecond))
 	if trouble {
 		killed.Kill()
 		time.Sleep(time.Second)
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -68,7 +68,13 @@
 	r.store.Write("servers", r.ID, render("entry.json", entry{r.Service, r.address, r.Version, r.state, r.seq, r.born}))
 }
 
-// Drain reports that the runner leaves. It goes on to serve.
+func (r *Runner) leaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state == "draining"
+}
+
+// Drain reports that the runner leaves. It goes on to serve, and says in all answers that it leaves.
 func (r *Runner) Drain() {
 	r.mu.Lock()
 	r.state = "draining"
@@ -81,6 +87,9 @@
 	id := req.Header.Get(names["attempt"])
 	h.Set(names["attempt"], id)
 	h.Set(names["load"], "1,0,64")
+	if r.leaving() {
+		h.Set(names["leaving"], "1")
+	}
 	if want := req.Header.Get(names["expect"]); want != "" && want != r.ID {
 		h.Set(names["not_run"], "1")
 		w.WriteHeader(421)
