--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -21,20 +21,21 @@
 	Keys []string
 }
 
-// operatorsConfiguration is the operator's configuration with one resumable stream route, which leads to a service.
+// operatorsConfiguration is the operator's configuration with one stream route, which leads to a service.
 type operatorsConfiguration struct {
 	Version      int
 	Host, Prefix string
 	Service      string
+	Resumable    bool
 	Services     []string
 	Tenants      []holder
 }
 
-// configuration returns a configuration with one tenant.
+// configuration returns a configuration with one tenant, whose streams may be resumed.
 func configuration(version int, service string, services ...string) operatorsConfiguration {
 	return operatorsConfiguration{
-		Version: version, Host: host, Prefix: prefix, Service: service, Services: services,
-		Tenants: []holder{{tenant, []string{apiKey}}},
+		Version: version, Host: host, Prefix: prefix, Service: service, Resumable: true,
+		Services: services, Tenants: []holder{{tenant, []string{apiKey}}},
 	}
 }
 
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -28,6 +28,14 @@
 	seq   int
 	born  int64
 	ended chan struct{}
+	// runs holds the ids of the requests that it began to work on.
+	runs sync.Map
+}
+
+// Ran reports whether the runner began to work on a request.
+func (r *Runner) Ran(id string) bool {
+	_, ok := r.runs.Load(id)
+	return ok
 }
 
 // StartRunner starts a runner, which registers itself as ready.
@@ -106,6 +114,7 @@
 	}
 	h.Set(names["stamp"], r.ID+"."+id)
 	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	r.runs.Store(id, true)
 	r.record.Printf("runner %s (%s %s): runs %s after event %d", r.ID, r.Service, r.Version, id, last)
 	h.Set("Content-Type", "text/event-stream")
 	flusher := w.(http.Flusher)
