--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -77,10 +77,11 @@
 		if !x.Complete || x.Closes {
 			return all
 		}
+		time.Sleep(pause)
 		select {
 		case <-end:
 			return all
-		case <-time.After(pause):
+		default:
 		}
 	}
 }
