--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -21,15 +21,18 @@
 	workEnd   = grace * 5 / 6
 	// lossSlack is the time after its last byte from which on a request counts that was not passed on.
 	lossSlack = 200 * time.Millisecond
+	// restartDelay is the time from the end of a process to its next start.
+	restartDelay = 300 * time.Millisecond
 )
 
 // Exchange is one request on a kept connection, and its answer.
 type Exchange struct {
 	ID, Machine string
-	// Sent is when the last byte was written, and Ended when the answer or the connection ended.
-	Sent, Ended time.Time
-	Status      int
-	Events      int
+	// Began is when the request was about to be written, Sent when its last byte was, and Ended when the answer or the
+	// connection ended.
+	Began, Sent, Ended time.Time
+	Status             int
+	Events             int
 	// Closes is set if the answer says that its connection closes.
 	Closes   bool
 	Complete bool
@@ -43,6 +46,7 @@
 	_, _ = fmt.Fprintf(&text, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 6\r\n%s: %s\r\n%s: %d\r\n%s: m\r\n%s: 20,64\r\n%s: %s:20\r\n%s: %s\r\n\r\nprompt",
 		path, host, names["attempt"], x.ID, names["deadline"], deadline.Milliseconds(), names["model"], names["sizes"], names["parts"],
 		x.ID[:8], names["key"], apiKey)
+	x.Began = time.Now()
 	_, x.Err = c.Write(text.Bytes())
 	x.Sent = time.Now()
 	record.Printf("client: sends %s to %s", x.ID, m.Name)
@@ -94,7 +98,7 @@
 	if !ran {
 		return x.Ended.Sub(x.Sent) > lossSlack
 	}
-	excused := x.Sent.Before(stopped.Add(lateAfter)) && x.Ended.After(stopped.Add(workEnd))
+	excused := x.Began.Before(stopped.Add(lateAfter)) && x.Ended.After(stopped.Add(workEnd))
 	return !excused
 }
 
@@ -149,6 +153,7 @@
 	stopped := time.Now()
 	if trouble {
 		machines[0].Signal(sigterm)
+		stopped = time.Now()
 		ended := make(chan struct{})
 		go func() {
 			_ = machines[0].process.Wait()
@@ -160,7 +165,10 @@
 		case <-time.After(grace):
 			p.Record.Printf("machine %s: still there after %v", machines[0].Name, grace)
 			_ = machines[0].process.Process.Kill()
+			<-ended
 		}
+		time.Sleep(restartDelay)
+		machines[0].Start(false)
 	} else {
 		time.Sleep(grace)
 	}
@@ -183,7 +191,7 @@
 		cut++
 		isLost := x.Machine == machine && lost(x, stopped, ran)
 		record.Printf("cut: %s at %s, sent %.3f s after SIGTERM, ended %.3f s after it, has run %t, status %d, %d events, lost %t", x.ID, x.Machine,
-			x.Sent.Sub(stopped).Seconds(), x.Ended.Sub(stopped).Seconds(), ran, x.Status, x.Events, isLost)
+			x.Began.Sub(stopped).Seconds(), x.Ended.Sub(stopped).Seconds(), ran, x.Status, x.Events, isLost)
 		if isLost {
 			count++
 		}
