Refuse requests that are read too late in a stop

Cause: a request was the last of its connection by the state of the connection when it was read. A stream whose head had gone out before SIGTERM was followed by one more request, however late, and nothing compared the time that this one may take with the time that the host had left.

Change: planStop (internal/node) states how the grace period is used, in one place. Until Late (2.5 s) all requests are served, since the load balancer still sends callers; later only those whose deadline lies before End (7.3 s). Others get a true 503 with Connection: close before they are passed on. Whether a response is the last is decided when its head is written. At End requests without a response are answered with 502, or 503 if nothing was sent. Related paths: idle, pipelined and half-read requests, relayed ones (refused as not sent, so that the peer asks another host), and the own interface, whose refusals in a stop now close their connection.

Why it works: after Late nothing is passed on that can still run at End.

--- a/internal/adapter/callers/respond.go
+++ b/internal/adapter/callers/respond.go
@@ -23,6 +23,10 @@
 	if d.ResumeToken != "" {
 		ctx.Response.Header.Set(outcome.HeaderResumeToken, d.ResumeToken)
 	}
+	if d.Code == dispatcher.CodeShuttingDown {
+		// Another daemon serves the retry.
+		ctx.SetConnectionClose()
+	}
 	writeJSON(ctx, r.Status, outcome.Error{Error: d})
 }
 
--- a/internal/adapter/callers/server_test.go
+++ b/internal/adapter/callers/server_test.go
@@ -10,8 +10,10 @@
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
 
 	"rattanchute/internal/contain"
+	"rattanchute/internal/dispatcher"
 	"rattanchute/internal/route"
 )
 
@@ -74,3 +76,14 @@
 		is.Equal(response.StatusCode, c.status)
 	}
 }
+
+// TestRefusalOfAStoppingDaemonClosesItsConnection guards against callers that go on sending to a daemon that refuses
+// everything.
+func TestRefusalOfAStoppingDaemonClosesItsConnection(t *testing.T) {
+	is := is.New(t)
+	for _, code := range []string{dispatcher.CodeShuttingDown, "too_many_streams"} {
+		var ctx fasthttp.RequestCtx
+		writeRefusal(&ctx, dispatcher.NewRefusal(fasthttp.StatusServiceUnavailable, "r1", code, "text"))
+		is.Equal(ctx.Response.ConnectionClose(), code == dispatcher.CodeShuttingDown)
+	}
+}
--- a/internal/dispatcher/refusal.go
+++ b/internal/dispatcher/refusal.go
@@ -50,8 +50,11 @@
 	return r
 }
 
+// CodeShuttingDown is the code of the refusals of a daemon that stops.
+const CodeShuttingDown = "shutting_down"
+
 func refuseShuttingDown(requestID string) *Refusal {
-	return NewRefusal(http.StatusServiceUnavailable, requestID, "shutting_down",
+	return NewRefusal(http.StatusServiceUnavailable, requestID, CodeShuttingDown,
 		"this daemon takes no new requests").withRetryAfter(retryAfterShutdown)
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -21,11 +21,6 @@
 	// readyDelay is how long after it has a configuration and endpoints a host reports that it
 	// is ready. By then it has normally received its peers' reports.
 	readyDelay = 300 * time.Millisecond
-	// drainDelay is how long new connections may still arrive after a stop was requested: the
-	// load balancer checks once per second and removes a host after two failed checks.
-	drainDelay = 2500 * time.Millisecond
-	// exitMargin is the part of the grace period that is reserved for leaving gracefully.
-	exitMargin = 700 * time.Millisecond
 	// taskEndTimeout bounds the wait for the tasks at the end of a stop. It is part of exitMargin.
 	taskEndTimeout = 200 * time.Millisecond
 )
@@ -173,18 +168,18 @@
 		Int("endpoints", len(n.endpoints.Known())).Msg("ready")
 }
 
-// stop waits until the load balancer should no longer send new connections, but at most for half of
-// the grace period, finishes the open requests as far as the rest of that period allows, and
-// deregisters this host. The caller has already ended the duties.
+// stop waits until the load balancer should no longer send new connections, finishes the open requests as far as
+// the grace period allows, and deregisters this host. The caller has already ended the duties.
 func (n *Node) stop(endWork context.CancelFunc) {
 	began := clock.Now()
+	plan := planStop(began, n.Settings.Bounds.StopGrace)
 	n.leaving.Store(true)
-	n.Log.Info().Msg("stopping")
-	grace := max(n.Settings.Bounds.StopGrace-exitMargin, exitMargin)
-	n.server.Drain()
-	n.relayServer.Drain()
-	time.Sleep(min(drainDelay, grace/2))
-	ctx, cancel := context.WithTimeout(context.Background(), grace-clock.Now().Sub(began))
+	n.server.Drain(plan)
+	n.relayServer.Drain(plan)
+	n.Log.Info().Int64("late_in_ms", plan.Late.Sub(began).Milliseconds()).
+		Int64("end_in_ms", plan.End.Sub(began).Milliseconds()).Msg("stopping")
+	time.Sleep(plan.Late.Sub(clock.Now()))
+	ctx, cancel := context.WithTimeout(context.Background(), plan.End.Sub(clock.Now()))
 	defer cancel()
 	n.server.Close(ctx)
 	n.relayServer.Close(ctx)
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -13,7 +13,8 @@
 // admit decides whether the request is accepted, and returns the error response if it is not.
 func (x *exchange) admit() *errorResponse {
 	steps := []func() *errorResponse{
-		x.readInfo, x.findRoute, x.checkKey, x.findOrigin, x.prepare, x.checkQuarantine, x.recordDemand, x.checkQuota, x.checkShare,
+		x.readInfo, x.findRoute, x.checkKey, x.findOrigin, x.prepare, x.checkStop, x.checkQuarantine, x.recordDemand, x.checkQuota,
+		x.checkShare,
 	}
 	for _, step := range steps {
 		if e := step(); e != nil {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -175,8 +175,11 @@
 // contextEnded returns the outcome of an attempt whose context has ended after the request may have
 // reached the endpoint.
 func (a *attempt) contextEnded() (outcome, balancer.Result) {
-	if errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(a.ctx.Err(), context.DeadlineExceeded):
 		return outcomeFailed, balancer.ResultFailed
+	case endedByStop(a.ctx):
+		return outcomeFailed, balancer.ResultCancelled
 	}
 	// The caller has disconnected: no response is sent.
 	a.exchange.markUnanswered(clock.Now())
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -46,7 +46,7 @@
 	mu sync.Mutex
 	// busy is set from when the first byte of a request is seen to the end of its response.
 	busy bool
-	// closing is set once the response to the next request is to be the last.
+	// closing is set once the next response is to be the last.
 	closing bool
 }
 
@@ -136,7 +136,7 @@
 		x.sendError(e)
 		return false
 	}
-	x.close = x.request.Header.ConnectionClose() || c.server.isStopping() || c.isClosing()
+	x.close = x.request.Header.ConnectionClose()
 	serve := x.serve
 	if c.server.relay {
 		if err := x.takeRelayed(); err != nil {
@@ -145,7 +145,7 @@
 		}
 		serve = x.serveRelayed
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(c.server.requests)
 	defer cancel()
 	watch := c.watchCaller(cancel)
 	serve(ctx)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -153,9 +153,7 @@
 
 // sendResponse sends a complete response.
 func (x *exchange) sendResponse(resp *fasthttp.Response) {
-	if x.close {
-		resp.SetConnectionClose()
-	}
+	x.announceClose(&resp.Header)
 	x.status = resp.StatusCode()
 	x.headSent = true
 	c := x.conn
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -53,6 +53,8 @@
 func (x *exchange) finalError(ctx context.Context) *errorResponse {
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded) || x.deadline.Sub(clock.Now()) < minTimeLeft
 	switch {
+	case endedByStop(ctx):
+		return x.stoppedError()
 	case late && x.started:
 		return newErrorResponse(fasthttp.StatusGatewayTimeout, ReasonTimeout, 0)
 	case late:
@@ -64,7 +66,7 @@
 // sendFailure sends the error response, unless the caller has disconnected or has received part of
 // a response.
 func (x *exchange) sendFailure(ctx context.Context, e *errorResponse) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if callerHasLeft(ctx) {
 		x.callerLeft()
 		return
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -252,7 +252,7 @@
 	request := testRequestHead + "Id: 1\r\nContent-Length: 0\r\n\r\n"
 	_, _ = fmt.Fprint(conn, request)
 	is.True(!readResponse(t, reader).closes)
-	p.server.Drain()
+	p.server.Drain(stopping(time.Minute, time.Minute))
 	_, _ = fmt.Fprint(conn, request)
 	a := readResponse(t, reader)
 	is.Equal(a.body, "fine")
--- a/internal/proxy/relayed.go
+++ b/internal/proxy/relayed.go
@@ -21,7 +21,7 @@
 // peerRefusals are the reasons of refusals that concern this host alone: another peer may still send the request.
 var peerRefusals = []Reason{
 	ReasonStarting, ReasonConfigurationUnconfirmed, ReasonOutOfMemory, ReasonEndpointsUnreachable, ReasonNoRoute,
-	ReasonUnknownKey, ReasonMalformed, ReasonUnrelayable, ReasonNoEndpoint, ReasonEndpointsFull,
+	ReasonUnknownKey, ReasonMalformed, ReasonUnrelayable, ReasonNoEndpoint, ReasonEndpointsFull, ReasonStopping,
 }
 
 // takeRelayed reads what the first host has decided about a relayed request. Its header goes no further.
@@ -41,7 +41,7 @@
 // admitRelayed is admit for a request of which a peer has checked and counted what concerns its caller. The key
 // and the route are checked again: a peer is given no rights that its caller lacks.
 func (x *exchange) admitRelayed() *errorResponse {
-	for _, step := range []func() *errorResponse{x.readInfo, x.findRoute, x.checkKey, x.prepareRelayed, x.checkRelayedQuarantine} {
+	for _, step := range []func() *errorResponse{x.readInfo, x.findRoute, x.checkKey, x.prepareRelayed, x.checkStop, x.checkRelayedQuarantine} {
 		if e := step(); e != nil {
 			return e
 		}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,8 +35,12 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	// stopping is closed by Drain, and accepted when Serve returns.
-	stopping chan struct{}
+	// stop is how the server stops; nil before Drain.
+	stop atomic.Pointer[Stop]
+	// requests is the context of all requests; end ends it.
+	requests context.Context
+	end      context.CancelCauseFunc
+	// accepted is closed when Serve returns.
 	accepted chan struct{}
 	wg       sync.WaitGroup
 }
@@ -60,10 +65,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	s := &Server{
-		proxy: p, listener: listener, conns: map[*conn]struct{}{},
-		stopping: make(chan struct{}), accepted: make(chan struct{}),
-	}
+	s := &Server{proxy: p, listener: listener, conns: map[*conn]struct{}{}, accepted: make(chan struct{})}
+	s.requests, s.end = context.WithCancelCause(context.Background())
 	return s, nil
 }
 
@@ -135,21 +138,15 @@
 }
 
 // isStopping reports whether Drain was called.
-func (s *Server) isStopping() bool {
-	select {
-	case <-s.stopping:
-		return true
-	default:
-		return false
-	}
-}
+func (s *Server) isStopping() bool { return s.stop.Load() != nil }
 
-// Drain makes the response to each request that is read from now on the last on its connection. It
-// may be called only once.
-func (s *Server) Drain() { close(s.stopping) }
+// Drain makes each response whose head is written from now on the last on its connection, and refuses requests
+// that are read too late for the stop.
+func (s *Server) Drain(stop Stop) { s.stop.Store(&stop) }
 
-// Close answers the requests that have arrived, accepts no others, and closes each connection after its last
-// response. It returns once all connections have ended or the context has.
+// Close answers the requests that have arrived, accepts no more connections, and closes each connection after its
+// last response. When the context ends, it ends the requests that are in progress. It returns once all connections
+// have ended, but at most lastAnswerTimeout after the context.
 func (s *Server) Close(ctx context.Context) {
 	s.acceptQueued(ctx)
 	_ = s.listener.Close()
@@ -161,8 +158,14 @@
 	}()
 	select {
 	case <-done:
+		return
 	case <-ctx.Done():
 	}
+	s.end(errStopped)
+	select {
+	case <-done:
+	case <-time.After(lastAnswerTimeout):
+	}
 }
 
 // acceptQueued lets Serve accept the connections that wait for it, and end.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -176,9 +176,7 @@
 	copyHeader(&head, header)
 	a.markAnswered(&head)
 	head.SetContentLength(-1)
-	if x.close {
-		head.SetConnectionClose()
-	}
+	x.announceClose(&head)
 	x.extendWriteDeadline()
 	if err := head.Write(x.conn.writer); err != nil {
 		x.broken = true
