Read lists and watches of the store entry by entry

Seen here: no process ends, but with an entry nested deeper than 10,000 levels no host follows the list any more, and one that starts beside it does not become ready. The same with a token that is no JSON (Infinity, a control byte).

Cause: a page of a list, and an answer of a watch, was decoded as one document; encoding/json checks all of it before it decodes the first entry. The error was taken for a lost store.

Change: objecthttp.Split finds the entries in the text (gjson skips values without recursion and without checking them) and decodes the rest strictly. Each entry is decoded by itself; one that encoding/json does not accept keeps its name, and its value goes to its reader as it stands, which logs and counts it once.

Why it works: what cannot be read ends at its own brackets, whatever is in it; a document whose brackets do not match is rejected as before.

Split: a property against encoding/json, and unbalanced documents.

--- a/internal/adapter/objecthttp/call.go
+++ b/internal/adapter/objecthttp/call.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -54,8 +53,8 @@
 	// CheckHeader is called with the header of each response, whatever its status. If it returns an
 	// error, the response is discarded and the error returned. It may be nil.
 	CheckHeader func(*fasthttp.ResponseHeader) error
-	// Out is what the response to a successful call is decoded into; nil if it is not needed.
-	Out any
+	// Decode decodes the response to a successful call; nil if it is not needed.
+	Decode func(body []byte) error
 }
 
 // Do sends a call.
@@ -81,10 +80,10 @@
 	if err := c.StatusError(resp.StatusCode()); err != nil {
 		return err
 	}
-	if call.Out == nil {
+	if call.Decode == nil {
 		return nil
 	}
-	if err := json.Unmarshal(resp.Body(), call.Out); err != nil {
+	if err := call.Decode(resp.Body()); err != nil {
 		return fmt.Errorf("%w: answer: %w", objectstore.ErrUnavailable, err)
 	}
 	return nil
--- a/internal/adapter/platformhttp/store.go
+++ b/internal/adapter/platformhttp/store.go
@@ -35,6 +35,8 @@
 	Timeout     time.Duration
 	WatchWait   time.Duration
 	Connections httpclient.Options
+	// OnMalformed is called for each entry of a list or watch that cannot be identified; nil to ignore them.
+	OnMalformed func(kind objectstore.Kind, err error)
 }
 
 // Store is a client of the platform's object service.
@@ -54,6 +56,9 @@
 	if o.WatchWait <= 0 {
 		o.WatchWait = DefaultWatchWait
 	}
+	if o.OnMalformed == nil {
+		o.OnMalformed = func(objectstore.Kind, error) {}
+	}
 	httpClient := httpclient.New(o.Connections)
 	requester := objecthttp.Requester{HTTP: httpClient, Address: o.Address, StatusError: statusError}
 	return &Store{options: o, httpClient: httpClient, requester: requester}
@@ -62,66 +67,54 @@
 // CloseIdle closes the connections to the store that no call is using. Later calls open new ones.
 func (s *Store) CloseIdle() { s.httpClient.CloseIdle() }
 
-// listResponse is the response body of List.
-type listResponse struct {
-	Version objectstore.Version  `json:"version"`
-	Objects []objectstore.Object `json:"objects"`
-}
-
-// watchResponse is the response body of Watch.
-type watchResponse struct {
-	Version objectstore.Version `json:"version"`
-	Events  []objectstore.Event `json:"events"`
-}
-
 // Get implements objectstore.Store.
 func (s *Store) Get(ctx context.Context, kind objectstore.Kind, name string) (objectstore.Object, error) {
-	var o objectstore.Object
+	var o object
 	c := call{method: fasthttp.MethodGet, path: objectPath(kind, name)}
-	err := s.do(ctx, c, &o)
-	return o, err
+	err := s.do(ctx, c, o.decode)
+	return o.Object, err
 }
 
 // List implements objectstore.Store.
 func (s *Store) List(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, objectstore.Version, error) {
 	var response listResponse
 	c := call{method: fasthttp.MethodGet, path: kindPath(kind)}
-	err := s.do(ctx, c, &response)
-	return response.Objects, response.Version, err
+	err := s.do(ctx, c, response.decode)
+	return s.objects(kind, response.Objects), response.Version, err
 }
 
 // Create implements objectstore.Store.
 func (s *Store) Create(ctx context.Context, kind objectstore.Kind, name string, value json.RawMessage) (objectstore.Object, error) {
-	var o objectstore.Object
+	var o object
 	if len(value) > objectstore.MaxValueBytes {
-		return o, objectstore.ErrTooLarge
+		return objectstore.Object{}, objectstore.ErrTooLarge
 	}
 	c := call{method: fasthttp.MethodPost, path: objectPath(kind, name), value: value}
-	err := s.do(ctx, c, &o)
-	return o, err
+	err := s.do(ctx, c, o.decode)
+	return o.Object, err
 }
 
 // Update implements objectstore.Store. It replaces the value if the stored version is
 // still o.Version.
 func (s *Store) Update(ctx context.Context, o objectstore.Object) (objectstore.Object, error) {
-	var stored objectstore.Object
+	var stored object
 	if len(o.Value) > objectstore.MaxValueBytes {
-		return stored, objectstore.ErrTooLarge
+		return objectstore.Object{}, objectstore.ErrTooLarge
 	}
 	c := call{method: fasthttp.MethodPut, path: objectPath(o.Kind, o.Name), value: o.Value, ifMatch: o.Version}
-	err := s.do(ctx, c, &stored)
-	return stored, err
+	err := s.do(ctx, c, stored.decode)
+	return stored.Object, err
 }
 
 // UpdateStatus implements objectstore.Store.
 func (s *Store) UpdateStatus(ctx context.Context, o objectstore.Object) (objectstore.Object, error) {
-	var stored objectstore.Object
+	var stored object
 	if len(o.Status) > objectstore.MaxValueBytes {
-		return stored, objectstore.ErrTooLarge
+		return objectstore.Object{}, objectstore.ErrTooLarge
 	}
 	c := call{method: fasthttp.MethodPut, path: objectPath(o.Kind, o.Name) + "?part=status", value: o.Status, ifMatch: o.Version}
-	err := s.do(ctx, c, &stored)
-	return stored, err
+	err := s.do(ctx, c, stored.decode)
+	return stored.Object, err
 }
 
 // Delete implements objectstore.Store. It removes the object if the stored version is
@@ -145,8 +138,8 @@
 	query.Set("timeout_ms", strconv.FormatInt(max(watchWait.Milliseconds(), 0), 10))
 	c := call{method: fasthttp.MethodGet, path: kindPath(kind) + "?" + query.Encode(), watchWait: watchWait}
 	var response watchResponse
-	err := s.do(ctx, c, &response)
-	return response.Events, response.Version, err
+	err := s.do(ctx, c, response.decode)
+	return s.events(kind, response.Events), response.Version, err
 }
 
 func kindPath(kind objectstore.Kind) string {
@@ -168,13 +161,13 @@
 	watchWait time.Duration
 }
 
-// do sends a call and, if it succeeds, decodes the response into out unless out is nil.
-func (s *Store) do(ctx context.Context, c call, out any) error {
+// do sends a call and, if it succeeds, decodes the response unless decode is nil.
+func (s *Store) do(ctx context.Context, c call, decode func(body []byte) error) error {
 	set := func(req *fasthttp.Request) error {
 		s.setRequest(req, c)
 		return nil
 	}
-	return s.requester.Do(ctx, objecthttp.Call{Timeout: s.options.Timeout + c.watchWait, SetRequest: set, Out: out})
+	return s.requester.Do(ctx, objecthttp.Call{Timeout: s.options.Timeout + c.watchWait, SetRequest: set, Decode: decode})
 }
 
 func (s *Store) setRequest(req *fasthttp.Request, c call) {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -89,7 +89,7 @@
 	a.engines = enginehttp.New(enginehttp.Options{Signals: a.router})
 	a.router.SetSignalLog(signalLog{a.log})
 	a.handleInvariantViolations()
-	a.store = newStore(s.Platform)
+	a.store = newStore(s.Platform, logger)
 	a.cloud = newCloud(s.Platform)
 	a.registry.MustRegister(collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -104,11 +104,14 @@
 	return a, nil
 }
 
-func newStore(p settings.Platform) objectstore.Store {
+func newStore(p settings.Platform, logger *log.Logger) objectstore.Store {
 	return platformhttp.New(platformhttp.Options{
 		Address: hostPort(p.URL),
 		Token:   p.Token.Secret.Reveal(),
 		Timeout: p.Timeout.Std(),
+		OnMalformed: func(kind objectstore.Kind, err error) {
+			logger.Warn().Str("kind", string(kind)).Err(err).Msg("store entry skipped")
+		},
 	})
 }
 
--- a/internal/node/malformed.go
+++ b/internal/node/malformed.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"rattanchute/internal/objectstore"
 )
@@ -13,6 +14,14 @@
 type malformedLog struct {
 	mu   sync.Mutex
 	seen map[string]objectstore.Version
+	// count counts the logged entries.
+	count prometheus.Counter
+}
+
+func newMalformedCounter() prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "rattanchute_malformed_entries_total", Help: "Versions of entries of the platform's store that were skipped because they cannot be read.",
+	})
 }
 
 // maxMalformedEntries limits the number of entries that are remembered.
@@ -29,5 +38,6 @@
 		return
 	}
 	m.seen[name] = version
+	m.count.Inc()
 	logger.Warn().Str("entry", name).Uint64("version", version.Revision()).Err(err).Msg("malformed entry skipped")
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -82,13 +82,16 @@
 	}
 	now := clock.Now()
 	for _, o := range objects {
+		if o.Name == n.Settings.Name {
+			// An entry of this name that cannot be read is written anew.
+			own.Version = o.Version
+		}
 		var p heartbeat.Peer
 		if err := json.Unmarshal(o.Value, &p); err != nil {
 			n.malformed.logOnce(n.Log, o.Name, o.Version, err)
 			continue
 		}
 		if o.Name == n.Settings.Name {
-			own.Version = o.Version
 			listed = p.Incarnation == n.incarnation
 			continue
 		}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -127,7 +127,8 @@
 	n.restores = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rattanchute_store_restores_total", Help: "Restores of the platform's store from an older copy that this host has seen.",
 	})
-	n.registry.MustRegister(n.restores, quotaCollector{n.quota})
+	n.malformed.count = newMalformedCounter()
+	n.registry.MustRegister(n.restores, n.malformed.count, quotaCollector{n.quota})
 	gauge("rattanchute_lease_held", "1 while this host holds the duties.",
 		func() float64 {
 			if n.lease == nil {
