Take up unknown streams only by a list that is newer than their callers

Cause: a host that had not heard where a stream began took the one version of its list of endpoints for the only one if the list was at most 2.5 s old. Other hosts can begin streams at a newer version in that time and be killed before they tell of them.

Change: OnlyVersion gets the time of the caller's arrival, wakes the readers of the store, and waits up to 0.8 s until the list and the configuration were the newest at that time; otherwise the request is refused. After 2.5 s without a confirmation the 30 s of one version begin anew, hosts vouch to others only for a confirmed list, versions that come and go within one change are remembered, and lists are passed on in the order in which they are read.

Why it works: a version at which a stream began was listed before its caller came back, so a list that was the newest at that time shows it.

Tests: TestHostOutOfStepResumesNoStreamOfANewerVersion, TestHostsOutOfStepNameNoOtherVersion (property; red without the gap rule in its second play), TestHostOutOfTouchVouchesForNoVersion.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -47,6 +47,7 @@
 	changes := n.endpoints.Replace(now, entries, asOf)
 	n.endpoints.Confirm(requestedAt)
 	n.endpointsChanged(changes)
+	n.confirmOrigins()
 	return asOf, nil
 }
 
@@ -121,6 +122,10 @@
 		return
 	}
 	for _, c := range changes {
+		if c.Kind == registry.ChangeAdded {
+			// It may be gone again from the list.
+			n.origins.SawVersion(clock.Now(), c.Endpoint.Fleet, c.Endpoint.Version)
+		}
 		n.Log.Info().Str("endpoint", c.Endpoint.ID).Str("fleet", c.Endpoint.Fleet).
 			Str("change", string(c.Kind)).Str("address", c.Endpoint.Address).Str("endpoint_version", c.Endpoint.Version).
 			Str("data_centre", c.Endpoint.DataCentre).Bool("reclaimable", c.Endpoint.Reclaimable).
@@ -131,8 +136,20 @@
 	n.announceChange()
 }
 
-// setEndpoints passes the list of endpoints to the balancer.
+// confirmOrigins tells the origins which endpoints there are, and when that was last known to be the newest.
+func (n *Node) confirmOrigins() {
+	n.setEndpointsMu.Lock()
+	defer n.setEndpointsMu.Unlock()
+	// Read before the list, which may only be newer than that.
+	confirmedAt := n.endpoints.ConfirmedAt()
+	n.origins.SetEndpoints(clock.Now(), n.endpoints.Known())
+	n.origins.Confirm(confirmedAt)
+}
+
+// setEndpoints passes the list of endpoints to the balancer. Lists are passed in the order in which they are read.
 func (n *Node) setEndpoints() {
+	n.setEndpointsMu.Lock()
+	defer n.setEndpointsMu.Unlock()
 	known := n.endpoints.Known()
 	n.balancer.SetEndpoints(known)
 	n.origins.SetEndpoints(clock.Now(), known)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,6 +138,8 @@
 	peerBytesSent atomic.Uint64
 	storeCalls    *storeCalls
 	health        storeHealth
+	// setEndpointsMu serialises the passing on of lists of endpoints.
+	setEndpointsMu sync.Mutex
 	// applyMu serialises the activation of configurations and guards configuration.
 	applyMu       sync.Mutex
 	configuration configurationState
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -14,9 +14,13 @@
 const (
 	// originsReportedIntervals is the number of messages that repeat where a stream began: messages may be lost.
 	originsReportedIntervals = 3
-	// originsMaxEndpointsAge is the age up to which the list of endpoints shows all versions. A host that is
-	// cut off from the store does not know the newest.
+	// originsMaxEndpointsAge is the age up to which the list of endpoints is stored as evidence of versions. Who reads
+	// it there looks at the changes since.
 	originsMaxEndpointsAge = 2500 * time.Millisecond
+	// confirmationTimeout bounds the wait for a confirmation by the store. It has room for a read of a follower,
+	// followerReadInterval after the one before.
+	confirmationTimeout       = 800 * time.Millisecond
+	confirmationCheckInterval = 20 * time.Millisecond
 	// originsLoadTimeout is how long a host that starts waits for the stored origins before it says that it is
 	// ready.
 	originsLoadTimeout = time.Second
@@ -66,11 +70,29 @@
 	return now.Add(-originsReportedIntervals * n.peers.Interval(now))
 }
 
-// onlyVersion returns the version at which all streams of a fleet began that callers may still resume; false
-// if there may be several.
-func (n *Node) onlyVersion(now time.Time, fleet string) (string, bool) {
-	if now.Sub(n.endpoints.ConfirmedAt()) > originsMaxEndpointsAge {
+// onlyVersion returns the version at which all streams of a fleet began that callers could resume at a time; false if
+// there may be several. It waits until the list of endpoints and the configuration are known to have been the newest
+// at that time, as other hosts may have begun streams by newer ones before.
+func (n *Node) onlyVersion(at time.Time, fleet string) (string, bool) {
+	if _, only := n.origins.OnlyVersion(clock.Now(), fleet); !only || !n.awaitConfirmation(at) {
 		return "", false
 	}
-	return n.origins.OnlyVersion(now, fleet)
+	return n.origins.OnlyVersion(clock.Now(), fleet)
+}
+
+// awaitConfirmation waits until the list of endpoints that the origins know, and the configuration, are confirmed as of
+// a time, but no longer than confirmationTimeout.
+func (n *Node) awaitConfirmation(at time.Time) bool {
+	confirmed := func() bool {
+		return !n.origins.ConfirmedAt().Before(at) && !n.proxy.ConfirmedAt().Before(at)
+	}
+	for deadline := clock.Now().Add(confirmationTimeout); !confirmed(); {
+		if !clock.Now().Before(deadline) {
+			return false
+		}
+		wake(n.endpointsStale)
+		wake(n.configurationStale)
+		time.Sleep(confirmationCheckInterval)
+	}
+	return true
 }
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -165,4 +165,5 @@
 		return
 	}
 	n.endpointsChanged(changes)
+	n.confirmOrigins()
 }
--- a/internal/origin/report.go
+++ b/internal/origin/report.go
@@ -81,6 +81,9 @@
 
 func (t *Table) onlyReports(now time.Time) []OnlyReport {
 	var reports []OnlyReport
+	if !t.versions.isConfirmed(now) {
+		return nil
+	}
 	for fleet := range t.versions.fleets {
 		version, since := t.versions.only(now, fleet)
 		if age := now.Sub(since); version != "" && age > 0 {
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -78,7 +78,7 @@
 	if first {
 		knownSince = now.Add(-retention)
 	}
-	return &Table{known: map[Key]*stream{}, versions: newVersionLog(knownSince)}
+	return &Table{known: map[Key]*stream{}, versions: newVersionLog(knownSince, now)}
 }
 
 // Began records that a stream has begun, or has been resumed, at this host.
@@ -139,6 +139,27 @@
 	t.versions.set(now, known)
 }
 
+// SawVersion records that an endpoint of a version was there.
+func (t *Table) SawVersion(now time.Time, fleet, version string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.versions.saw(now, fleet, version)
+}
+
+// Confirm records that the endpoints of the last SetEndpoints were known to be all at a time.
+func (t *Table) Confirm(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.versions.confirm(at)
+}
+
+// ConfirmedAt returns the last time at which the endpoints were known to be all.
+func (t *Table) ConfirmedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.versions.confirmedAt
+}
+
 // OnlyVersion returns the version at which all streams of a fleet that may still be resumed began; false if
 // they may have begun at several, or at one that this host does not know.
 func (t *Table) OnlyVersion(now time.Time, fleet string) (string, bool) {
--- a/internal/origin/table_test.go
+++ b/internal/origin/table_test.go
@@ -112,7 +112,9 @@
 	is := is.New(t)
 	old, young := NewTable(at(0), true), NewTable(at(50), false)
 	old.SetEndpoints(at(0), listed("v1"))
+	keepConfirmed(old, 50)
 	young.SetEndpoints(at(50), listed("v1"))
+	young.Confirm(at(50))
 	_, certain := young.OnlyVersion(at(51), "f")
 	is.True(!certain)
 	young.Apply(at(51), old.Report(at(51), longAgo, true), false)
@@ -124,6 +126,38 @@
 	is.True(!certain)
 }
 
+// keepConfirmed confirms the endpoints each second until a time.
+func keepConfirmed(table *Table, seconds int) {
+	for s := range seconds + 1 {
+		table.Confirm(at(float64(s)))
+	}
+}
+
+// TestHostOutOfTouchVouchesForNoVersion: neither does it tell others of its old list, nor does it trust its own memory
+// after a gap in which a version may have come and gone.
+func TestHostOutOfTouchVouchesForNoVersion(t *testing.T) {
+	is := is.New(t)
+	cut := NewTable(at(0), true)
+	cut.SetEndpoints(at(0), listed("v1"))
+	keepConfirmed(cut, 10)
+	is.True(cut.Report(at(12), longAgo, true) != nil)
+	is.True(cut.Report(at(13), longAgo, true) == nil)
+	_, certain := cut.OnlyVersion(at(10), "f")
+	is.True(certain)
+	cut.Confirm(at(15))
+	_, certain = cut.OnlyVersion(at(15), "f")
+	is.True(!certain)
+	peer := NewTable(at(0), true)
+	peer.SetEndpoints(at(0), listed("v1"))
+	keepConfirmed(peer, 15)
+	cut.Apply(at(15), peer.Report(at(15), longAgo, true), false)
+	_, certain = cut.OnlyVersion(at(15), "f")
+	is.True(certain)
+	cut.SawVersion(at(16), "f", "v2") // it has come and gone between two lists
+	_, certain = cut.OnlyVersion(at(17), "f")
+	is.True(!certain)
+}
+
 func TestMalformedReportsAreIgnored(t *testing.T) {
 	is := is.New(t)
 	table := NewTable(at(0), false)
@@ -134,6 +168,74 @@
 	is.True(!certain)
 }
 
+// outOfStep is a host that may know an older list of endpoints than the others.
+type outOfStep struct {
+	*Table
+	cut      bool
+	versions []string
+}
+
+// read gives the host the list of endpoints, unless it is cut off.
+func (h *outOfStep) read(now time.Time, versions []string) {
+	if h.cut {
+		return
+	}
+	h.versions = versions
+	h.SetEndpoints(now, listed(versions...))
+	h.Confirm(now)
+}
+
+// TestHostsOutOfStepNameNoOtherVersion guards against hosts that are cut off, or stand still, while a version joins, and
+// take up streams that began there at others. Hosts read the list when a caller comes, and name a version only if
+// they could.
+func TestHostsOutOfStepNameNoOtherVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		loss := rapid.Float64Range(0, 1).Draw(t, "loss")
+		versions := []string{"v1"}
+		var hosts []*outOfStep
+		for range 3 {
+			hosts = append(hosts, &outOfStep{Table: NewTable(epoch, true)})
+		}
+		began := map[Key]string{}
+		// A version is there for longer than maxConfirmationGap.
+		const least = 11
+		changed := 0
+		for i := range 400 {
+			now := at(float64(i) * .25)
+			if random.IntN(40) == 0 && i-changed >= least {
+				versions = [][]string{{"v1"}, {"v1", "v2"}, {"v2"}, {"v2", "v3"}}[random.IntN(4)]
+				changed = i
+			}
+			for _, h := range hosts {
+				if random.IntN(20) == 0 {
+					h.cut = !h.cut
+				}
+				if random.IntN(60) == 0 {
+					*h = outOfStep{Table: NewTable(now, false), cut: h.cut}
+				}
+				h.read(now, versions)
+			}
+			key := Key(fmt.Sprint(i))
+			if server := hosts[random.IntN(3)]; !server.cut {
+				began[key] = versions[random.IntN(len(versions))]
+				server.Began(now, key, Origin{"f", began[key]})
+			}
+			exchange(random, now, loss, []*Table{hosts[0].Table, hosts[1].Table, hosts[2].Table})
+			taken := Key(fmt.Sprint(max(i-random.IntN(100), 0)))
+			for _, h := range hosts {
+				version, ok := named(h.Table, now, taken)
+				if _, known := h.Find(taken); !known && h.ConfirmedAt().Before(now) {
+					continue
+				}
+				if ok && began[taken] != "" && version != began[taken] {
+					t.Fatalf("stream %s began at %s, a host says %s", taken, began[taken], version)
+				}
+			}
+		}
+	})
+}
+
 // TestNoHostNamesAnotherVersionThanThatOfTheStream plays hosts that start and stop hearing each other
 // while versions come and go.
 func TestNoHostNamesAnotherVersionThanThatOfTheStream(t *testing.T) {
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -8,9 +8,11 @@
 
 // versionLog remembers which versions the fleets had lately.
 type versionLog struct {
-	// knownSince is since when this host has known all endpoints.
-	knownSince time.Time
-	fleets     map[string]*fleetVersions
+	// knownSince is since when this host has known all endpoints, and confirmedAt until when, at least: its start
+	// before it has read them.
+	knownSince  time.Time
+	confirmedAt time.Time
+	fleets      map[string]*fleetVersions
 }
 
 // fleetVersions are the versions of one fleet.
@@ -24,8 +26,9 @@
 	heardSince   time.Time
 }
 
-func newVersionLog(knownSince time.Time) versionLog {
-	return versionLog{knownSince: knownSince, fleets: map[string]*fleetVersions{}}
+// newVersionLog returns the log of a host that starts at a time.
+func newVersionLog(knownSince, startedAt time.Time) versionLog {
+	return versionLog{knownSince: knownSince, confirmedAt: startedAt, fleets: map[string]*fleetVersions{}}
 }
 
 func (l *versionLog) fleet(name string) *fleetVersions {
@@ -52,6 +55,35 @@
 	}
 }
 
+// saw records that an endpoint of a version was there.
+func (l *versionLog) saw(now time.Time, fleet, version string) {
+	l.fleet(fleet).lastSeen[version] = now
+}
+
+// maxConfirmationGap is the longest time between two confirmations in which no version is missed. The last endpoint of a
+// version leaves more slowly than it comes.
+const maxConfirmationGap = 2500 * time.Millisecond
+
+// confirm records that all endpoints were known at a time. After a longer gap, a version may have come and gone since
+// the confirmation before.
+func (l *versionLog) confirm(at time.Time) {
+	if !at.After(l.confirmedAt) {
+		return
+	}
+	if at.Sub(l.confirmedAt) > maxConfirmationGap {
+		l.knownSince = at
+		for _, f := range l.fleets {
+			f.heardVersion, f.heardSince = "", time.Time{}
+		}
+	}
+	l.confirmedAt = at
+}
+
+// isConfirmed reports whether all endpoints were known a short time ago.
+func (l *versionLog) isConfirmed(now time.Time) bool {
+	return now.Sub(l.confirmedAt) <= maxConfirmationGap
+}
+
 // only returns the one version that a fleet has, and since when it has had no other; an empty version if it
 // has several or none.
 func (l *versionLog) only(now time.Time, fleet string) (version string, since time.Time) {
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -7,7 +7,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/origin"
 )
@@ -24,7 +23,7 @@
 	}
 	known, found := x.proxy.Origins.Find(x.streamKey())
 	if !found {
-		known, found = x.onlyOrigin()
+		known, found = x.deduceOrigin()
 	}
 	if !found {
 		return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonOriginUnknown, withJitter(unknownOriginRetryAfter))
@@ -36,14 +35,19 @@
 	return nil
 }
 
-// onlyOrigin returns the only possible origin of a stream that this host has not heard of; false if there are
-// several.
-func (x *exchange) onlyOrigin() (origin.Origin, bool) {
+// deduceOrigin returns the only possible origin of a stream that this host has not heard of; false if there are
+// several. What this host knew before the caller came shows nothing: the stream may have begun since, at a version
+// that is newer than that.
+func (x *exchange) deduceOrigin() (origin.Origin, bool) {
 	if len(x.route.Split) != 1 {
 		return origin.Origin{}, false
 	}
 	name := x.route.Split[0].Fleet
-	version, only := x.proxy.OnlyVersion(clock.Now(), name)
+	version, only := x.proxy.OnlyVersion(x.arrived, name)
+	if known, found := x.proxy.Origins.Find(x.streamKey()); found {
+		// Heard of meanwhile.
+		return known, true
+	}
 	return origin.Origin{Fleet: name, Version: version}, only
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -55,9 +55,9 @@
 	Quarantine *quarantine.Table
 	// Origins knows where streams began.
 	Origins *origin.Table
-	// OnlyVersion returns the version at which all streams of a fleet began that callers may still resume;
-	// false if there may be several.
-	OnlyVersion func(now time.Time, fleet string) (string, bool)
+	// OnlyVersion returns the version at which all streams of a fleet began that callers could resume at a time;
+	// false if there may be several. It may wait for the store to confirm this.
+	OnlyVersion func(at time.Time, fleet string) (string, bool)
 	// Rollouts decides which versions get requests; nil if there are no roll-outs. OnRollout is called when other
 	// hosts should hear what this one has just learned of a version.
 	Rollouts  *rollout.Table
