Take up unknown streams only where their route has led for 30 s

Cause: a host that has not heard of a stream took it to have begun at the one fleet to which its route leads now. That the route led elsewhere in the last 30 s was asked nowhere.

Change: route.Lead digests a route of streams with where it leads and with the routes that overlap with it; origin remembers since when each is in force. A host that starts learns that from peers whose configuration is confirmed, or from the record of versions in the store, less what the configurations written since do not have. Otherwise the stream is refused.

Why it works: a stream that may still be resumed began in the last 30 s, where one of the configurations of that time led.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -104,7 +104,9 @@
 	n.balancer.Configure(c)
 	n.configureShares(c)
 	n.quota.Configure(now, c.Organisations)
-	n.proxy.SetTable(route.Compile(c))
+	table := route.Compile(c)
+	n.proxy.SetTable(table)
+	n.origins.SetRoutes(now, table.Leads())
 	n.announceChange()
 	n.Log.Info().Uint64("generation", uint64(c.Generation)).
 		Uint64("era", object.Version.Era()).Uint64("version", object.Version.Revision()).
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -7,8 +7,10 @@
 
 	"rattanchute/internal/clock"
 	"rattanchute/internal/objectstore"
+	"rattanchute/internal/origin"
 	"rattanchute/internal/origin/keeper"
 	"rattanchute/internal/registry"
+	"rattanchute/internal/route"
 )
 
 const (
@@ -40,11 +42,34 @@
 			e, ok := n.decodeEndpoint(o)
 			return e.Endpoint, ok
 		},
-		OnCall: func(err error) { n.recordStoreCall("origins", err) },
-		Log:    n.Log,
+		DecodeLeads: n.decodeLeads,
+		OnCall:      func(err error) { n.recordStoreCall("origins", err) },
+		Log:         n.Log,
 	})
 }
 
+// decodeLeads reads where the routes of streams of a configuration lead. One that cannot be read is never in force.
+func (n *Node) decodeLeads(o objectstore.Object) ([]route.Lead, bool) {
+	if o.Name != n.Decode.ConfigurationName {
+		return nil, false
+	}
+	c, err := n.Decode.Configuration(o.Value)
+	if err != nil {
+		return nil, false
+	}
+	return route.Compile(c).Leads(), true
+}
+
+// originsReport returns what this host tells others of origins. Where routes lead it tells only while its configuration
+// is confirmed.
+func (n *Node) originsReport(now time.Time, own bool) *origin.Report {
+	r := n.origins.Report(now, n.originsSince(now), own)
+	if r != nil && n.proxy.ConfigurationAge(now) > originsMaxEndpointsAge {
+		r.Leads = nil
+	}
+	return r
+}
+
 // confirmedEndpoints returns the list of endpoints, and a version of the store that it is as new as; zero if
 // the list may be too old to show all versions.
 func (n *Node) confirmedEndpoints() (objectstore.Version, []registry.Endpoint) {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -147,7 +147,7 @@
 	r.LeavingEndpoints = n.signals.LeavingReports(now)
 	r.LimitedEndpoints = n.signals.LimitReports(now)
 	r.Quarantine = n.quarantine.Report(now)
-	r.Origins = n.origins.Report(now, n.originsSince(now), true)
+	r.Origins = n.originsReport(now, true)
 	r.Rollouts = n.rolloutReport(now)
 	r.Shares = n.shares.Report(now, fairshare.ScopeGroup)
 	r.RejectionLimits = n.balancer.RejectionLimitReports(now, balancer.ScopeGroup)
@@ -223,7 +223,7 @@
 		Speeds:           n.balancer.SpeedReport(now, balancer.ScopeAll),
 		RelayPeers:       n.peers.DigestRelayPeers(now, rand.Uint64()),
 		Quarantine:       n.quarantine.Report(now),
-		Origins:          n.origins.Report(now, n.originsSince(now), false),
+		Origins:          n.originsReport(now, false),
 		Rollouts:         n.rolloutDigest(),
 
 		Shares:   n.shares.Report(now, fairshare.ScopeAll),
--- a/internal/origin/keeper/keeper.go
+++ b/internal/origin/keeper/keeper.go
@@ -22,6 +22,7 @@
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/origin"
 	"rattanchute/internal/registry"
+	"rattanchute/internal/route"
 )
 
 const (
@@ -53,6 +54,8 @@
 	Endpoints func() (objectstore.Version, []registry.Endpoint)
 	// DecodeEndpoint reads an entry of that list; false if it names no endpoint.
 	DecodeEndpoint func(objectstore.Object) (registry.Endpoint, bool)
+	// DecodeLeads reads where a configuration's routes of streams lead; false if the object is none in use. It may be nil.
+	DecodeLeads func(objectstore.Object) ([]route.Lead, bool)
 	// OnCall is told the result of each call of the store.
 	OnCall func(error)
 	Log    *log.Logger
--- a/internal/origin/keeper/only.go
+++ b/internal/origin/keeper/only.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"rattanchute/internal/backoff"
 	"rattanchute/internal/objectstore"
 	"rattanchute/internal/registry"
+	"rattanchute/internal/route"
 )
 
 const (
@@ -32,6 +34,8 @@
 	AsOf objectstore.Version `json:"as_of"`
 	// Versions are those of the fleets.
 	Versions map[string]string `json:"versions"`
+	// Leads are those of routes that have been in force for longer than streams may be resumed.
+	Leads []route.Lead `json:"leads,omitempty"`
 }
 
 // writeOnly stores which fleets have had one version for longer than streams may be resumed, for hosts that all
@@ -41,7 +45,7 @@
 		return nil
 	}
 	asOf, known := k.Endpoints()
-	text := onlyText{AsOf: asOf, Versions: k.Table.OnlyVersions(k.Now())}
+	text := onlyText{AsOf: asOf, Versions: k.Table.OnlyVersions(k.Now()), Leads: k.Table.CertainLeads(k.Now())}
 	// The list may be newer than what the table was told of.
 	removeOthers(text.Versions, known)
 	if asOf == 0 || len(text.Versions) == 0 {
@@ -98,7 +102,12 @@
 	if text.AsOf == 0 || len(versions) == 0 || !k.awaitEndpoints(ctx) {
 		return
 	}
-	err := k.replay(ctx, text.AsOf, versions)
+	err := k.replay(ctx, objectstore.KindEndpoint, text.AsOf, func(o objectstore.Object) (more bool) {
+		if endpoint, ok := k.DecodeEndpoint(o); ok {
+			removeOthers(versions, []registry.Endpoint{endpoint})
+		}
+		return len(versions) > 0
+	})
 	k.Log.Info().Uint64("as_of", text.AsOf.Revision()).Int("stored", len(text.Versions)).Int("unchanged", len(versions)).
 		Err(err).Msg("stored versions of fleets read")
 	if err != nil {
@@ -107,6 +116,26 @@
 	for fleet, version := range versions {
 		k.Table.AddOnly(k.Now(), fleet, version)
 	}
+	k.loadLeads(ctx, text)
+}
+
+// loadLeads learns which leads of routes have been in force for longer than streams may be resumed: those of which that
+// is stored and that each configuration since has.
+func (k *Keeper) loadLeads(ctx context.Context, text onlyText) {
+	leads := text.Leads
+	if k.DecodeLeads == nil || len(leads) == 0 {
+		return
+	}
+	err := k.replay(ctx, objectstore.KindConfiguration, text.AsOf, func(o objectstore.Object) (more bool) {
+		if next, ok := k.DecodeLeads(o); ok {
+			leads = slices.DeleteFunc(leads, func(l route.Lead) bool { return !slices.Contains(next, l) })
+		}
+		return len(leads) > 0
+	})
+	k.Log.Info().Int("stored", len(text.Leads)).Int("unchanged", len(leads)).Err(err).Msg("stored leads of routes read")
+	if err == nil {
+		k.Table.AddLeads(k.Now(), leads)
+	}
 }
 
 // awaitEndpoints waits for the list of endpoints. What changes after that, this host sees. It returns false if
@@ -121,14 +150,16 @@
 }
 
 // errManyChanges means that there were too many changes to read them all.
-var errManyChanges = errors.New("origin keeper: too many changes to endpoints")
+var errManyChanges = errors.New("origin keeper: too many changes")
 
-// replay reads the changes to endpoints since a version, and removes the fleets that had an endpoint of another
-// one. It repeats calls that are not answered.
-func (k *Keeper) replay(ctx context.Context, after objectstore.Version, versions map[string]string) error {
+// replay reads the objects of a kind that were written since a version, and passes them on until that wants no more. It
+// repeats calls that are not answered.
+func (k *Keeper) replay(
+	ctx context.Context, kind objectstore.Kind, after objectstore.Version, written func(objectstore.Object) (more bool),
+) error {
 	timeout := minReplayTimeout
 	for range maxReplays {
-		events, next, err := k.changes(ctx, after, timeout)
+		events, next, err := k.changes(ctx, kind, after, timeout)
 		switch {
 		case errors.Is(err, objectstore.ErrCompacted) || ctx.Err() != nil:
 			return err
@@ -143,25 +174,21 @@
 		}
 		for _, e := range events {
 			// What was there before is known, so that deletions show no other version.
-			if e.Deleted {
-				continue
-			}
-			if endpoint, ok := k.DecodeEndpoint(e.Object); ok {
-				removeOthers(versions, []registry.Endpoint{endpoint})
+			if !e.Deleted && !written(e.Object) {
+				return nil
 			}
 		}
-		if len(versions) == 0 {
-			return nil
-		}
 		after = max(after, next)
 	}
 	return errManyChanges
 }
 
-func (k *Keeper) changes(ctx context.Context, after objectstore.Version, timeout time.Duration) ([]objectstore.Event, objectstore.Version, error) {
+func (k *Keeper) changes(
+	ctx context.Context, kind objectstore.Kind, after objectstore.Version, timeout time.Duration,
+) ([]objectstore.Event, objectstore.Version, error) {
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	events, next, err := k.Store.Watch(call, objectstore.KindEndpoint, after)
+	events, next, err := k.Store.Watch(call, kind, after)
 	if !errors.Is(err, objectstore.ErrCompacted) {
 		k.observe(ctx, err)
 	}
--- a/internal/origin/report.go
+++ b/internal/origin/report.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"rattanchute/internal/route"
 )
 
 const (
@@ -17,6 +19,9 @@
 type Report struct {
 	Streams []StreamsReport `json:"streams,omitempty"`
 	Only    []OnlyReport    `json:"only,omitempty"`
+	// Leads are those that have been in force for longer than streams may be resumed. A host tells them when another
+	// joins, and while its configuration is confirmed.
+	Leads []route.Lead `json:"leads,omitempty"`
 }
 
 // StreamsReport lists streams with the same origin.
@@ -46,11 +51,13 @@
 func (t *Table) Report(now, after time.Time, own bool) *Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r := &Report{}
 	if now.Before(t.repeatUntil) {
 		after = now.Add(-retention)
+		r.Leads = t.routes.certain(now)
 	}
-	r := &Report{Streams: t.streamReports(after, own), Only: t.onlyReports(now)}
-	if len(r.Streams)+len(r.Only) == 0 {
+	r.Streams, r.Only = t.streamReports(after, own), t.onlyReports(now)
+	if len(r.Streams)+len(r.Only)+len(r.Leads) == 0 {
 		return nil
 	}
 	return r
@@ -106,6 +113,9 @@
 			t.add(stream{key: key, origin: Origin{s.Fleet, s.Version}, heardAt: now, fromGroup: fromGroup})
 		}
 	}
+	for _, lead := range r.Leads {
+		t.routes.hear(lead, now.Add(-retention))
+	}
 	for _, o := range r.Only {
 		if o.AgeMillis > 0 && o.AgeMillis <= retention.Milliseconds() {
 			t.versions.hear(o.Fleet, o.Version, now.Add(-time.Duration(o.AgeMillis)*time.Millisecond))
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -53,6 +53,7 @@
 	// repeatUntil is until when all streams are reported, and not only the new ones.
 	repeatUntil time.Time
 	versions    versionLog
+	routes      routeLog
 }
 
 // stream is the begin of a stream.
@@ -78,7 +79,7 @@
 	if first {
 		knownSince = now.Add(-retention)
 	}
-	return &Table{known: map[Key]*stream{}, versions: newVersionLog(knownSince, now)}
+	return &Table{known: map[Key]*stream{}, versions: newVersionLog(knownSince, now), routes: newRouteLog(knownSince, now)}
 }
 
 // Began records that a stream has begun, or has been resumed, at this host.
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/origin"
 )
@@ -39,7 +40,8 @@
 // several. What this host knew before the caller came shows nothing: the stream may have begun since, at a version
 // that is newer than that.
 func (x *exchange) deduceOrigin() (origin.Origin, bool) {
-	if len(x.route.Split) != 1 {
+	lead := x.table.Lead(x.route)
+	if len(x.route.Split) != 1 || !x.proxy.Origins.LeadIsCertain(clock.Now(), lead) {
 		return origin.Origin{}, false
 	}
 	name := x.route.Split[0].Fleet
@@ -48,6 +50,8 @@
 		// Heard of meanwhile.
 		return known, true
 	}
+	// The route may have been moved during the wait.
+	only = only && x.proxy.Origins.LeadIsCertain(clock.Now(), lead)
 	return origin.Origin{Fleet: name, Version: version}, only
 }
 
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -237,10 +237,12 @@
 		DenyMaxAge:   maxAge,
 		MaxBodyBytes: 1 << 24,
 	})
-	p.proxy.SetTable(route.Compile(&fleet.Configuration{
+	table := route.Compile(&fleet.Configuration{
 		Routes: []fleet.Route{r}, Fleets: []fleet.Fleet{{Name: testFleet}},
 		Organisations: []fleet.Organisation{{Name: "o", KeyHashes: []string{"k"}}},
-	}))
+	})
+	p.proxy.SetTable(table)
+	p.proxy.Origins.SetRoutes(clock.Now(), table.Leads())
 	p.proxy.ConfirmConfiguration(clock.Now())
 	var known []registry.Known
 	for i, e := range endpoints {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -24,6 +24,7 @@
 	byKeyHash     map[string]fleet.Organisation
 	calls         callTable
 	routes        map[string][]*fleet.Route
+	leads         map[*fleet.Route]Lead
 	ranks         loadshed.Ranks
 }
 
@@ -53,6 +54,7 @@
 		routes:        compileRoutes(cfg.Routes),
 		ranks:         loadshed.NewRanks(cfg.Routes),
 	}
+	t.leads = compileLeads(t.routes)
 	t.indexFleets(cfg.Fleets)
 	t.indexOrganisations(cfg.Organisations)
 	t.indexEndpoints(cfg)
