Own changes of a route count more than what other hosts know of it

Cause: a host that saw a route move and move back could hear from another, which had missed the configuration in between, that the route had led there for 30 s, and believe it.

Change: what others say counts only for leads that this host has known in each of its configurations. The last line of TestLeadIsCertainOnceNoStreamOfAnotherCanBeTakenUp fails without it.

--- a/internal/origin/routes.go
+++ b/internal/origin/routes.go
@@ -11,32 +11,40 @@
 type routeLog struct {
 	// knownSince is since when this host would have known of another lead, and startedAt when it started.
 	knownSince, startedAt time.Time
-	// since holds the leads in force; nil before there is a configuration. heard holds what others said before that.
-	since map[route.Lead]time.Time
+	// leads are those in force; nil before there is a configuration. heard holds what others said before that.
+	leads map[route.Lead]leadState
 	heard map[route.Lead]time.Time
 }
 
+// leadState is a lead that is in force.
+type leadState struct {
+	since time.Time
+	// unchanged is set if this host has known no configuration without it. Only then may others know of a longer time.
+	unchanged bool
+}
+
 func newRouteLog(knownSince, startedAt time.Time) routeLog {
 	return routeLog{knownSince: knownSince, startedAt: startedAt, heard: map[route.Lead]time.Time{}}
 }
 
 // set records the leads of the configuration that is in force from now on.
 func (l *routeLog) set(now time.Time, leads []route.Lead) {
-	next := make(map[route.Lead]time.Time, len(leads))
+	next := make(map[route.Lead]leadState, len(leads))
 	for _, lead := range leads {
-		next[lead] = l.sinceOf(now, lead)
+		state, found := l.leads[lead]
+		switch {
+		case l.leads == nil:
+			state = leadState{since: l.firstSince(now, lead), unchanged: true}
+		case !found:
+			state = leadState{since: now}
+		}
+		next[lead] = state
 	}
-	l.since, l.heard = next, nil
+	l.leads, l.heard = next, nil
 }
 
-// sinceOf returns since when a lead has been in force that is now.
-func (l *routeLog) sinceOf(now time.Time, lead route.Lead) time.Time {
-	if l.since != nil {
-		if since, found := l.since[lead]; found {
-			return since
-		}
-		return now
-	}
+// firstSince returns since when a lead of the first configuration has been in force.
+func (l *routeLog) firstSince(now time.Time, lead route.Lead) time.Time {
 	since := now
 	if now.Sub(l.startedAt) <= maxConfirmationGap {
 		since = l.knownSince
@@ -49,19 +57,20 @@
 
 // hear records that a lead has been in force since a time according to another host.
 func (l *routeLog) hear(lead route.Lead, since time.Time) {
-	if l.since == nil {
+	if l.leads == nil {
 		l.heard[lead] = since
 		return
 	}
-	if own, found := l.since[lead]; found && since.Before(own) {
-		l.since[lead] = since
+	if own, found := l.leads[lead]; found && own.unchanged && since.Before(own.since) {
+		own.since = since
+		l.leads[lead] = own
 	}
 }
 
 // certain returns the leads that have been in force for longer than streams may be resumed.
 func (l *routeLog) certain(now time.Time) []route.Lead {
 	var leads []route.Lead
-	for lead := range l.since {
+	for lead := range l.leads {
 		if l.isCertain(now, lead) {
 			leads = append(leads, lead)
 		}
@@ -70,8 +79,8 @@
 }
 
 func (l *routeLog) isCertain(now time.Time, lead route.Lead) bool {
-	since, found := l.since[lead]
-	return found && now.Sub(since) >= retention
+	state, found := l.leads[lead]
+	return found && now.Sub(state.since) >= retention
 }
 
 // SetRoutes records the leads of the configuration that is in force from now on.
--- a/internal/origin/routes_test.go
+++ b/internal/origin/routes_test.go
@@ -36,4 +36,6 @@
 	young.SetRoutes(at(52), []route.Lead{"a"})
 	young.SetRoutes(at(53), []route.Lead{"a", "b"})
 	is.True(!young.LeadIsCertain(at(54), "b")) // what was heard is from before
+	young.AddLeads(at(54), []route.Lead{"b"})
+	is.True(!young.LeadIsCertain(at(54), "b")) // others may have missed the change
 }
