--- a/internal/adapter/objecthttp/split.go
+++ b/internal/adapter/objecthttp/split.go
@@ -7,11 +7,6 @@
 	"github.com/tidwall/gjson"
 )
 
-// Into returns a decoder of a JSON document into out.
-func Into(out any) func(document []byte) error {
-	return func(document []byte) error { return json.Unmarshal(document, out) }
-}
-
 // Split decodes a JSON document into rest, except for the elements of the array at a key of it, which it returns as
 // they stand in the text. Any writer may have contributed an element: one that encoding/json does not accept, because
 // it is nested too deeply or has a token that is no JSON, costs neither the others nor the document.
