Answer requests whose connection is still being opened at the end of a stop

Callers would have seen a closed connection without an answer: a request that waits for a connection to its endpoint when a stop ends. The documents said that it gets 503; no test provoked it.

Cause: opening a connection is bounded by its own timeout (0.4 s on the platform) and not by the request, and a server waited 0.1 s for the last answers.

Change: the server ends its requests at the end of the stop by itself, so that the listeners for callers and for peers do so at the same time, and waits 0.45 s.

Why it works: the wait is longer than the timeout of opening a connection, and fits into exitMargin (0.7 s) beside the end of the tasks (0.2 s).

--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"rattanchute/internal/clock"
 	"rattanchute/internal/contain"
 )
 
@@ -140,13 +141,16 @@
 // isStopping reports whether Drain was called.
 func (s *Server) isStopping() bool { return s.stop.Load() != nil }
 
-// Drain makes each response whose head is written from now on the last on its connection, and refuses requests
-// that are read too late for the stop.
-func (s *Server) Drain(stop Stop) { s.stop.Store(&stop) }
+// Drain makes each response whose head is written from now on the last on its connection, refuses requests that are read
+// too late for the stop, and ends those that are in progress at its end.
+func (s *Server) Drain(stop Stop) {
+	s.stop.Store(&stop)
+	time.AfterFunc(stop.End.Sub(clock.Now()), func() { s.end(errStopped) })
+}
 
 // Close answers the requests that have arrived, accepts no more connections, and closes each connection after its
-// last response. When the context ends, it ends the requests that are in progress. It returns once all connections
-// have ended, but at most lastAnswerTimeout after the context.
+// last response. It returns once all connections have ended, but at most lastAnswerTimeout after the context, which
+// ends at the end of the stop.
 func (s *Server) Close(ctx context.Context) {
 	s.acceptQueued(ctx)
 	_ = s.listener.Close()
@@ -161,7 +165,6 @@
 		return
 	case <-ctx.Done():
 	}
-	s.end(errStopped)
 	select {
 	case <-done:
 	case <-time.After(lastAnswerTimeout):
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -32,8 +32,9 @@
 const (
 	// stoppingRetryAfter is short: the load balancer sends the retry to another host.
 	stoppingRetryAfter = 50 * time.Millisecond
-	// lastAnswerTimeout bounds the wait for the error responses at the end of a stop.
-	lastAnswerTimeout = 100 * time.Millisecond
+	// lastAnswerTimeout bounds the wait for the error responses at the end of a stop. A request whose connection to its
+	// endpoint is being opened gets one when that has failed.
+	lastAnswerTimeout = 450 * time.Millisecond
 )
 
 // errStopped is the cause of the end of requests that are in progress at the end of a stop.
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/relay"
@@ -243,3 +244,30 @@
 		is.Equal(got.body, "fine")
 	}
 }
+
+// TestRequestThatWasNotSentIsRefusedAtTheEndOfAStop: nothing of it has reached an endpoint, so that the refusal is true.
+func TestRequestThatWasNotSentIsRefusedAtTheEndOfAStop(t *testing.T) {
+	is := is.New(t)
+	e := newTestEndpoint(t, respondOK)
+	p := newTestProxy(t, nonIdempotentRoute, e)
+	dialled := make(chan struct{}, 1)
+	p.proxy.Upstream = httpclient.New(httpclient.Options{
+		DialTimeout: 400 * time.Millisecond,
+		Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			dialled <- struct{}{}
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	})
+	conn := p.dial(t)
+	_, _ = fmt.Fprint(conn, requestText("unsent", 5*time.Second))
+	<-dialled
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	p.server.Drain(stopping(0, 20*time.Millisecond))
+	p.server.Close(ctx)
+	// The process ends shortly after this.
+	_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	isRefusedByStop(is, readResponse(t, bufio.NewReader(conn)))
+	is.Equal(len(e.receivedRequests()), 0)
+}
