Name where a route of streams leads its destination

Cause: "lead" stood beside "leader", which hosts follow, and the field "lead" of the state line means that.

No behaviour changes; the tests of route, origin, proxy and node pass.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -106,7 +106,7 @@
 	n.quota.Configure(now, c.Organisations)
 	table := route.Compile(c)
 	n.proxy.SetTable(table)
-	n.origins.SetRoutes(now, table.Leads())
+	n.origins.SetRoutes(now, table.Destinations())
 	n.announceChange()
 	n.Log.Info().Uint64("generation", uint64(c.Generation)).
 		Uint64("era", object.Version.Era()).Uint64("version", object.Version.Revision()).
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -42,14 +42,14 @@
 			e, ok := n.decodeEndpoint(o)
 			return e.Endpoint, ok
 		},
-		DecodeLeads: n.decodeLeads,
-		OnCall:      func(err error) { n.recordStoreCall("origins", err) },
-		Log:         n.Log,
+		DecodeDestinations: n.decodeDestinations,
+		OnCall:             func(err error) { n.recordStoreCall("origins", err) },
+		Log:                n.Log,
 	})
 }
 
-// decodeLeads reads where the routes of streams of a configuration lead. One that cannot be read is never in force.
-func (n *Node) decodeLeads(o objectstore.Object) ([]route.Lead, bool) {
+// decodeDestinations reads where the routes of streams of a configuration lead. One that cannot be read is never in force.
+func (n *Node) decodeDestinations(o objectstore.Object) ([]route.Destination, bool) {
 	if o.Name != n.Decode.ConfigurationName {
 		return nil, false
 	}
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, false
 	}
-	return route.Compile(c).Leads(), true
+	return route.Compile(c).Destinations(), true
 }
 
 // originsReport returns what this host tells others of origins. Where routes lead it tells only while its configuration
@@ -65,7 +65,7 @@
 func (n *Node) originsReport(now time.Time, own bool) *origin.Report {
 	r := n.origins.Report(now, n.originsSince(now), own)
 	if r != nil && n.proxy.ConfigurationAge(now) > originsMaxEndpointsAge {
-		r.Leads = nil
+		r.Destinations = nil
 	}
 	return r
 }
--- a/internal/origin/keeper/keeper.go
+++ b/internal/origin/keeper/keeper.go
@@ -54,8 +54,8 @@
 	Endpoints func() (objectstore.Version, []registry.Endpoint)
 	// DecodeEndpoint reads an entry of that list; false if it names no endpoint.
 	DecodeEndpoint func(objectstore.Object) (registry.Endpoint, bool)
-	// DecodeLeads reads where a configuration's routes of streams lead; false if the object is none in use. It may be nil.
-	DecodeLeads func(objectstore.Object) ([]route.Lead, bool)
+	// DecodeDestinations reads where a configuration's routes of streams lead; false if the object is none in use. It may be nil.
+	DecodeDestinations func(objectstore.Object) ([]route.Destination, bool)
 	// OnCall is told the result of each call of the store.
 	OnCall func(error)
 	Log    *log.Logger
--- a/internal/origin/keeper/only.go
+++ b/internal/origin/keeper/only.go
@@ -34,8 +34,8 @@
 	AsOf objectstore.Version `json:"as_of"`
 	// Versions are those of the fleets.
 	Versions map[string]string `json:"versions"`
-	// Leads are those of routes that have been in force for longer than streams may be resumed.
-	Leads []route.Lead `json:"leads,omitempty"`
+	// Destinations are those of routes that have been in force for longer than streams may be resumed.
+	Destinations []route.Destination `json:"destinations,omitempty"`
 }
 
 // writeOnly stores which fleets have had one version for longer than streams may be resumed, for hosts that all
@@ -45,7 +45,7 @@
 		return nil
 	}
 	asOf, known := k.Endpoints()
-	text := onlyText{AsOf: asOf, Versions: k.Table.OnlyVersions(k.Now()), Leads: k.Table.CertainLeads(k.Now())}
+	text := onlyText{AsOf: asOf, Versions: k.Table.OnlyVersions(k.Now()), Destinations: k.Table.CertainDestinations(k.Now())}
 	// The list may be newer than what the table was told of.
 	removeOthers(text.Versions, known)
 	if asOf == 0 || len(text.Versions) == 0 {
@@ -116,25 +116,25 @@
 	for fleet, version := range versions {
 		k.Table.AddOnly(k.Now(), fleet, version)
 	}
-	k.loadLeads(ctx, text)
+	k.loadDestinations(ctx, text)
 }
 
-// loadLeads learns which leads of routes have been in force for longer than streams may be resumed: those of which that
+// loadDestinations learns which destinations of routes have been in force for longer than streams may be resumed: those of which that
 // is stored and that each configuration since has.
-func (k *Keeper) loadLeads(ctx context.Context, text onlyText) {
-	leads := text.Leads
-	if k.DecodeLeads == nil || len(leads) == 0 {
+func (k *Keeper) loadDestinations(ctx context.Context, text onlyText) {
+	destinations := text.Destinations
+	if k.DecodeDestinations == nil || len(destinations) == 0 {
 		return
 	}
 	err := k.replay(ctx, objectstore.KindConfiguration, text.AsOf, func(o objectstore.Object) (more bool) {
-		if next, ok := k.DecodeLeads(o); ok {
-			leads = slices.DeleteFunc(leads, func(l route.Lead) bool { return !slices.Contains(next, l) })
+		if next, ok := k.DecodeDestinations(o); ok {
+			destinations = slices.DeleteFunc(destinations, func(l route.Destination) bool { return !slices.Contains(next, l) })
 		}
-		return len(leads) > 0
+		return len(destinations) > 0
 	})
-	k.Log.Info().Int("stored", len(text.Leads)).Int("unchanged", len(leads)).Err(err).Msg("stored leads of routes read")
+	k.Log.Info().Int("stored", len(text.Destinations)).Int("unchanged", len(destinations)).Err(err).Msg("stored destinations of routes read")
 	if err == nil {
-		k.Table.AddLeads(k.Now(), leads)
+		k.Table.AddDestinations(k.Now(), destinations)
 	}
 }
 
--- a/internal/origin/report.go
+++ b/internal/origin/report.go
@@ -19,9 +19,9 @@
 type Report struct {
 	Streams []StreamsReport `json:"streams,omitempty"`
 	Only    []OnlyReport    `json:"only,omitempty"`
-	// Leads are those that have been in force for longer than streams may be resumed. A host tells them when another
+	// Destinations are those that have been in force for longer than streams may be resumed. A host tells them when another
 	// joins, and while its configuration is confirmed.
-	Leads []route.Lead `json:"leads,omitempty"`
+	Destinations []route.Destination `json:"destinations,omitempty"`
 }
 
 // StreamsReport lists streams with the same origin.
@@ -54,10 +54,10 @@
 	r := &Report{}
 	if now.Before(t.repeatUntil) {
 		after = now.Add(-retention)
-		r.Leads = t.routes.certain(now)
+		r.Destinations = t.routes.certain(now)
 	}
 	r.Streams, r.Only = t.streamReports(after, own), t.onlyReports(now)
-	if len(r.Streams)+len(r.Only)+len(r.Leads) == 0 {
+	if len(r.Streams)+len(r.Only)+len(r.Destinations) == 0 {
 		return nil
 	}
 	return r
@@ -113,8 +113,8 @@
 			t.add(stream{key: key, origin: Origin{s.Fleet, s.Version}, heardAt: now, fromGroup: fromGroup})
 		}
 	}
-	for _, lead := range r.Leads {
-		t.routes.hear(lead, now.Add(-retention))
+	for _, destination := range r.Destinations {
+		t.routes.hear(destination, now.Add(-retention))
 	}
 	for _, o := range r.Only {
 		if o.AgeMillis > 0 && o.AgeMillis <= retention.Milliseconds() {
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -40,8 +40,8 @@
 // several. What this host knew before the caller came shows nothing: the stream may have begun since, at a version
 // that is newer than that.
 func (x *exchange) deduceOrigin() (origin.Origin, bool) {
-	lead := x.table.Lead(x.route)
-	if len(x.route.Split) != 1 || !x.proxy.Origins.LeadIsCertain(clock.Now(), lead) {
+	destination := x.table.Destination(x.route)
+	if len(x.route.Split) != 1 || !x.proxy.Origins.DestinationIsCertain(clock.Now(), destination) {
 		return origin.Origin{}, false
 	}
 	name := x.route.Split[0].Fleet
@@ -51,7 +51,7 @@
 		return known, true
 	}
 	// The route may have been moved during the wait.
-	only = only && x.proxy.Origins.LeadIsCertain(clock.Now(), lead)
+	only = only && x.proxy.Origins.DestinationIsCertain(clock.Now(), destination)
 	return origin.Origin{Fleet: name, Version: version}, only
 }
 
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -242,7 +242,7 @@
 		Organisations: []fleet.Organisation{{Name: "o", KeyHashes: []string{"k"}}},
 	})
 	p.proxy.SetTable(table)
-	p.proxy.Origins.SetRoutes(clock.Now(), table.Leads())
+	p.proxy.Origins.SetRoutes(clock.Now(), table.Destinations())
 	p.proxy.ConfirmConfiguration(clock.Now())
 	var known []registry.Known
 	for i, e := range endpoints {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -24,7 +24,7 @@
 	byKeyHash     map[string]fleet.Organisation
 	calls         callTable
 	routes        map[string][]*fleet.Route
-	leads         map[*fleet.Route]Lead
+	destinations  map[*fleet.Route]Destination
 	ranks         loadshed.Ranks
 }
 
@@ -54,7 +54,7 @@
 		routes:        compileRoutes(cfg.Routes),
 		ranks:         loadshed.NewRanks(cfg.Routes),
 	}
-	t.leads = compileLeads(t.routes)
+	t.destinations = compileDestinations(t.routes)
 	t.indexFleets(cfg.Fleets)
 	t.indexOrganisations(cfg.Organisations)
 	t.indexEndpoints(cfg)
