Report a malformed entry once outside of the platform's adapter

Cause: the adapter of the platform's store remembered which entries it had reported, a decision where only names and formats belong, and the adapter of the own object service reported one at each read. With two equal malformed entries in a page, the fuzz test of the adapter (each entry is decoded or malformed) would have failed.

Change: both pass the text of each such entry on; objectstore.ReportMalformedOnce reports it once for both.

--- a/cmd/rattanchuted/platform.go
+++ b/cmd/rattanchuted/platform.go
@@ -54,9 +54,9 @@
 		Eras:      eras,
 		Timeout:   storeTimeout,
 		WatchWait: storeWatchWait,
-		OnMalformed: func(kind objectstore.Kind, err error) {
+		OnMalformed: objectstore.ReportMalformedOnce(func(kind objectstore.Kind, err error) {
 			logger.Warn().Str("kind", string(kind)).Err(err).Msg("store entry skipped")
-		},
+		}),
 	})
 	n, err := node.New(node.Dependencies{
 		Settings:    s,
--- a/internal/adapter/platformhttp/entry.go
+++ b/internal/adapter/platformhttp/entry.go
@@ -65,7 +65,7 @@
 	for _, text := range texts {
 		var o object
 		if err := o.decode(text); err != nil {
-			s.options.OnMalformed(kind, err)
+			s.options.OnMalformed(kind, text, err)
 			continue
 		}
 		all = append(all, o.Object)
@@ -84,7 +84,7 @@
 			err = o.decode(objecthttp.Field(text, "object"))
 		}
 		if err != nil {
-			s.options.OnMalformed(kind, err)
+			s.options.OnMalformed(kind, text, err)
 			continue
 		}
 		all = append(all, objectstore.Event{Object: o.Object, Deleted: deleted})
--- a/internal/adapter/platformhttp/entry_test.go
+++ b/internal/adapter/platformhttp/entry_test.go
@@ -15,7 +15,7 @@
 func TestUnreadableObjectCostsOnlyItself(t *testing.T) {
 	is := is.New(t)
 	malformed := 0
-	s := New(Options{OnMalformed: func(objectstore.Kind, error) { malformed++ }})
+	s := New(Options{OnMalformed: func(objectstore.Kind, []byte, error) { malformed++ }})
 	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
 	object := func(name, value string) string {
 		return `{"kind":"k","name":` + name + `,"version":3,"value":` + value + `}`
--- a/internal/adapter/platformhttp/store.go
+++ b/internal/adapter/platformhttp/store.go
@@ -35,8 +35,8 @@
 	Timeout     time.Duration
 	WatchWait   time.Duration
 	Connections httpclient.Options
-	// OnMalformed is called for each entry of a list or watch that cannot be identified; nil to ignore them.
-	OnMalformed func(kind objectstore.Kind, err error)
+	// OnMalformed is called with each entry of a list or watch that cannot be identified, at each read; nil to ignore them.
+	OnMalformed func(kind objectstore.Kind, text []byte, err error)
 }
 
 // Store is a client of the platform's object service.
@@ -57,7 +57,7 @@
 		o.WatchWait = DefaultWatchWait
 	}
 	if o.OnMalformed == nil {
-		o.OnMalformed = func(objectstore.Kind, error) {}
+		o.OnMalformed = func(objectstore.Kind, []byte, error) {}
 	}
 	httpClient := httpclient.New(o.Connections)
 	requester := objecthttp.Requester{HTTP: httpClient, Address: o.Address, StatusError: statusError}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -109,9 +109,9 @@
 		Address: hostPort(p.URL),
 		Token:   p.Token.Secret.Reveal(),
 		Timeout: p.Timeout.Std(),
-		OnMalformed: func(kind objectstore.Kind, err error) {
+		OnMalformed: objectstore.ReportMalformedOnce(func(kind objectstore.Kind, err error) {
 			logger.Warn().Str("kind", string(kind)).Err(err).Msg("store entry skipped")
-		},
+		}),
 	})
 }
 
