Responses without a length of killed endpoints are not passed on as whole

Callers saw a stream end properly after, say, event 3 of 6, or a plain response with half its body. Cause: the operating system closes the connections of a killed process in order, as the process does at the end of a response without a length. An end in order counted as whole, though it shows no more than that the connection ended. Change: at such an end it is found out whether a process still listens at the endpoint's address. If nothing does, the response counts as cut off: it goes on elsewhere where the request may be repeated, and is broken off otherwise, unless the endpoint is known to leave.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -88,6 +88,17 @@
 	ErrEndpointFull = errors.New("no slot of the endpoint is left for this host")
 )
 
+// EndpointLeaves reports whether the endpoint has said that it leaves, or is no longer listed.
+func (a *Attempt) EndpointLeaves(now time.Time) bool {
+	if a.signals.Endpoint(a.instance).Verdict(now).Leaving {
+		return true
+	}
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	e := a.pool.endpoints[a.choice.Endpoint.ID]
+	return e == nil || e.known.Leaving
+}
+
 // ObserveSignal records what the response of the endpoint says about further requests. The random
 // number, from 0 to 1, is the jitter of a pause.
 func (a *Attempt) ObserveSignal(now time.Time, random float64, s backpressure.Signal) backpressure.Change {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -12,6 +12,7 @@
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
+	"rattanchute/internal/quarantine/verify"
 	"rattanchute/internal/reachability"
 	"rattanchute/internal/relay"
 	"rattanchute/internal/rollout"
@@ -50,6 +51,8 @@
 	closed bool
 	// framing is how the endpoint marks the end of its response; empty before there is a response.
 	framing httpclient.Framing
+	// presence is whether the endpoint was there when its response ended with its connection; unknown otherwise.
+	presence verify.Presence
 	// events is the number of complete events received.
 	events int
 	// completed is set once the endpoint's response is complete and is passed on to the caller.
@@ -83,7 +86,8 @@
 
 // isTerminated reports whether err means that the endpoint did not finish its response.
 func isTerminated(err error) bool {
-	return httpclient.IsTerminated(err) || errors.Is(err, errCutInsideEvent) || errors.Is(err, errNoEvent)
+	return httpclient.IsTerminated(err) || errors.Is(err, errCutInsideEvent) || errors.Is(err, errNoEvent) ||
+		errors.Is(err, errEndpointGone)
 }
 
 // exchangeWithEndpoint sends the request, unless its context ends, and relays the response.
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -16,6 +16,9 @@
 func (a *attempt) relayBuffered(body *httpclient.Body) (outcome, balancer.Result) {
 	x := a.exchange
 	content, err := readAll(body, a.heardEndpoint)
+	if err == nil {
+		err = a.checkEnd()
+	}
 	if err != nil {
 		a.err = err
 		if a.ctx.Err() != nil {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -15,6 +15,7 @@
 	attempts      *prometheus.CounterVec
 	terminated    *prometheus.CounterVec
 	streamEnds    *prometheus.CounterVec
+	endChecks     *prometheus.CounterVec
 	signals       *prometheus.CounterVec
 	ejections     prometheus.Counter
 	probes        prometheus.Counter
@@ -48,6 +49,10 @@
 		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_stream_ends_total", Help: "Ends of endpoints' streams, by framing and how they ended.",
 		}, []string{"framing", "end"}),
+		endChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanchute_gateway_end_checks_total",
+			Help: "Responses that ended with their connection, by whether their endpoint was still there.",
+		}, []string{"presence"}),
 		signals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanchute_gateway_endpoint_signals_total",
 			Help: "What responses said about further requests to their endpoint: leaving, closed for some time, or ignored.",
@@ -78,7 +83,7 @@
 	suppressedLines := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rattanchute_gateway_log_lines_left_out_total", Help: "Lines of ordinary requests beyond the bound, by kind.",
 	}, []string{"kind"})
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.terminated, m.streamEnds, m.signals, m.ejections, m.probes, m.relayed, m.first, m.total, m.eventInterval,
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.terminated, m.streamEnds, m.endChecks, m.signals, m.ejections, m.probes, m.relayed, m.first, m.total, m.eventInterval,
 		suppressedLines)
 	for _, kind := range []string{lineSent, lineAnswered, lineAccept, lineSignal} {
 		m.suppressedLines[kind] = suppressedLines.WithLabelValues(kind)
@@ -96,7 +101,7 @@
 		m.terminated.WithLabelValues(progress)
 	}
 	for _, framing := range []httpclient.Framing{httpclient.FramingLength, httpclient.FramingChunked, httpclient.FramingClose} {
-		for _, end := range []string{endWhole, endInsideEvent, endNoEvent, endCut} {
+		for _, end := range []string{endWhole, endInsideEvent, endNoEvent, endCut, endGone} {
 			m.streamEnds.WithLabelValues(string(framing), end)
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,6 +30,8 @@
 		o httpclient.OpenOptions) (*httpclient.Body, error)
 	// Accepts reports whether an address accepts a connection before the context ends.
 	Accepts(ctx context.Context, address string) bool
+	// Listens reports whether a process listens at an address, as verify.Verifier says.
+	Listens(ctx context.Context, address string, settle time.Duration) (bool, error)
 }
 
 // Dependencies are the parts and limits that a Proxy is built from.
@@ -105,7 +107,7 @@
 	return &Proxy{
 		Dependencies: d, telemetry: d.Telemetry, demand: newDemandMeter(), prefills: newRecentPrefills(),
 		crashes: verify.Verifier{
-			Table: d.Quarantine, Accepts: d.Upstream.Accepts, PeerReaches: d.PeerReaches, OnSurvived: d.OnCrash, Now: clock.Now,
+			Table: d.Quarantine, Accepts: d.Upstream.Accepts, Listens: d.Upstream.Listens, PeerReaches: d.PeerReaches, OnSurvived: d.OnCrash, Now: clock.Now,
 		},
 	}
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -52,6 +52,9 @@
 		}
 		a.partialBytes = len(events.partial())
 		a.err = a.streamError(err)
+		if a.err == nil {
+			a.err = a.checkEnd()
+		}
 		x.proxy.telemetry.StreamEnded(a)
 		if a.err != nil {
 			return a.streamBroken()
--- a/internal/proxy/streamlog.go
+++ b/internal/proxy/streamlog.go
@@ -3,6 +3,10 @@
 import (
 	"errors"
 	"time"
+
+	"github.com/phuslu/log"
+
+	"rattanchute/internal/quarantine/verify"
 )
 
 // StreamEnded counts the end of an endpoint's stream, by framing and by how it ended.
@@ -16,6 +20,7 @@
 	endInsideEvent = "inside_event"
 	endNoEvent     = "no_event"
 	endCut         = "cut"
+	endGone        = "endpoint_gone"
 )
 
 // streamEnd returns how the stream ended, as a metric label.
@@ -27,10 +32,27 @@
 		return endInsideEvent
 	case errors.Is(a.err, errNoEvent):
 		return endNoEvent
+	case errors.Is(a.err, errEndpointGone):
+		return endGone
 	}
 	return endCut
 }
 
+// EndChecked counts what was found out about the endpoint of a response that ended with its connection, and logs it
+// unless the endpoint is there.
+func (t *Telemetry) EndChecked(a *attempt, leaving bool) {
+	t.metrics.endChecks.WithLabelValues(a.presence.String()).Inc()
+	if a.presence == verify.Present {
+		return
+	}
+	t.entry(log.WarnLevel, a.exchange).
+		Str("endpoint", a.choice.Endpoint.ID).
+		Str("presence", a.presence.String()).
+		Bool("leaving", leaving).
+		Int("events", a.events).
+		Msg("response ended with its connection")
+}
+
 // ObserveEventInterval records the time between two events of a stream. Events that are relayed
 // together count as one.
 func (t *Telemetry) ObserveEventInterval(d time.Duration) {
--- a/internal/proxy/testproxy_test.go
+++ b/internal/proxy/testproxy_test.go
@@ -93,6 +93,17 @@
 	responder responder
 	mu        sync.Mutex
 	requests  []*receivedRequest
+	conns     []net.Conn
+}
+
+// kill closes the listener and all connections in order, as the operating system does for a killed process.
+func (e *testEndpoint) kill() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, conn := range e.conns {
+		_ = conn.Close()
+	}
 }
 
 func newTestEndpoint(t testing.TB, r responder) *testEndpoint {
@@ -119,6 +130,9 @@
 
 func (e *testEndpoint) serveConn(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	e.mu.Lock()
+	e.conns = append(e.conns, conn)
+	e.mu.Unlock()
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
--- a/internal/quarantine/verify/verify.go
+++ b/internal/quarantine/verify/verify.go
@@ -18,6 +18,8 @@
 	// verdictDelay is how long a refusal because of a crash that was seen just now waits for what the check of
 	// its endpoint finds.
 	verdictDelay = 80 * time.Millisecond
+	// settle is how long the connections of an endpoint that ends may close one after the other.
+	settle = 10 * time.Millisecond
 )
 
 // Verifier tells a table which endpoints have not crashed, and asks it whether requests may be sent.
@@ -25,6 +27,9 @@
 	Table *quarantine.Table
 	// Accepts reports whether an address accepts a connection before the context ends.
 	Accepts func(ctx context.Context, address string) bool
+	// Listens reports whether a process listens at an address; an error if that is not known. A process that ends
+	// may close its listener up to settle later.
+	Listens func(ctx context.Context, address string, settle time.Duration) (bool, error)
 	// PeerReaches reports whether a peer reaches an endpoint, by its ID; nil if there are no peers.
 	PeerReaches func(ctx context.Context, id string) bool
 	// OnSurvived is called when an endpoint has not crashed; nil for nothing.
@@ -49,6 +54,43 @@
 	}()
 }
 
+// Presence is whether an endpoint is there.
+type Presence int
+
+// The presences. Unknown means that its address neither accepts nor refuses a connection in time.
+const (
+	Unknown Presence = iota
+	Present
+	Gone
+)
+
+// String returns the name in logs and metrics.
+func (p Presence) String() string {
+	switch p {
+	case Present:
+		return "present"
+	case Gone:
+		return "gone"
+	}
+	return "unknown"
+}
+
+// Presence finds out whether an endpoint is there whose response has just ended with its connection, and so whether
+// that end may be the one of its process. The operating system closes the connections of a process that is killed in
+// order, as the process does at the end of a response.
+func (v *Verifier) Presence(ctx context.Context, address string) Presence {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	listens, err := v.Listens(ctx, address, settle)
+	switch {
+	case err != nil:
+		return Unknown
+	case listens:
+		return Present
+	}
+	return Gone
+}
+
 // Verdict says whether a request may be sent, as the table does. If it would be refused because of a crash that
 // may turn out to be none, it waits until that is known.
 func (v *Verifier) Verdict(r quarantine.Request, mayProbe func() bool) quarantine.Verdict {
--- a/internal/quarantine/verify/verify_test.go
+++ b/internal/quarantine/verify/verify_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -96,3 +97,16 @@
 		is.Equal(table.Check(now, r, nil).Allowed, !gone)
 	}
 }
+
+func TestPresence(t *testing.T) {
+	is := is.New(t)
+	unknown := errors.New("no answer")
+	for _, c := range []struct {
+		listens bool
+		err     error
+		want    Presence
+	}{{true, nil, Present}, {false, nil, Gone}, {false, unknown, Unknown}} {
+		v := Verifier{Listens: func(context.Context, string, time.Duration) (bool, error) { return c.listens, c.err }}
+		is.Equal(v.Presence(context.Background(), "address"), c.want)
+	}
+}
