A host that starts after a restore of the store waits for its peers' word

Cause: only a process that had seen an answer of the era before knew that the restore was settling, and confirmations given before the peers' first reports stayed in force. Change: a host that starts into a running system confirms nothing before it has heard a peer, for 0.5 s at most, and takes confirmations back if a peer names a newer generation in its first 2.5 s.

--- a/internal/node/configstate_test.go
+++ b/internal/node/configstate_test.go
@@ -125,3 +125,25 @@
 		})
 	})
 }
+
+// TestHostThatStartsAfterARestoreTakesNoOlderConfigurationAsConfirmed guards against the use of keys that a newer
+// configuration, of which only peers know, has taken away.
+func TestHostThatStartsAfterARestoreTakesNoOlderConfigurationAsConfirmed(t *testing.T) {
+	is := is.New(t)
+	s := configurationState{startedAt: stateEpoch}
+	s.read(objectstore.NewVersion(2, 40), 5)
+	is.True(!s.confirmed(stateEpoch, s.stored)) // its peers have not been heard
+	is.True(s.heard(6))
+	is.True(!s.confirmed(stateEpoch.Add(peerReportWait), s.stored))
+	is.True(s.read(objectstore.NewVersion(2, 41), 6))
+	is.True(s.confirmed(stateEpoch, s.stored))
+}
+
+func TestHostThatStartsAloneConfirmsAfterAWait(t *testing.T) {
+	is := is.New(t)
+	s := configurationState{startedAt: stateEpoch}
+	s.read(objectstore.NewVersion(2, 40), 5)
+	s.heard(0) // a peer that has no configuration yet
+	is.True(!s.confirmed(stateEpoch.Add(peerReportWait-1), s.stored))
+	is.True(s.confirmed(stateEpoch.Add(peerReportWait), s.stored))
+}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -69,14 +69,20 @@
 }
 
 // hearGeneration records the generation that a peer has in force, and triggers a read of the store if
-// this host lacks it.
+// this host lacks it. What a host that has just started took as confirmed may have come from an older copy of the
+// store: it is not confirmed any more.
 func (n *Node) hearGeneration(g fleet.Generation) {
+	now := clock.Now()
 	n.applyMu.Lock()
-	outdated := n.configuration.heard(g)
-	n.applyMu.Unlock()
-	if outdated {
-		wake(n.configurationStale)
+	defer n.applyMu.Unlock()
+	if !n.configuration.heard(g) {
+		return
+	}
+	if n.configuration.justStarted(now) && n.proxy.WithdrawConfirmation() {
+		n.Log.Warn().Uint64("generation", uint64(n.configuration.active)).Uint64("newer", uint64(g)).
+			Int64("started_ms_ago", now.Sub(n.startedAt).Milliseconds()).Msg("configuration no longer confirmed")
 	}
+	wake(n.configurationStale)
 }
 
 // applyConfiguration activates a configuration if it is newer than the active one. It returns
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,6 +207,9 @@
 		rolloutsChanged:    make(chan struct{}, 1),
 	}
 	n.registry.MustRegister(collectors.NewGoCollector())
+	if !s.FirstStart {
+		n.configuration.startedAt = now
+	}
 	n.boundary = contain.NewBoundary(n.Log, n.registry)
 	n.linkMetrics = newLinkMetrics(n.registry)
 	n.retryBudget = retrybudget.NewBudget(retrybudget.Limits{
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -127,6 +127,9 @@
 	}
 }
 
+// WithdrawConfirmation takes back what ConfirmConfiguration has recorded, and reports whether there was anything.
+func (p *Proxy) WithdrawConfirmation() bool { return p.confirmedAt.Swap(0) != 0 }
+
 // ConfirmedAt returns when the configuration was last known to be the newest, on the clock of
 // package clock; the origin of that clock (the host's boot) if that was never known.
 func (p *Proxy) ConfirmedAt() time.Time { return time.Unix(0, p.confirmedAt.Load()) }
