What is no event of a stream joins it never

Cause: an event joined the caller's stream unless its number spoke against that. Events without a number, or with an ID that is none, passed unseen; a leap was refused only once the head of the response was sent; text of another run under a number that the caller has was dropped and what followed it passed; an attempt that added nothing ended the stream. A caller's own request for the rest got any 200 for it.

Change: continuation (continuation.go, pure) states for both what may follow the caller's last event: its number, exactly. Repeats are compared by type and data (hashes of the newest 4,096 events); through a peer, they are left to the host that knows their text. A stream that may be resumed needs numbers throughout; one without any is forwarded within one attempt and not continued ("stream_without_numbers"). In a stream that cannot be resumed, events without a number still pass, text that is no event does not. An attempt that adds nothing ends no stream that broke within this response, unless only the loss of its endpoint raised a doubt (endDoubted) and the attempt is a stream of events that marks its end. To a caller's own request such an answer says that nothing is left: this host saw no break. A 200 that is no stream of events is not the rest. A refused event no longer counts as the first one of its attempt.

Ruled out: answers with a status of their own, also as a stream of events: none was wrong before either, but behind an error's head in a chunk.

--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -33,9 +33,10 @@
 		return outcomeFailed, a.errorResult()
 	}
 	defer body.Finish()
-	if x.headSent {
-		// The caller has part of a stream that was to resume at this endpoint; an error response
-		// cannot follow it.
+	if x.headSent || a.passesForRest() {
+		// The caller has part of a stream that was to resume at this endpoint; a response that is no stream of
+		// events cannot follow it.
+		a.err = errNotEvents
 		return outcomeFailed, a.errorResult()
 	}
 	a.recordCompletion()
@@ -53,6 +54,12 @@
 	return outcomeDone, balancer.ResultOK
 }
 
+// passesForRest reports whether a caller that has asked for the rest of a stream would take the response for that: its
+// status is one of success.
+func (a *attempt) passesForRest() bool {
+	return a.exchange.continuation.has && a.status/100 == 2
+}
+
 // errorResult returns the result of an attempt that was answered with an error status. An endpoint that
 // closes itself for some time has not failed.
 func (a *attempt) errorResult() balancer.Result {
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
 	"rattanchute/internal/loadshed"
@@ -41,6 +43,7 @@
 // again.
 func (x *exchange) dispatch(ctx context.Context) {
 	unreachable := 0
+	x.beginContinuation()
 	x.proxy.Links.Table.Want(clock.Now(), x.fleet)
 	for {
 		a, e := x.nextAttempt(ctx, unreachable)
@@ -74,6 +77,8 @@
 		x.endRelayed(a, out)
 	case out == outcomeFailed && (!x.route.Retryable() || ctx.Err() != nil):
 		x.sendFailure(ctx, x.finalError(ctx))
+	case out == outcomeFailed && !x.continuation.mayContinue():
+		x.sendFailure(ctx, newErrorResponse(fasthttp.StatusBadGateway, ReasonStreamWithoutNumbers, 0))
 	default:
 		return false
 	}
--- a/internal/proxy/eventstream.go
+++ b/internal/proxy/eventstream.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -13,13 +15,29 @@
 // endpoint never ends it.
 var errEventTooLarge = errors.New("event too large")
 
+// eventKind is what the lines up to a blank line are.
+type eventKind int
+
+const (
+	// kindComment means that they say nothing to a reader of events: they are comments, or set its retry delay.
+	kindComment eventKind = iota
+	// kindEvent means that they are an event: at least one of them is a field of events.
+	kindEvent
+	// kindText means that they are other text, such as the head of a response.
+	kindText
+)
+
 // event is one complete event of a stream, with the blank line that ends it.
 type event struct {
 	text []byte
+	kind eventKind
 	// id is the event's id without surrounding spaces; empty if it has none.
 	id string
-	// number is the numeric value of id; zero if the event has no numeric id.
-	number int64
+	// number is the numeric value of id, if the event is numbered.
+	number   int64
+	numbered bool
+	// textHash is a hash of the event's type and data.
+	textHash uint64
 }
 
 // eventReader splits a stream into complete events. Lines end with LF or CRLF. What follows the last
@@ -70,20 +88,38 @@
 	return -1
 }
 
-var idField = []byte("id:")
-
 func parseEvent(text []byte) event {
 	e := event{text: text}
+	var hash xxhash.Digest
+	hash.Reset()
 	for line := range bytes.Lines(text) {
-		value, found := bytes.CutPrefix(line, idField)
-		if !found {
-			continue
-		}
-		e.id = string(bytes.TrimSpace(value))
-		number, err := strconv.ParseInt(e.id, 10, 64)
-		if err == nil {
-			e.number = number
+		line = bytes.TrimRight(line, "\r\n")
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "id":
+			e.kind = kindEvent
+			e.id = string(bytes.TrimSpace(value))
+		case "data", "event":
+			e.kind = kindEvent
+			_, _ = hash.Write(line)
+			_, _ = hash.Write([]byte("\n"))
+		case "", "retry":
+		default:
+			if e.kind == kindComment {
+				e.kind = kindText
+			}
 		}
 	}
+	e.number, e.numbered = eventNumber(e.id)
+	e.textHash = hash.Sum64()
 	return e
 }
+
+// eventNumber returns the number that an event's ID is; false if it is none.
+func eventNumber(id string) (int64, bool) {
+	number, err := strconv.ParseInt(id, 10, 64)
+	if err != nil || number < 0 {
+		return 0, false
+	}
+	return number, true
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -71,6 +71,8 @@
 	broken bool
 	// headSent is set when the proxy begins to write a response to the caller.
 	headSent bool
+	// continuation decides what may follow in a stream.
+	continuation continuation
 	// status is the status sent to the caller; zero before the response and for a connection that is
 	// closed without one.
 	status int
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -35,8 +35,8 @@
 	ReasonOriginUnknown            Reason = "stream_origin_unknown"
 )
 
-// Reasons for other error responses. After ReasonEndpointFailed and ReasonTimeout the request may
-// have run; after the others it has not.
+// Reasons for other error responses. After ReasonEndpointFailed, ReasonTimeout and ReasonStreamWithoutNumbers the
+// request may have run; after the others it has not.
 const (
 	ReasonMalformed      Reason = "malformed"
 	ReasonNoRoute        Reason = "no_route"
@@ -46,6 +46,8 @@
 	ReasonRequestTooSlow Reason = "request_too_slow"
 	ReasonEndpointFailed Reason = "endpoint_failed"
 	ReasonTimeout        Reason = "timeout"
+	// ReasonStreamWithoutNumbers means that a stream broke off and that no number shows what follows its last event.
+	ReasonStreamWithoutNumbers Reason = "stream_without_numbers"
 )
 
 // errorResponse is an error response of the proxy itself.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -12,14 +12,12 @@
 	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/balancer"
 	"rattanchute/internal/clock"
+	"rattanchute/internal/fleet"
 )
 
 // readBufferBytes is the size of the buffer for reading a stream.
 const readBufferBytes = 4 << 10
 
-// errMissingEvents means that a stream has skipped events that the caller lacks.
-var errMissingEvents = errors.New("events missing from the stream")
-
 // errCutInsideEvent means that a stream ended before the blank line that ends its last event.
 var errCutInsideEvent = errors.New("stream ended inside an event")
 
@@ -30,9 +28,17 @@
 // errCallerGone means that writing to the caller failed.
 var errCallerGone = errors.New("write to the caller failed")
 
+// beginContinuation records which events of its stream the caller has before the first attempt.
+func (x *exchange) beginContinuation() {
+	asksForRest := x.route.Kind == fleet.RouteStream && x.info.isResumption()
+	x.continuation = newContinuation(asksForRest, x.info.LastEventID, x.route.Resumable)
+	x.continuation.repeats = x.relayed != nil
+}
+
 // relayStream forwards complete events as they arrive.
 func (a *attempt) relayStream(body *httpclient.Body) (outcome, balancer.Result) {
 	x := a.exchange
+	x.continuation.begin(x.headSent)
 	var events eventReader
 	buffer := make([]byte, readBufferBytes)
 	for {
@@ -51,9 +57,12 @@
 			continue
 		}
 		a.partialBytes = len(events.partial())
+		if a.partialBytes > 0 {
+			x.continuation.endDoubted = false
+		}
 		a.err = a.streamError(err)
 		if a.err == nil {
-			a.err = a.checkEnd()
+			a.err = a.checkStreamEnd(&body.Response.Header)
 		}
 		x.proxy.telemetry.StreamEnded(a)
 		if a.err != nil {
@@ -76,6 +85,18 @@
 	return nil
 }
 
+// checkStreamEnd returns an error if a stream that ended in order is not known to be complete.
+func (a *attempt) checkStreamEnd(header *fasthttp.ResponseHeader) error {
+	c := &a.exchange.continuation
+	marked := a.framing != httpclient.FramingClose && len(header.ContentType()) > 0
+	if err := c.end(marked); err != nil {
+		return err
+	}
+	err := a.checkEnd()
+	c.endDoubted = errors.Is(err, errEndpointGone)
+	return err
+}
+
 // relayFailed records err and returns the outcome of an attempt whose events could not be relayed.
 func (a *attempt) relayFailed(err error) (outcome, balancer.Result) {
 	a.err = err
@@ -83,6 +104,7 @@
 		a.exchange.abort()
 		return outcomeDone, balancer.ResultCancelled
 	}
+	a.exchange.proxy.telemetry.StreamEnded(a)
 	return outcomeFailed, balancer.ResultFailed
 }
 
@@ -105,18 +127,17 @@
 			break
 		}
 		a.events++
+		isNew, err := x.continuation.accept(e)
+		if err != nil {
+			return err
+		}
 		if a.firstEventAt.IsZero() {
 			a.observeFirstEvent()
 		}
-		if e.id != "" {
-			isNew, err := x.acceptEvent(e)
-			if err != nil {
-				return err
-			}
-			if !isNew {
-				continue
-			}
+		if !isNew {
+			continue
 		}
+		x.info.LastEventID = x.continuation.lastID
 		a.beginStream(&body.Response.Header)
 		x.writeChunk(e.text)
 		wrote = true
@@ -148,24 +169,6 @@
 	a.exchange.markStarted(now)
 }
 
-// acceptEvent reports whether the caller lacks an event, and records the event's id if so. The
-// caller has the events whose number is not above that of the last event that it received. Once the
-// head of the response is sent, a gap in the numbers is an error. If this event or the last one has
-// no number, this one counts as new.
-func (x *exchange) acceptEvent(e event) (bool, error) {
-	last, err := strconv.ParseInt(x.info.LastEventID, 10, 64)
-	if x.info.LastEventID != "" && err == nil && e.number > 0 {
-		if e.number <= last {
-			return false, nil
-		}
-		if e.number > last+1 && x.headSent {
-			return false, fmt.Errorf("%w: %d after %d", errMissingEvents, e.number, last)
-		}
-	}
-	x.info.LastEventID = e.id
-	return true, nil
-}
-
 // beginStream writes the head of a streamed response, unless that was done before. If the stream
 // continues at another endpoint, the caller therefore keeps the header of the first one.
 func (a *attempt) beginStream(header *fasthttp.ResponseHeader) {
--- a/internal/proxy/streamlog.go
+++ b/internal/proxy/streamlog.go
@@ -21,6 +21,8 @@
 	endNoEvent     = "no_event"
 	endCut         = "cut"
 	endGone        = "endpoint_gone"
+	endForeign     = "not_continued"
+	endNothing     = "nothing_follows"
 )
 
 // streamEnd returns how the stream ended, as a metric label.
@@ -34,6 +36,10 @@
 		return endNoEvent
 	case errors.Is(a.err, errEndpointGone):
 		return endGone
+	case errors.Is(a.err, errNothingFollows):
+		return endNothing
+	case isForeign(a.err):
+		return endForeign
 	}
 	return endCut
 }
