An engine that repeats the answer with other text does not continue it

Callers of the product's own interface saw the first tokens of one run and the last ones of another, with a proper end, if an engine that was to go on after a break began anew: the chunks that the caller had were dropped by their offset alone.

Change: the client of the engines compares them with the prefix that it sent; other text ends the attempt.

--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -26,6 +26,9 @@
 // ErrMissingChunk means that the engine skipped a chunk of a stream.
 var ErrMissingChunk = errors.New("enginehttp: gap in the stream")
 
+// errOtherRun means that the engine repeated a chunk with other text: it does not continue what was delivered.
+var errOtherRun = errors.New("enginehttp: chunk repeated with other text")
+
 // errTruncated means that a stream ended without its end marker.
 var errTruncated = fmt.Errorf("enginehttp: stream without its end marker: %w", engine.ErrTerminated)
 
@@ -36,11 +39,13 @@
 
 // stream is an open event stream of a generation. It implements engine.Stream.
 type stream struct {
-	client     *Client
-	address    string
-	id         engine.StreamID
-	body       *httpclient.Body
-	lines      *bufio.Scanner
+	client  *Client
+	address string
+	id      engine.StreamID
+	body    *httpclient.Body
+	lines   *bufio.Scanner
+	// prefix is the text that was delivered before the first chunk that the request asks for.
+	prefix     []string
 	nextOffset int
 	err        error
 	done       atomic.Bool
@@ -77,7 +82,7 @@
 		// A success without a stream: the request may have run.
 		return nil, &StatusError{Status: status}
 	}
-	s := &stream{client: c, address: address, id: g.Stream, body: body, nextOffset: g.Offset}
+	s := &stream{client: c, address: address, id: g.Stream, body: body, prefix: g.Prefix, nextOffset: g.Offset}
 	s.lines = bufio.NewScanner(body)
 	s.lines.Buffer(nil, maxLineBytes)
 	return s, nil
@@ -128,13 +133,16 @@
 
 // accept reports whether a chunk is the next one of this stream. It counts chunks of other
 // streams and repeated chunks, and returns ErrMissingChunk for a chunk that comes too
-// early.
+// early, and errOtherRun for one that repeats a chunk of the prefix with other text.
 func (s *stream) accept(c engine.Chunk) (bool, error) {
 	if c.Stream != s.id {
 		s.client.foreignChunks.Add(1)
 		return false, nil
 	}
 	if c.Offset < s.nextOffset {
+		if c.Offset >= 0 && c.Offset < len(s.prefix) && c.Text != s.prefix[c.Offset] {
+			return false, fmt.Errorf("%w: offset %d", errOtherRun, c.Offset)
+		}
 		s.client.repeatedChunks.Add(1)
 		return false, nil
 	}
