A stopping host takes no relayed request that may outlive it

What callers saw: a stream of a caller of one host, relayed to a peer that was asked to stop, broke off when the peer ended, though the host of the caller went on and another peer could have taken it; a request that may not be repeated got 502 there.

Cause: the rule of a stop takes all requests until the load balancer sends no more callers (2.5 s), because those cannot go elsewhere. It was applied to relayed requests too, of which the first host asks another peer at once, and which last beyond the end of the peer's stop.

Change: for the listener of relayed requests a stop is late from its beginning: only requests whose deadline lies before its end are taken; the others are refused as not sent.

--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -142,8 +142,12 @@
 func (s *Server) isStopping() bool { return s.stop.Load() != nil }
 
 // Drain makes each response whose head is written from now on the last on its connection, refuses requests that are read
-// too late for the stop, and ends those that are in progress at its end.
+// too late for the stop, and ends those that are in progress at its end. A relayed request is late at once: its first
+// host, unlike the load balancer, asks another peer without delay.
 func (s *Server) Drain(stop Stop) {
+	if s.relay {
+		stop.Late = clock.Now()
+	}
 	s.stop.Store(&stop)
 	time.AfterFunc(stop.End.Sub(clock.Now()), func() { s.end(errStopped) })
 }
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -12,8 +12,8 @@
 
 // Stop says how a server stops. Instants are on the clock of package clock.
 type Stop struct {
-	// Late is when the load balancer should send no more connections. A request that has been read by then is
-	// served. A later one, on a connection that is still open, is served only if its deadline is not after End.
+	// Late is when the load balancer should send no more connections. A caller's request that has been read by then
+	// is served. A later one, on a connection that is still open, is served only if its deadline is not after End.
 	Late time.Time
 	// End is when the requests in progress end: those without a response get an error response, and streams break
 	// off.
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -245,6 +245,28 @@
 	}
 }
 
+// TestStoppingPeerTakesNoRelayedRequestThatOutlivesIt guards against a stream that breaks off at a host that goes on,
+// because the peer that it was relayed to stops.
+func TestStoppingPeerTakesNoRelayedRequestThatOutlivesIt(t *testing.T) {
+	is := is.New(t)
+	gate := make(chan struct{})
+	endpoint := newTestEndpoint(t, gatedStream(gate))
+	first, stops := newTestProxy(t, streamRoute, endpoint), newTestProxy(t, streamRoute, endpoint)
+	stopped, err := stops.proxy.ListenRelay("127.0.0.1:0", anyIP)
+	is.NoErr(err)
+	go stopped.Serve()
+	t.Cleanup(func() { _ = stopped.listener.Close() })
+	stopped.Drain(stopping(time.Minute, 300*time.Millisecond))
+	nearest := relay.Peer{Name: "stopped", Address: stopped.Address(), DataCentre: "dc0"}
+	first.relayTo(nearest, newTestProxy(t, streamRoute, endpoint).listenRelay(t, anyIP))
+	conn := first.dial(t)
+	_, _ = fmt.Fprint(conn, requestText("slow", 5*time.Second))
+	time.AfterFunc(400*time.Millisecond, func() { close(gate) })
+	r := readResponse(t, bufio.NewReader(conn))
+	is.NoErr(r.err)
+	is.Equal(r.body, eventTexts(1, 2))
+}
+
 // TestRequestThatWasNotSentIsRefusedAtTheEndOfAStop: nothing of it has reached an endpoint, so that the refusal is true.
 func TestRequestThatWasNotSentIsRefusedAtTheEndOfAStop(t *testing.T) {
 	is := is.New(t)
