Tests: an endpoint that is gone keeps its address

TestOneRequestWithTwoUnreachableEndpointsIsRelayed closed three listeners and took their addresses as those of endpoints that are gone; the proxies that it opened next could be given one of these ports, so that the request was sent to a proxy, without its key, and answered 401. The endpoints now have bound sockets that do not listen: their addresses refuse connections, as before, and nobody else gets them. The check is the same.

--- a/internal/proxy/relay_test.go
+++ b/internal/proxy/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -282,14 +283,38 @@
 	is.Equal(p.counted.Load(), int64(1))
 }
 
+// newGoneEndpoint returns an endpoint whose address refuses connections, and is given to no other listener.
+func newGoneEndpoint(t *testing.T) *testEndpoint {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &testEndpoint{listener: boundSocket{port: bound.(*syscall.SockaddrInet4).Port}}
+}
+
+// boundSocket has the address of a socket that does not listen.
+type boundSocket struct {
+	net.Listener
+	port int
+}
+
+func (b boundSocket) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: b.port} }
+
 func TestOneRequestWithTwoUnreachableEndpointsIsRelayed(t *testing.T) {
 	is := is.New(t)
 	endpoint := newTestEndpoint(t, answerFine)
 	var gone []*testEndpoint
 	for range 3 {
-		e := newTestEndpoint(t, answerFine)
-		_ = e.listener.Close()
-		gone = append(gone, e)
+		gone = append(gone, newGoneEndpoint(t))
 	}
 	first := newTestProxy(t, fleet.Route{Kind: fleet.RouteIdempotent}, gone...)
 	second := newTestProxy(t, fleet.Route{Kind: fleet.RouteIdempotent}, endpoint)
