A stopping host answers a request that came behind the one in progress

What callers saw: a request that was sent on a connection before the response to the one before it had begun was read and dropped without an answer, when the host was asked to stop in between.

Cause: whether a response is the last of its connection was decided without looking at what the caller had sent meanwhile.

Change: a response whose head is written in a stop announces the close only if no bytes of a further request have arrived. That request is then answered as any other of the stop, and closes the connection.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -147,9 +147,9 @@
 	}
 	ctx, cancel := context.WithCancel(c.server.requests)
 	defer cancel()
-	watch := c.watchCaller(cancel)
+	x.watch = c.watchCaller(cancel)
 	serve(ctx)
-	stillThere := watch.stop()
+	stillThere := x.watch.stop()
 	return stillThere && !x.close && !x.broken
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -32,6 +32,8 @@
 	proxy   *Proxy
 	request *fasthttp.Request
 	arrived time.Time
+	// watch is nil until the request has been read.
+	watch *callerWatch
 
 	info         RequestInfo
 	table        *route.Table
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -65,10 +65,15 @@
 	return newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonStopping, stoppingRetryAfter)
 }
 
-// announceClose makes the response, whose head is about to be written, the last on its connection if the host stops.
+// announceClose makes the response, whose head is about to be written, the last on its connection if the host stops and
+// the caller has not sent another request yet.
 func (x *exchange) announceClose(h *fasthttp.ResponseHeader) {
-	x.close = x.close || x.conn.server.isStopping() || x.conn.isClosing()
+	stops := x.conn.server.isStopping() || x.conn.isClosing()
+	x.close = x.close || stops && !x.nextArrived()
 	if x.close {
 		h.SetConnectionClose()
 	}
 }
+
+// nextArrived reports whether bytes of the connection's next request have arrived.
+func (x *exchange) nextArrived() bool { return x.watch != nil && x.watch.nextArrived.Load() }
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -135,6 +135,44 @@
 	}
 }
 
+// TestPipelinedRequestIsAnsweredInAStop guards against a request that has been read and is dropped, because the response
+// before it is made the last of its connection.
+func TestPipelinedRequestIsAnsweredInAStop(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		t.Run(fmt.Sprint("late ", late), func(t *testing.T) {
+			is := is.New(t)
+			gate := make(chan struct{})
+			e := newTestEndpoint(t, func(r *receivedRequest) bool {
+				<-gate
+				return respondOK(r)
+			})
+			p := newTestProxy(t, nonIdempotentRoute, e)
+			conn := p.dial(t)
+			reader := bufio.NewReader(conn)
+			_, _ = fmt.Fprint(conn, requestText("first", 5*time.Second))
+			waitFor(t, func() bool { return len(e.receivedRequests()) == 1 })
+			_, _ = fmt.Fprint(conn, requestText("next", 5*time.Second))
+			stop := stopping(time.Minute, time.Minute)
+			if late {
+				stop = stopping(0, time.Second)
+			}
+			p.server.Drain(stop)
+			time.AfterFunc(100*time.Millisecond, func() { close(gate) })
+			first := readResponse(t, reader)
+			is.Equal(first.status, 200)
+			is.True(!first.closes)
+			next := readResponse(t, reader)
+			if late {
+				isRefusedByStop(is, next)
+				return
+			}
+			is.NoErr(next.err)
+			is.Equal(next.status, 200)
+			is.True(next.closes)
+		})
+	}
+}
+
 // TestRequestReadLateIsRefused guards against the same on connections without an earlier response: one that is idle, and
 // one whose request is half read when it becomes late.
 func TestRequestReadLateIsRefused(t *testing.T) {
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -16,7 +16,9 @@
 	conn       *conn
 	stopped    atomic.Bool
 	callerGone atomic.Bool
-	done       chan struct{}
+	// nextArrived is set once bytes of the next request have arrived.
+	nextArrived atomic.Bool
+	done        chan struct{}
 }
 
 func (c *conn) watchCaller(cancel context.CancelFunc) *callerWatch {
@@ -26,7 +28,11 @@
 		defer close(w.done)
 		// Bytes of the next request end the watch, so that a disconnect after them is not noticed.
 		// They stay buffered until that request is read.
-		if _, err := c.reader.Peek(1); err != nil && !w.stopped.Load() {
+		_, err := c.reader.Peek(1)
+		switch {
+		case err == nil:
+			w.nextArrived.Store(true)
+		case !w.stopped.Load():
 			w.callerGone.Store(true)
 			cancel()
 		}
