Own interface: calls that are open at the end of a stop get an answer

What callers saw: a call of a plain service that lasted beyond the grace period of a daemon that was asked to stop was cut off without an answer 11 s after it, among them calls that may run once.

Cause: at the end of the grace period only streams were ended. Calls had a context of their own, and were cut off when the process ended.

Change: the end of the grace period ends calls too. One that may have run gets 502 with the outcome unknown, one that was not sent 503 with not-run.

Measured: TestCallOpenAfterGracePeriodIsAnswered fails before (EOF after 11 s), passes 3 of 3 with the change; tests of dispatcher, app, callers and e2e pass.

--- a/internal/app/shutdown.go
+++ b/internal/app/shutdown.go
@@ -21,7 +21,7 @@
 	// deregisterDelay is how long a stopping daemon still accepts requests, so that the load
 	// balancer can learn that the daemon is not ready.
 	deregisterDelay = time.Second
-	// leaveTimeout bounds the wait for open streams to end, and then again the time to close
+	// leaveTimeout bounds the wait for open requests to end, and then again the time to close
 	// the listeners and to tell peers and platform that this daemon leaves.
 	leaveTimeout = 5 * time.Second
 	// claimFlushTimeout bounds the wait for claim reports that the platform has not stored
@@ -38,8 +38,8 @@
 }
 
 // shutdown stops gracefully. It waits for the requests in flight until the grace period
-// ends. If some are still in flight then, it ends the open streams with a resume token and
-// returns an error. It also returns the errors of closing the listeners and of telling peers
+// ends. If some are still in flight then, it ends the open streams with a resume token and the
+// calls with an error response, and returns an error. It also returns the errors of closing the listeners and of telling peers
 // and platform that this daemon leaves. Claim reports that could not be stored are only logged.
 func (a *App) shutdown() error {
 	a.Drain()
@@ -49,7 +49,7 @@
 	defer cancel()
 	drainErr := a.service.Drain(grace)
 	if drainErr != nil {
-		drainErr = errors.Join(drainErr, a.service.EndStreams(leaveTimeout))
+		drainErr = errors.Join(drainErr, a.service.EndRequests(leaveTimeout))
 	}
 	a.flushClaims()
 	err := a.leave()
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -90,6 +90,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.service.timeout(c.req.Timeout))
 	defer cancel()
+	defer context.AfterFunc(c.service.endContext, cancel)()
 	return c.serve(ctx)
 }
 
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -79,10 +79,10 @@
 	inflight   *inflight
 	// openCount is the number of streams that are open or being opened.
 	openCount atomic.Int64
-	// endContext is cancelled to end all open streams.
-	endContext context.Context
-	endStreams context.CancelFunc
-	now        func() time.Time
+	// endContext is cancelled to end all open requests.
+	endContext  context.Context
+	endRequests context.CancelFunc
+	now         func() time.Time
 }
 
 // Dependencies holds what a Service is built from.
@@ -109,24 +109,24 @@
 
 // New returns a service with the given dependencies.
 func New(d Dependencies) *Service {
-	endContext, endStreams := context.WithCancel(context.Background())
+	endContext, endRequests := context.WithCancel(context.Background())
 	return &Service{
-		endContext: endContext,
-		endStreams: endStreams,
-		inflight:   newInflight(),
-		settings:   d.Settings,
-		session:    uuid.NewString()[:8],
-		router:     d.Router,
-		limiter:    d.Limiter,
-		claims:     d.Claims,
-		engines:    d.Engines,
-		signer:     d.Signer,
-		metrics:    d.Metrics,
-		streams:    newStreamRegistry(),
-		moveRates:  d.MoveRates,
-		quarantine: d.Quarantine,
-		mayProbe:   d.MayProbe,
-		crashes:    verify.Verifier{Table: d.Quarantine, Accepts: d.Accepts, Now: time.Now},
+		endContext:  endContext,
+		endRequests: endRequests,
+		inflight:    newInflight(),
+		settings:    d.Settings,
+		session:     uuid.NewString()[:8],
+		router:      d.Router,
+		limiter:     d.Limiter,
+		claims:      d.Claims,
+		engines:     d.Engines,
+		signer:      d.Signer,
+		metrics:     d.Metrics,
+		streams:     newStreamRegistry(),
+		moveRates:   d.MoveRates,
+		quarantine:  d.Quarantine,
+		mayProbe:    d.MayProbe,
+		crashes:     verify.Verifier{Table: d.Quarantine, Accepts: d.Accepts, Now: time.Now},
 		// Each open stream occupies a worker that reads from its engine; the other workers move
 		// streams and record outcomes.
 		pool: pond.NewPool(d.Settings.MaxStreams + backgroundWorkers),
@@ -156,11 +156,11 @@
 // OpenStreams returns the number of streams that have a running attempt at an engine.
 func (s *Service) OpenStreams() int { return s.streams.count() }
 
-// EndStreams ends all open streams; their callers get a resume token with which they can continue
-// at another daemon. It then waits, after StopAccepting, until no request is in flight, for at most
+// EndRequests ends all open requests. The callers of streams get a resume token with which they can continue at
+// another daemon, and those of calls an error response. It then waits, after StopAccepting, until no request is in flight, for at most
 // the given time. Without StopAccepting it always waits for the given time and returns an error.
-func (s *Service) EndStreams(wait time.Duration) error {
-	s.endStreams()
+func (s *Service) EndRequests(wait time.Duration) error {
+	s.endRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	return s.Drain(ctx)
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -1,12 +1,14 @@
 package e2e
 
 import (
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"rattanchute/internal/outcome"
 	"rattanchute/internal/standin"
 	"rattanchute/internal/testsite"
 )
@@ -102,3 +104,26 @@
 	}
 	is.True(results[0].reconnects+results[1].reconnects > 0) // no stream was ended early
 }
+
+// TestCallOpenAfterGracePeriodIsAnswered guards against a call that may run once and is cut off without an answer when
+// the daemon ends.
+func TestCallOpenAfterGracePeriodIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, testsite.Options{Daemons: 1, Engines: 1, Engine: smallEngine, Services: 1, ServiceDelayMillis: 20_000, ShutdownGrace: "100ms"})
+	answered := make(chan error, 1)
+	var resp testsite.Response
+	go func() {
+		var err error
+		caller := testsite.NewCaller(testsite.CallerKey, s.Daemons[0].Callers)
+		resp, err = caller.Call(t.Context(), http.MethodPost, "/app/book", []byte("one"))
+		answered <- err
+	}()
+	waitUntil(t, "the call runs", func() bool { return s.Standin.Service("service-0").Ledger().Runs == 1 })
+	stopDaemon(t, s)
+	is.NoErr(<-answered)
+	is.Equal(resp.Status, http.StatusBadGateway)
+	is.Equal(resp.Outcome, outcome.Unknown)
+	code, err := s.Daemons[0].Wait(waitTimeout)
+	is.NoErr(err)
+	is.Equal(code, 1) // the call did not end within the grace period
+}
