Chunked responses that are cut between chunks count as terminated

Callers saw nothing of it: the response was an error before and is one now. But an endpoint that crashed there was not counted as crashed: its request went on to the next endpoint and was not quarantined. Cause: fasthttp's error of a broken chunk hides that of the connection from errors.Is, so that a response cut inside a chunk's size, in the line end after a chunk or in the trailer was a malformed one. Change: the connection keeps its read error, which is added to that of a broken chunk.

--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -107,8 +107,9 @@
 			return b, nil
 		}
 		if err := b.discard(); err != nil {
+			err = x.readError(ctx, err)
 			x.release(false)
-			return nil, responseError(ctx, err)
+			return nil, err
 		}
 	}
 	x.release(false)
@@ -164,7 +165,7 @@
 		return n, err
 	}
 	if err != nil {
-		err = responseError(b.ctx, err)
+		err = b.exchange.readError(b.ctx, err)
 	}
 	return n, err
 }
--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -94,12 +94,11 @@
 		return err
 	}
 	resp.SkipBody = req.Header.IsHead()
-	err = x.readResponse(resp)
-	x.release(err == nil && !resp.ConnectionClose())
-	if err != nil {
-		return responseError(ctx, err)
+	if err = x.readResponse(resp); err != nil {
+		err = x.readError(ctx, err)
 	}
-	return nil
+	x.release(err == nil && !resp.ConnectionClose())
+	return err
 }
 
 // pool returns the connection pool of a target. When it adds a pool, it removes those
