--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -80,9 +80,18 @@
 	s := &stream{client: c, address: address, id: g.Stream, body: body, nextOffset: g.Offset}
 	s.lines = bufio.NewScanner(body)
 	s.lines.Buffer(nil, maxLineBytes)
+	s.lines.Split(splitWholeLines)
 	return s, nil
 }
 
+// splitWholeLines is bufio.ScanLines without a last line that has no end: the stream was cut inside it.
+func splitWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if bytes.IndexByte(data, '\n') < 0 {
+		return 0, nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 // Next returns the next chunk of this stream, each exactly once and in order, and io.EOF
 // after the last. Any other error closes the connection, so that a caller that attaches to
 // the stream again need not call Close, which would cancel the generation.
