A late take-up of a stream is refused before it asks the store where the stream began

A stopping host checked whether a request has time only after it had found out where the stream that it takes up began, which may wait 0.8 s for the store. A take-up read in the last 0.35 s before the end of a stop could wait until the process was gone, without an answer; any late one held its caller in vain.

Change: the deadline is set, and the stop checked, before the origin is looked for.

Measured: TestLateTakeUpIsRefusedBeforeTheStoreIsAsked fails 3 of 3 before (the store was asked), passes 3 of 3 with the change; go test ./internal/proxy passes. That a caller was cut off is by reading, not seen in a run.

--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -13,8 +13,8 @@
 // admit decides whether the request is accepted, and returns the error response if it is not.
 func (x *exchange) admit() *errorResponse {
 	steps := []func() *errorResponse{
-		x.readInfo, x.findRoute, x.checkKey, x.findOrigin, x.prepare, x.checkStop, x.checkQuarantine, x.recordDemand, x.checkQuota,
-		x.checkShare,
+		x.readInfo, x.findRoute, x.checkKey, x.setDeadline, x.checkStop, x.findOrigin, x.prepare, x.checkQuarantine,
+		x.recordDemand, x.checkQuota, x.checkShare,
 	}
 	for _, step := range steps {
 		if e := step(); e != nil {
@@ -82,9 +82,8 @@
 	return nil
 }
 
-// prepare sets the deadline, the fleet, the priority and the request to the balancer. It never
-// refuses the request.
-func (x *exchange) prepare() *errorResponse {
+// setDeadline sets the deadline. It never refuses the request.
+func (x *exchange) setDeadline() *errorResponse {
 	timeout := x.info.CallerTimeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -93,6 +92,11 @@
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.arrived.Add(timeout)
+	return nil
+}
+
+// prepare sets the fleet, the priority and the request to the balancer. It never refuses the request.
+func (x *exchange) prepare() *errorResponse {
 	x.fleet = x.origin.Fleet
 	if x.fleet == "" {
 		x.fleet = pickFleet(x.route)
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -190,6 +190,24 @@
 	is.Equal(len(e.receivedRequests()), 0)
 }
 
+// TestLateTakeUpIsRefusedBeforeTheStoreIsAsked guards against a request that waits for the store until the host has ended.
+func TestLateTakeUpIsRefusedBeforeTheStoreIsAsked(t *testing.T) {
+	is := is.New(t)
+	e := newTestEndpoint(t, respondOK)
+	p := newTestProxy(t, fleet.Route{Kind: fleet.RouteStream, Resumable: true}, e)
+	asked := false
+	p.proxy.OnlyVersion = func(time.Time, string) (string, bool) {
+		asked = true
+		return "", false
+	}
+	conn := p.dial(t)
+	p.server.Drain(stopping(0, time.Second))
+	_, _ = fmt.Fprintf(conn, "%sId: rest\r\nAfter: 3\r\nFirst-Id: first\r\nPatience: 5000\r\nContent-Length: 0\r\n\r\n", testRequestHead)
+	isRefusedByStop(is, readResponse(t, bufio.NewReader(conn)))
+	is.True(!asked)
+	is.Equal(len(e.receivedRequests()), 0)
+}
+
 // TestLateRequestWithTimeForItIsServed: a stop refuses no request that ends before it.
 func TestLateRequestWithTimeForItIsServed(t *testing.T) {
 	is := is.New(t)
