A stop ends within its grace period, whatever the store and callers do

What was seen: a host that was asked to stop while the store was silent was killed at the end of the grace period (trial with three processes: 3 of 3), before it had ended its log.

Cause: the last 0.7 s of the grace period were given away more than once: 0.45 s for connections that are still open, once for callers and again for peers, 0.3 s for the removal of the host's entry and 0.2 s for its tasks, 1.4 s in all.

Change: the wait for connections is counted from the end of the stop, and what comes after it gets no more time than is left of the grace period.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -130,8 +130,8 @@
 }
 
 // removeMember deletes this host's entry, so that the others do not wait for it.
-func (n *Node) removeMember() {
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+func (n *Node) removeMember(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	object, err := n.Store.Get(ctx, objectstore.KindMember, n.Settings.Name)
 	if err == nil {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -21,8 +21,10 @@
 	// readyDelay is how long after it has a configuration and endpoints a host reports that it
 	// is ready. By then it has normally received its peers' reports.
 	readyDelay = 300 * time.Millisecond
-	// taskEndTimeout bounds the wait for the tasks at the end of a stop. It is part of exitMargin.
-	taskEndTimeout = 200 * time.Millisecond
+	// memberRemovalTimeout bounds the removal of this host's entry at the end of a stop, and taskEndTimeout the wait for
+	// the tasks. Both are shorter if the grace period ends before.
+	memberRemovalTimeout = 300 * time.Millisecond
+	taskEndTimeout       = 200 * time.Millisecond
 )
 
 // Run serves requests until the context ends, and then stops gracefully and returns nil. It returns
@@ -188,10 +190,12 @@
 	// counted usage like the others, and its reports had to reach them.
 	n.stopped.Store(true)
 	n.sendLeaving(clock.Now())
-	n.removeMember()
+	graceEnd := plan.End.Add(exitMargin)
+	n.removeMember(leaveTimeout(memberRemovalTimeout, graceEnd.Sub(clock.Now())))
 	_ = n.socket.Close()
-	if !n.waitForTasks(taskEndTimeout) {
-		n.Log.Warn().Int64("waited_ms", taskEndTimeout.Milliseconds()).Msg("tasks still running at the stop")
+	wait := leaveTimeout(taskEndTimeout, graceEnd.Sub(clock.Now()))
+	if !n.waitForTasks(wait) {
+		n.Log.Warn().Int64("waited_ms", wait.Milliseconds()).Msg("tasks still running at the stop")
 	}
 	n.Log.Info().Int64("took_ms", clock.Now().Sub(began).Milliseconds()).Msg("stopped")
 }
--- a/internal/node/stopplan.go
+++ b/internal/node/stopplan.go
@@ -12,6 +12,8 @@
 	drainDelay = 2500 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for leaving gracefully.
 	exitMargin = 700 * time.Millisecond
+	// exitReserve is the part of exitMargin that is left for the process to end.
+	exitReserve = 150 * time.Millisecond
 )
 
 // planStop returns how a host that is asked to stop at an instant uses its grace period. Until Late, at most half of
@@ -21,3 +23,8 @@
 	work := max(grace-exitMargin, exitMargin)
 	return proxy.Stop{Late: began.Add(min(drainDelay, work/2)), End: began.Add(work)}
 }
+
+// leaveTimeout returns how long a part of leaving may take, given the time that is left of the grace period.
+func leaveTimeout(usual, left time.Duration) time.Duration {
+	return max(0, min(usual, left-exitReserve))
+}
--- a/internal/node/stopplan_test.go
+++ b/internal/node/stopplan_test.go
@@ -21,3 +21,11 @@
 	}
 	is.True(!planStop(began, 0).End.Before(began)) // without a grace period too
 }
+
+// TestLeavingEndsBeforeTheGracePeriod: what is left of it bounds each part, also if nothing is left.
+func TestLeavingEndsBeforeTheGracePeriod(t *testing.T) {
+	is := is.New(t)
+	is.Equal(leaveTimeout(300*time.Millisecond, time.Second), 300*time.Millisecond)
+	is.Equal(leaveTimeout(300*time.Millisecond, 250*time.Millisecond), 250*time.Millisecond-exitReserve)
+	is.Equal(leaveTimeout(300*time.Millisecond, -time.Second), time.Duration(0))
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -153,8 +153,8 @@
 }
 
 // Close answers the requests that have arrived, accepts no more connections, and closes each connection after its
-// last response. It returns once all connections have ended, but at most lastAnswerTimeout after the context, which
-// ends at the end of the stop.
+// last response. It returns once all connections have ended, but at most lastAnswerTimeout after the deadline of the
+// context, which is the end of the stop.
 func (s *Server) Close(ctx context.Context) {
 	s.acceptQueued(ctx)
 	_ = s.listener.Close()
@@ -169,9 +169,10 @@
 		return
 	case <-ctx.Done():
 	}
+	ended, _ := ctx.Deadline()
 	select {
 	case <-done:
-	case <-time.After(lastAnswerTimeout):
+	case <-time.After(time.Until(ended) + lastAnswerTimeout):
 	}
 }
 
