An error that an engine sends as a chunk or as a finish is no part of the answer

Callers of the product's own interface saw an answer end as complete after half of it, if the engine ended its stream with a finish that means a failure; and they lacked a token, if it sent an error under the stream's name and the next offset, which was delivered as an empty token.

Change: a message of the stream with an error, or with a finish other than stop and length, ends the attempt; another engine may go on. An error without a stream does so too, at once.

--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -29,6 +29,9 @@
 // errOtherRun means that the engine repeated a chunk with other text: it does not continue what was delivered.
 var errOtherRun = errors.New("enginehttp: chunk repeated with other text")
 
+// errEngineError means that the engine reported an error in its stream.
+var errEngineError = errors.New("enginehttp: error in the stream")
+
 // errTruncated means that a stream ended without its end marker.
 var errTruncated = fmt.Errorf("enginehttp: stream without its end marker: %w", engine.ErrTerminated)
 
@@ -117,20 +120,43 @@
 			s.done.Store(true)
 			return engine.Chunk{}, io.EOF
 		}
-		var chunk engine.Chunk
-		if err := json.Unmarshal(data, &chunk); err != nil {
+		var message streamMessage
+		if err := json.Unmarshal(data, &message); err != nil {
 			return engine.Chunk{}, fmt.Errorf("enginehttp: chunk: %w", err)
 		}
-		accepted, err := s.accept(chunk)
+		if err := s.checkError(&message); err != nil {
+			return engine.Chunk{}, err
+		}
+		accepted, err := s.accept(message.Chunk)
 		if err != nil {
 			return engine.Chunk{}, err
 		}
 		if accepted {
-			return chunk, nil
+			return message.Chunk, nil
 		}
 	}
 }
 
+// streamMessage is the data of one event: a chunk, or an error.
+type streamMessage struct {
+	engine.Chunk
+	Error json.RawMessage `json:"error"`
+}
+
+// checkError returns an error if a message of this stream is no chunk but an error, or if its finish is none of an
+// answer that is whole.
+func (s *stream) checkError(m *streamMessage) error {
+	switch {
+	case m.Stream != s.id && m.Stream != "":
+		return nil
+	case len(m.Error) > 0 && string(m.Error) != "null":
+		return fmt.Errorf("%w: %.200s", errEngineError, m.Error)
+	case m.Finish != "" && m.Finish != engine.FinishStop && m.Finish != engine.FinishLength:
+		return fmt.Errorf("%w: finish %.40q", errEngineError, m.Finish)
+	}
+	return nil
+}
+
 // accept reports whether a chunk is the next one of this stream. It counts chunks of other
 // streams and repeated chunks, and returns ErrMissingChunk for a chunk that comes too
 // early, and errOtherRun for one that repeats a chunk of the prefix with other text.
--- a/internal/dispatcher/errorinstream_test.go
+++ b/internal/dispatcher/errorinstream_test.go
@@ -195,6 +195,12 @@
 	"an error inside the rest": chunked(func(g engine.Generate) string {
 		return chunksData(g.Stream, g.Offset, g.Offset+1) + "event: error\ndata: oops\n\n" + chunksData(g.Stream, g.Offset+1, answerTokens)
 	}),
+	"an error in a chunk": chunked(func(g engine.Generate) string {
+		return fmt.Sprintf("data: {\"stream\":%q,\"offset\":%d,\"error\":\"oops\"}\n\n", g.Stream, g.Offset) + doneData
+	}),
+	"an error as the finish": chunked(func(g engine.Generate) string {
+		return fmt.Sprintf("data: {\"stream\":%q,\"offset\":%d,\"text\":\"\",\"finish\":\"error\"}\n\n", g.Stream, g.Offset) + doneData
+	}),
 	"the end marker before the last chunk": chunked(func(g engine.Generate) string {
 		return chunksData(g.Stream, g.Offset, g.Offset+1) + doneData
 	}),
@@ -245,3 +251,14 @@
 	is.True(complete)
 	is.Equal(text, tokenTexts(0, answerTokens))
 }
+
+func TestChunksWithoutAnErrorMayNameThatField(t *testing.T) {
+	is := is.New(t)
+	whole := chunked(func(g engine.Generate) string {
+		text := chunksData(g.Stream, g.Offset, answerTokens) + doneData
+		return strings.ReplaceAll(text, "{\"stream\"", "{\"error\":null,\"stream\"")
+	})
+	text, complete := answerOf(t, newTestService(t, whole, whole))
+	is.True(complete)
+	is.Equal(text, tokenTexts(0, answerTokens))
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -29,13 +29,19 @@
 	Offset int `json:"offset"`
 }
 
+// The values of a chunk's finish: the answer ended by itself, or at the largest number of tokens.
+const (
+	FinishStop   = "stop"
+	FinishLength = "length"
+)
+
 // Chunk is one generated token.
 type Chunk struct {
 	Stream StreamID `json:"stream"`
 	// Offset is the index of the token in the whole answer, from zero.
 	Offset int    `json:"offset"`
 	Text   string `json:"text"`
-	// Finish is "stop" or "length" on the last chunk.
+	// Finish is FinishStop or FinishLength on the last chunk.
 	Finish string `json:"finish,omitempty"`
 	// Load is set on the first and the last chunk.
 	Load *Load `json:"load,omitempty"`
