--- a/internal/dispatcher/series.go
+++ b/internal/dispatcher/series.go
@@ -2,6 +2,7 @@
 
 import (
 	"rattanchute/internal/outcome"
+	"rattanchute/internal/quarantine/verify"
 	"rattanchute/internal/reclaim"
 )
 
@@ -29,6 +30,9 @@
 	for _, result := range resultSeries {
 		m.Attempts.WithLabelValues(result)
 	}
+	for _, presence := range []verify.Presence{verify.Present, verify.Gone, verify.Unknown} {
+		m.EndChecks.WithLabelValues(presence.String())
+	}
 	for _, strategy := range strategySeries {
 		m.Moves.WithLabelValues(string(strategy))
 	}
