The end of a killed endpoint is told apart for longer, and costs leaving ones nothing

Found by the review of the check at the end of responses without a length (trials with processes killed by SIGKILL): the operating system closes a listener up to tens of milliseconds after the connections, 20 ms with 800 of them, and a dial in between is reset: 10 ms were too short, and a reset counted as unknown, both of which let a cut response pass as whole. A last response of an endpoint that leaves was given up although no other attempt was left, counted as a crash, and got its request quarantined; errors were checked too. The last response of a leaving endpoint is whole where no attempt may follow, and is no crash. Only responses of success are checked; a check that the caller's deadline ends is none.

--- a/internal/adapter/httpclient/listens.go
+++ b/internal/adapter/httpclient/listens.go
@@ -9,38 +9,39 @@
 	"time"
 )
 
-// Listens reports whether a process listens at an address. A connection that opens may still be one that the
-// operating system of an ending process has accepted: it has to last for settle, or another one has to open. The
-// error says why neither is known, as when nothing answers before the context ends.
-func (c *Client) Listens(ctx context.Context, address string, settle time.Duration) (bool, error) {
-	conn, err := c.dialContext(ctx, net.Dialer{}, address)
-	if err != nil {
-		return false, refusal(err)
-	}
-	lasted := lasts(conn, settle)
-	_ = conn.Close()
-	if lasted {
-		return true, nil
-	}
-	conn, err = c.dialContext(ctx, net.Dialer{}, address)
-	if err != nil {
-		return false, refusal(err)
-	}
-	_ = conn.Close()
-	return true, nil
-}
+// redialPause is the pause after a connection that was reset before the next one is tried.
+const redialPause = 2 * time.Millisecond
 
-// refusal returns nil if err means that nothing listens at an address, and err otherwise.
-func refusal(err error) error {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return nil
+// Listens reports whether a process listens at an address. The operating system of a process that ends may open
+// connections until it closes the listener, and resets them then: one has to last until settle is over, or no address
+// that refuses may be found until then. The error says why neither is known, as when nothing answers before the context
+// ends.
+func (c *Client) Listens(ctx context.Context, address string, settle time.Duration) (bool, error) {
+	until := time.Now().Add(settle)
+	for {
+		conn, err := c.dialContext(ctx, net.Dialer{}, address)
+		switch {
+		case err == nil:
+			lasted := lastsUntil(conn, until)
+			_ = conn.Close()
+			if lasted {
+				return true, nil
+			}
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return false, nil
+		case !errors.Is(err, syscall.ECONNRESET):
+			return false, err
+		}
+		if !time.Now().Before(until) {
+			return true, nil
+		}
+		time.Sleep(redialPause)
 	}
-	return err
 }
 
-// lasts reports whether a connection that carries no request stays open for a time.
-func lasts(conn net.Conn, d time.Duration) bool {
-	_ = conn.SetReadDeadline(time.Now().Add(d))
+// lastsUntil reports whether a connection that carries no request stays open until a time.
+func lastsUntil(conn net.Conn, until time.Time) bool {
+	_ = conn.SetReadDeadline(until)
 	var b [1]byte
 	_, err := conn.Read(b[:])
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -223,7 +223,8 @@
 // checkEnd returns an error if a response that has ended with its connection counts as cut off, because its endpoint
 // is gone. The operating system closes the connections of a process that is killed in order.
 func (c *call) checkEnd(ctx context.Context, endpoint fleet.Endpoint) error {
-	c.presence = c.service.crashes.Presence(ctx, endpoint.Address)
+	// Why it is unknown does not matter here: the metric counts it.
+	c.presence, _ = c.service.crashes.Presence(ctx, endpoint.Address)
 	c.service.metrics.EndChecks.WithLabelValues(c.presence.String()).Inc()
 	leaving := c.service.router.Leaving(c.service.now(), endpoint.Name)
 	if verify.DoubtsEnd(c.presence, leaving, c.machine.Idempotent()) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -53,6 +53,8 @@
 	framing httpclient.Framing
 	// presence is whether the endpoint was there when its response ended with its connection; unknown otherwise.
 	presence verify.Presence
+	// left is set if the endpoint was known to leave and was gone then: it has not crashed.
+	left bool
 	// events is the number of complete events received.
 	events int
 	// completed is set once the endpoint's response is complete and is passed on to the caller.
@@ -80,7 +82,7 @@
 	} else {
 		a.observeLink(result)
 	}
-	a.terminated = out == outcomeFailed && isTerminated(a.err)
+	a.terminated = out == outcomeFailed && isTerminated(a.err) && !a.left
 	return out, result
 }
 
--- a/internal/proxy/ending.go
+++ b/internal/proxy/ending.go
@@ -21,23 +21,31 @@
 		return nil
 	}
 	x := a.exchange
-	a.presence = x.proxy.crashes.Presence(a.ctx, a.choice.Endpoint.Address)
+	presence, cause := x.proxy.crashes.Presence(a.ctx, a.choice.Endpoint.Address)
+	if err := a.ctx.Err(); err != nil {
+		return err
+	}
 	leaving := a.balancerAttempt.EndpointLeaves(clock.Now())
-	x.proxy.telemetry.EndChecked(a, leaving)
-	if !verify.DoubtsEnd(a.presence, leaving, x.route.Retryable()) {
+	a.presence, a.left = presence, presence == verify.Gone && leaving
+	x.proxy.telemetry.EndChecked(a, leaving, cause)
+	if !verify.DoubtsEnd(presence, leaving, x.mayRepeat()) {
 		return nil
 	}
 	return errEndpointGone
 }
 
-// endsWithConnection reports whether nothing but the end of its connection marks the end of the response. A peer
-// marks the ends of the responses that it passes on.
+// mayRepeat reports whether another attempt may follow the present one: a relayed request is repeated by its first host.
+func (x *exchange) mayRepeat() bool {
+	return x.route.Retryable() && (x.relayed != nil || x.sends+1 < x.route.MaxAttempts)
+}
+
+// endsWithConnection reports whether nothing but the end of its connection marks the end of a response of success. A
+// peer marks the ends of the responses that it passes on.
 func (a *attempt) endsWithConnection() bool {
-	return a.peer == nil && a.framing == httpclient.FramingClose && a.hasBody()
+	return a.peer == nil && a.framing == httpclient.FramingClose && a.status/100 == 2 && a.hasBody()
 }
 
 // hasBody reports whether the response may have a body.
 func (a *attempt) hasBody() bool {
-	isHead := a.exchange.request.Header.IsHead()
-	return !isHead && a.status != fasthttp.StatusNoContent && a.status != fasthttp.StatusNotModified
+	return !a.exchange.request.Header.IsHead() && a.status != fasthttp.StatusNoContent
 }
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"rattanchute/internal/adapter/httpclient"
+	"rattanchute/internal/quarantine/verify"
 )
 
 type metrics struct {
@@ -100,6 +101,9 @@
 	for _, progress := range []string{progressNoResponse, progressNoEvent, progressEvents} {
 		m.terminated.WithLabelValues(progress)
 	}
+	for _, presence := range []verify.Presence{verify.Present, verify.Gone, verify.Unknown} {
+		m.endChecks.WithLabelValues(presence.String())
+	}
 	for _, framing := range []httpclient.Framing{httpclient.FramingLength, httpclient.FramingChunked, httpclient.FramingClose} {
 		for _, end := range []string{endWhole, endInsideEvent, endNoEvent, endCut, endGone} {
 			m.streamEnds.WithLabelValues(string(framing), end)
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -95,7 +95,7 @@
 func (a *attempt) recordCompletion() {
 	a.completed = true
 	x, q := a.exchange, a.exchange.proxy.Quarantine
-	unframed := a.framing == httpclient.FramingClose && a.presence != verify.Present
+	unframed := a.framing == httpclient.FramingClose && a.presence != verify.Present && !a.left
 	if a.peer != nil || !a.answersRequest() || !unframed && !q.Active() {
 		return
 	}
--- a/internal/proxy/streamlog.go
+++ b/internal/proxy/streamlog.go
@@ -45,8 +45,8 @@
 }
 
 // EndChecked counts what was found out about the endpoint of a response that ended with its connection, and logs it
-// unless the endpoint is there.
-func (t *Telemetry) EndChecked(a *attempt, leaving bool) {
+// unless the endpoint is there. The cause is why that is unknown.
+func (t *Telemetry) EndChecked(a *attempt, leaving bool, cause error) {
 	t.metrics.endChecks.WithLabelValues(a.presence.String()).Inc()
 	if a.presence == verify.Present {
 		return
@@ -55,6 +55,7 @@
 		Str("endpoint", a.choice.Endpoint.ID).
 		Str("presence", a.presence.String()).
 		Bool("leaving", leaving).
+		Err(cause).
 		Int("events", a.events).
 		Msg("response ended with its connection")
 }
