A host that starts is ready once its configuration is confirmed

Change: the first word of a peer wakes the reader; readiness waits for the confirmation, 0.5 s at most; confirmations are taken back by a read that finds an older configuration than a peer names; never is never.

--- a/internal/node/configstate.go
+++ b/internal/node/configstate.go
@@ -48,16 +48,19 @@
 	return true
 }
 
-// heard records that a peer has a generation in force, and reports whether this host lacks it.
-func (s *configurationState) heard(g fleet.Generation) (outdated bool) {
+// heard records that a peer has a generation in force, and reports whether the store is to be read: this host lacks the
+// generation, or was waiting for a peer.
+func (s *configurationState) heard(g fleet.Generation) (read bool) {
+	first := !s.peerHeard && g > 0
 	s.newest = max(s.newest, g)
-	s.peerHeard = s.peerHeard || g > 0
-	return g > s.active
+	s.peerHeard = s.peerHeard || first
+	return g > s.active || first
 }
 
-// justStarted reports whether a restore of which this host does not know may still be settling.
-func (s *configurationState) justStarted(now time.Time) bool {
-	return now.Before(s.startedAt.Add(restoreSettleTime))
+// refuted reports whether the store holds a generation older than one that a peer names, while a restore of which this
+// host does not know may still be settling: what it has confirmed since its start came from the older copy.
+func (s *configurationState) refuted(now time.Time) bool {
+	return s.stored < s.newest && now.Before(s.startedAt.Add(restoreSettleTime))
 }
 
 // awaitsPeer reports whether a peer that knows a newer generation may still be silent.
--- a/internal/node/configstate_test.go
+++ b/internal/node/configstate_test.go
@@ -147,3 +147,17 @@
 	is.True(!s.confirmed(stateEpoch.Add(peerReportWait-1), s.stored))
 	is.True(s.confirmed(stateEpoch.Add(peerReportWait), s.stored))
 }
+
+func TestHostThatStartsTakesBackWhatAnOlderCopyConfirmed(t *testing.T) {
+	is := is.New(t)
+	s := configurationState{startedAt: stateEpoch}
+	s.read(objectstore.NewVersion(2, 40), 5)
+	is.True(s.heard(5)) // the first peer: the store is read again
+	is.True(s.confirmed(stateEpoch, s.stored))
+	is.True(!s.refuted(stateEpoch))
+	is.True(s.heard(6))
+	is.True(s.refuted(stateEpoch.Add(restoreSettleTime - 1)))
+	is.True(!s.refuted(stateEpoch.Add(restoreSettleTime))) // a newer one may have been written since
+	s.read(objectstore.NewVersion(2, 41), 6)
+	is.True(!s.refuted(stateEpoch))
+}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -47,11 +47,15 @@
 }
 
 // confirmRead records that the store held the configuration that was read last at some time after the
-// given one.
+// given one. A host that has just started takes its confirmations back if that is older than what a peer has.
 func (n *Node) confirmRead(at time.Time) {
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
 	n.confirmLocked(at, n.configuration.stored)
+	if n.configuration.refuted(at) && n.proxy.WithdrawConfirmation() {
+		n.Log.Warn().Uint64("generation", uint64(n.configuration.stored)).Uint64("newest", uint64(n.configuration.newest)).
+			Int64("started_ms_ago", clock.Now().Sub(n.startedAt).Milliseconds()).Msg("configuration no longer confirmed")
+	}
 }
 
 // confirmReported records that this host's leader found a generation in the store at some time after the
@@ -69,20 +73,14 @@
 }
 
 // hearGeneration records the generation that a peer has in force, and triggers a read of the store if
-// this host lacks it. What a host that has just started took as confirmed may have come from an older copy of the
-// store: it is not confirmed any more.
+// this host lacks it or was waiting for a peer.
 func (n *Node) hearGeneration(g fleet.Generation) {
-	now := clock.Now()
 	n.applyMu.Lock()
-	defer n.applyMu.Unlock()
-	if !n.configuration.heard(g) {
-		return
-	}
-	if n.configuration.justStarted(now) && n.proxy.WithdrawConfirmation() {
-		n.Log.Warn().Uint64("generation", uint64(n.configuration.active)).Uint64("newer", uint64(g)).
-			Int64("started_ms_ago", now.Sub(n.startedAt).Milliseconds()).Msg("configuration no longer confirmed")
+	read := n.configuration.heard(g)
+	n.applyMu.Unlock()
+	if read {
+		wake(n.configurationStale)
 	}
-	wake(n.configurationStale)
 }
 
 // applyConfiguration activates a configuration if it is newer than the active one. It returns
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -21,6 +21,8 @@
 	// readyDelay is how long after it has a configuration and endpoints a host reports that it
 	// is ready. By then it has normally received its peers' reports.
 	readyDelay = 300 * time.Millisecond
+	// confirmationWait bounds how long a host that could be ready waits for the first confirmation of its configuration.
+	confirmationWait = 500 * time.Millisecond
 	// memberRemovalTimeout bounds the removal of this host's entry at the end of a stop, and taskEndTimeout the wait for
 	// the tasks. Both are shorter if the grace period ends before.
 	memberRemovalTimeout = 300 * time.Millisecond
@@ -154,15 +156,16 @@
 	}
 }
 
-// becomeReady waits for the first configuration and the first endpoints, and after readyDelay lets
-// the readiness checks succeed.
+// becomeReady waits for the first configuration and the first endpoints, and after readyDelay, once the configuration
+// is confirmed, lets the readiness checks succeed. A host whose configuration is not confirmed in time is ready
+// nevertheless: it serves what needs no key.
 func (n *Node) becomeReady(ctx context.Context) {
 	for n.proxy.Table() == nil || len(n.endpoints.Known()) == 0 {
 		if !backoff.Pause(ctx, 20*time.Millisecond) {
 			return
 		}
 	}
-	if !backoff.Pause(ctx, readyDelay) || !n.awaitQuarantine(ctx) || !n.awaitRollouts(ctx) || !n.awaitOrigins(ctx) {
+	if !backoff.Pause(ctx, readyDelay) || !n.awaitConfirmed(ctx) || !n.awaitQuarantine(ctx) || !n.awaitRollouts(ctx) || !n.awaitOrigins(ctx) {
 		return
 	}
 	n.ready.Store(true)
@@ -170,6 +173,17 @@
 		Int("endpoints", len(n.endpoints.Known())).Msg("ready")
 }
 
+// awaitConfirmed waits for the first confirmation of the configuration, but at most for confirmationWait. It returns
+// false if the context ends.
+func (n *Node) awaitConfirmed(ctx context.Context) bool {
+	for deadline := clock.Now().Add(confirmationWait); isNever(n.proxy.ConfirmedAt()) && clock.Now().Before(deadline); {
+		if !backoff.Pause(ctx, 20*time.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
 // stop waits until the load balancer should no longer send new connections, finishes the open requests as far as
 // the grace period allows, and deregisters this host. The caller has already ended the duties.
 func (n *Node) stop(endWork context.CancelFunc) {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -191,8 +191,9 @@
 		return false
 	}
 	for {
-		wait := jittered(maxAge()) - clock.Now().Sub(confirmedAt())
-		if wait <= 0 {
+		at := confirmedAt()
+		wait := jittered(maxAge()) - clock.Now().Sub(at)
+		if wait <= 0 || isNever(at) {
 			return true
 		}
 		select {
@@ -205,6 +206,10 @@
 	}
 }
 
+// isNever reports whether a time of the clock of package clock, on which this host may have booted just now, means that
+// something was never confirmed.
+func isNever(at time.Time) bool { return at.IsZero() || at.Equal(time.Unix(0, 0)) }
+
 // wake wakes the reader of a channel with room for one value, unless it is already being woken.
 func wake(reader chan<- struct{}) {
 	select {
