--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -23,6 +23,7 @@
 
 func (c *conn) watchCaller(cancel context.CancelFunc) *callerWatch {
 	w := &callerWatch{conn: c, done: make(chan struct{})}
+	w.nextArrived.Store(c.reader.Buffered() > 0)
 	_ = c.net.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(w.done)
