--- a/internal/proxy/continuation.go
+++ b/internal/proxy/continuation.go
@@ -16,7 +16,7 @@
 	// errBackwards means that an attempt that had added events went back to one whose text is not known.
 	errBackwards = errors.New("event numbers went back")
 	// errNothingFollows means that a response to a request for the rest of a stream ended without any of it.
-	errNothingFollows = errors.New("nothing follows the caller's last event")
+	errNothingFollows = errors.New("nothing follows the last event of the caller")
 	// errNotEvents means that a response to a request for the rest of a stream is no stream of events.
 	errNotEvents = errors.New("response is not a stream of events")
 )
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -109,6 +109,7 @@
 	"no_route":                  "no route of the configuration in force matches the host and path",
 	"unknown_key":               "no organisation of the configuration in force has the key",
 	"endpoint_failed":           "an endpoint may have run it and gave no complete answer; it could not be sent again",
+	"stream_without_numbers":    "its stream broke off, and no number shows what would follow the caller's last event",
 	"timeout":                   "an endpoint may have run it and had not answered at the deadline or the route's timeout",
 	"malformed":                 "the request could not be understood",
 	"out_of_memory":             "the host held too many request bodies; the request has not run",
