A stream in chunks that a stopping endpoint ends early goes on elsewhere

One that may not be repeated is whole: its endpoint said so, and a doubt would cost the caller all of it. Evidence: TestStreamThatAStoppedEndpointEndsEarlyResumesElsewhere and the case of a whole stream that is asked for fail before and pass with the change; streams of endpoints that leave or merely close are not repeated.

--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -170,6 +171,19 @@
 	return n, err
 }
 
+// ClosesAtEnd reports whether the peer closes the connection within a time after a body that has ended by its own
+// framing. No byte that arrives instead is lost.
+func (b *Body) ClosesAtEnd(within time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed || !b.ended || b.exchange.conn.SetReadDeadline(time.Now().Add(within)) != nil {
+		return false
+	}
+	_, err := b.exchange.reader.Peek(1)
+	var timeout net.Error
+	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+}
+
 // Finish releases a body that need not be read further. The connection is reused if the
 // end of the body arrives within drainTimeout and maxDrainBytes and the response does not
 // ask to close it, and is closed otherwise. Response must not be used after Finish.
--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -125,3 +125,59 @@
 	})
 	is.Equal(newTestProxy(t, fleet.Route{Kind: fleet.RouteNonIdempotent}, e).send(t, "1").status, http.StatusNotFound)
 }
+
+// stoppedEndpoint is an endpoint whose process, asked to stop, ends its stream in chunks properly and is gone.
+func stoppedEndpoint(t *testing.T, head string, events int) *testEndpoint {
+	t.Helper()
+	var e *testEndpoint
+	e = newTestEndpoint(t, func(r *receivedRequest) bool {
+		_ = e.listener.Close()
+		r.writeRaw("HTTP/1.1 200 OK\r\nId: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n", r.id(), eventStreamHead+head)
+		r.writeChunk(eventTexts(1, events))
+		r.writeLastChunk()
+		return false
+	})
+	return e
+}
+
+func TestStreamThatAStoppedEndpointEndsEarlyResumesElsewhere(t *testing.T) {
+	is := is.New(t)
+	second := streamEndpoint(t, httpclient.FramingChunked, eventTexts(4, 6))
+	a := newTestProxy(t, resumableRoute, stoppedEndpoint(t, "", 3), second).send(t, "1")
+	is.NoErr(a.err)
+	is.Equal(a.body, eventTexts(1, 6))
+}
+
+func TestWholeStreamOfAStoppedEndpointEndsProperly(t *testing.T) {
+	for name, c := range map[string]struct {
+		route   fleet.Route
+		head    string
+		takeUps int
+	}{
+		"nothing follows":     {resumableRoute, "", 1},
+		"leaving":             {resumableRoute, leavingHead, 0},
+		"may not be repeated": {streamRoute, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			second := streamEndpoint(t, httpclient.FramingChunked, "")
+			a := newTestProxy(t, c.route, stoppedEndpoint(t, c.head, 6), second).send(t, "1")
+			is.NoErr(a.err)
+			is.Equal(a.body, eventTexts(1, 6))
+			is.Equal(len(second.receivedRequests()), c.takeUps)
+		})
+	}
+}
+
+func TestStreamInChunksThatClosesItsConnectionIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	first := newTestEndpoint(t, func(r *receivedRequest) bool {
+		r.framedStream(httpclient.FramingChunked, eventTexts(1, 6))
+		return false
+	})
+	second := streamEndpoint(t, httpclient.FramingChunked, "")
+	a := newTestProxy(t, resumableRoute, first, second).send(t, "1")
+	is.NoErr(a.err)
+	is.Equal(a.body, eventTexts(1, 6))
+	is.Equal(len(second.receivedRequests()), 0)
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -62,7 +62,7 @@
 		}
 		a.err = a.streamError(err)
 		if a.err == nil {
-			a.err = a.checkStreamEnd(&body.Response.Header)
+			a.err = a.checkStreamEnd(body)
 		}
 		x.proxy.telemetry.StreamEnded(a)
 		if a.err != nil {
@@ -86,13 +86,16 @@
 }
 
 // checkStreamEnd returns an error if a stream that ended in order is not known to be complete.
-func (a *attempt) checkStreamEnd(header *fasthttp.ResponseHeader) error {
+func (a *attempt) checkStreamEnd(body *httpclient.Body) error {
 	c := &a.exchange.continuation
-	marked := a.framing != httpclient.FramingClose && len(header.ContentType()) > 0
+	marked := a.framing != httpclient.FramingClose && len(body.Response.Header.ContentType()) > 0
 	if err := c.end(marked); err != nil {
 		return err
 	}
 	err := a.checkEnd()
+	if err == nil {
+		err = a.checkMarkedEnd(body)
+	}
 	c.endDoubted = errors.Is(err, errEndpointGone)
 	return err
 }
