--- a/internal/proxy/errorinstream_test.go
+++ b/internal/proxy/errorinstream_test.go
@@ -389,3 +389,16 @@
 	is.True(a.err != nil)
 	is.Equal(a.body, eventTexts(1, 4))
 }
+
+func TestCallerWhoseStreamHasNothingLeftGetsItsEnd(t *testing.T) {
+	for lane, throughPeer := range lanes {
+		t.Run(lane, func(t *testing.T) {
+			is := is.New(t)
+			p := proxyFor(t, throughPeer, resumableRoute, newTestEndpoint(t, chunkedEvents("", "").write))
+			a := p.resume(t, "2", "6", "1")
+			is.NoErr(a.err)
+			is.Equal(a.status, 200)
+			is.Equal(a.body, "")
+		})
+	}
+}
