A host that starts confirms what it has read as soon as it hears a peer

Cause: after all hosts were killed, each heard its peers before they had a configuration, waited 0.5 s, then for its next read, and only then for what else it waits for before it is ready: 0.93 s after its start in place of 0.65. Change: what was read while a host waited for a peer is confirmed when one is heard; readiness waits for it last.

--- a/internal/node/configstate.go
+++ b/internal/node/configstate.go
@@ -13,7 +13,7 @@
 
 // peerReportWait is how long a host that starts waits for the first report of a peer before it takes it that
 // there is none.
-const peerReportWait = 500 * time.Millisecond
+const peerReportWait = 700 * time.Millisecond
 
 // configurationState decides which configuration is in force and whether it is known to be the newest.
 // Configurations are ordered by generation, which the operator raises, and not by store version: after a
@@ -23,6 +23,8 @@
 	// version is the newest store version read, and stored the generation found there.
 	version objectstore.Version
 	stored  fleet.Generation
+	// readAt is when the store was last asked for it.
+	readAt time.Time
 	// active is the generation in force, and newest the highest generation that this host or a peer
 	// has had in force.
 	active fleet.Generation
@@ -48,13 +50,11 @@
 	return true
 }
 
-// heard records that a peer has a generation in force, and reports whether the store is to be read: this host lacks the
-// generation, or was waiting for a peer.
-func (s *configurationState) heard(g fleet.Generation) (read bool) {
-	first := !s.peerHeard && g > 0
+// heard records that a peer has a generation in force, and reports whether this host lacks it.
+func (s *configurationState) heard(g fleet.Generation) (outdated bool) {
 	s.newest = max(s.newest, g)
-	s.peerHeard = s.peerHeard || first
-	return g > s.active || first
+	s.peerHeard = s.peerHeard || g > 0
+	return g > s.active
 }
 
 // refuted reports whether the store holds a generation older than one that a peer names, while a restore of which this
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -51,6 +51,7 @@
 func (n *Node) confirmRead(at time.Time) {
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
+	n.configuration.readAt = at
 	n.confirmLocked(at, n.configuration.stored)
 	if n.configuration.refuted(at) && n.proxy.WithdrawConfirmation() {
 		n.Log.Warn().Uint64("generation", uint64(n.configuration.stored)).Uint64("newest", uint64(n.configuration.newest)).
@@ -73,13 +74,17 @@
 }
 
 // hearGeneration records the generation that a peer has in force, and triggers a read of the store if
-// this host lacks it or was waiting for a peer.
+// this host lacks it. What this host has read while it waited for a peer is confirmed otherwise.
 func (n *Node) hearGeneration(g fleet.Generation) {
 	n.applyMu.Lock()
-	read := n.configuration.heard(g)
-	n.applyMu.Unlock()
-	if read {
+	defer n.applyMu.Unlock()
+	awaited := n.configuration.awaitsPeer(clock.Now())
+	outdated := n.configuration.heard(g)
+	switch {
+	case outdated:
 		wake(n.configurationStale)
+	case awaited:
+		n.confirmLocked(n.configuration.readAt, n.configuration.stored)
 	}
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -156,16 +156,16 @@
 	}
 }
 
-// becomeReady waits for the first configuration and the first endpoints, and after readyDelay, once the configuration
-// is confirmed, lets the readiness checks succeed. A host whose configuration is not confirmed in time is ready
-// nevertheless: it serves what needs no key.
+// becomeReady waits for the first configuration and the first endpoints, and after readyDelay lets the readiness checks
+// succeed, once what it awaits is known or its time is over. A host whose configuration is not confirmed by then serves
+// what needs no key.
 func (n *Node) becomeReady(ctx context.Context) {
 	for n.proxy.Table() == nil || len(n.endpoints.Known()) == 0 {
 		if !backoff.Pause(ctx, 20*time.Millisecond) {
 			return
 		}
 	}
-	if !backoff.Pause(ctx, readyDelay) || !n.awaitConfirmed(ctx) || !n.awaitQuarantine(ctx) || !n.awaitRollouts(ctx) || !n.awaitOrigins(ctx) {
+	if !backoff.Pause(ctx, readyDelay) || !n.awaitQuarantine(ctx) || !n.awaitRollouts(ctx) || !n.awaitOrigins(ctx) || !n.awaitConfirmed(ctx) {
 		return
 	}
 	n.ready.Store(true)
