--- a/internal/adapter/enginehttp/cut_test.go
+++ b/internal/adapter/enginehttp/cut_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -116,12 +117,16 @@
 func TestCutRefusalOfAnEngineDoesNotSayThatNothingRan(t *testing.T) {
 	is := is.New(t)
 	const raw = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 19\r\n\r\n" + `{"error":"refused"}`
-	for cut := range len(raw) {
-		_, err := generateAll(cuttingEndpoint(t, raw, func(*http.Request) int { return cut }))
+	var cut atomic.Int64
+	address := cuttingEndpoint(t, raw, func(*http.Request) int { return int(cut.Load()) })
+	for n := range len(raw) {
+		cut.Store(int64(n))
+		_, err := generateAll(address)
 		is.True(err != nil)
 		is.True(!errors.Is(err, engine.ErrNotSent))
 	}
-	_, err := generateAll(cuttingEndpoint(t, raw, func(*http.Request) int { return len(raw) }))
+	cut.Store(int64(len(raw)))
+	_, err := generateAll(address)
 	is.True(errors.Is(err, engine.ErrNotSent))
 }
 
@@ -130,11 +135,13 @@
 	for name, raw := range engineResponses(events) {
 		t.Run(name, func(t *testing.T) {
 			// The text is whole with the line of its last chunk.
-			for cut := range strings.Index(raw, lastLineEnd) + len(lastLineEnd) {
-				address := cuttingEndpoint(t, raw, func(*http.Request) int { return cut })
+			var cut atomic.Int64
+			address := cuttingEndpoint(t, raw, func(*http.Request) int { return int(cut.Load()) })
+			for n := range strings.Index(raw, lastLineEnd) + len(lastLineEnd) {
+				cut.Store(int64(n))
 				texts, err := generateAll(address)
 				if !errors.Is(err, engine.ErrTerminated) || errors.Is(err, engine.ErrNotSent) {
-					t.Errorf("cut after %q: %q, error %v", raw[:cut], texts, err)
+					t.Errorf("cut after %q: %q, error %v", raw[:n], texts, err)
 				}
 			}
 		})
