--- a/internal/proxy/ending.go
+++ b/internal/proxy/ending.go
@@ -14,12 +14,6 @@
 // right then.
 var errEndpointGone = errors.New("endpoint gone at the end of a response without a length")
 
-// doubtsEnd reports whether a response that ended with its connection counts as cut off. An endpoint that leaves may
-// have finished it as its last one; to doubt that costs the caller of a request that may not be repeated its response.
-func doubtsEnd(presence verify.Presence, leaving, repeatable bool) bool {
-	return presence == verify.Gone && (repeatable || !leaving)
-}
-
 // checkEnd returns an error if a response that ended with its connection counts as cut off. The end of one with
 // another framing shows by itself that it is whole.
 func (a *attempt) checkEnd() error {
@@ -30,7 +24,7 @@
 	a.presence = x.proxy.crashes.Presence(a.ctx, a.choice.Endpoint.Address)
 	leaving := a.balancerAttempt.EndpointLeaves(clock.Now())
 	x.proxy.telemetry.EndChecked(a, leaving)
-	if !doubtsEnd(a.presence, leaving, x.route.Retryable()) {
+	if !verify.DoubtsEnd(a.presence, leaving, x.route.Retryable()) {
 		return nil
 	}
 	return errEndpointGone
--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -9,7 +9,6 @@
 
 	"rattanchute/internal/adapter/httpclient"
 	"rattanchute/internal/fleet"
-	"rattanchute/internal/quarantine/verify"
 )
 
 // killedEndpoint is an endpoint whose process is killed once it has written the text in a response without a length:
@@ -87,21 +86,3 @@
 	is.NoErr(a.err)
 	is.Equal(a.body, eventTexts(1, 3))
 }
-
-func TestDoubtsEnd(t *testing.T) {
-	is := is.New(t)
-	for _, c := range []struct {
-		presence            verify.Presence
-		leaving, repeatable bool
-		doubted             bool
-	}{
-		{verify.Gone, false, false, true},
-		{verify.Gone, false, true, true},
-		{verify.Gone, true, true, true},
-		{verify.Gone, true, false, false},
-		{verify.Present, false, true, false},
-		{verify.Unknown, false, true, false},
-	} {
-		is.Equal(doubtsEnd(c.presence, c.leaving, c.repeatable), c.doubted)
-	}
-}
--- a/internal/quarantine/verify/verify.go
+++ b/internal/quarantine/verify/verify.go
@@ -75,6 +75,12 @@
 	return "unknown"
 }
 
+// DoubtsEnd reports whether a response that ended with its connection counts as cut off. An endpoint that leaves may
+// have finished it as its last one; to doubt that costs the caller of a request that may not be repeated its response.
+func DoubtsEnd(presence Presence, leaving, repeatable bool) bool {
+	return presence == Gone && (repeatable || !leaving)
+}
+
 // Presence finds out whether an endpoint is there whose response has just ended with its connection, and so whether
 // that end may be the one of its process. The operating system closes the connections of a process that is killed in
 // order, as the process does at the end of a response.
--- a/internal/quarantine/verify/verify_test.go
+++ b/internal/quarantine/verify/verify_test.go
@@ -110,3 +110,21 @@
 		is.Equal(v.Presence(context.Background(), "address"), c.want)
 	}
 }
+
+func TestDoubtsEnd(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		presence            Presence
+		leaving, repeatable bool
+		doubted             bool
+	}{
+		{Gone, false, false, true},
+		{Gone, false, true, true},
+		{Gone, true, true, true},
+		{Gone, true, false, false},
+		{Present, false, true, false},
+		{Unknown, false, true, false},
+	} {
+		is.Equal(DoubtsEnd(c.presence, c.leaving, c.repeatable), c.doubted)
+	}
+}
