Calls without a length of killed endpoints are not passed on as whole

Callers of plain services got a 200 with half its body, marked as completed, and with an idempotency key the half was recorded and given to each repetition. Cause: the operating system closes the connections of a killed process in order, as the process does at the end of a response without a length; package dispatcher took each such end for the end of the response. Change: as in the proxy, it is found out whether a process still listens at the endpoint's address. If none does, the attempt counts as terminated: a call that may be repeated goes on elsewhere, any other has an unknown outcome, and its claim stays open. The last response of an endpoint that leaves is whole if its call may not be repeated. Responses that have no body (HEAD, 204, 304) no longer count as ended with their connection. Where the endpoint is there, the quarantine's own connection 30 ms later is not opened. rattanchute_end_checks_total counts the checks.

--- a/internal/adapter/enginehttp/call.go
+++ b/internal/adapter/enginehttp/call.go
@@ -77,10 +77,7 @@
 }
 
 func newResponse(resp *fasthttp.Response) engine.Response {
-	response := engine.Response{
-		Status:              resp.StatusCode(),
-		EndedWithConnection: httpclient.FramingOf(&resp.Header) == httpclient.FramingClose,
-	}
+	response := engine.Response{Status: resp.StatusCode(), EndedWithConnection: endedWithConnection(resp)}
 	for name, value := range resp.Header.All() {
 		if !isHopByHop(string(name)) {
 			response.Headers = append(response.Headers, engine.Header{Name: string(name), Value: string(value)})
@@ -90,6 +87,14 @@
 	return response
 }
 
+// endedWithConnection reports whether nothing but the end of its connection marked the end of a response's body.
+func endedWithConnection(resp *fasthttp.Response) bool {
+	if resp.SkipBody || resp.StatusCode() == fasthttp.StatusNoContent || resp.StatusCode() == fasthttp.StatusNotModified {
+		return false
+	}
+	return httpclient.FramingOf(&resp.Header) == httpclient.FramingClose
+}
+
 func isHopByHop(name string) bool {
 	for _, h := range hopByHopHeaders {
 		if strings.EqualFold(h, name) {
--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -89,6 +89,11 @@
 	return c.httpClient.Accepts(ctx, address)
 }
 
+// Listens reports whether a process listens at an address, as httpclient.Client does.
+func (c *Client) Listens(ctx context.Context, address string, settle time.Duration) (bool, error) {
+	return c.httpClient.Listens(ctx, address, settle)
+}
+
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() { c.httpClient.CloseIdle() }
 
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -148,6 +148,7 @@
 		Quarantine: a.quarantine,
 		MayProbe:   a.mayProbe,
 		Accepts:    a.engines.Accepts,
+		Listens:    a.engines.Listens,
 	})
 	a.callers = callers.New(a.service, a.router, callerLimits(a.settings.Limits), a.boundary)
 	return nil
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -11,11 +12,15 @@
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/outcome"
 	"rattanchute/internal/quarantine"
+	"rattanchute/internal/quarantine/verify"
 	"rattanchute/internal/ratelimit"
 	"rattanchute/internal/request"
 	"rattanchute/internal/route"
 )
 
+// errEndpointGone means that a response that ended with its connection may have been cut off.
+var errEndpointGone = fmt.Errorf("%w: endpoint gone at the end of a response without a length", engine.ErrTerminated)
+
 // headerAnswerBody is "not-kept" on a recorded response whose body was not recorded, because it
 // was too large or there was no room for it.
 const headerAnswerBody = "X-Answer-Body"
@@ -53,7 +58,9 @@
 	next      *route.Choice
 	crash     crashSubject
 	claimed   bool
-	key       claim.Key
+	// presence is whether the endpoint was there when its response ended with its connection; unknown otherwise.
+	presence verify.Presence
+	key      claim.Key
 }
 
 // Call serves a request to a plain service. It returns either a response or a refusal.
@@ -181,6 +188,7 @@
 		return engine.Response{}, errors.Join(engine.ErrNotSent, err)
 	}
 	c.machine.Begin()
+	c.presence = verify.Unknown
 	c.service.router.Begin(choice.Endpoint.Name)
 	started := c.service.now()
 	answer, err := c.service.engines.Call(ctx, choice.Endpoint.Address, engine.Call{
@@ -190,6 +198,9 @@
 		Body:      c.req.Body,
 		AttemptID: c.req.RequestID,
 	})
+	if err == nil && answer.EndedWithConnection {
+		err = c.checkEnd(ctx, choice.Endpoint)
+	}
 	now := c.service.now()
 	c.observeCrash(choice.Endpoint, started, answer, err)
 	result := route.Result{OK: true}
@@ -202,7 +213,22 @@
 	result.Duration = now.Sub(started)
 	c.service.router.End(now, choice.Endpoint.Name, result)
 	c.service.metrics.Attempts.WithLabelValues(resultLabel(result)).Inc()
-	return answer, err
+	if err != nil {
+		return engine.Response{}, err
+	}
+	return answer, nil
+}
+
+// checkEnd returns an error if a response that has ended with its connection counts as cut off, because its endpoint
+// is gone. The operating system closes the connections of a process that is killed in order.
+func (c *call) checkEnd(ctx context.Context, endpoint fleet.Endpoint) error {
+	c.presence = c.service.crashes.Presence(ctx, endpoint.Address)
+	c.service.metrics.EndChecks.WithLabelValues(c.presence.String()).Inc()
+	leaving := c.service.router.Leaving(c.service.now(), endpoint.Name)
+	if verify.DoubtsEnd(c.presence, leaving, c.machine.Idempotent()) {
+		return errEndpointGone
+	}
+	return nil
 }
 
 // observeCrash records what the end of an attempt says about what crashes endpoints. A response that reports
@@ -214,7 +240,8 @@
 	}
 	c.service.quarantine.Responded(c.service.now(), instanceName(endpoint), started)
 	if answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
-		c.crash.observeCompletion(endpoint, started, answer.EndedWithConnection)
+		unframed := answer.EndedWithConnection && c.presence != verify.Present
+		c.crash.observeCompletion(endpoint, started, unframed)
 	}
 }
 
--- a/internal/dispatcher/interfaces.go
+++ b/internal/dispatcher/interfaces.go
@@ -16,6 +16,8 @@
 	Choose(now time.Time, rnd uint64, q route.Query) (route.Choice, error)
 	// Available reports whether an endpoint that was chosen earlier still accepts new work.
 	Available(now time.Time, endpoint string) bool
+	// Leaving reports whether an endpoint has said that it leaves, or is on a host that leaves.
+	Leaving(now time.Time, endpoint string) bool
 	// Opening reports whether all endpoints are closed for some time, and after which time a caller
 	// that is refused should return.
 	Opening(now time.Time, organisation, fleetName string) (returnIn time.Duration, closed bool)
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -12,6 +12,7 @@
 	Requests         *prometheus.CounterVec
 	Refused          *prometheus.CounterVec
 	Attempts         *prometheus.CounterVec
+	EndChecks        *prometheus.CounterVec
 	RetriesRefused   prometheus.Counter
 	DroppedChunks    prometheus.Counter
 	RecomputedTokens prometheus.Counter
@@ -27,10 +28,12 @@
 // NewMetrics creates the metrics and registers them.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		InFlight:         prometheus.NewGauge(gauge("requests_in_flight", "Requests now being served.")),
-		Requests:         counterVec("requests_total", "Requests ended, by kind and outcome.", "kind", "outcome"),
-		Refused:          counterVec("refused_total", "Requests refused, by code.", "code"),
-		Attempts:         counterVec("attempts_total", "Attempts ended, by result.", "result"),
+		InFlight: prometheus.NewGauge(gauge("requests_in_flight", "Requests now being served.")),
+		Requests: counterVec("requests_total", "Requests ended, by kind and outcome.", "kind", "outcome"),
+		Refused:  counterVec("refused_total", "Requests refused, by code.", "code"),
+		Attempts: counterVec("attempts_total", "Attempts ended, by result.", "result"),
+		EndChecks: counterVec("end_checks_total",
+			"Calls' responses that ended with their connection, by whether their endpoint was still there.", "presence"),
 		RetriesRefused:   prometheus.NewCounter(counter("retries_refused_total", "Retries not made because a retry budget was spent.")),
 		DroppedChunks:    prometheus.NewCounter(counter("dropped_chunks_total", "Late or crossed chunks dropped.")),
 		RecomputedTokens: prometheus.NewCounter(counter("recomputed_tokens_total", "Output tokens made again after delivery.")),
@@ -39,7 +42,7 @@
 		FirstToken:       prometheus.NewHistogram(seconds("first_token_seconds", "Time to the first token.")),
 		BetweenTokens:    prometheus.NewHistogram(seconds("between_tokens_seconds", "Time between tokens.")),
 	}
-	reg.MustRegister(m.InFlight, m.Requests, m.Refused, m.Attempts, m.RetriesRefused, m.DroppedChunks,
+	reg.MustRegister(m.InFlight, m.Requests, m.Refused, m.Attempts, m.EndChecks, m.RetriesRefused, m.DroppedChunks,
 		m.RecomputedTokens, m.PrefilledTokens, m.Moves, m.FirstToken, m.BetweenTokens)
 	m.initSeries()
 	return m
--- a/internal/dispatcher/series.go
+++ b/internal/dispatcher/series.go
@@ -2,6 +2,7 @@
 
 import (
 	"rattanchute/internal/outcome"
+	"rattanchute/internal/quarantine/verify"
 	"rattanchute/internal/reclaim"
 )
 
@@ -11,6 +12,7 @@
 	outcomeSeries  = []outcome.Outcome{outcome.Completed, outcome.NotRun, outcome.Unknown, outcome.InProgress}
 	kindSeries     = []string{"chat", "call"}
 	resultSeries   = []string{"ok", "failed", "ended"}
+	presenceSeries = []verify.Presence{verify.Present, verify.Gone, verify.Unknown}
 	strategySeries = []reclaim.Strategy{reclaim.Finish, reclaim.Transfer, reclaim.Recompute}
 	codeSeries     = []string{"no_endpoint", "no_answer", "organisation_limit", "overloaded", "deadline",
 		"shutting_down", "too_many_streams", "claim_refused", "outcome_unknown"}
@@ -29,6 +31,9 @@
 	for _, result := range resultSeries {
 		m.Attempts.WithLabelValues(result)
 	}
+	for _, presence := range presenceSeries {
+		m.EndChecks.WithLabelValues(presence.String())
+	}
 	for _, strategy := range strategySeries {
 		m.Moves.WithLabelValues(string(strategy))
 	}
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -102,6 +102,8 @@
 	MayProbe func() bool
 	// Accepts reports whether an endpoint's address accepts a connection before the context ends.
 	Accepts func(ctx context.Context, address string) bool
+	// Listens reports whether a process listens at an endpoint's address, as verify.Verifier says.
+	Listens func(ctx context.Context, address string, settle time.Duration) (bool, error)
 }
 
 // backgroundWorkers is the number of workers besides those that read open streams.
@@ -126,7 +128,7 @@
 		moveRates:  d.MoveRates,
 		quarantine: d.Quarantine,
 		mayProbe:   d.MayProbe,
-		crashes:    verify.Verifier{Table: d.Quarantine, Accepts: d.Accepts, Now: time.Now},
+		crashes:    verify.Verifier{Table: d.Quarantine, Accepts: d.Accepts, Listens: d.Listens, Now: time.Now},
 		// Each open stream occupies a worker that reads from its engine; the other workers move
 		// streams and record outcomes.
 		pool: pond.NewPool(d.Settings.MaxStreams + backgroundWorkers),
--- a/internal/route/capacity.go
+++ b/internal/route/capacity.go
@@ -38,6 +38,12 @@
 	return t != nil && t.available(now)
 }
 
+// Leaving reports whether an endpoint has said that it leaves, or is on a host that leaves.
+func (r *Router) Leaving(now time.Time, endpoint string) bool {
+	t := r.view.Load().byName[endpoint]
+	return t != nil && (t.host.leaving() || t.state.signals.current().Verdict(now).Leaving)
+}
+
 // InFlight returns the estimated number of requests at an endpoint, and how many of them are
 // from this node. Both are zero if the table does not contain the endpoint.
 func (r *Router) InFlight(now time.Time, endpoint string) (all, own int) {
--- a/internal/route/host.go
+++ b/internal/route/host.go
@@ -75,3 +75,10 @@
 	}
 	return false
 }
+
+// leaving reports whether the host's last instance leaves, and has not yet gone.
+func (h *hostState) leaving() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.instances) > 0 && h.instances[len(h.instances)-1].phase == fleet.PhaseLeaving
+}
