--- a/internal/proxy/cut_test.go
+++ b/internal/proxy/cut_test.go
@@ -15,6 +15,7 @@
 
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/registry"
+	"rattanchute/internal/relay"
 )
 
 // cutForm is a form of an endpoint's response.
@@ -37,10 +38,14 @@
 
 // ways returns the ways in which the response is cut.
 func (f *cutForm) ways() []cutWay {
-	if f.allWays {
-		return cutWays
+	switch {
+	case !f.allWays:
+		return cutWays[:1]
+	case f.endsWithConnection:
+		// A peer marks the ends of its responses.
+		return cutWays[:4]
 	}
-	return cutWays[:1]
+	return cutWays
 }
 
 // crlf returns text with the line ends of the protocol.
@@ -97,9 +102,11 @@
 	}
 	unframed := stream("no length", crlf(cutStream+"\n")+text)
 	unframed.endsWithConnection, unframed.allWays = true, true
+	chunked := stream("chunked", crlf(cutStream+"Transfer-Encoding: chunked\n\n")+chunks(eventText(1), eventText(2), eventText(3))+"0\r\n\r\n")
+	chunked.allWays = true
 	return []cutForm{
 		stream("length", crlf(fmt.Sprintf("%sContent-Length: %d\n\n", cutStream, len(text)))+text),
-		stream("chunked", crlf(cutStream+"Transfer-Encoding: chunked\n\n")+chunks(eventText(1), eventText(2), eventText(3))+"0\r\n\r\n"),
+		chunked,
 		stream("after 103", crlf("HTTP/1.1 103 Early Hints\nId: ID\n\n"+cutStream+"Transfer-Encoding: chunked\n\n")+chunks(text)+"0\r\n\r\n"),
 		unframed,
 	}
@@ -122,13 +129,23 @@
 // cutIDLength is the length of the ids of the requests that are judged.
 const cutIDLength = 12
 
+// response returns the response to the request with an id, of an endpoint or of a peer.
+func (f *cutForm) response(id string, way cutWay) string {
+	raw := f.raw
+	if way.endingPeer {
+		line := relay.Header + ": " + relay.Encode(relay.Response{Result: relay.Answered, Endpoint: "e0"})
+		raw = strings.ReplaceAll(raw, "Id: ID\r\n", "Id: ID\r\n"+line+"\r\n")
+	}
+	return strings.ReplaceAll(raw, "ID", id)
+}
+
 // cuts returns the numbers of bytes after which a response is cut, and its length.
-func (f *cutForm) cuts(reset bool) []int {
+func (f *cutForm) cuts(way cutWay) []int {
 	var cuts []int
-	raw := strings.ReplaceAll(f.raw, "ID", strings.Repeat("x", cutIDLength))
+	raw := f.response(strings.Repeat("x", cutIDLength), way)
 	head := strings.LastIndex(raw, "\r\n\r\n") + len("\r\n\r\n")
 	for i := range raw {
-		if f.endsWithConnection && !reset && i >= head {
+		if f.endsWithConnection && !way.reset && i >= head {
 			// An end in order is the end of the body.
 			break
 		}
@@ -146,11 +163,14 @@
 	reset bool
 	// kept is set if the connection has carried a whole response before. There is no other endpoint then.
 	kept bool
-	// peer is set if the request goes through a peer.
-	peer bool
+	// peer is set if the request goes through a peer, and endingPeer if it is the peer that cuts its response.
+	peer, endingPeer bool
 }
 
-var cutWays = []cutWay{{name: "closed"}, {name: "reset", reset: true}, {name: "kept", kept: true}, {name: "peer", peer: true}}
+var cutWays = []cutWay{
+	{name: "closed"}, {name: "reset", reset: true}, {name: "kept", kept: true}, {name: "peer", peer: true},
+	{name: "ending peer", endingPeer: true},
+}
 
 // firstRequest is the id of the request that is answered before, on a connection that is kept.
 const firstRequest = "first"
@@ -233,6 +253,10 @@
 	}
 	s.first = newTestProxy(t, route)
 	s.proxies = []*testProxy{s.first}
+	if way.endingPeer {
+		address := s.endpoints[0].listener.Addr().String()
+		s.first.relayTo(relay.Peer{Name: "peer " + address, Address: address})
+	}
 	if way.peer {
 		peer := newTestProxy(t, route)
 		s.proxies = append(s.proxies, peer)
@@ -261,7 +285,7 @@
 	s.played++
 	s.renewEndpoints()
 	c := &cutter{id: fmt.Sprintf("%s%04d", cutProcess, s.played), cut: cut, reset: s.way.reset}
-	c.raw = strings.ReplaceAll(s.form.raw, "ID", c.id)
+	c.raw = s.form.response(c.id, s.way)
 	s.cutter.Store(c)
 	if s.way.kept {
 		s.first.sendMethod(t, s.form.method, firstRequest)
@@ -345,7 +369,7 @@
 				t.Run(fmt.Sprintf("%s/repeatable %v/%s", form.name, route.Retryable(), way.name), func(t *testing.T) {
 					t.Parallel()
 					s := newCutSite(t, &form, route, way)
-					for _, cut := range form.cuts(way.reset) {
+					for _, cut := range form.cuts(way) {
 						got, c := s.playKept(t, cut)
 						if wrong := s.judge(got, c); wrong != "" {
 							t.Errorf("cut after %q: %s: status %d, body %q, error %v, %d runs",
