--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -142,6 +142,21 @@
 	is.True(errors.Is(err, ErrNoSelector))
 }
 
+func TestLeaving(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(testConfiguration(2, 1, 1))
+	is.True(!r.Leaving(testStart, "runner-0000"))
+	r.SetHostState(fleet.HostState{Host: "host-0000", Instance: "1", Phase: fleet.PhaseLeaving})
+	is.True(r.Leaving(testStart, "runner-0000"))
+	is.True(!r.Leaving(testStart, "runner-0001"))
+	r.SetHostState(fleet.HostState{Host: "host-0000", Instance: "1", Phase: fleet.PhaseGone})
+	is.True(!r.Leaving(testStart, "runner-0000")) // what a host has not finished when it is gone is cut off
+	r.SetHostState(fleet.HostState{Host: "host-0001", Instance: "1", Phase: fleet.PhaseLeaving})
+	r.SetHostState(fleet.HostState{Host: "host-0001", Instance: "2", Phase: fleet.PhaseLive})
+	is.True(!r.Leaving(testStart, "runner-0001"))
+	is.True(!r.Leaving(testStart, "unknown"))
+}
+
 func TestRepeatedReportKeepsLocalRequests(t *testing.T) {
 	is := is.New(t)
 	r := newTestRouter(testConfiguration(1, 1, 1))
