Leave the check of a call's end out of its endpoint's measured time

A check lasts 10 ms where the endpoint is there, and up to 200 ms where its address does not answer; the router would take that for the endpoint's speed.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -198,20 +198,21 @@
 		Body:      c.req.Body,
 		AttemptID: c.req.RequestID,
 	})
+	// The check is no part of the endpoint's time.
+	took := c.service.now().Sub(started)
 	if err == nil && answer.EndedWithConnection {
 		err = c.checkEnd(ctx, choice.Endpoint)
 	}
-	now := c.service.now()
 	c.observeCrash(choice.Endpoint, started, answer, err)
 	result := route.Result{OK: true}
 	if err != nil {
 		result = resultOf(err)
 	} else {
 		c.machine.RecordCompletion()
-		result.FirstToken = now.Sub(started)
+		result.FirstToken = took
 	}
-	result.Duration = now.Sub(started)
-	c.service.router.End(now, choice.Endpoint.Name, result)
+	result.Duration = took
+	c.service.router.End(c.service.now(), choice.Endpoint.Name, result)
 	c.service.metrics.Attempts.WithLabelValues(resultLabel(result)).Inc()
 	if err != nil {
 		return engine.Response{}, err
