Log why endpoints count as out of reach, and why no other attempt follows a broken stream

Change: the first counts the endpoints by how they were not reached, the silent requests and the time since the fleet was heard; the second names what forbade another attempt (no_retry).

--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -142,7 +142,10 @@
 // has shown it.
 func (n *Node) linksLost(fleetName, endpoint string, usable int) {
 	n.linksChanged()
+	s := n.links.Summary(clock.Now(), fleetName)
 	n.Log.Warn().Str("fleet", fleetName).Str("endpoint", endpoint).Int("endpoints", usable).
+		Int("refused", s.Refused).Int("unopened", s.Unopened).Int("ended", s.Ended).Int("silent", s.Silent).
+		Int("silent_requests", s.SilentRequests).Int64("heard_ago_ms", s.HeardAgo.Milliseconds()).
 		Msg("endpoints out of reach")
 }
 
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -109,14 +109,14 @@
 		return nil, e
 	}
 	if x.sends >= x.route.MaxAttempts {
-		return nil, x.noRoom(now, ReasonEndpointsRefused)
+		return nil, x.noRetry(now, obstacleMaxAttempts)
 	}
 	choice, peer, e := x.chooseTarget(now, unreachable)
 	if e != nil {
 		return nil, e
 	}
 	if x.sends > 0 && x.relayed == nil && !x.proxy.RetryBudget.Allow(now, x.fleet) {
-		return nil, x.noRoom(now, ReasonEndpointsRefused)
+		return nil, x.noRetry(now, obstacleRetryBudget)
 	}
 	if peer != nil {
 		return x.newPeerAttempt(ctx, peer), nil
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -40,6 +40,13 @@
 	return x.refusalOrFailure(reason, minRetryAfter)
 }
 
+// noRetry returns the error response to a request that may not be sent once more.
+func (x *exchange) noRetry(now time.Time, obstacle retryObstacle) *errorResponse {
+	e := x.noRoom(now, ReasonEndpointsRefused)
+	e.noRetry = obstacle
+	return e
+}
+
 // refusalOrFailure returns a refusal with the given reason, or a failure if the request may have
 // run.
 func (x *exchange) refusalOrFailure(reason Reason, retryAfter time.Duration) *errorResponse {
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -71,8 +71,18 @@
 	share *fairshare.Decision
 	// body is what the request's body held if it could not be received, else nil.
 	body *bodybudget.State
+	// noRetry is what forbade another attempt after one that may have reached an endpoint; empty if nothing did.
+	noRetry retryObstacle
 }
 
+// retryObstacle is what forbids another attempt, as logs name it.
+type retryObstacle string
+
+const (
+	obstacleMaxAttempts retryObstacle = "max_attempts"
+	obstacleRetryBudget retryObstacle = "retry_budget"
+)
+
 func newErrorResponse(status int, reason Reason, retryAfter time.Duration) *errorResponse {
 	return &errorResponse{status: status, reason: reason, retryAfter: retryAfter}
 }
--- a/internal/proxy/telemetry.go
+++ b/internal/proxy/telemetry.go
@@ -248,6 +248,7 @@
 	t.metrics.refusals.WithLabelValues("stream_broken").Inc()
 	t.entry(log.WarnLevel, x).
 		Str("reason", string(e.reason)).
+		Str("no_retry", string(e.noRetry)).
 		Str("after_event", x.info.LastEventID).
 		Int("sends", x.sends).
 		Int64("took_ms", clock.Now().Sub(x.arrived).Milliseconds()).
