Take a silent request back only if a peer hears its fleet and a further attempt is left

Cause: a fleet whose endpoints are all silent counted as out of reach of this host, and its silent requests were taken back at once. Each host sees the same silence, so that no peer could do better: with the attempts or the retry budget used up or no peer left, what the endpoints finished some ms later was broken off. Class: an absence that all share, taken for evidence about oneself; and work given up before it is known that it can go on elsewhere.

Change: a request is taken back because of silence only if a peer heard the fleet when the request was silent already and this host hears nothing for 0.25 s after that, if its route and its response allow a further attempt, and if the retry budget grants one, which is reserved first. Hosts with silent requests ask two peers when they last heard the fleet, on the connections for relayed requests; a peer without requests of its own probes. Failed connections take back, as before, only what has no byte of its response. Why it works: in a pause no peer has heard the fleet since, and 0.25 s after its end this host has.

Ruled out: waiting longer before a fleet is lost (pauses have no bound, and links that are really cut would cost more); reports of lost fleets (they say what a host suspects, not what it hears, and come late).

Two tests of the table held that silence alone takes requests back. That was the fault: they now hold that it does so with a peer's word, and not before; as strict otherwise.

--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -53,6 +53,9 @@
 			n.linksChanged()
 			n.Log.Info().Str("fleet", fleetName).Msg("endpoints no longer sought")
 		}
+		for _, fleetName := range check.Ask {
+			n.tasks.Go(func() { n.askHeard(ctx, fleetName) })
+		}
 		for _, takeBack := range check.TakeBack {
 			takeBack()
 		}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -115,7 +115,7 @@
 	if e != nil {
 		return nil, e
 	}
-	if x.sends > 0 && x.relayed == nil && !x.proxy.RetryBudget.Allow(now, x.fleet) {
+	if x.sends > 0 && x.relayed == nil && !x.mayRetry(now) {
 		return nil, x.noRetry(now, obstacleRetryBudget)
 	}
 	if peer != nil {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -68,6 +69,8 @@
 	// endpoints of these.
 	sends int
 	tried []string
+	// retryReserved is set while a further attempt is reserved in the retry budget.
+	retryReserved atomic.Bool
 	// failedPeers are the peers that the request was relayed to and that could not send it.
 	failedPeers []string
 	// relayed is what the host that has relayed the request says; nil if it comes from its caller.
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -31,11 +31,25 @@
 	ctx, takeBack := context.WithCancelCause(a.ctx)
 	r := reachability.Request{
 		Fleet: x.fleet, Endpoint: a.choice.Endpoint.ID, Expected: a.choice.CorrectedFirstEvent,
-		Repeatable: x.route.Retryable(),
+		Repeatable: x.relayed == nil && x.mayRepeat(), Reserve: x.reserveRetry,
 	}
 	return x.proxy.Links.Table.Begin(clock.Now(), r, func() { takeBack(errTakenBack) }), ctx
 }
 
+// reserveRetry takes a further attempt from the retry budget, and reports whether it is there.
+func (x *exchange) reserveRetry() bool {
+	if !x.proxy.RetryBudget.Allow(clock.Now(), x.fleet) {
+		return false
+	}
+	x.retryReserved.Store(true)
+	return true
+}
+
+// mayRetry reports whether the retry budget allows a further attempt, which may have been reserved.
+func (x *exchange) mayRetry(now time.Time) bool {
+	return x.retryReserved.Swap(false) || x.proxy.RetryBudget.Allow(now, x.fleet)
+}
+
 // connected records on which connection the attempt is sent.
 func (a *attempt) connected(c httpclient.ConnInfo) {
 	a.connNew, a.connOpenedAt = c.New, clock.Now().Add(-c.Age)
--- a/internal/proxy/relayed.go
+++ b/internal/proxy/relayed.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/relay"
 )
@@ -124,9 +125,13 @@
 		x.sendError(newErrorResponse(fasthttp.StatusServiceUnavailable, ReasonOutOfMemory, startingRetryAfter))
 		return
 	}
-	if x.relayed.Test != "" {
+	switch {
+	case x.relayed.Test != "":
 		x.testRelayed()
 		return
+	case x.relayed.AsksHeard:
+		x.tellHeard()
+		return
 	}
 	x.serve(ctx)
 }
@@ -139,3 +144,13 @@
 	}
 	x.sendRelayResult(relay.Response{Result: result})
 }
+
+// tellHeard tells a peer when this host last heard an endpoint of a fleet.
+func (x *exchange) tellHeard() {
+	ago, ok := x.proxy.Links.Table.Asked(clock.Now(), x.relayed.Fleet)
+	if !ok {
+		x.sendRelayResult(relay.Response{Result: relay.Unheard})
+		return
+	}
+	x.sendRelayResult(relay.Response{Result: relay.Heard, HeardAgoMillis: ago.Milliseconds() + 1})
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -168,6 +168,9 @@
 func (a *attempt) observeFirstEvent() {
 	now := clock.Now()
 	a.firstEventAt = now
+	if a.wait != nil && !a.exchange.continuation.mayContinue() {
+		a.wait.Keep()
+	}
 	a.balancerAttempt.FirstEvent(now)
 	a.recordOrigin(now)
 	a.exchange.markStarted(now)
--- a/internal/reachability/evidence.go
+++ b/internal/reachability/evidence.go
@@ -144,6 +144,17 @@
 	return len(sum.unheard) >= max(needed, minSilent)
 }
 
+// connectionsFail reports whether connections to as many endpoints as are required have failed, and not merely been silent.
+func (f *fleet) connectionsFail(now time.Time, endpoints int) bool {
+	failed := 0
+	for _, e := range f.failures {
+		if e.kind != Silent && now.Sub(e.at) < evidenceRetention {
+			failed++
+		}
+	}
+	return failed >= required(endpoints)
+}
+
 // isSuspect reports whether a probe should tell what the evidence means: a request is silent, or several new
 // connections have failed.
 func (f *fleet) isSuspect(now time.Time, endpoints int) bool {
--- a/internal/reachability/probe.go
+++ b/internal/reachability/probe.go
@@ -63,6 +63,8 @@
 	Forgotten []string
 	// TakeBack are to be called: they end requests that wait in vain.
 	TakeBack []func()
+	// Ask are the fleets of which peers are to be asked whether they hear them.
+	Ask []string
 }
 
 // budget holds when the last probes were asked for.
@@ -136,7 +138,7 @@
 ) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.clear.Load() && len(f.silentWaits(now)) == 0 {
+	if f.clear.Load() && len(f.silentWaits(now)) == 0 && !f.isAsked(now) {
 		return
 	}
 	if f.forgetIfUnwanted(now) {
@@ -147,7 +149,10 @@
 	if f.becomesLost(now, len(list)) {
 		c.Lost = append(c.Lost, name)
 	}
-	c.TakeBack = append(c.TakeBack, f.takeSilent(now)...)
+	if f.dueQuestion(now) {
+		c.Ask = append(c.Ask, name)
+	}
+	c.TakeBack = append(c.TakeBack, f.takeSilent(now, len(list))...)
 	for _, e := range f.dueProbes(now, random, list, b) {
 		c.Probes = append(c.Probes, Probe{Fleet: name, Endpoint: e, Timeout: f.probeTimeout()})
 	}
@@ -176,12 +181,14 @@
 // dueProbes returns the endpoints to probe now.
 func (f *fleet) dueProbes(now time.Time, random float64, list []Endpoint, b *budget) []Endpoint {
 	lost := !f.lostSince.IsZero()
-	wanted := f.unwantedFor(now) < wantedRetention
-	if len(list) == 0 || !wanted || now.Before(f.schedule.next) || !lost && !f.isSuspect(now, len(list)) {
+	asked := f.isAsked(now)
+	wanted := asked || f.unwantedFor(now) < wantedRetention
+	suspect := f.isSuspect(now, len(list))
+	if len(list) == 0 || !wanted || now.Before(f.schedule.next) || !lost && !suspect && !asked {
 		return nil
 	}
 	most := maxProbes
-	if lost {
+	if lost || !suspect {
 		most = 1
 	}
 	var due []Endpoint
--- a/internal/reachability/table.go
+++ b/internal/reachability/table.go
@@ -38,6 +38,10 @@
 	// pauses are, for each answered request, the longest time without a byte, that before the first included.
 	pauses   latency
 	schedule schedule
+	// peerHeardAt is when a peer last heard an endpoint, as far as is known, and askNext when peers may be asked again.
+	peerHeardAt, askNext time.Time
+	// askedAt is when a peer last asked whether this host hears the fleet.
+	askedAt time.Time
 }
 
 func (t *Table) fleet(name string) *fleet {
--- a/internal/reachability/table_test.go
+++ b/internal/reachability/table_test.go
@@ -135,17 +135,19 @@
 	is.True(!table.Lost("f"))
 }
 
-// TestSilentRequestsAreProbedAndTakenBack has requests at several endpoints and no byte from any.
+// TestSilentRequestsAreProbedAndTakenBack has requests at several endpoints and no byte from any, while a peer hears others.
 func TestSilentRequestsAreProbedAndTakenBack(t *testing.T) {
 	is := is.New(t)
 	table, taken := NewTable(), 0
 	for i := range 3 {
-		table.Begin(at(0), Request{Fleet: "f", Endpoint: fmt.Sprint("e", i)}, func() { taken++ })
+		table.Begin(at(0), Request{Fleet: "f", Endpoint: fmt.Sprint("e", i), Repeatable: true}, func() { taken++ })
 	}
 	is.Equal(len(table.Check(at(300), 0, endpointsOf(6)).Probes), 0)
 	check := table.Check(at(400), 0, endpointsOf(6))
 	is.Equal(len(check.Probes), maxProbes)
 	is.Equal(len(check.Lost)+len(check.TakeBack), 0)
+	is.Equal(check.Ask, []string{"f"})
+	table.PeerHeard("f", at(410))
 	is.Equal(check.Probes[0].Endpoint.ID, "e3") // not awaited
 	is.True(table.Failed(at(650), "f", failedProbe(check.Probes[0], Silent), 6))
 	check = table.Check(at(700), 0, endpointsOf(6))
@@ -168,12 +170,98 @@
 	for i := range 4 {
 		table.Failed(at(500+i), "f", refused(i), 6)
 	}
-	for _, takeBack := range table.Check(at(600), 0, endpointsOf(6)).TakeBack {
+	is.Equal(len(table.Check(at(600), 0, endpointsOf(6)).TakeBack), 0) // no peer hears the fleet
+	table.PeerHeard("f", at(600))
+	is.Equal(len(table.Check(at(600+249), 0, endpointsOf(6)).TakeBack), 0)
+	for _, takeBack := range table.Check(at(600+250), 0, endpointsOf(6)).TakeBack {
 		takeBack()
 	}
 	is.Equal(taken, []bool{true})
 }
 
+// TestSilenceThatPeersShareEndsNoRequest has all endpoints pause: peers have heard them until then, and again at the end.
+func TestSilenceThatPeersShareEndsNoRequest(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for i := range 4 {
+		for _, begun := range []bool{false, true} {
+			w := table.Begin(at(0), Request{Fleet: "f", Endpoint: fmt.Sprint("e", i), Repeatable: true}, func() { t.Fail() })
+			if begun {
+				w.Heard(at(10))
+			}
+		}
+	}
+	table.Heard(at(1000), "f", at(0))
+	const resumed = 3000
+	asked := 0
+	for ms := 1050; ms < resumed; ms += 50 {
+		check := table.Check(at(ms), 0, endpointsOf(4))
+		for _, p := range check.Probes {
+			table.Failed(at(ms), "f", failedProbe(p, Silent), 4)
+		}
+		for range check.Ask {
+			asked++
+			table.PeerHeard("f", at(1040))
+		}
+		is.Equal(len(check.TakeBack), 0)
+	}
+	is.True(table.Lost("f"))
+	is.True(asked > 5 && asked < 15)
+	table.PeerHeard("f", at(resumed)) // some ms before this host hears it
+	is.Equal(len(table.Check(at(resumed+50), 0, endpointsOf(4)).TakeBack), 0)
+	table.Heard(at(resumed+60), "f", at(0))
+	is.Equal(len(table.Check(at(resumed+300), 0, endpointsOf(4)).TakeBack), 0)
+}
+
+// TestRequestWithoutAFurtherAttemptIsLeftAlone has the links of this host fail silently: who has no way on keeps waiting.
+func TestRequestWithoutAFurtherAttemptIsLeftAlone(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		r     Request
+		kept  bool
+		taken int
+	}{
+		{"may be repeated", Request{Repeatable: true}, false, 1},
+		{"reserves an attempt", Request{Repeatable: true, Reserve: func() bool { return true }}, false, 1},
+		{"finds none to reserve", Request{Repeatable: true, Reserve: func() bool { return false }}, false, 0},
+		{"cannot be continued", Request{Repeatable: true}, true, 0},
+		{"may run once", Request{}, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := NewTable()
+			c.r.Fleet, c.r.Endpoint = "f", "e0"
+			w := table.Begin(at(0), c.r, func() {})
+			if c.kept {
+				w.Heard(at(1))
+				w.Keep()
+			}
+			for i := range 4 {
+				table.Failed(at(500+i), "f", Failure{Endpoint: fmt.Sprint("e", i), Kind: Silent, New: true}, 6)
+			}
+			table.PeerHeard("f", at(600))
+			is.True(table.Lost("f"))
+			is.Equal(len(table.Check(at(900), 0, endpointsOf(6)).TakeBack), c.taken)
+		})
+	}
+}
+
+// TestQuestionOfAPeerIsAnsweredByAProbe has a host that hears nothing, as it sends nothing, be asked by a peer.
+func TestQuestionOfAPeerIsAnsweredByAProbe(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Heard(at(0), "f", at(0))
+	is.Equal(len(table.Check(at(1000), 0, endpointsOf(6)).Probes), 0)
+	ago, ok := table.Asked(at(1010), "f")
+	is.True(ok)
+	is.Equal(ago, 1010*time.Millisecond)
+	is.Equal(len(table.Check(at(1050), 0, endpointsOf(6)).Probes), 1)
+	table.Heard(at(1060), "f", at(1050))
+	ago, _ = table.Asked(at(1160), "f")
+	is.Equal(ago, 100*time.Millisecond)
+	is.Equal(len(table.Check(at(1170), 0, endpointsOf(6)).Probes), 0)
+}
+
 func TestAnsweredProbeEndsTheSuspicion(t *testing.T) {
 	is := is.New(t)
 	table := NewTable()
--- a/internal/reachability/wait.go
+++ b/internal/reachability/wait.go
@@ -20,6 +20,8 @@
 	Expected time.Duration
 	// Repeatable is set if the request may be sent again after it may have run, or its response be resumed.
 	Repeatable bool
+	// Reserve reserves a further attempt, and reports whether there is one; nil if there always is. It must not block.
+	Reserve func() bool
 }
 
 // Wait is a request that waits for an endpoint, until its response is complete.
@@ -29,6 +31,8 @@
 	since time.Time
 	// heardAt is when a byte of the response last arrived, in nanoseconds since 1970; zero before.
 	heardAt atomic.Int64
+	// kept is set once nothing else can continue the response.
+	kept atomic.Bool
 	// longest is the longest time without a byte that has ended; only the request itself uses it.
 	longest  time.Duration
 	takeBack func()
@@ -64,6 +68,9 @@
 	w.longest = max(w.longest, now.Sub(before))
 }
 
+// Keep records that nothing else can continue the response, which has begun.
+func (w *Wait) Keep() { w.kept.Store(true) }
+
 // silent reports whether neither the request nor its fleet was heard for as long as such requests never take.
 // usual is the longest time for which requests to the fleet are without a byte.
 func (w *Wait) silent(now, fleetHeard time.Time, usual time.Duration) bool {
@@ -92,15 +99,16 @@
 	return silent
 }
 
-// takeSilent removes the silent requests of a fleet out of reach and returns what takes them back. A response that
-// has begun and cannot be resumed is left alone: it may go on when the link is back.
-func (f *fleet) takeSilent(now time.Time) []func() {
+// takeSilent removes those of the silent requests of a fleet out of reach that have a way on, and returns what takes them
+// back. endpoints is the number of endpoints of the fleet.
+func (f *fleet) takeSilent(now time.Time, endpoints int) []func() {
 	if f.lostSince.IsZero() {
 		return nil
 	}
 	var taken []func()
+	failed := f.connectionsFail(now, endpoints)
 	for _, w := range f.silentWaits(now) {
-		if w.heardAt.Load() != 0 && !w.Repeatable {
+		if !f.mayTakeBack(now, w, failed) {
 			continue
 		}
 		delete(f.waits, w)
@@ -108,3 +116,16 @@
 	}
 	return taken
 }
+
+// mayTakeBack reports whether a silent request of a fleet out of reach is taken back. One without a byte of its response is if
+// connections to the fleet fail. Silence alone may be that of the endpoints, and a response that has begun may go on: then
+// a peer must hear the fleet, and a further attempt be left for it.
+func (f *fleet) mayTakeBack(now time.Time, w *Wait, connectionsFail bool) bool {
+	if connectionsFail && w.heardAt.Load() == 0 {
+		return true
+	}
+	if !w.Repeatable || w.kept.Load() || !f.peersHear(now, w) {
+		return false
+	}
+	return w.Reserve == nil || w.Reserve()
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -30,6 +30,8 @@
 	// Test names an endpoint, by its ID. Nothing is sent to it: the response says whether it accepts a
 	// connection.
 	Test string `json:"test,omitempty"`
+	// AsksHeard asks when the peer last heard an endpoint of Fleet. Nothing is sent on.
+	AsksHeard bool `json:"asks_heard,omitempty"`
 }
 
 // Result says what has become of a relayed request.
@@ -50,6 +52,9 @@
 	// Reached and Unreached answer a test.
 	Reached   Result = "reached"
 	Unreached Result = "unreached"
+	// Heard and Unheard answer AsksHeard.
+	Heard   Result = "heard"
+	Unheard Result = "unheard"
 )
 
 // Response is what the peer tells the first host.
@@ -62,6 +67,8 @@
 	Reason string `json:"reason,omitempty"`
 	// RetryAfterMillis is when the caller of a request that has not run should come back; zero if unknown.
 	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
+	// HeardAgoMillis is the time since the peer has heard the fleet, rounded up; with Heard only.
+	HeardAgoMillis int64 `json:"heard_ago_ms,omitempty"`
 }
 
 // ReasonNotTaken is the reason of a NotSent that comes instead of a connection's close: the peer has too many connections,
@@ -79,6 +86,11 @@
 	return time.Duration(r.RetryAfterMillis) * time.Millisecond
 }
 
+// HeardAgo returns the time since the peer has heard the fleet.
+func (r *Response) HeardAgo() time.Duration {
+	return time.Duration(r.HeardAgoMillis) * time.Millisecond
+}
+
 // errNoSender means that a relayed request does not name its first host.
 var errNoSender = errors.New("relayed request names no sender")
 
