Take no response with a status below 100

Cause: fasthttp takes the status 000 for one that is not set, and so for 200; 001 to 099 were passed on as they were, which is no response in the protocol. Class: a zero value that stands for success.

Change: the client looks at the status line before the head is parsed, and skips interim responses itself, as many as fasthttp does. A status below 100 is a failure of an endpoint whose request may have run: 502, or another attempt where the route allows one. The client serves both interfaces.

Responses without end in each place of a head are still cut off.

--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -97,7 +97,7 @@
 		resp := fasthttp.AcquireResponse()
 		resp.StreamBody = true
 		resp.SkipBody = req.Header.IsHead()
-		if err := resp.ReadLimitBody(x.reader, 0); err != nil {
+		if err := readHead(x.reader, resp); err != nil {
 			fasthttp.ReleaseResponse(resp)
 			x.release(false)
 			return nil, x.sendError(ctx, err)
--- a/internal/adapter/httpclient/cut_test.go
+++ b/internal/adapter/httpclient/cut_test.go
@@ -110,3 +110,24 @@
 		}
 	}
 }
+
+// TestStatusBelow100IsNoResponse reads such a response in both ways, at once and behind an interim one.
+func TestStatusBelow100IsNoResponse(t *testing.T) {
+	for _, raw := range []string{
+		"HTTP/1.1 000 OK\r\nContent-Length: 21\r\n\r\n" + wholeBody,
+		"HTTP/1.1 020 OK\r\nContent-Length: 21\r\n\r\n" + wholeBody,
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 21\r\n\r\n" + wholeBody,
+	} {
+		address := cuttingServer(t, raw)
+		for name, read := range readers {
+			is := is.New(t)
+			req := fasthttp.AcquireRequest()
+			req.Header.SetHost("h")
+			req.Header.Set(cutHeader, strconv.Itoa(len(raw)))
+			_, err := read(New(Options{}), address, req)
+			t.Log(name, err)
+			is.True(errors.Is(err, errBadStatus))
+			is.True(!errors.Is(err, ErrNotSent)) // the request may have run
+		}
+	}
+}
--- a/internal/adapter/httpclient/exchange.go
+++ b/internal/adapter/httpclient/exchange.go
@@ -16,7 +16,7 @@
 	// The framing is known only until a buffered body is read.
 	resp.StreamBody = true
 	defer func() { resp.StreamBody = false }()
-	if err := resp.ReadLimitBody(x.reader, 0); err != nil {
+	if err := readHead(x.reader, resp); err != nil {
 		return err
 	}
 	stream := resp.BodyStream()
