Find a reset that the sender of the body has not reported yet

Cause: the operating system reports a reset once. If the goroutine that writes the body gets it, the reader sees an ordinary end, and waits 20 ms for that goroutine's result; one that is not scheduled within that time hid the reset. Class: a wait in place of a check.

Change: after that wait the state of the connection is asked for (poll: hung up in both directions), which does not depend on who was told. A peer that ends its response first and reads the body on has not reset.

Evidence: TestResetIsFoundBeforeTheSenderOfTheBodyIsScheduled holds the goroutine's report back and failed before.

--- a/internal/adapter/httpclient/exchange.go
+++ b/internal/adapter/httpclient/exchange.go
@@ -155,7 +155,7 @@
 // writeFailure returns an error if writing the request has failed. A response that ends with its
 // connection is whole only without one: the operating system reports a reset once, and if the goroutine
 // that writes the request gets it, the reader sees an ordinary end. While that goroutine is still
-// blocked, there was no reset.
+// blocked, there was no reset, unless it has not been scheduled since: the state of the connection tells.
 func (x *exchange) writeFailure() error {
 	if x.writeDone == nil {
 		return nil
@@ -163,6 +163,9 @@
 	select {
 	case <-x.writeDone:
 	case <-time.After(writeResultTimeout):
+		if isReset(x.conn.Conn) {
+			return fmt.Errorf("%w: reset while the request is written", io.ErrUnexpectedEOF)
+		}
 		return nil
 	}
 	if x.writeErr != nil {
--- a/internal/adapter/httpclient/truncated_test.go
+++ b/internal/adapter/httpclient/truncated_test.go
@@ -70,3 +70,39 @@
 		})
 	}
 }
+
+// TestResetIsFoundBeforeTheSenderOfTheBodyIsScheduled has that goroutine hold the report of the reset for longer than the
+// reader waits for it, as on a busy machine.
+func TestResetIsFoundBeforeTheSenderOfTheBodyIsScheduled(t *testing.T) {
+	is := is.New(t)
+	address := resettingServer(t)
+	for range resets {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		body := make([]byte, 16<<20)
+		_, err = conn.Write(body)
+		is.True(err != nil) // the socket has reported the reset
+		x := &exchange{conn: &countingConn{Conn: conn}, writeDone: make(chan struct{})}
+		is.True(x.writeFailure() != nil)
+		_ = conn.Close()
+	}
+}
+
+// TestPeerThatReadsOnAfterItsResponseHasNotReset has a peer end its response, and its side of the connection, before it has
+// read the body.
+func TestPeerThatReadsOnAfterItsResponseHasNotReset(t *testing.T) {
+	is := is.New(t)
+	address := accept(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nthe answer")
+		_ = conn.CloseWrite()
+		time.Sleep(4 * writeResultTimeout)
+		_, _ = io.Copy(io.Discard, conn)
+		_ = conn.Close()
+	})
+	body, err := New(Options{}).Open(context.Background(), address, newLargeRequest(t))
+	is.NoErr(err)
+	defer body.Close()
+	text, err := io.ReadAll(body)
+	is.NoErr(err)
+	is.Equal(string(text), "the answer")
+}
