Hold events that do not end within the memory for bodies

Class: memory that grows with what others send and has no owner.

Change: a stream's buffer beyond 8 KiB, what is read at once and a part of an ordinary event, is reserved from the budget, as that of a buffered response is; without room the attempt fails. Events that were passed on are no longer kept in front of the buffer.

--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -119,7 +119,7 @@
 // for a truncated one and for one of more than maxResponseBytes.
 func (a *attempt) readAll(body *httpclient.Body, to *responseBuffer) error {
 	for {
-		if err := to.makeRoom(); err != nil {
+		if err := to.makeRoom(1); err != nil {
 			return err
 		}
 		n, err := body.Read(to.free())
--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"rattanchute/internal/bodybudget"
 	"rattanchute/internal/fleet"
 )
 
@@ -89,3 +91,50 @@
 		}
 	}
 }
+
+const (
+	// unfinishedStreams is the number of streams whose first event does not end, and unfinishedBytes the size of each.
+	unfinishedStreams = 100
+	unfinishedBytes   = 900 << 10
+	// unfinishedBudget is the memory for bodies, and maxUnfinishedHeap bounds what all of them take.
+	unfinishedBudget  = 16 << 20
+	maxUnfinishedHeap = 48 << 20
+)
+
+// TestEventsWithoutEndStayWithinTheMemoryForBodies has a faulty endpoint leave an event open in each of many streams, just short
+// of the largest size.
+func TestEventsWithoutEndStayWithinTheMemoryForBodies(t *testing.T) {
+	is := is.New(t)
+	var sent sync.WaitGroup
+	sent.Add(unfinishedStreams)
+	release := make(chan struct{})
+	endpoint := newTestEndpoint(t, func(r *receivedRequest) bool {
+		if strings.HasPrefix(r.id(), "whole") {
+			r.writeEvents(1, 3)
+			r.writeLastChunk()
+			return true
+		}
+		r.writeRaw("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\ndata: ", r.id())
+		_, _ = r.conn.Write(make([]byte, unfinishedBytes))
+		sent.Done()
+		<-release
+		return false
+	})
+	p := newTestProxy(t, fleet.Route{Kind: fleet.RouteStream, Timeout: 20 * time.Second}, endpoint)
+	p.proxy.Bodies = bodybudget.New(unfinishedBudget, 0)
+	runtime.GC()
+	before := heapBytes()
+	var callers sync.WaitGroup
+	for i := range unfinishedStreams {
+		callers.Go(func() { p.send(t, fmt.Sprint("s", i)) })
+	}
+	sent.Wait()
+	time.Sleep(200 * time.Millisecond)
+	runtime.GC()
+	t.Log(heapBytes()>>20, "MiB", before>>20, "MiB before")
+	is.True(heapBytes() < before+maxUnfinishedHeap)
+	is.Equal(p.send(t, "whole").body, eventTexts(1, 3)) // an ordinary stream is served beside them
+	close(release)
+	callers.Wait()
+	is.Equal(p.proxy.Bodies.Usage().Held, int64(0))
+}
--- a/internal/proxy/eventstream.go
+++ b/internal/proxy/eventstream.go
@@ -11,6 +11,10 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
+// uncountedEventBytes is the largest size of a stream's buffer that is not reserved: what is read at once, and an ordinary
+// event of which a part came before.
+const uncountedEventBytes = 2 * readBufferBytes
+
 // errEventTooLarge means that an event is longer than maxEventBytes, for example because the
 // endpoint never ends it.
 var errEventTooLarge = errors.New("event too large")
@@ -43,32 +47,52 @@
 // eventReader splits a stream into complete events. Lines end with LF or CRLF. What follows the last
 // complete event is available only from partial.
 type eventReader struct {
-	buffer []byte
+	buffer responseBuffer
+	// taken is the number of bytes that next has returned.
+	taken int
 }
 
 // add appends received bytes. It returns errEventTooLarge if more than maxEventBytes are not yet
-// returned by next.
+// returned by next, and bodybudget.ErrNoRoom if there is too little memory for an event that is not whole.
 func (r *eventReader) add(p []byte) error {
-	r.buffer = append(r.buffer, p...)
-	if len(r.buffer) > maxEventBytes {
+	r.drop()
+	if len(r.buffer.content)+len(p) > maxEventBytes {
 		return errEventTooLarge
 	}
+	if err := r.buffer.makeRoom(len(p)); err != nil {
+		return err
+	}
+	r.buffer.content = append(r.buffer.content, p...)
 	return nil
 }
 
+// drop frees what next has returned.
+func (r *eventReader) drop() {
+	rest := r.rest()
+	r.taken = 0
+	if len(rest) == 0 && cap(r.buffer.content) > r.buffer.largestUncounted() {
+		r.buffer.giveBack()
+		return
+	}
+	r.buffer.content = r.buffer.content[:copy(r.buffer.content, rest)]
+}
+
+// rest returns what next has not returned.
+func (r *eventReader) rest() []byte { return r.buffer.content[r.taken:] }
+
 // next returns the next complete event. Its text is valid until the next call of add.
 func (r *eventReader) next() (event, bool) {
-	end := eventEnd(r.buffer)
+	rest := r.rest()
+	end := eventEnd(rest)
 	if end < 0 {
 		return event{}, false
 	}
-	e := parseEvent(r.buffer[:end])
-	r.buffer = r.buffer[end:]
-	return e, true
+	r.taken += end
+	return parseEvent(rest[:end]), true
 }
 
 // partial returns the incomplete event at the end, without the blank lines before it.
-func (r *eventReader) partial() []byte { return bytes.TrimLeft(r.buffer, "\r\n") }
+func (r *eventReader) partial() []byte { return bytes.TrimLeft(r.rest(), "\r\n") }
 
 // eventEnd returns the index after the first blank line, or -1 if there is none yet.
 func eventEnd(b []byte) int {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -39,7 +39,8 @@
 func (a *attempt) relayStream(body *httpclient.Body) (outcome, balancer.Result) {
 	x := a.exchange
 	x.continuation.begin(x.headSent)
-	var events eventReader
+	events := eventReader{buffer: responseBuffer{budget: x.proxy.Bodies, uncounted: uncountedEventBytes}}
+	defer events.buffer.release()
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := body.Read(buffer)
--- a/internal/proxy/unbuffered.go
+++ b/internal/proxy/unbuffered.go
@@ -14,35 +14,49 @@
 // uncountedBytes is the largest size of a response buffer that is not reserved: a connection takes as much.
 const uncountedBytes = 4 << 10
 
-// responseBuffer holds a response that is read, within the budget for bodies. It grows as the response comes.
+// responseBuffer holds a response that is read, or a part of it, within the budget for bodies. It grows as the response comes.
 type responseBuffer struct {
+	// budget is nil for a buffer that is not counted.
 	budget  *bodybudget.Budget
 	holding *bodybudget.Holding
 	content []byte
+	// uncounted is the largest size that is not reserved; zero for uncountedBytes.
+	uncounted int
 }
 
-// makeRoom makes room for more bytes, if there is none. It returns bodybudget.ErrNoRoom if there is too little memory.
-func (b *responseBuffer) makeRoom() error {
-	if len(b.content) < cap(b.content) {
+// makeRoom makes room for a number of bytes, if there is less. It returns bodybudget.ErrNoRoom if there is too little memory.
+func (b *responseBuffer) makeRoom(bytes int) error {
+	if len(b.content)+bytes <= cap(b.content) {
 		return nil
 	}
-	size := max(2*cap(b.content), uncountedBytes)
-	if size > uncountedBytes {
+	size := max(2*cap(b.content), uncountedBytes, len(b.content)+bytes)
+	if size > b.largestUncounted() {
 		if err := b.reserve(size); err != nil {
 			return err
 		}
 	}
 	larger := make([]byte, len(b.content), size)
 	copy(larger, b.content)
-	if before := cap(b.content); before > uncountedBytes {
-		b.holding.Return(int64(before))
-	}
+	b.giveBack()
 	b.content = larger
 	return nil
 }
 
+func (b *responseBuffer) largestUncounted() int { return max(b.uncounted, uncountedBytes) }
+
+// giveBack returns what is reserved for the content, which is dropped or has been copied.
+func (b *responseBuffer) giveBack() {
+	if size := cap(b.content); size > b.largestUncounted() && b.holding != nil {
+		b.holding.Return(int64(size))
+	}
+	b.content = nil
+}
+
 // reserve reserves a number of bytes. The response is not evicted for others: its request has run.
 func (b *responseBuffer) reserve(size int) error {
+	if b.budget == nil {
+		return nil
+	}
 	if b.holding == nil {
 		b.holding = b.budget.Open(clock.Now(), func() {})
 		b.holding.Complete()
