Hold what engines send within the memory for bodies

Cause: each answer to a poll was kept up to 64 MiB, in a buffer that doubles, outside any budget: 24 polls of half a second took 2.2 to 2.7 GB. A daemon sends up to 28 polls a second. A line of a stream took up to 1 MiB, outside the budget as well.

Change: answers to polls and orders are bounded to 1 MiB, and they and lines of streams take what is beyond 4 KiB from the budget for bodies, whose quarter for small bodies they leave. Nothing waits for it. httpclient.Lines replaces the scanner; a last line without an end is still none.

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -29,6 +29,9 @@
 // engine.
 const DefaultCancelTimeout = time.Second
 
+// maxAnswerBytes bounds an engine's answer to a poll or an order.
+const maxAnswerBytes = 1 << 20
+
 // errorCodeRefused is an engine's error code for a request that it did not run.
 const errorCodeRefused = "refused"
 
@@ -50,6 +53,9 @@
 	CancelTimeout time.Duration
 	// Signals is told what responses say about further requests; nil if nobody wants to know.
 	Signals Signals
+	// Room bounds the memory of what engines send besides the bodies of calls: answers to polls and orders, and lines of
+	// streams; nil for no bound.
+	Room httpclient.Room
 }
 
 // Client sends requests to engines and services. It is safe for concurrent use.
@@ -57,6 +63,7 @@
 	httpClient     *httpclient.Client
 	cancelTimeout  time.Duration
 	signals        Signals
+	room           httpclient.Room
 	foreignChunks  atomic.Uint64
 	repeatedChunks atomic.Uint64
 }
@@ -75,6 +82,7 @@
 		httpClient:    httpclient.New(o.Connections),
 		cancelTimeout: o.CancelTimeout,
 		signals:       o.Signals,
+		room:          o.Room,
 	}
 }
 
@@ -148,9 +156,11 @@
 	if err := setRequest(req, address, method, path, in); err != nil {
 		return err
 	}
-	if err := c.httpClient.Do(ctx, address, req, resp); err != nil {
+	options := httpclient.DoOptions{MaxBytes: maxAnswerBytes, Room: c.room}
+	if err := c.httpClient.DoWith(ctx, address, req, resp, options); err != nil {
 		return sendError(err)
 	}
+	defer options.Return(resp)
 	c.observe(address, &resp.Header)
 	if err := statusError(resp.StatusCode(), resp.Body()); err != nil {
 		return err
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -1,7 +1,6 @@
 package enginehttp
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -46,7 +45,7 @@
 	address string
 	id      engine.StreamID
 	body    *httpclient.Body
-	lines   *bufio.Scanner
+	lines   *httpclient.Lines
 	// prefix is the text that was delivered before the first chunk that the request asks for.
 	prefix     []string
 	nextOffset int
@@ -86,20 +85,10 @@
 		return nil, &StatusError{Status: status}
 	}
 	s := &stream{client: c, address: address, id: g.Stream, body: body, prefix: g.Prefix, nextOffset: g.Offset}
-	s.lines = bufio.NewScanner(body)
-	s.lines.Buffer(nil, maxLineBytes)
-	s.lines.Split(splitWholeLines)
+	s.lines = httpclient.NewLines(ctx, body, maxLineBytes, c.room)
 	return s, nil
 }
 
-// splitWholeLines is bufio.ScanLines without a last line that has no end: the stream was cut inside it.
-func splitWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
-	if bytes.IndexByte(data, '\n') < 0 {
-		return 0, nil, nil
-	}
-	return bufio.ScanLines(data, atEOF)
-}
-
 // Next returns the next chunk of this stream, each exactly once and in order, and io.EOF
 // after the last. Any other error closes the connection, so that a caller that attaches to
 // the stream again need not call Close, which would cancel the generation.
@@ -108,6 +97,7 @@
 		return engine.Chunk{}, s.err
 	}
 	chunk, err := s.read()
+	s.lines.Release()
 	if err != nil {
 		s.err = err
 	}
@@ -193,15 +183,18 @@
 
 // nextData returns the data of the next event, which is valid until the next call.
 func (s *stream) nextData() ([]byte, error) {
-	for s.lines.Scan() {
-		if data, ok := bytes.CutPrefix(s.lines.Bytes(), dataPrefix); ok {
+	for {
+		line, err := s.lines.Next()
+		switch {
+		case err == io.EOF:
+			return nil, errTruncated
+		case err != nil:
+			return nil, sendError(err)
+		}
+		if data, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataPrefix); ok {
 			return data, nil
 		}
 	}
-	if err := s.lines.Err(); err != nil {
-		return nil, sendError(err)
-	}
-	return nil, errTruncated
 }
 
 // Close releases the stream. A stream that has not ended is cancelled at the engine; the
--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -3,6 +3,7 @@
 package httpclient
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -90,6 +91,15 @@
 	BeforeSend func() error
 	// Room is asked for the memory of the response's body before it is taken.
 	Room Room
+	// MaxBytes bounds the response's body; zero for MaxResponseBytes.
+	MaxBytes int
+}
+
+// Return gives back the room of a response that DoWith has read.
+func (o DoOptions) Return(resp *fasthttp.Response) {
+	if body := resp.Body(); len(body) > 0 {
+		returnRoom(o.Room, body)
+	}
 }
 
 // DoWith is Do with options.
@@ -101,7 +111,7 @@
 		return err
 	}
 	resp.SkipBody = req.Header.IsHead()
-	if err = x.readResponse(ctx, resp, o.Room); err != nil {
+	if err = x.readResponse(ctx, resp, cmp.Or(o.MaxBytes, MaxResponseBytes), o.Room); err != nil {
 		err = x.readError(ctx, err)
 	}
 	x.release(err == nil && !resp.ConnectionClose())
--- a/internal/adapter/httpclient/exchange.go
+++ b/internal/adapter/httpclient/exchange.go
@@ -10,9 +10,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// readResponse reads a whole response, of at most MaxResponseBytes. The room, which may be nil, keeps what the body takes if
+// readResponse reads a whole response, of at most a number of bytes. The room, which may be nil, keeps what the body takes if
 // the error is nil.
-func (x *exchange) readResponse(ctx context.Context, resp *fasthttp.Response, room Room) error {
+func (x *exchange) readResponse(ctx context.Context, resp *fasthttp.Response, most int, room Room) error {
 	// The framing is known only until a buffered body is read.
 	resp.StreamBody = true
 	defer func() { resp.StreamBody = false }()
@@ -24,7 +24,7 @@
 		return nil
 	}
 	framing := FramingOf(&resp.Header)
-	body, err := readWithin(ctx, stream, room)
+	body, err := readWithin(ctx, stream, most, room)
 	_ = resp.CloseBodyStream()
 	if err == nil && framing == FramingClose {
 		err = x.writeFailure()
--- a/internal/adapter/httpclient/room.go
+++ b/internal/adapter/httpclient/room.go
@@ -18,9 +18,9 @@
 // uncountedBytes is the largest size of a buffer for which no room is asked.
 const uncountedBytes = 4 << 10
 
-// readWithin reads a body of at most MaxResponseBytes into memory that is reserved as it comes. What is reserved for the
+// readWithin reads a body of at most a number of bytes into memory that is reserved as it comes. What is reserved for the
 // result, also for that of a failure, is for the caller to return.
-func readWithin(ctx context.Context, from io.Reader, room Room) ([]byte, error) {
+func readWithin(ctx context.Context, from io.Reader, most int, room Room) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
@@ -33,7 +33,7 @@
 		n, err := from.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
-		case len(body) > MaxResponseBytes:
+		case len(body) > most:
 			return body, fasthttp.ErrBodyTooLarge
 		case err == io.EOF:
 			return body, nil
--- a/internal/adapter/httpclient/room_test.go
+++ b/internal/adapter/httpclient/room_test.go
@@ -37,7 +37,7 @@
 		if broken {
 			reader = io.MultiReader(reader, iotest.ErrReader(io.ErrUnexpectedEOF))
 		}
-		body, err := readWithin(t.Context(), reader, room)
+		body, err := readWithin(t.Context(), reader, MaxResponseBytes, room)
 		held := room.held
 		if size := int64(cap(body)); size > uncountedBytes && held != size || size <= uncountedBytes && held != 0 {
 			t.Fatalf("%d bytes reserved for %d", held, size)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -90,7 +90,8 @@
 
 		quarantine: quarantine.NewTable(s.Node, time.Now().UnixMilli()),
 	}
-	a.engines = enginehttp.New(enginehttp.Options{Signals: a.router})
+	a.bodies = bodybudget.New(s.Limits.BodyMemory(), 0)
+	a.engines = enginehttp.New(enginehttp.Options{Signals: a.router, Room: newEngineRoom(a.bodies)})
 	a.router.SetSignalLog(signalLog{a.log})
 	a.handleInvariantViolations()
 	a.store = newStore(s.Platform, logger)
@@ -99,7 +100,6 @@
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	a.metrics = newControlMetrics(a.registry)
 	a.boundary = contain.NewBoundary(a.log, a.registry)
-	a.bodies = bodybudget.New(s.Limits.BodyMemory(), 0)
 	steps := []func() error{a.limitMemory, a.buildTLS, a.buildPeers, a.buildGossip, a.buildClaims, a.buildQuarantine, a.buildService, a.buildOperators}
 	for _, step := range steps {
 		if err := step(); err != nil {
