Charge the retry budget once for a further attempt

With a small budget the first peer that refused ended it: a stream that had begun broke off.

Change: what was allowed, or reserved when the request was taken back, holds until an attempt may have reached an endpoint.

Measured: TestPeersThatCannotSendCostNoRetryBudget failed before.

--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -54,7 +54,7 @@
 			n.Log.Info().Str("fleet", fleetName).Msg("endpoints no longer sought")
 		}
 		for _, fleetName := range check.Ask {
-			n.tasks.Go(func() { n.askHeard(ctx, fleetName) })
+			n.askHeard(ctx, fleetName)
 		}
 		for _, takeBack := range check.TakeBack {
 			takeBack()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -74,7 +74,7 @@
 	return false
 }
 
-// askHeard asks some peers whether they hear a fleet that is silent here.
+// askHeard begins to ask some peers whether they hear a fleet that is silent here.
 func (n *Node) askHeard(ctx context.Context, fleetName string) {
 	peers := n.peers.RelayPeers(clock.Now(), fleetName)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -71,6 +71,8 @@
 	tried []string
 	// retryReserved is set while a further attempt is reserved in the retry budget.
 	retryReserved atomic.Bool
+	// allowedRetry is the number of sends after which the retry budget last allowed a further attempt; zero for none.
+	allowedRetry int
 	// failedPeers are the peers that the request was relayed to and that could not send it.
 	failedPeers []string
 	// relayed is what the host that has relayed the request says; nil if it comes from its caller.
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -45,9 +45,17 @@
 	return true
 }
 
-// mayRetry reports whether the retry budget allows a further attempt, which may have been reserved.
+// mayRetry reports whether the retry budget allows a further attempt, which may have been reserved. Attempts that reached no
+// endpoint cost nothing more.
 func (x *exchange) mayRetry(now time.Time) bool {
-	return x.retryReserved.Swap(false) || x.proxy.RetryBudget.Allow(now, x.fleet)
+	if x.allowedRetry == x.sends {
+		return true
+	}
+	if !x.retryReserved.Swap(false) && !x.proxy.RetryBudget.Allow(now, x.fleet) {
+		return false
+	}
+	x.allowedRetry = x.sends
+	return true
 }
 
 // connected records on which connection the attempt is sent.
--- a/internal/proxy/links_test.go
+++ b/internal/proxy/links_test.go
@@ -10,6 +10,7 @@
 	"rattanchute/internal/clock"
 	"rattanchute/internal/fleet"
 	"rattanchute/internal/reachability"
+	"rattanchute/internal/retrybudget"
 )
 
 // TestSilentRequestIsTakenBack has a request wait at a silent endpoint when its fleet goes out of reach. If it may be
@@ -78,3 +79,16 @@
 		}
 	}
 }
+
+// TestPeersThatCannotSendCostNoRetryBudget has a request whose endpoint failed find two peers that cannot send it, and then one
+// that can, with a budget for one further attempt.
+func TestPeersThatCannotSendCostNoRetryBudget(t *testing.T) {
+	is := is.New(t)
+	x := &exchange{fleet: testFleet, proxy: &Proxy{Dependencies: Dependencies{RetryBudget: retrybudget.NewBudget(retrybudget.Limits{Slack: 2, Window: time.Minute})}}}
+	x.sends = 1
+	for range 3 {
+		is.True(x.mayRetry(clock.Now()))
+	}
+	x.sends = 2
+	is.True(!x.mayRetry(clock.Now()))
+}
