--- a/internal/reachability/doc.go
+++ b/internal/reachability/doc.go
@@ -12,5 +12,8 @@
 // out when a link is back: a response on a new connection ends the state. They are few, and a fleet without
 // requests gets none.
 //
+// Silence alone ends no request: the endpoints may all pause. A request that is silent is taken back only if a peer hears
+// the fleet meanwhile, which peers are asked for, and if another attempt is left for it.
+//
 // The package performs no I/O: time, randomness and the outcomes of connections are arguments.
 package reachability
