--- a/internal/adapter/enginehttp/endless_test.go
+++ b/internal/adapter/enginehttp/endless_test.go
@@ -72,8 +72,7 @@
 
 func (r *boundedRoom) Return(bytes int64) { r.held.Add(-bytes) }
 
-// TestAnswersOfEnginesWithoutEndStayWithinTheirMemory has an engine send bytes without end in answer to polls and in the line of a
-// stream.
+// TestAnswersOfEnginesWithoutEndStayWithinTheirMemory has an engine send bytes without end to polls and in a stream's line.
 func TestAnswersOfEnginesWithoutEndStayWithinTheirMemory(t *testing.T) {
 	for name, call := range map[string]func(context.Context, *enginehttp.Client, string) error{
 		"load": func(ctx context.Context, c *enginehttp.Client, address string) error {
--- a/internal/adapter/httpclient/truncated_test.go
+++ b/internal/adapter/httpclient/truncated_test.go
@@ -71,8 +71,7 @@
 	}
 }
 
-// TestResetIsFoundBeforeTheSenderOfTheBodyIsScheduled has that goroutine hold the report of the reset for longer than the
-// reader waits for it, as on a busy machine.
+// TestResetIsFoundBeforeTheSenderOfTheBodyIsScheduled has that goroutine keep the reset to itself, as on a busy machine.
 func TestResetIsFoundBeforeTheSenderOfTheBodyIsScheduled(t *testing.T) {
 	is := is.New(t)
 	address := resettingServer(t)
@@ -88,8 +87,7 @@
 	}
 }
 
-// TestPeerThatReadsOnAfterItsResponseHasNotReset has a peer end its response, and its side of the connection, before it has
-// read the body.
+// TestPeerThatReadsOnAfterItsResponseHasNotReset has a peer end its side of the connection before it has read the body.
 func TestPeerThatReadsOnAfterItsResponseHasNotReset(t *testing.T) {
 	is := is.New(t)
 	address := accept(t, func(conn *net.TCPConn) {
--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -101,8 +101,7 @@
 	maxUnfinishedHeap = 48 << 20
 )
 
-// TestEventsWithoutEndStayWithinTheMemoryForBodies has a faulty endpoint leave an event open in each of many streams, just short
-// of the largest size.
+// TestEventsWithoutEndStayWithinTheMemoryForBodies leaves an event of almost the largest size open in each of many streams.
 func TestEventsWithoutEndStayWithinTheMemoryForBodies(t *testing.T) {
 	is := is.New(t)
 	var sent sync.WaitGroup
--- a/internal/proxy/links_test.go
+++ b/internal/proxy/links_test.go
@@ -80,8 +80,7 @@
 	}
 }
 
-// TestPeersThatCannotSendCostNoRetryBudget has a request whose endpoint failed find two peers that cannot send it, and then one
-// that can, with a budget for one further attempt.
+// TestPeersThatCannotSendCostNoRetryBudget asks three times for the one further attempt that the budget has.
 func TestPeersThatCannotSendCostNoRetryBudget(t *testing.T) {
 	is := is.New(t)
 	x := &exchange{fleet: testFleet, proxy: &Proxy{Dependencies: Dependencies{RetryBudget: retrybudget.NewBudget(retrybudget.Limits{Slack: 2, Window: time.Minute})}}}
