--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -42,6 +42,10 @@
 	spoiled   atomic.Int64
 	received  atomic.Int64
 	leaving   atomic.Bool
+	// unframed is set if streams have no length and end with their connection, which hijacked holds.
+	unframed bool
+	hijacked sync.Map
+	exited   bool
 }
 
 func (s *site) newRunner(service, id, version string) *runner {
@@ -137,7 +141,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.leaving.Load() {
+		h.Set("Server-Leaving", "1")
+	}
 	if strings.HasPrefix(q.URL.Path, "/stream/") {
+		if r.unframed {
+			r.streamUnframed(w, q)
+			return
+		}
 		r.stream(w, q)
 		return
 	}
