--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -32,8 +32,8 @@
 type event struct {
 	kind     string
 	revision uint64
-	Object   object `json:"object"`
-	Deleted  bool   `json:"deleted"`
+	object   object
+	deleted  bool
 }
 
 // store is a stand-in for the platform's metadata store.
@@ -126,10 +126,55 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if body != nil {
-		_ = json.NewEncoder(w).Encode(body)
+		_, _ = io.WriteString(w, encode(body))
 	}
 }
 
+// encode returns the text of an answer. Values are sent as they were stored, also if encoding/json does not accept them.
+func encode(body any) string {
+	switch b := body.(type) {
+	case object:
+		return b.text()
+	case page:
+		var parts []string
+		for _, o := range b.entries {
+			parts = append(parts, o.text())
+		}
+		return fmt.Sprintf(`{"entries":[%s],"hasMore":false,"asOf":%d}`, strings.Join(parts, ","), b.asOf)
+	case changes:
+		var parts []string
+		for _, e := range b.events {
+			parts = append(parts, fmt.Sprintf(`{"object":%s,"deleted":%t}`, e.object.text(), e.deleted))
+		}
+		return fmt.Sprintf(`{"events":[%s],"asOf":%d}`, strings.Join(parts, ","), b.asOf)
+	}
+	return "{}"
+}
+
+func (o *object) text() string {
+	named, err := json.Marshal(o.Metadata)
+	check(err)
+	text := `{"metadata":` + string(named)
+	if len(o.Spec) > 0 {
+		text += `,"spec":` + string(o.Spec)
+	}
+	if len(o.Status) > 0 {
+		text += `,"status":` + string(o.Status)
+	}
+	return text + "}"
+}
+
+// page is the answer to a list, changes that to a watch.
+type page struct {
+	entries []object
+	asOf    uint64
+}
+
+type changes struct {
+	events []event
+	asOf   uint64
+}
+
 func (s *store) isAway() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -187,7 +232,7 @@
 		entries = append(entries, o)
 	}
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Metadata.Name < entries[j].Metadata.Name })
-	return http.StatusOK, map[string]any{"entries": entries, "hasMore": false, "asOf": s.revision}
+	return http.StatusOK, page{entries, s.revision}
 }
 
 func (s *store) watch(r *http.Request, kind string, d *door) (int, any) {
@@ -209,12 +254,12 @@
 		asOf, changed, era := s.revision, s.changed, s.era
 		s.mu.Unlock()
 		if len(events) > 0 {
-			return http.StatusOK, map[string]any{"events": events, "asOf": asOf}
+			return http.StatusOK, changes{events, asOf}
 		}
 		select {
 		case <-changed:
 		case <-end:
-			return http.StatusOK, map[string]any{"events": events, "asOf": asOf}
+			return http.StatusOK, changes{events, asOf}
 		case <-r.Context().Done():
 			return http.StatusOK, nil
 		}
@@ -268,7 +313,7 @@
 		return http.StatusConflict, o
 	}
 	s.delete(kind, name)
-	return http.StatusOK, map[string]any{}
+	return http.StatusOK, struct{}{}
 }
 
 // write stores an object. The mutex is held.
@@ -282,7 +327,7 @@
 		s.kinds[kind] = map[string]object{}
 	}
 	s.kinds[kind][o.Metadata.Name] = o
-	s.history = append(s.history, event{kind: kind, revision: s.revision, Object: o})
+	s.history = append(s.history, event{kind: kind, revision: s.revision, object: o})
 	s.wake()
 	return o
 }
@@ -296,7 +341,7 @@
 	delete(s.kinds[kind], name)
 	s.revision++
 	o.Metadata.Revision = s.revision
-	s.history = append(s.history, event{kind: kind, revision: s.revision, Object: o, Deleted: true})
+	s.history = append(s.history, event{kind: kind, revision: s.revision, object: o, deleted: true})
 	s.wake()
 }
 
