--- a/review/harness-2/case_unframed.go
+++ b/review/harness-2/case_unframed.go
@@ -103,8 +103,8 @@
 	}()
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	r.began(q, after)
-	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\nX-Rattanchute-Attempt-Id: " +
-		q.Header.Get("X-Rattanchute-Attempt-Id") + "\r\n" + stampHeader + ": 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n" + wire("attemptLine") +
+		q.Header.Get(wire("attempt")) + "\r\n" + stampHeader + ": 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
 	if r.leaving.Load() {
 		head += "Server-Leaving: 1\r\n"
 	}
--- a/review/harness-2/case_unsigned.go
+++ b/review/harness-2/case_unsigned.go
@@ -8,8 +8,6 @@
 
 func init() { cases["unsigned"] = unsigned }
 
-const stampHeader = "X-Rattanchute-Server-Stamp"
-
 // unsigned: half of the runners spoil some of their answers: the line of the signature arrives with wrong bytes. No client may get such an
 // answer as a success.
 func unsigned(s *site) {
--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -79,7 +79,7 @@
 // register writes the runner's entry.
 func (r *runner) register(state string) {
 	r.site.store.put("servers", r.id, map[string]any{
-		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": 64, "state": state, "coldLeftMs": 0,
+		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": 64, "state": state, wire("cold"): 0,
 		"seq": 1, "born": r.born, "phase": "prefill_decode", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
 	})
 }
@@ -101,8 +101,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs = append(r.runs, run{
-		at: time.Now(), runner: r.id, version: r.version, id: q.Header.Get("X-Rattanchute-Attempt-Id"), path: q.URL.Path,
-		tenant: q.Header.Get("X-Rattanchute-Tenant"), after: after,
+		at: time.Now(), runner: r.id, version: r.version, id: q.Header.Get(wire("attempt")), path: q.URL.Path,
+		tenant: q.Header.Get(wire("tenant")), after: after,
 	})
 }
 
@@ -121,23 +121,23 @@
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	switch q.URL.Path {
 	case "/healthz":
-		w.Header().Set("X-Rattanchute-Instance-Id", r.id)
+		w.Header().Set(wire("instance"), r.id)
 		return
-	case "/v1/report":
+	case wire("report"):
 		w.WriteHeader(http.StatusOK)
 		return
 	}
 	r.received.Add(1)
 	h := w.Header()
-	h.Set("X-Rattanchute-Attempt-Id", q.Header.Get("X-Rattanchute-Attempt-Id"))
+	h.Set(wire("attempt"), q.Header.Get(wire("attempt")))
 	if r.spoilEach > 0 && r.received.Load()%r.spoilEach == 0 {
 		r.spoiled.Add(1)
-		h.Set("X-Rattanchute-Sfrver-Sta", "p: 3e1b.07.5a2.600.0.c9f2a4d1")
+		h.Set(wire("spoiledStamp"), "p: 3e1b.07.5a2.600.0.c9f2a4d1")
 	} else {
 		h.Set(stampHeader, "3e1b.07.5a2.600.0.c9f2a4d1")
 	}
-	if expected := q.Header.Get("X-Rattanchute-Expect-Instance"); expected != "" && expected != r.id {
-		h.Set("X-Rattanchute-Not-Executed", "1")
+	if expected := q.Header.Get(wire("expectInstance")); expected != "" && expected != r.id {
+		h.Set(wire("notExecuted"), "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -154,7 +154,7 @@
 	}
 	r.began(q, 0)
 	time.Sleep(r.work)
-	_, _ = fmt.Fprintf(w, "answer of %s to %s", r.id, q.Header.Get("X-Rattanchute-Attempt-Id"))
+	_, _ = fmt.Fprintf(w, "answer of %s to %s", r.id, q.Header.Get(wire("attempt")))
 }
 
 // stream answers with events. The text of an event depends on the version of the software.
@@ -163,7 +163,7 @@
 	r.began(q, after)
 	version := r.version
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Rattanchute-Weight-Versions", "1")
+	w.Header().Set(wire("weights"), "1")
 	controller := http.NewResponseController(w)
 	for n := after + 1; n <= r.events; n++ {
 		select {
@@ -210,8 +210,8 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(deadline))
 	lines := []string{
-		method + " " + path + " HTTP/1.1", "Host: " + siteHost, "X-Rattanchute-Attempt-Id: " + id,
-		"X-Rattanchute-Deadline-Ms: " + strconv.FormatInt(deadline.Milliseconds(), 10),
+		method + " " + path + " HTTP/1.1", "Host: " + siteHost, wire("attemptLine") + id,
+		wire("deadline") + ": " + strconv.FormatInt(deadline.Milliseconds(), 10),
 	}
 	if key != "" {
 		lines = append(lines, "X-Api-Key: "+key)
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -105,10 +105,10 @@
 		regions[z] = "r"
 	}
 	text, err := json.Marshal(map[string]any{
-		"nodeName": h.name, "role": "entry", "machineClass": "edge", "serves": []string{"edge"}, "ip": h.ip, "zone": h.zone, "region": "r",
-		"zones":     regions,
-		"listen":    map[string]any{"front": h.front, "ready": h.ready},
-		"portRange": []int{min(h.ports[2], h.ports[3]), max(h.ports[2], h.ports[3])}, "firstStart": firstStart,
+		wire("node"): h.name, "role": "entry", wire("class"): "edge", "serves": []string{"edge"}, "ip": h.ip, "zone": h.zone, "region": "r",
+		"zones":       regions,
+		"listen":      map[string]any{"front": h.front, "ready": h.ready},
+		wire("ports"): []int{min(h.ports[2], h.ports[3]), max(h.ports[2], h.ports[3])}, "firstStart": firstStart,
 		"limits":      map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"discovery":   "platform",
 		"entry":       "vip",
@@ -136,7 +136,7 @@
 	c := exec.Command("target/rattanchuted", "--platform")
 	c.Dir = os.Getenv("REPOSITORY")
 	c.Path = filepath.Join(c.Dir, "target/rattanchuted")
-	c.Env = []string{"RATTANCHUTE_NODE_FILE=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1"}
+	c.Env = []string{wire("settings") + "=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1"}
 	c.Stdout, c.Stderr = log, log
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(c.Start())
@@ -218,8 +218,8 @@
 			return
 		}
 		d := dutyCall{
-			at: time.Now(), host: host, path: r.URL.Path, holder: r.Header.Get("X-Rattanchute-Duty-Holder"),
-			token: r.Header.Get("X-Rattanchute-Fencing-Token"), body: string(body),
+			at: time.Now(), host: host, path: r.URL.Path, holder: r.Header.Get(wire("holder")),
+			token: r.Header.Get(wire("fencingToken")), body: string(body),
 		}
 		var report struct {
 			WindowID int64           `json:"windowId"`
@@ -269,8 +269,8 @@
 	seen := map[string]bool{}
 	for _, r := range routes {
 		rs = append(rs, map[string]any{
-			"name": r.name, "host": siteHost, "pathPrefix": r.prefix, "routeKind": r.kind, "timeoutMs": 15000, "goalMs": 1200, "priority": 1,
-			"service": r.service, "maxAttempts": r.attempts, "public": len(keys) == 0, "sticky": false, "resumable": r.resumable, "tbtTargetMs": 800,
+			"name": r.name, "host": siteHost, wire("prefix"): r.prefix, wire("kind"): r.kind, "timeoutMs": 15000, "goalMs": 1200, "priority": 1,
+			"service": r.service, "maxAttempts": r.attempts, "public": len(keys) == 0, "sticky": false, "resumable": r.resumable, wire("gapTarget"): 800,
 		})
 		if !seen[r.service] {
 			seen[r.service] = true
@@ -282,7 +282,7 @@
 		}
 	}
 	for name, list := range keys {
-		ts = append(ts, map[string]any{"name": name, "apiKeys": list, "priority": 1, "unit": "tokens", "rawTokens": 200, "ratePerS": 183478, "burst": 183478})
+		ts = append(ts, map[string]any{"name": name, wire("keys"): list, "priority": 1, "unit": "tokens", "rawTokens": 200, "ratePerS": 183478, "burst": 183478})
 	}
 	return map[string]any{
 		"version": version, "routes": rs, "services": ss, "tenants": ts,
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -21,11 +21,10 @@
 }
 
 type metadata struct {
-	Name            string   `json:"name"`
-	Revision        uint64   `json:"revision,omitempty"`
-	Created         int64    `json:"created,omitempty"`
-	Finalizers      []string `json:"finalizers,omitempty"`
-	DeletionPending bool     `json:"deletionPending,omitempty"`
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision,omitempty"`
+	Created    int64    `json:"created,omitempty"`
+	Finalizers []string `json:"finalizers,omitempty"`
 }
 
 // event is a change of an object.
@@ -195,7 +194,7 @@
 }
 
 func (s *store) perform(r *http.Request, body []byte, d *door) (int, any) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, wire("objects")), "/")
 	var sent object
 	if len(body) > 0 && json.Unmarshal(body, &sent) != nil {
 		return http.StatusBadRequest, nil
