Answers whose field names are no tokens are not passed on

What callers saw: an endpoint in trouble sent a head in which the name of a field held a blank. They got it as a success, with that line passed on, or with the framing that the line claimed: of a body without a length, behind "Content-Length : 4", the first four bytes. A line "Not-Executed : 1" made a request that had run count as not run.

Cause: fasthttp takes blanks in names. It drops those before the colon and keeps the others. Nothing looked at the bytes before it.

Change: the client that reads all answers of endpoints, relaying peers, the platform and the cloud checks each field line of a head, an interim response and a trailer (RFC 9112, 5; RFC 9110, 5.6.2) before fasthttp parses it; probes too. What fails is an answer that can't be read, as others are: 502 or a further attempt, never "not run", and the connection is closed. fasthttp reads a trailer together with the last chunk, so bodies in chunks are read with net/http/httputil, and the trailer behind it. The error of a broken chunk wraps its cause now, and what kept that cause apart is gone.

Why it works: the check sees the same lines as the parser, with the same ends, before anything acts on them. Whatever does not come whole is left to the parser, as before.

Evidence: on TestAnswerWithABadFieldNameIsNotPassedOn fails with 840 of 4,640 answers (712 passed on as a success, 112 told not run, 28 of these run twice though they may run once, 16 without an answer), directly and through a peer; 0 with the change. TestAnswerOfAPeerWithABadFieldNameSaysNothing, TestRequestWithABadAnswerIsRepeatedWhereItMayBe, and the tests of the own interface and the platform's store fail before and pass now. Malformed chunks are errors with both readers (TestMalformedChunksAreErrors).

--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -23,6 +23,7 @@
 	Response  *fasthttp.Response
 	ctx       context.Context
 	exchange  *exchange
+	stream    io.Reader
 	mu        sync.Mutex
 	ended     bool
 	closed    bool
@@ -102,13 +103,13 @@
 			x.release(false)
 			return nil, x.sendError(ctx, err)
 		}
-		b := &Body{Response: resp, ctx: ctx, exchange: x}
-		b.ended = resp.BodyStream() == nil
+		b := &Body{Response: resp, ctx: ctx, exchange: x, stream: x.bodyOf(resp)}
+		b.ended = b.stream == nil
 		if o.Matches == nil || o.Matches(&resp.Header) {
 			return b, nil
 		}
 		if err := b.discard(); err != nil {
-			err = x.readError(ctx, err)
+			err = responseError(ctx, err)
 			x.release(false)
 			return nil, err
 		}
@@ -131,7 +132,7 @@
 	if b.ended {
 		return nil
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(b.Response.BodyStream(), MaxResponseBytes+1))
+	n, err := io.Copy(io.Discard, io.LimitReader(b.stream, MaxResponseBytes+1))
 	_ = b.Response.CloseBodyStream()
 	if err == nil && n > MaxResponseBytes {
 		return errLongMismatch
@@ -155,7 +156,7 @@
 	if b.ended {
 		return 0, io.EOF
 	}
-	n, err := b.Response.BodyStream().Read(p)
+	n, err := b.stream.Read(p)
 	if err == io.EOF && b.Framing() == FramingClose {
 		if failure := b.exchange.writeFailure(); failure != nil {
 			err = failure
@@ -166,7 +167,7 @@
 		return n, err
 	}
 	if err != nil {
-		err = b.exchange.readError(b.ctx, err)
+		err = responseError(b.ctx, err)
 	}
 	return n, err
 }
@@ -203,7 +204,7 @@
 func (b *Body) drain() {
 	var rest [512]byte
 	for read := 0; !b.ended && read < maxDrainBytes; {
-		n, err := b.Response.BodyStream().Read(rest[:])
+		n, err := b.stream.Read(rest[:])
 		read += n
 		b.ended = err == io.EOF
 		if err != nil {
--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -112,7 +112,7 @@
 	}
 	resp.SkipBody = req.Header.IsHead()
 	if err = x.readResponse(ctx, resp, cmp.Or(o.MaxBytes, MaxResponseBytes), o.Room); err != nil {
-		err = x.readError(ctx, err)
+		err = responseError(ctx, err)
 	}
 	x.release(err == nil && !resp.ConnectionClose())
 	return err
--- a/internal/adapter/httpclient/conn.go
+++ b/internal/adapter/httpclient/conn.go
@@ -40,15 +40,12 @@
 	// openedAt is when the connection was opened, and requests the number of requests that it was taken for.
 	openedAt time.Time
 	requests int
-	// readErr is the last error of reading, nil without one. Only the reader of the response uses it.
-	readErr error
 }
 
 // beginRequest resets the count for a new request. It returns an error, in general
 // errStaleConn, if the connection is no longer usable.
 func (c *countingConn) beginRequest() error {
 	c.sent.Store(0)
-	c.readErr = nil
 	c.requests++
 	if !c.idleUntil.IsZero() && !time.Now().Before(c.idleUntil) {
 		return errStaleConn
@@ -63,15 +60,6 @@
 	return n, err
 }
 
-// Read implements net.Conn and keeps the error.
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err != nil {
-		c.readErr = err
-	}
-	return n, err
-}
-
 // checkIdle does a non-blocking read: an idle connection must have nothing to read, not
 // even an end of file.
 func checkIdle(conn net.Conn) error {
--- a/internal/adapter/httpclient/exchange.go
+++ b/internal/adapter/httpclient/exchange.go
@@ -19,7 +19,7 @@
 	if err := readHead(x.reader, resp); err != nil {
 		return err
 	}
-	stream := resp.BodyStream()
+	stream := x.bodyOf(resp)
 	if stream == nil {
 		return nil
 	}
@@ -37,6 +37,15 @@
 	return nil
 }
 
+// bodyOf returns the reader of the body of a response whose head has been read; nil if it has none.
+func (x *exchange) bodyOf(resp *fasthttp.Response) io.Reader {
+	stream := resp.BodyStream()
+	if stream != nil && FramingOf(&resp.Header) == FramingChunked {
+		return newChunkedBody(x.reader, &resp.Header)
+	}
+	return stream
+}
+
 // exchange is a request together with the connection that carries it.
 type exchange struct {
 	conn    *countingConn
@@ -192,23 +201,6 @@
 	return w.Flush()
 }
 
-// readError returns the error of a response that could not be read to its end.
-func (x *exchange) readError(ctx context.Context, err error) error {
-	return responseError(ctx, x.chunkError(err))
-}
-
-// chunkError adds the error of the connection to that of a broken chunk, which does not wrap it.
-func (x *exchange) chunkError(err error) error {
-	var broken fasthttp.ErrBrokenChunk
-	if x.conn.readErr == nil || !errors.As(err, &broken) {
-		return err
-	}
-	if x.conn.readErr == io.EOF {
-		return fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
-	}
-	return fmt.Errorf("%w: %w", x.conn.readErr, err)
-}
-
 // responseError adds the context's error to err if the context is done: the end of the context
 // closes the connection and so causes err. Otherwise it adds context.DeadlineExceeded if err is a
 // timeout of the connection, and returns any other err unchanged.
--- a/internal/adapter/httpclient/probe.go
+++ b/internal/adapter/httpclient/probe.go
@@ -9,9 +9,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Probe sends a GET request on a connection of its own, which it closes, and returns nil once the header of a
-// response has arrived, whatever its status. A connection that opens is no response. The error wraps ErrNotSent if
-// the connection did not open.
+// Probe sends a GET request on a connection of its own, which it closes, and returns nil once the head of a
+// response has arrived, whatever its status. A connection that opens is no response, and neither is a head
+// that cannot be read. The error wraps ErrNotSent if the connection did not open.
 func (c *Client) Probe(ctx context.Context, address, path string) error {
 	conn, err := c.dialContext(ctx, net.Dialer{}, address)
 	if err != nil {
@@ -33,7 +33,8 @@
 	if err := w.Flush(); err != nil {
 		return responseError(ctx, err)
 	}
-	if err := resp.Header.Read(bufio.NewReader(conn)); err != nil {
+	resp.StreamBody = true // the body is not read
+	if err := readHead(bufio.NewReader(conn), resp); err != nil {
 		return responseError(ctx, err)
 	}
 	return nil
--- a/internal/adapter/httpclient/status.go
+++ b/internal/adapter/httpclient/status.go
@@ -19,8 +19,8 @@
 // maxInterimResponses bounds the interim responses (RFC 9110, 15.2) that are skipped before a response.
 const maxInterimResponses = 100
 
-// readHead reads the head of a response, and returns an error if its status is not valid. Its body is read as the response's
-// settings say.
+// readHead reads the head of a response, and returns an error if its status or the name of a field is not valid, also in an interim
+// response before it. Its body is read as the response's settings say.
 func readHead(r *bufio.Reader, resp *fasthttp.Response) error {
 	for range maxInterimResponses + 1 {
 		status, err := peekStatus(r)
@@ -29,7 +29,11 @@
 			return err
 		case status < fasthttp.StatusContinue:
 			return fmt.Errorf("%w: %03d", errBadStatus, status)
-		case status >= fasthttp.StatusOK || status == fasthttp.StatusSwitchingProtocols:
+		}
+		if err := checkHead(r); err != nil {
+			return err
+		}
+		if status >= fasthttp.StatusOK || status == fasthttp.StatusSwitchingProtocols {
 			return resp.ReadLimitBody(r, 0)
 		}
 		var interim fasthttp.ResponseHeader
