--- a/internal/fleet/ingress.go
+++ b/internal/fleet/ingress.go
@@ -34,7 +34,7 @@
 	Split []WeightedFleet
 	// MaxAttempts is the maximum number of times that one request is sent to an endpoint.
 	MaxAttempts int
-	// Public routes need no key.
+	// Public routes need no key. All others do, also if no organisation is declared.
 	Public bool
 	// CacheAffinity routes carry prompts whose parts are cached by the endpoints.
 	CacheAffinity bool
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -119,10 +119,22 @@
 	n.announceChange()
 	n.Log.Info().Uint64("generation", uint64(c.Generation)).
 		Uint64("era", object.Version.Era()).Uint64("version", object.Version.Revision()).
-		Int("routes", len(c.Routes)).Int("organisations", len(c.Organisations)).Msg("configuration in force")
+		Int("routes", len(c.Routes)).Int("public_routes", countPublic(c.Routes)).
+		Int("organisations", len(c.Organisations)).Msg("configuration in force")
 	return nil
 }
 
+// countPublic returns the number of routes that need no key.
+func countPublic(routes []fleet.Route) int {
+	n := 0
+	for i := range routes {
+		if routes[i].Public {
+			n++
+		}
+	}
+	return n
+}
+
 // logStoredConfiguration logs that the store holds a configuration that is older than the active one.
 func (n *Node) logStoredConfiguration(version objectstore.Version, stored, active fleet.Generation) {
 	if stored == active {
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -70,11 +70,11 @@
 	return path
 }
 
-// checkKey identifies the organisation by the caller's key. Public routes need no key, and neither
-// does any route if the configuration has no organisations.
+// checkKey identifies the organisation by the caller's key. Only public routes need no key, however
+// many organisations the configuration has left.
 func (x *exchange) checkKey() *errorResponse {
 	x.organisation = nil
-	if x.route.Public || !x.table.HasOrganisations() {
+	if x.route.Public {
 		return nil
 	}
 	organisation, known := x.table.OrganisationByKeyHash(x.info.KeyHash)
--- a/internal/route/ingress.go
+++ b/internal/route/ingress.go
@@ -35,9 +35,6 @@
 	return nil
 }
 
-// HasOrganisations reports whether any organisation is declared.
-func (t *Table) HasOrganisations() bool { return len(t.configuration.Organisations) > 0 }
-
 // Ranks returns the priorities of the routes to each fleet.
 func (t *Table) Ranks() loadshed.Ranks { return t.ranks }
 
