An emptied list of a selector is a finding

Cause: a selector without the list allows all, and an empty list was taken for an absent one.

Change: validation reports a list that is there and empty. null still counts as absent, as this program writes absent lists so.

Evidence: four cases of TestParseConfigurationFindsEachError are accepted on and are findings now.

--- a/internal/fleet/parse_test.go
+++ b/internal/fleet/parse_test.go
@@ -67,6 +67,11 @@
 		{`127.0.0.1:21001`, `127.0.0.1:21002`, `address "127.0.0.1:21002" is declared twice`},
 		{`"values": ["gold"]`, `"values": ["silver"]`, `selector "gold" matches no organisation`},
 		{`"data_centres": ["north"]`, `"data_centres": ["south"]`, `selector "gold" matches no endpoint`},
+		// An emptied list must not allow everything.
+		{`[{"label": "tier", "op": "in", "values": ["gold"]}]`, `[]`, `organisations is an empty list`},
+		{`[{"label": "rack", "op": "exists"}]`, `[]`, `endpoints is an empty list`},
+		{`"priority": 5`, `"priority": 5, "hosts": []`, `hosts is an empty list`},
+		{`"data_centres": ["north"]`, `"data_centres": []`, `data_centres is an empty list`},
 		{`"op": "exists"`, `"op": "exist"`, `operator is "exist"`},
 		{`"priority": 5`, `"priority": 10`, `priority is 10`},
 		{`"priority": 5`, `"priority": 5, "weight": 1`, `unknown key "weight"`},
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -142,8 +142,8 @@
 	OpAbsent Operator = "absent"
 )
 
-// Requirement is a condition on one label. A list of requirements matches if all of them do; an
-// empty list matches everything.
+// Requirement is a condition on one label. A list of requirements matches if all of them do; without
+// any, everything matches.
 type Requirement struct {
 	Label  string   `json:"label"`
 	Op     Operator `json:"op"`
@@ -160,7 +160,7 @@
 	Endpoints []Requirement `json:"endpoints"`
 	// Hosts are matched against the host's labels.
 	Hosts []Requirement `json:"hosts"`
-	// DataCentres lists the allowed data centres; empty allows all.
+	// DataCentres lists the allowed data centres; nil allows all. An empty list is not accepted.
 	DataCentres []string `json:"data_centres"`
 	// Priority ranges from 0 (shed first) to 9.
 	Priority int `json:"priority"`
--- a/internal/fleet/validate_selector.go
+++ b/internal/fleet/validate_selector.go
@@ -16,6 +16,7 @@
 		v.checkRequirements(at.Key("organisations"), s.Organisations)
 		v.checkRequirements(at.Key("endpoints"), s.Endpoints)
 		v.checkRequirements(at.Key("hosts"), s.Hosts)
+		checkNotEmptied(v.doc, at.Key("data_centres"), s.DataCentres)
 		for j, dc := range s.DataCentres {
 			v.checkDataCentre(at.Key("data_centres").Item(j), dc)
 		}
@@ -24,7 +25,16 @@
 	}
 }
 
+// checkNotEmptied reports a list that is there and empty. A selector without the list allows everything, which an operator
+// who takes the last item away doesn't mean.
+func checkNotEmptied[T any](doc *jsonc.Document, p jsonc.Path, list []T) {
+	if list != nil && len(list) == 0 {
+		doc.Add(p, p.LastKey()+" is an empty list", "accepted is at least one item; a selector without the key allows all")
+	}
+}
+
 func (v *validator) checkRequirements(p jsonc.Path, requirements []Requirement) {
+	checkNotEmptied(v.doc, p, requirements)
 	for i, r := range requirements {
 		at := p.Item(i)
 		if !labelKey.MatchString(r.Label) {
