An organisation without a name gets no share of the room

Cause: the empty name stands for callers without an organisation and was also taken for the name of one.

Change: fairshare leaves organisations without a name out.

Evidence: TestOrganisationWithoutNameIsNone fails on, passes now, with -race. By reading only: a granted one that would have to wait ends in a panic (shedLimited reads the name of no organisation).

--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -236,6 +236,25 @@
 	return table
 }
 
+// TestOrganisationWithoutNameIsNone guards against callers without an organisation that are taken for one whose name is
+// empty, and so limited.
+func TestOrganisationWithoutNameIsNone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	table.Configure([]Organisation{{}, {Name: "b"}}, []string{"f"})
+	table.RecordServed(now, Served{Fleet: "f", Route: "r", Seconds: 1, Slots: 8})
+	for range 100 {
+		table.Decide(now, 0, Request{Fleet: "f", Route: "r"})
+	}
+	table.Decide(now, 0, Request{Fleet: "f", Route: "r", Organisation: "b"})
+	table.SetRoom(now, "f", Room{Capacity: Cost{Slots: 10}, Fullness: Cost{Slots: 1}})
+	for range 20 {
+		d := table.Decide(now, 0, Request{Fleet: "f", Route: "r"})
+		is.True(d.Admit && !d.Limited)
+	}
+}
+
 // TestWhoIsNeverRefused checks whose requests are granted whatever a fleet's shortage.
 func TestWhoIsNeverRefused(t *testing.T) {
 	is := is.New(t)
--- a/internal/fairshare/table.go
+++ b/internal/fairshare/table.go
@@ -46,10 +46,14 @@
 	return &Table{pools: map[string]*pool{}}
 }
 
-// Configure sets the organisations and the fleets. The state of fleets that remain is kept.
+// Configure sets the organisations and the fleets. The state of fleets that remain is kept. An organisation without a name
+// is left out: its name stands for callers that have none.
 func (t *Table) Configure(organisations []Organisation, fleets []string) {
 	weights := make(map[string]float64, len(organisations))
 	for _, o := range organisations {
+		if o.Name == "" {
+			continue
+		}
 		weights[o.Name] = o.Weight
 		if o.Weight <= 0 {
 			weights[o.Name] = 1
