A route without a prefix or a host takes no request

Cause: the empty prefix begins every path.

Change: fleet.Route.Complete says whether a route tells which requests it takes; others are left out, the rest stays in force. `configuration in force` logs incomplete_routes.

--- a/internal/fleet/ingress.go
+++ b/internal/fleet/ingress.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // RouteKind determines how often a request of a route may run.
 type RouteKind int
@@ -49,6 +52,9 @@
 	return r.Kind == RouteIdempotent || r.Kind == RouteStream && r.Resumable
 }
 
+// Complete reports whether the route says which requests it takes. The zero prefix would begin every path.
+func (r *Route) Complete() bool { return r.Host != "" && strings.HasPrefix(r.PathPrefix, "/") }
+
 // WeightedFleet is a fleet's share of a route.
 type WeightedFleet struct {
 	Fleet  string
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -117,22 +117,25 @@
 	n.proxy.SetTable(table)
 	n.origins.SetRoutes(now, table.Destinations())
 	n.announceChange()
-	n.Log.Info().Uint64("generation", uint64(c.Generation)).
-		Uint64("era", object.Version.Era()).Uint64("version", object.Version.Revision()).
-		Int("routes", len(c.Routes)).Int("public_routes", countPublic(c.Routes)).
-		Int("organisations", len(c.Organisations)).Msg("configuration in force")
+	n.logInForce(object.Version, c)
 	return nil
 }
 
-// countPublic returns the number of routes that need no key.
-func countPublic(routes []fleet.Route) int {
-	n := 0
-	for i := range routes {
-		if routes[i].Public {
-			n++
+// logInForce logs a configuration that is used from now on, and how many of its routes need no key or take no requests.
+func (n *Node) logInForce(version objectstore.Version, c *fleet.Configuration) {
+	public, incomplete := 0, 0
+	for i := range c.Routes {
+		switch r := &c.Routes[i]; {
+		case !r.Complete():
+			incomplete++
+		case r.Public:
+			public++
 		}
 	}
-	return n
+	n.Log.Info().Uint64("generation", uint64(c.Generation)).
+		Uint64("era", version.Era()).Uint64("version", version.Revision()).
+		Int("routes", len(c.Routes)).Int("public_routes", public).Int("incomplete_routes", incomplete).
+		Int("organisations", len(c.Organisations)).Msg("configuration in force")
 }
 
 // logStoredConfiguration logs that the store holds a configuration that is older than the active one.
--- a/internal/route/ingress.go
+++ b/internal/route/ingress.go
@@ -9,11 +9,15 @@
 	"rattanchute/internal/loadshed"
 )
 
-// compileRoutes lists the routes by host, the longest path prefix first.
+// compileRoutes lists the routes by host, the longest path prefix first. Routes that are not complete
+// are left out.
 func compileRoutes(routes []fleet.Route) map[string][]*fleet.Route {
 	byHost := make(map[string][]*fleet.Route)
 	for i := range routes {
 		r := &routes[i]
+		if !r.Complete() {
+			continue
+		}
 		byHost[r.Host] = append(byHost[r.Host], r)
 	}
 	for _, list := range byHost {
