--- a/internal/adapter/callers/server_test.go
+++ b/internal/adapter/callers/server_test.go
@@ -17,6 +17,7 @@
 	"rattanchute/internal/bodybudget"
 	"rattanchute/internal/contain"
 	"rattanchute/internal/dispatcher"
+	"rattanchute/internal/fleet"
 	"rattanchute/internal/route"
 )
 
@@ -50,11 +51,38 @@
 	is.Equal(response.StatusCode, http.StatusUnauthorized)
 }
 
+// emptyTable has a configuration without organisations.
+type emptyTable struct{}
+
+func (emptyTable) Table() *route.Table { return route.Compile(&fleet.Configuration{}) }
+
+// TestNoKeyIsKnownWithoutOrganisations guards against a server that serves every key once its configuration has no
+// organisation left.
+func TestNoKeyIsKnownWithoutOrganisations(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := newServer(Limits{}, emptyTable{})
+	go func() { _ = s.Serve(listener, nil) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	for _, key := range []string{"Bearer key", "Bearer ", ""} {
+		request, err := http.NewRequest(http.MethodGet, "http://"+listener.Addr().String()+"/v1/models", nil)
+		is.NoErr(err)
+		request.Header.Set("Authorization", key)
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		_ = response.Body.Close()
+		is.Equal(response.StatusCode, http.StatusUnauthorized)
+	}
+}
+
 func newTestServer() *Server { return newLimitedServer(Limits{}) }
 
-func newLimitedServer(limits Limits) *Server {
+func newLimitedServer(limits Limits) *Server { return newServer(limits, noTable{}) }
+
+func newServer(limits Limits, tables TableSource) *Server {
 	logger := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
-	return New(nil, noTable{}, limits, Process{
+	return New(nil, tables, limits, Process{
 		Bodies: bodybudget.New(1<<20, 0), Boundary: contain.NewBoundary(logger, prometheus.NewRegistry()), Log: logger,
 	})
 }
