--- a/internal/fairshare/table.go
+++ b/internal/fairshare/table.go
@@ -47,7 +47,7 @@
 }
 
 // Configure sets the organisations and the fleets. The state of fleets that remain is kept. An organisation without a name
-// is left out: its name stands for callers that have none.
+// is left out: the empty name stands for callers without an organisation.
 func (t *Table) Configure(organisations []Organisation, fleets []string) {
 	weights := make(map[string]float64, len(organisations))
 	for _, o := range organisations {
--- a/internal/fleet/validate_selector.go
+++ b/internal/fleet/validate_selector.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// checkNotEmptied reports a list that is there and empty. A selector without the list allows everything, which an operator
-// who takes the last item away doesn't mean.
+// checkNotEmptied reports an empty list. A selector without the list allows everything; one whose last item was taken away
+// must not.
 func checkNotEmptied[T any](doc *jsonc.Document, p jsonc.Path, list []T) {
 	if list != nil && len(list) == 0 {
 		doc.Add(p, p.LastKey()+" is an empty list", "accepted is at least one item; a selector without the key allows all")
